--- /dev/null
+++ b/crates/bamboocart-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the module list is in place.
+fn main() {}
--- /dev/null
+++ b/crates/bamboocart-core/src/outcome.rs
@@ -0,0 +1,176 @@
+//! The answers that a submission can end with.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::id::TaskIndex;
+
+/// How a submission ended.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Every task has a result.
+    Complete(Vec<TaskResult>),
+    /// At least one task was started and the submission ended in a definite failure.
+    Failed(FailureCode),
+    /// No task was started.
+    Refused(Refusal),
+    /// The caller cancelled the submission.
+    Cancelled {
+        /// Whether any task may have been started before the cancellation.
+        started: bool,
+    },
+    /// Tasks may have been started and the end is not known.
+    Unknown(UnknownCode),
+}
+
+/// The result of one task.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TaskResult {
+    /// The position of the task in its submission.
+    pub task: TaskIndex,
+    /// The target's result.
+    pub body: Bytes,
+}
+
+/// Why a submission failed after at least one start.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FailureCode {
+    /// A target reported that a task failed.
+    TaskFailed,
+    /// A task of a job was lost with its target, and job tasks are never started again.
+    TaskLost,
+    /// The deadline passed while some tasks were finished and others were not started.
+    DeadlinePassed,
+}
+
+/// Why a submission was refused before anything was started.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalCode {
+    /// The request cannot be read.
+    Malformed,
+    /// The request is larger than the limit.
+    TooLarge,
+    /// The customer has no quota in the configuration in force.
+    UnknownCustomer,
+    /// The request kind is not in the configuration in force.
+    UnknownKind,
+    /// No target could ever run the task.
+    CanNeverRun,
+    /// The customer's quota is used up.
+    QuotaExhausted,
+    /// The queue, the registry or another bounded table is full.
+    Overloaded,
+    /// The deadline cannot be met.
+    DeadlineUnreachable,
+    /// No usable target is known.
+    NoTarget,
+    /// The instance is stopping and no peer can take the submission.
+    Draining,
+    /// No configuration is in force yet.
+    NotConfigured,
+    /// No claim covers the time in the caller's key.
+    NoClaim,
+    /// The owner of the submission cannot be reached and was not asked before.
+    OwnerUnreachable,
+    /// The submission id was used before with other content.
+    IdReused,
+}
+
+/// A refusal, with the time after which a retry is useful.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The reason.
+    pub code: RefusalCode,
+    /// When a retry is useful, if it can be.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Why the end of a submission is not known.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UnknownCode {
+    /// The instance that owns the submission is gone.
+    OwnerGone,
+    /// The owner did not answer in time.
+    OwnerSilent,
+    /// A target was lost after it may have started the task.
+    TargetLost,
+    /// The deadline passed while a task was running.
+    StillRunning,
+    /// The submission is older than the memory of its owner.
+    Forgotten,
+}
+
+impl RefusalCode {
+    /// Returns the HTTP status for this code.
+    pub const fn http_status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::TooLarge => 413,
+            Self::UnknownCustomer | Self::UnknownKind | Self::CanNeverRun => 422,
+            Self::IdReused => 409,
+            Self::QuotaExhausted => 429,
+            Self::Overloaded
+            | Self::DeadlineUnreachable
+            | Self::NoTarget
+            | Self::Draining
+            | Self::NotConfigured
+            | Self::NoClaim
+            | Self::OwnerUnreachable => 503,
+        }
+    }
+
+    /// Returns what the caller can do about the refusal.
+    pub const fn remedy(self) -> &'static str {
+        match self {
+            Self::Malformed => "not run; correct the request and send it again",
+            Self::TooLarge => "not run; split the job or shorten the payload",
+            Self::UnknownCustomer => "not run; ask the operators for a quota",
+            Self::UnknownKind => {
+                "not run; use a request kind of the published configuration"
+            }
+            Self::CanNeverRun => "not run; ask for no more than one target offers",
+            Self::QuotaExhausted => "not run; retry after the given time",
+            Self::Overloaded => "not run; retry after the given time",
+            Self::DeadlineUnreachable => "not run; allow a later deadline or retry later",
+            Self::NoTarget => "not run; retry after the given time",
+            Self::Draining => "not run; send the request to another instance",
+            Self::NotConfigured => "not run; send the request to another instance",
+            Self::NoClaim => "not run; use a ticket in place of an id of your own",
+            Self::OwnerUnreachable => "not run; take a fresh ticket",
+            Self::IdReused => "not run; use a fresh id for other content",
+        }
+    }
+}
+
+impl UnknownCode {
+    /// Returns what the caller can do about the missing outcome.
+    pub const fn remedy(self) -> &'static str {
+        match self {
+            Self::OwnerGone => {
+                "it may have run; if this id was never sent before, take a fresh ticket"
+            }
+            Self::OwnerSilent => "it may have run; ask again with the same id",
+            Self::TargetLost => {
+                "it may have run; check with the service before resubmitting"
+            }
+            Self::StillRunning => "it has started; ask again with the same id",
+            Self::Forgotten => "it may have run; the record has expired",
+        }
+    }
+}
+
+impl FailureCode {
+    /// Returns what the caller can do about the failure.
+    pub const fn remedy(self) -> &'static str {
+        match self {
+            Self::TaskFailed => {
+                "a task failed; correct it and submit it under a fresh id"
+            }
+            Self::TaskLost => "a task was lost; submit the job under a fresh id",
+            Self::DeadlinePassed => "allow a later deadline and use a fresh id",
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-core/src/target.rs
@@ -0,0 +1,37 @@
+//! Targets and the answers that they give.
+
+use bytes::Bytes;
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// The key of a target in the arena of its instance.
+    pub struct TargetKey;
+    /// The key of a send in the arena of its instance.
+    pub struct AttemptKey;
+}
+
+/// How a send to a target ended, as seen by the sender.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub enum SendReport {
+    /// The target returned the result.
+    Result(Bytes),
+    /// The target started the task and reported a failure.
+    TaskFailed,
+    /// The target turned the task away before it started.
+    TurnedAway(TurnAway),
+    /// Nothing was sent, for example because the connection was refused.
+    NotSent,
+    /// The task may have been started and no answer arrived.
+    Lost,
+}
+
+/// Why a target turned a task away.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum TurnAway {
+    /// Every slot is in use.
+    Busy,
+    /// The target is leaving.
+    Leaving,
+    /// The lease is not current.
+    Lease,
+}
--- /dev/null
+++ b/crates/bamboocart-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the module list is in place.
--- /dev/null
+++ b/crates/bamboocart-wire/src/api.rs
@@ -0,0 +1,320 @@
+//! The JSON bodies of the HTTP interfaces towards callers, targets and operators.
+
+use bamboocart_core::id::{
+    Attempt, ConfigVersion, CustomerName, InstanceName, KindName, SubmissionId, TaskIndex,
+};
+use bamboocart_core::outcome::{Outcome, RefusalCode};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use crate::text::Utf8;
+
+/// The body of `POST /v1/requests`.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestBody {
+    /// The caller's id for the submission; an instance issues one if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub submission: Option<SubmissionId>,
+    /// The customer that the request is for.
+    pub customer: CustomerName,
+    /// The request kind.
+    pub kind: KindName,
+    /// The time until the answer is needed; the kind's own if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    /// What the target receives.
+    #[serde_as(as = "Utf8")]
+    pub payload: Bytes,
+    /// The number of tickets to return with the answer.
+    #[serde(default)]
+    pub want_tickets: u16,
+}
+
+/// The body of `POST /v1/jobs`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobBody {
+    /// The caller's id for the submission; an instance issues one if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub submission: Option<SubmissionId>,
+    /// The customer that the job is for.
+    pub customer: CustomerName,
+    /// The request kind.
+    pub kind: KindName,
+    /// The time until the answer is needed; the kind's own if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    /// The tasks.
+    pub tasks: Vec<TaskBody>,
+    /// The number of tickets to return with the answer.
+    #[serde(default)]
+    pub want_tickets: u16,
+}
+
+/// One task of a job.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskBody {
+    /// What the target receives.
+    #[serde_as(as = "Utf8")]
+    pub payload: Bytes,
+    /// The processors that the caller thinks the task needs.
+    #[serde(default)]
+    pub cpus: u32,
+    /// The memory that the caller thinks the task needs.
+    #[serde(default)]
+    pub memory_mb: u64,
+    /// The run time that the caller expects.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub declared_ms: Option<u64>,
+}
+
+/// The answer to a request or a job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AnswerBody {
+    /// The submission that is answered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub submission: Option<SubmissionId>,
+    /// The name of the outcome.
+    pub outcome: OutcomeName,
+    /// A stable code for programs.
+    pub code: String,
+    /// The reason and the remedy, for people.
+    pub message: String,
+    /// The results, which are all there or none.
+    #[serde(default)]
+    pub results: Vec<ResultBody>,
+    /// The configuration that decided.
+    pub config_version: ConfigVersion,
+    /// The instance that answered for the submission.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<InstanceName>,
+    /// The number of sends to targets.
+    #[serde(default)]
+    pub attempts: u32,
+    /// When a retry is useful, if it can be.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// Fresh tickets, if the caller asked for some.
+    #[serde(default)]
+    pub tickets: Vec<SubmissionId>,
+}
+
+/// The name of an outcome.
+#[derive(
+    Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum OutcomeName {
+    /// Every task has a result.
+    Complete,
+    /// Started, and ended in a definite failure.
+    Failed,
+    /// Not run.
+    Refused,
+    /// Cancelled by the caller.
+    Cancelled,
+    /// May have run.
+    Unknown,
+}
+
+/// The result of one task.
+#[serde_as]
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ResultBody {
+    /// The position of the task in its submission.
+    pub task: TaskIndex,
+    /// The target's result.
+    #[serde_as(as = "Utf8")]
+    pub body: Bytes,
+}
+
+/// What an answer says beside its outcome.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerContext {
+    /// The submission that is answered.
+    pub submission: Option<SubmissionId>,
+    /// The configuration that decided.
+    pub config_version: ConfigVersion,
+    /// The instance that answered for the submission.
+    pub owner: Option<InstanceName>,
+    /// The number of sends to targets.
+    pub attempts: u32,
+    /// Fresh tickets.
+    pub tickets: Vec<SubmissionId>,
+}
+
+impl AnswerBody {
+    /// Turns an outcome into a body, with its HTTP status.
+    pub fn new(outcome: Outcome, context: AnswerContext) -> (u16, Self) {
+        let mut body = Self {
+            submission: context.submission,
+            outcome: OutcomeName::Complete,
+            code: "complete".into(),
+            message: String::new(),
+            results: Vec::new(),
+            config_version: context.config_version,
+            owner: context.owner,
+            attempts: context.attempts,
+            retry_after_ms: None,
+            tickets: context.tickets,
+        };
+        let status = body.fill(outcome);
+        (status, body)
+    }
+
+    /// Fills in the outcome and returns its HTTP status.
+    fn fill(&mut self, outcome: Outcome) -> u16 {
+        match outcome {
+            Outcome::Complete(results) => {
+                let body = |r: bamboocart_core::outcome::TaskResult| ResultBody {
+                    task: r.task,
+                    body: r.body,
+                };
+                self.results = results.into_iter().map(body).collect();
+                200
+            }
+            Outcome::Failed(code) => {
+                self.outcome = OutcomeName::Failed;
+                self.code = code_name(&code);
+                self.message = code.remedy().into();
+                502
+            }
+            Outcome::Refused(refusal) => {
+                self.outcome = OutcomeName::Refused;
+                self.code = code_name(&refusal.code);
+                self.message = refusal.code.remedy().into();
+                self.retry_after_ms = refusal.retry_after_ms;
+                refusal.code.http_status()
+            }
+            Outcome::Cancelled { started } => {
+                self.outcome = OutcomeName::Cancelled;
+                self.code =
+                    if started { "cancelled-started" } else { "cancelled-not-run" }
+                        .into();
+                self.message = match started {
+                    true => "cancelled; some tasks had been started",
+                    false => "cancelled; not run",
+                }
+                .into();
+                409
+            }
+            Outcome::Unknown(code) => {
+                self.outcome = OutcomeName::Unknown;
+                self.code = code_name(&code);
+                self.message = code.remedy().into();
+                504
+            }
+        }
+    }
+}
+
+/// Returns the stable name of a code.
+fn code_name<T: Serialize>(code: &T) -> String {
+    match serde_json::to_value(code) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => "unnamed".into(),
+    }
+}
+
+/// Returns the body that refuses a request which never became a submission.
+pub fn refuse_early(code: RefusalCode, detail: &str) -> (u16, AnswerBody) {
+    let refusal = bamboocart_core::outcome::Refusal { code, retry_after_ms: None };
+    let (status, mut body) =
+        AnswerBody::new(Outcome::Refused(refusal), AnswerContext::default());
+    if !detail.is_empty() {
+        body.message = format!("{}: {detail}", body.message);
+    }
+    (status, body)
+}
+
+/// The body of `POST /run` towards a target.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunBody {
+    /// The submission that the task belongs to.
+    pub submission: SubmissionId,
+    /// The position of the task in its submission.
+    pub task: TaskIndex,
+    /// The number of the send.
+    pub attempt: Attempt,
+    /// The request kind.
+    pub kind: KindName,
+    /// What the caller sent.
+    #[serde_as(as = "Utf8")]
+    pub payload: Bytes,
+    /// The time that is left.
+    pub deadline_ms: u64,
+    /// The lease that the task runs under, on a worker.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<LeaseProof>,
+}
+
+/// What a worker checks before it starts a task.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LeaseProof {
+    /// The lease.
+    pub lease: u64,
+    /// The fencing token of the lease.
+    pub token: u64,
+}
+
+/// The answer of a target to `POST /run`, with status 200, 500 or 503.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunAnswer {
+    /// The submission that the task belongs to.
+    pub submission: SubmissionId,
+    /// The position of the task in its submission.
+    pub task: TaskIndex,
+    /// The number of the send.
+    pub attempt: Attempt,
+    /// Whether the task was started.
+    pub started: bool,
+    /// The reason, if there is no result.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub code: Option<String>,
+    /// The result.
+    #[serde(default)]
+    #[serde_as(as = "Option<Utf8>")]
+    pub result: Option<Bytes>,
+}
+
+/// The body of `POST /leases` towards a worker.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseBody {
+    /// The instance and incarnation that hold the lease.
+    pub holder: String,
+    /// The slots that are asked for.
+    pub slots: u32,
+    /// The time that the lease lasts without a renewal.
+    pub ttl_ms: u64,
+}
+
+/// The answer of a worker to a lease request or renewal.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseAnswer {
+    /// The lease.
+    pub lease: u64,
+    /// The fencing token, which grows with each grant.
+    pub token: u64,
+    /// The slots that were granted.
+    pub slots: u32,
+    /// The time until the lease lapses.
+    pub expires_in_ms: u64,
+}
+
+/// The answer of a target to `GET /live`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// Whether the target accepts new work.
+    pub leaving: bool,
+    /// The slots of the target.
+    pub slots: u32,
+    /// The slots that are in use.
+    pub busy: u32,
+}
--- /dev/null
+++ b/crates/bamboocart-wire/src/lib.rs
@@ -0,0 +1,5 @@
+//! What bamboocart's programs say to each other, to callers and to targets.
+
+pub mod api;
+pub mod message;
+pub mod text;
--- /dev/null
+++ b/crates/bamboocart-wire/src/message.rs
@@ -0,0 +1,1 @@
+//! The messages between instances.
