Add the dispatcher and a first engine

Cause: nothing served a request yet. Change: the engine accepts requests and jobs, queues them per target group, starts them on free slots, holds leases on workers and answers at the deadline at the latest. The dispatcher adds the HTTP server, the threads that talk to targets, the log follower and the list reader. hyper serves callers, because tiny_http neither bounds its connections nor times them out.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time and randomness come in as arguments, so that every decision can be replayed.
 
 pub mod config;
+pub mod engine;
 pub mod id;
 pub mod outcome;
 pub mod target;
--- a/crates/bamboocart-core/src/outcome.rs
+++ b/crates/bamboocart-core/src/outcome.rs
@@ -70,10 +70,6 @@
     Draining,
     /// No configuration is in force yet.
     NotConfigured,
-    /// No claim covers the time in the caller's key.
-    NoClaim,
-    /// The owner of the submission cannot be reached and was not asked before.
-    OwnerUnreachable,
     /// The submission id was used before with other content.
     IdReused,
 }
@@ -101,6 +97,10 @@
     StillRunning,
     /// The submission is older than the memory of its owner.
     Forgotten,
+    /// This instance knows no claim that covers the time in the caller's key.
+    NoClaim,
+    /// The id is not known to its owner, which was only asked for its state.
+    NeverSeen,
 }
 
 impl RefusalCode {
@@ -116,9 +116,7 @@
             | Self::DeadlineUnreachable
             | Self::NoTarget
             | Self::Draining
-            | Self::NotConfigured
-            | Self::NoClaim
-            | Self::OwnerUnreachable => 503,
+            | Self::NotConfigured => 503,
         }
     }
 
@@ -138,9 +136,9 @@
             Self::NoTarget => "not run; retry after the given time",
             Self::Draining => "not run; send the request to another instance",
             Self::NotConfigured => "not run; send the request to another instance",
-            Self::NoClaim => "not run; use a ticket in place of an id of your own",
-            Self::OwnerUnreachable => "not run; take a fresh ticket",
-            Self::IdReused => "not run; use a fresh id for other content",
+            Self::IdReused => {
+                "not run with this content; use a fresh id for other content"
+            }
         }
     }
 }
@@ -158,6 +156,11 @@
             }
             Self::StillRunning => "it has started; ask again with the same id",
             Self::Forgotten => "it may have run; the record has expired",
+            Self::NoClaim => {
+                "the owner of this id is not known here; if it was never sent before, use \
+                 a ticket"
+            }
+            Self::NeverSeen => "the owner has not received it; send it if it is to run",
         }
     }
 }
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -0,0 +1,234 @@
+//! The HTTP interface towards callers and operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bamboocart_core::engine::{Event, NewSubmission, Reply, TaskSpec, WaiterId};
+use bamboocart_core::id::SubmissionId;
+use bamboocart_core::outcome::RefusalCode;
+use bamboocart_wire::api::{
+    AnswerBody, AnswerContext, JobBody, RequestBody, TaskBody, refuse_early,
+};
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::waiters::Waiters;
+
+/// The time in which the body of a request must have arrived.
+const BODY_TIMEOUT_MS: u64 = 10_000;
+
+/// The largest number of tickets in one answer.
+const MAX_TICKETS: u16 = 1_024;
+
+/// The largest number of tasks in a job.
+const MAX_TASKS: usize = 240;
+
+/// What the routes need.
+pub struct Context {
+    /// The engine's events.
+    pub events: Sender<Event>,
+    /// The callers that wait.
+    pub waiters: Arc<Waiters>,
+    /// The largest number of connections.
+    pub max_connections: usize,
+    /// The largest size of a request body.
+    pub max_body_bytes: usize,
+}
+
+/// An answer with its status.
+type Answer = Response<Full<Bytes>>;
+
+/// A result whose error is the answer to send.
+type Result<T> = std::result::Result<T, Box<Answer>>;
+
+/// Answers one request.
+pub async fn route(context: &Context, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let submission = path.strip_prefix("/v1/submissions/");
+    let answer = match (&method, path.as_str(), submission) {
+        (&Method::POST, "/v1/requests", _) => submit_request(context, request).await,
+        (&Method::POST, "/v1/jobs", _) => submit_job(context, request).await,
+        (&Method::POST, "/v1/tickets", _) => tickets(context, &request).await,
+        (&Method::GET, _, Some(id)) => query(context, id).await,
+        (&Method::DELETE, _, Some(id)) => cancel(context, id).await,
+        (&Method::GET, "/live", _) => Ok(json(200, &serde_json::json!({"live": true}))),
+        _ => Ok(json(404, &serde_json::json!({"code": "no-such-path"}))),
+    };
+    answer.unwrap_or_else(|answer| *answer)
+}
+
+/// Handles `POST /v1/requests`.
+async fn submit_request(context: &Context, request: Request<Incoming>) -> Result<Answer> {
+    let traceparent = traceparent(&request);
+    let body: RequestBody = read_json(context, request).await?;
+    let submission = NewSubmission {
+        id: body.submission,
+        customer: body.customer,
+        kind: body.kind,
+        deadline_ms: body.deadline_ms,
+        tasks: vec![TaskSpec { payload: body.payload, ..TaskSpec::default() }],
+        job: false,
+        want_tickets: body.want_tickets.min(MAX_TICKETS),
+        traceparent,
+    };
+    ask(context, |waiter| Event::Submit { waiter, submission }).await
+}
+
+/// Handles `POST /v1/jobs`.
+async fn submit_job(context: &Context, request: Request<Incoming>) -> Result<Answer> {
+    let traceparent = traceparent(&request);
+    let body: JobBody = read_json(context, request).await?;
+    if body.tasks.is_empty() || body.tasks.len() > MAX_TASKS {
+        let detail = format!("a job has 1 to {MAX_TASKS} tasks");
+        return Err(refusal(RefusalCode::Malformed, &detail));
+    }
+    let submission = NewSubmission {
+        id: body.submission,
+        customer: body.customer,
+        kind: body.kind,
+        deadline_ms: body.deadline_ms,
+        tasks: body.tasks.into_iter().map(task).collect(),
+        job: true,
+        want_tickets: body.want_tickets.min(MAX_TICKETS),
+        traceparent,
+    };
+    ask(context, |waiter| Event::Submit { waiter, submission }).await
+}
+
+/// Handles `POST /v1/tickets?count=N`.
+async fn tickets(context: &Context, request: &Request<Incoming>) -> Result<Answer> {
+    let query = request.uri().query().unwrap_or_default();
+    let count = query.split('&').find_map(|pair| pair.strip_prefix("count="));
+    let count: u16 = count.and_then(|text| text.parse().ok()).unwrap_or(1);
+    let count = count.min(MAX_TICKETS);
+    ask(context, |waiter| Event::IssueTickets { waiter, count }).await
+}
+
+/// Handles `GET /v1/submissions/{id}`.
+async fn query(context: &Context, id: &str) -> Result<Answer> {
+    let id = parse_id(id)?;
+    ask(context, |waiter| Event::Query { waiter, id }).await
+}
+
+/// Handles `DELETE /v1/submissions/{id}`.
+async fn cancel(context: &Context, id: &str) -> Result<Answer> {
+    let id = parse_id(id)?;
+    ask(context, |waiter| Event::Cancel { waiter, id }).await
+}
+
+/// Asks the engine and waits for its reply, which it gives at the deadline at the latest.
+async fn ask(context: &Context, event: impl FnOnce(WaiterId) -> Event) -> Result<Answer> {
+    let (waiter, reply) = context.waiters.add();
+    if context.events.try_send(event(waiter)).is_err() {
+        context.waiters.remove(waiter);
+        return Err(refusal(RefusalCode::Overloaded, "the instance is at its limit"));
+    }
+    match reply.await {
+        Ok(reply) => Ok(render(reply)),
+        Err(_) => Ok(json(504, &serde_json::json!({"code": "instance-stopped"}))),
+    }
+}
+
+/// Turns a reply of the engine into an answer.
+fn render(reply: Reply) -> Answer {
+    match reply {
+        Reply::Tickets(tickets) => json(200, &serde_json::json!({"tickets": tickets})),
+        Reply::Outcome {
+            submission,
+            outcome,
+            config_version,
+            owner,
+            attempts,
+            tickets,
+        } => {
+            let context = AnswerContext {
+                submission,
+                config_version,
+                owner: Some(owner),
+                attempts,
+                tickets,
+            };
+            let (status, body) = AnswerBody::new(outcome, context);
+            with_retry_after(json(status, &body), body.retry_after_ms)
+        }
+    }
+}
+
+/// Adds `Retry-After` in whole seconds, if a retry is useful.
+fn with_retry_after(mut answer: Answer, retry_after_ms: Option<u64>) -> Answer {
+    if let Some(ms) = retry_after_ms {
+        let seconds = ms.div_ceil(1_000);
+        answer.headers_mut().insert(hyper::header::RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
+/// Reads a JSON body of bounded size in bounded time.
+async fn read_json<T: DeserializeOwned>(
+    context: &Context,
+    request: Request<Incoming>,
+) -> Result<T> {
+    let body = Limited::new(request.into_body(), context.max_body_bytes).collect();
+    let timeout = Duration::from_millis(BODY_TIMEOUT_MS);
+    let bytes = match tokio::time::timeout(timeout, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("the limit is {} bytes", context.max_body_bytes);
+            return Err(refusal(RefusalCode::TooLarge, &detail));
+        }
+        Ok(Err(error)) => {
+            return Err(refusal(RefusalCode::Malformed, &error.to_string()));
+        }
+        Err(_) => {
+            return Err(refusal(RefusalCode::Malformed, "the body came too slowly"));
+        }
+    };
+    serde_json::from_slice(&bytes)
+        .map_err(|error| refusal(RefusalCode::Malformed, &error.to_string()))
+}
+
+/// Parses the id in a path.
+fn parse_id(text: &str) -> Result<SubmissionId> {
+    text.parse().map_err(|error: bamboocart_core::id::ParseIdError| {
+        refusal(RefusalCode::Malformed, &error.to_string())
+    })
+}
+
+/// Returns the answer to a request that never became a submission.
+fn refusal(code: RefusalCode, detail: &str) -> Box<Answer> {
+    let (status, body) = refuse_early(code, detail);
+    Box::new(json(status, &body))
+}
+
+/// Returns the trace that a request belongs to.
+fn traceparent(request: &Request<Incoming>) -> Option<Arc<str>> {
+    let value = request.headers().get("traceparent")?;
+    Some(value.to_str().ok()?.into())
+}
+
+/// Turns a task of a body into a task of the core.
+fn task(body: TaskBody) -> TaskSpec {
+    TaskSpec {
+        payload: body.payload,
+        cpus: body.cpus,
+        memory_mb: body.memory_mb,
+        declared_ms: body.declared_ms,
+    }
+}
+
+/// Returns a JSON answer.
+fn json<T: Serialize>(status: u16, body: &T) -> Answer {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut answer = Response::new(Full::new(Bytes::from(bytes)));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    let value = hyper::header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/sender.rs
@@ -0,0 +1,234 @@
+//! The threads that talk to targets.
+
+use std::io;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bamboocart_core::engine::{Event, LeaseGrant, LeaseOrder, SendOrder};
+use bamboocart_core::id::{SubmissionId, TaskIndex};
+use bamboocart_core::target::{SendReport, TurnAway};
+use bamboocart_wire::api::{LeaseAnswer, LeaseBody, LeaseProof, RunAnswer, RunBody};
+use crossbeam::channel::{Receiver, Sender};
+use ureq::{Agent, Timeout};
+
+/// The time that a connection attempt to a target may take.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// The time beyond the deadline for which the answer of a started task is awaited.
+const ANSWER_GRACE_MS: u64 = 2_000;
+
+/// The time that a lease or stop call may take.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// The time without a renewal after which a lease lapses.
+const LEASE_TTL_MS: u64 = 10_000;
+
+/// The idle time after which a connection is not used for a non-idempotent task.
+///
+/// A connection that has gone silent would turn the outcome of the task into "unknown".
+const FRESH_IDLE_MS: u64 = 1_000;
+
+/// The idle time after which a connection is not used at all.
+const POOL_IDLE_MS: u64 = 10_000;
+
+/// The stack of a sender thread, which runs shallow code only.
+const STACK_BYTES: usize = 256 << 10;
+
+/// Work for the sender threads.
+#[derive(Debug)]
+pub enum Outbound {
+    /// Send a task.
+    Send(SendOrder),
+    /// Ask for a lease or renew one.
+    Lease(LeaseOrder),
+    /// Stop a task.
+    Stop {
+        /// The target's address.
+        address: Arc<str>,
+        /// The submission.
+        submission: SubmissionId,
+        /// The position of the task in its submission.
+        task: TaskIndex,
+    },
+}
+
+/// The connections that sender threads share.
+#[derive(Clone)]
+struct Pools {
+    /// For idempotent tasks and control calls.
+    pooled: Agent,
+    /// For non-idempotent tasks, which only take connections that were just in use.
+    fresh: Agent,
+    /// The holder of leases: instance and incarnation.
+    holder: Arc<str>,
+}
+
+/// Starts `count` sender threads that end when `work` is closed.
+pub fn start(
+    count: usize,
+    connections_per_target: usize,
+    holder: &str,
+    work: &Receiver<Outbound>,
+    events: &Sender<Event>,
+) -> io::Result<Vec<JoinHandle<()>>> {
+    let pools = Pools {
+        pooled: agent(POOL_IDLE_MS, connections_per_target),
+        fresh: agent(FRESH_IDLE_MS, connections_per_target),
+        holder: holder.into(),
+    };
+    let spawn = |index| {
+        let (pools, work, events) = (pools.clone(), work.clone(), events.clone());
+        std::thread::Builder::new()
+            .name(format!("sender-{index}"))
+            .stack_size(STACK_BYTES)
+            .spawn(move || serve(&pools, &work, &events))
+    };
+    (0..count).map(spawn).collect()
+}
+
+/// Does work until the queue is closed.
+fn serve(pools: &Pools, work: &Receiver<Outbound>, events: &Sender<Event>) {
+    for item in work {
+        let event = match item {
+            Outbound::Send(order) => {
+                let attempt = order.attempt;
+                Event::SendFinished { attempt, report: send(pools, order) }
+            }
+            Outbound::Lease(order) => {
+                Event::LeaseAnswered { target: order.target, grant: lease(pools, &order) }
+            }
+            Outbound::Stop { address, submission, task } => {
+                stop(pools, &address, &submission, task);
+                continue;
+            }
+        };
+        if events.send(event).is_err() {
+            return;
+        }
+    }
+}
+
+/// Creates a pool of connections.
+fn agent(idle_ms: u64, per_target: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .timeout_connect(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)))
+        .max_idle_age(Duration::from_millis(idle_ms))
+        .max_idle_connections(4_096)
+        .max_idle_connections_per_host(per_target)
+        .build()
+        .into()
+}
+
+/// Sends a task and waits for its end.
+fn send(pools: &Pools, order: SendOrder) -> SendReport {
+    let agent = if order.idempotent { &pools.pooled } else { &pools.fresh };
+    let timeout = Duration::from_millis(order.deadline_ms + ANSWER_GRACE_MS);
+    let mut request = agent
+        .post(format!("http://{}/run", order.address))
+        .config()
+        .timeout_global(Some(timeout))
+        .build()
+        .header("idempotency-key", format!("{}/{}", order.submission, order.task.0));
+    if let Some(parent) = &order.traceparent {
+        request = request.header("traceparent", &**parent);
+    }
+    let body = RunBody {
+        submission: order.submission,
+        task: order.task,
+        attempt: order.number,
+        kind: order.kind,
+        payload: order.payload,
+        deadline_ms: order.deadline_ms,
+        lease: order.lease.map(proof),
+    };
+    let mut response = match request.send_json(&body) {
+        Ok(response) => response,
+        Err(error) if never_sent(&error) => return SendReport::NotSent,
+        Err(_) => return SendReport::Lost,
+    };
+    match response.body_mut().read_json::<RunAnswer>() {
+        Ok(answer) => report(&body, answer),
+        Err(_) => SendReport::Lost,
+    }
+}
+
+/// Turns a target's answer into a report, unless it answers something else.
+fn report(body: &RunBody, answer: RunAnswer) -> SendReport {
+    let expected = (&body.submission, body.task, body.attempt);
+    let code = answer.code.as_deref();
+    match (answer.started, answer.result) {
+        _ if (&answer.submission, answer.task, answer.attempt) != expected => {
+            SendReport::Lost
+        }
+        (true, Some(result)) => SendReport::Result(result),
+        (true, None) => SendReport::TaskFailed,
+        (false, _) if code == Some("leaving") => {
+            SendReport::TurnedAway(TurnAway::Leaving)
+        }
+        (false, _) if code == Some("lease") => SendReport::TurnedAway(TurnAway::Lease),
+        (false, _) => SendReport::TurnedAway(TurnAway::Busy),
+    }
+}
+
+/// Tells whether an error proves that nothing reached the target.
+fn never_sent(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
+        ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => true,
+        ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+/// Asks a worker for a lease or renews one.
+fn lease(pools: &Pools, order: &LeaseOrder) -> Option<LeaseGrant> {
+    let url = match order.renew {
+        Some(held) => format!("http://{}/leases/{}/renew", order.address, held.lease),
+        None => format!("http://{}/leases", order.address),
+    };
+    let body = LeaseBody {
+        holder: pools.holder.to_string(),
+        slots: order.slots,
+        ttl_ms: LEASE_TTL_MS,
+    };
+    let mut response = pools
+        .pooled
+        .post(url)
+        .config()
+        .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
+        .build()
+        .send_json(&body)
+        .ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let answer: LeaseAnswer = response.body_mut().read_json().ok()?;
+    Some(LeaseGrant {
+        lease: answer.lease,
+        token: answer.token,
+        slots: answer.slots,
+        expires_in_ms: answer.expires_in_ms,
+    })
+}
+
+/// Asks a target to stop a task; the answer to the send tells what came of it.
+fn stop(pools: &Pools, address: &str, submission: &SubmissionId, task: TaskIndex) {
+    let result = pools
+        .pooled
+        .delete(format!("http://{address}/run/{submission}/{}", task.0))
+        .config()
+        .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
+        .build()
+        .call();
+    if let Err(error) = result {
+        log::debug!(submission:% = submission; "could not stop task {}: {error}", task.0);
+    }
+}
+
+/// Returns what a worker checks before it starts a task.
+fn proof(grant: LeaseGrant) -> LeaseProof {
+    LeaseProof { lease: grant.lease, token: grant.token }
+}
