Add stand-ins for the platform, minions and workers

The end-to-end runs need a platform and targets to talk to. `minions` and `workers` serve many targets in one process, one port each, with slots, run times, leases with fencing tokens and a history of starts and ends.

A relay stands in front of each target's HTTP server, because tiny_http neither bounds its connections nor gives access to them; connection faults need both. All relays share one thread, and a timer thread ends the tasks, so that no thread waits per slot.

The fault switches of the targets are in place and have no tests yet.

--- /dev/null
+++ b/crates/bamboocart-standin/src/history/mod.rs
@@ -0,0 +1,5 @@
+//! Records of concurrent runs.
+
+mod event;
+
+pub use self::event::{HistoryPage, RunId, TargetEvent, What};
--- /dev/null
+++ b/crates/bamboocart-standin/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the platform and the targets, a load generator and a history checker.
+//!
+//! All servers listen on the loopback interface only and keep their state in memory.
+
+pub mod clock;
+pub mod history;
+pub mod http;
+pub mod platform;
+pub mod stop;
+pub mod target;
--- a/crates/bamboocart-standin/src/main.rs
+++ b/crates/bamboocart-standin/src/main.rs
@@ -1,2 +1,89 @@
-//! Placeholder until the module list is in place.
-fn main() {}
+//! The stand-ins for the platform and the targets, and the load generator.
+
+use std::process::ExitCode;
+
+use bamboocart_standin::platform::{self, PlatformServer};
+use bamboocart_standin::stop::StopSignals;
+use bamboocart_standin::target::{
+    Fleet, MinionSettings, WorkerSettings, minion_settings, worker_settings,
+};
+use bpaf::Bpaf;
+
+/// Stand-ins for the platform and the targets, and a load generator
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Runs the log service and the instance list
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform::settings))] platform::Settings),
+    /// Runs minions
+    #[bpaf(command)]
+    Minions(#[bpaf(external(minion_settings))] MinionSettings),
+    /// Runs workers
+    #[bpaf(command)]
+    Workers(#[bpaf(external(worker_settings))] WorkerSettings),
+}
+
+/// An error that ends the program.
+type AnyError = Box<dyn std::error::Error>;
+
+/// Runs a command.
+fn main() -> ExitCode {
+    let command = command().run();
+    match log_to_stderr().and_then(|()| run(command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a command until its end or a stop signal.
+fn run(command: Command) -> Result<(), AnyError> {
+    let stop = StopSignals::register()?;
+    match command {
+        Command::Platform(settings) => {
+            let server = PlatformServer::start(&settings)?;
+            report(&serde_json::json!({ "platform": server.address() }));
+            stop.wait();
+        }
+        Command::Minions(settings) => {
+            serve_fleet(Fleet::start(&settings.fleet, &settings.shape())?, stop);
+        }
+        Command::Workers(settings) => {
+            serve_fleet(Fleet::start(&settings.fleet, &settings.shape())?, stop);
+        }
+    }
+    Ok(())
+}
+
+/// Reports the addresses of a fleet and runs it until a stop signal.
+fn serve_fleet(fleet: Fleet, stop: StopSignals) {
+    let rows = fleet.members().rows();
+    let targets = rows.iter().map(|row| {
+        serde_json::json!({
+            "name": row.name,
+            "address": row.address,
+            "failure_domain": row.failure_domain,
+        })
+    });
+    let targets: Vec<_> = targets.collect();
+    report(&serde_json::json!({ "control": fleet.control(), "targets": targets }));
+    stop.wait();
+}
+
+/// Prints one line for the program that started this one.
+fn report(line: &serde_json::Value) {
+    println!("{line}");
+}
+
+/// Sends log lines to the standard error.
+fn log_to_stderr() -> Result<(), AnyError> {
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("bamboocart_standin", log::LevelFilter::Info)
+        .chain(std::io::stderr())
+        .apply()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/bamboocart-standin/src/platform/mod.rs
@@ -0,0 +1,12 @@
+//! The platform's log service and instance list, in memory.
+
+mod counters;
+mod faults;
+mod instances;
+mod pace;
+mod server;
+mod stream;
+
+pub use self::counters::Counts;
+pub use self::faults::FaultBody;
+pub use self::server::{PlatformServer, Settings, settings};
--- /dev/null
+++ b/crates/bamboocart-standin/src/target/gate.rs
@@ -0,0 +1,242 @@
+//! The connections of a target, with the faults that happen below HTTP.
+//!
+//! A relay in front of the target's HTTP server is needed because `tiny_http` neither
+//! bounds its connections nor gives access to them. All relays share one thread.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::http;
+
+/// The bytes that a relay reads at a time.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// The pause between attempts to listen again on the port of a target.
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
+/// The thread that runs all relays, ended when it is dropped.
+pub struct GateKeeper {
+    /// The runtime's handle, to open gates with.
+    handle: tokio::runtime::Handle,
+    /// Ends the thread.
+    stop: CancellationToken,
+    /// The thread.
+    thread: Option<JoinHandle<()>>,
+}
+
+/// The switches of one gate.
+pub struct Gate {
+    /// Where callers connect.
+    address: SocketAddr,
+    /// The state that the relays watch.
+    state: watch::Sender<State>,
+}
+
+/// The state of a gate.
+#[derive(Debug, Copy, Clone, Default)]
+struct State {
+    /// Whether new connections are refused.
+    refuse: bool,
+    /// Whether nothing passes until this is over.
+    frozen: bool,
+    /// Whether the target is dead: no listener and no connections.
+    dead: bool,
+    /// Connections that were opened under a smaller number carry nothing more.
+    epoch: u64,
+}
+
+impl GateKeeper {
+    /// Starts the thread.
+    pub fn start() -> io::Result<Self> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
+        let thread = thread::spawn(move || run(&runtime, &stopped));
+        Ok(Self { handle, stop, thread: Some(thread) })
+    }
+
+    /// Opens a gate in front of `inner` that carries at most `connections_max` connections.
+    pub fn open(&self, inner: SocketAddr, connections_max: u32) -> io::Result<Gate> {
+        let listener = http::listen(0)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (state, watched) = watch::channel(State::default());
+        let slots = Arc::new(Semaphore::new(connections_max as usize));
+        self.handle.spawn(serve(listener, inner, watched, slots));
+        Ok(Gate { address, state })
+    }
+}
+
+impl Drop for GateKeeper {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Gate {
+    /// Returns where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses or accepts new connections.
+    pub fn refuse(&self, refuse: bool) {
+        self.state.send_modify(|state| state.refuse = refuse);
+    }
+
+    /// Holds back or passes on all bytes.
+    pub fn freeze(&self, frozen: bool) {
+        self.state.send_modify(|state| state.frozen = frozen);
+    }
+
+    /// Makes the connections that are open now carry nothing more.
+    pub fn silence(&self) {
+        self.state.send_modify(|state| state.epoch += 1);
+    }
+
+    /// Ends all connections and refuses new ones, or accepts them again.
+    pub fn set_dead(&self, dead: bool) {
+        self.state.send_modify(|state| state.dead = dead);
+    }
+}
+
+/// Runs the relays until the stop.
+fn run(runtime: &Runtime, stopped: &CancellationToken) {
+    runtime.block_on(stopped.cancelled());
+}
+
+/// Accepts connections of one gate until the gate is dropped.
+async fn serve(
+    listener: StdListener,
+    inner: SocketAddr,
+    mut state: watch::Receiver<State>,
+    slots: Arc<Semaphore>,
+) -> io::Result<()> {
+    let port = listener.local_addr()?.port();
+    let mut listener = Some(TcpListener::from_std(listener)?);
+    loop {
+        let now = *state.borrow_and_update();
+        let closed = now.refuse || now.dead;
+        if closed {
+            listener = None;
+        }
+        let changed = match &listener {
+            _ if closed => state.changed().await,
+            None => {
+                listener = listen_again(port).await;
+                Ok(())
+            }
+            Some(open) => tokio::select! {
+                changed = state.changed() => changed,
+                accepted = open.accept() => {
+                    let relay = accepted.map(|(outer, _)| (outer, state.clone()));
+                    admit(relay?, inner, &slots);
+                    Ok(())
+                }
+            },
+        };
+        if changed.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+/// Relays a new connection, or closes it if there are too many.
+fn admit(
+    (outer, state): (TcpStream, watch::Receiver<State>),
+    inner: SocketAddr,
+    slots: &Arc<Semaphore>,
+) {
+    let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
+        reset(&outer);
+        return;
+    };
+    tokio::spawn(async move {
+        let _slot = slot;
+        relay(outer, inner, state).await
+    });
+}
+
+/// Listens on a port that was in use before, or returns nothing after a pause.
+async fn listen_again(port: u16) -> Option<TcpListener> {
+    let listener = http::listen(port).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    });
+    if listener.is_err() {
+        tokio::time::sleep(LISTEN_PAUSE).await;
+    }
+    listener.ok()
+}
+
+/// Carries one connection until both sides have closed it or the target is dead.
+async fn relay(
+    mut outer: TcpStream,
+    inner: SocketAddr,
+    mut state: watch::Receiver<State>,
+) -> io::Result<()> {
+    let epoch = state.borrow().epoch;
+    let mut inner = TcpStream::connect(inner).await?;
+    inner.set_nodelay(true)?;
+    let (up_state, down_state) = (state.clone(), state.clone());
+    let (outer_read, outer_write) = outer.split();
+    let (inner_read, inner_write) = inner.split();
+    let both = async {
+        tokio::join!(
+            pump(outer_read, inner_write, up_state, epoch),
+            pump(inner_read, outer_write, down_state, epoch),
+        )
+    };
+    let dead = tokio::select! {
+        _ = both => false,
+        changed = state.wait_for(|state| state.dead) => changed.is_ok(),
+    };
+    if dead {
+        reset(&outer);
+    }
+    Ok(())
+}
+
+/// Carries one direction of a connection until its end.
+async fn pump(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    mut state: watch::Receiver<State>,
+    epoch: u64,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        let passing = state.wait_for(|state| !state.frozen || state.epoch > epoch).await;
+        match passing.map(|state| state.epoch > epoch) {
+            Err(_) => return Ok(()),
+            // A device that lost the connection's state passes on neither data nor its end.
+            Ok(true) if count == 0 => return Ok(()),
+            Ok(true) => {}
+            Ok(false) if count == 0 => return to.shutdown().await,
+            Ok(false) => to.write_all(&buffer[..count]).await?,
+        }
+    }
+}
+
+/// Makes the close of a connection abrupt, as the end of a process does.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("could not prepare a connection reset: {error}");
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -0,0 +1,503 @@
+//! One minion or worker.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::time::Duration;
+
+use bamboocart_core::config::Role;
+use bamboocart_core::id::{Incarnation, SubmissionId, TaskIndex};
+use bamboocart_platform::{InstanceEntry, ListState};
+use bamboocart_wire::api::{LeaseAnswer, LeaseBody, RunAnswer, RunBody, TargetStatus};
+use serde::Serialize;
+use tiny_http::Method;
+
+use crate::clock;
+use crate::history::{RunId, What};
+use crate::http::Call;
+
+use super::control::TargetRow;
+use super::faults::{FaultBody, Leaving, Switches};
+use super::gate::Gate;
+use super::journal::Journal;
+use super::leases::{Grant, Leases};
+use super::registrar::{Registrar, Update};
+use super::run_time::{self, RunTimes};
+use super::timer::Timer;
+use super::usage::{Usage, UsageBody};
+
+/// One target.
+pub struct Target {
+    /// The target itself, for actions that outlast a call.
+    this: Weak<Self>,
+    /// What is fixed, with the address and state at the start.
+    entry: InstanceEntry,
+    /// The lag of the usage report.
+    usage_lag_ms: u64,
+    /// The connections.
+    gate: Gate,
+    /// What all targets of the process share.
+    shared: Arc<Shared>,
+    /// What changes.
+    state: Mutex<State>,
+}
+
+/// What all targets of a process share.
+pub struct Shared {
+    /// The history.
+    pub journal: Journal,
+    /// Runs the ends of tasks, delayed answers and the lapses of leases.
+    pub timer: Timer,
+    /// The connection to the platform's list.
+    pub registrar: Registrar,
+}
+
+/// What changes in a target.
+struct State {
+    /// The run of the target's process.
+    incarnation: Incarnation,
+    /// The tasks that are running.
+    running: HashMap<u64, Running>,
+    /// The number of the next run.
+    next_run: u64,
+    /// The run times.
+    run_times: RunTimes,
+    /// The fault switches.
+    switches: Switches,
+    /// Whether the target is dead.
+    dead: bool,
+    /// The leases, used by workers only.
+    leases: Leases,
+    /// The usage, reported by workers only.
+    usage: Usage,
+    /// The number of starts.
+    starts: u64,
+    /// The number of sends that were turned away.
+    turned_away: u64,
+}
+
+/// A task that is running.
+struct Running {
+    /// What runs.
+    run: RunId,
+    /// The lease that it runs under, on a worker.
+    lease: Option<u64>,
+    /// The call that waits for the result.
+    call: Call,
+    /// The result.
+    result: String,
+}
+
+/// The result of a task, which names the task so that crossed answers can be seen.
+#[derive(Debug, Serialize)]
+struct ResultText<'a> {
+    /// The submission.
+    submission: &'a SubmissionId,
+    /// The position of the task.
+    task: TaskIndex,
+    /// The text of the payload that the result repeats.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    mark: Option<String>,
+    /// The run time.
+    run_ms: u64,
+}
+
+/// Why a target does not start a task.
+type TurnedAway = &'static str;
+
+impl Target {
+    /// Creates a target behind a gate.
+    pub fn new(
+        entry: InstanceEntry,
+        usage_lag_ms: u64,
+        run_times: RunTimes,
+        gate: Gate,
+        shared: Arc<Shared>,
+    ) -> Arc<Self> {
+        let state = Mutex::new(State {
+            incarnation: entry.incarnation,
+            running: HashMap::new(),
+            next_run: 0,
+            run_times,
+            switches: Switches::default(),
+            dead: false,
+            leases: Leases::default(),
+            usage: Usage::default(),
+            starts: 0,
+            turned_away: 0,
+        });
+        Arc::new_cyclic(|this| Self {
+            this: this.clone(),
+            entry,
+            usage_lag_ms,
+            gate,
+            shared,
+            state,
+        })
+    }
+
+    /// Registers the target at the platform in its present state.
+    pub fn register(&self) {
+        let state = self.lock();
+        let list_state = match state.switches.leaving {
+            Some(_) => ListState::Leaving,
+            None => ListState::Live,
+        };
+        let entry = InstanceEntry {
+            state: list_state,
+            incarnation: state.incarnation,
+            ..self.entry.clone()
+        };
+        drop(state);
+        self.shared.registrar.send(Update::Put(Box::new(entry)));
+    }
+
+    /// Removes the target from the platform's list.
+    pub fn unregister(&self) {
+        self.shared.registrar.send(Update::Remove(self.entry.name.clone()));
+    }
+
+    /// Serves a call.
+    pub fn serve(&self, mut call: Call) {
+        let (method, path) = call.route();
+        let path: Vec<&str> = path.iter().map(String::as_str).collect();
+        let worker = self.entry.role == Role::Worker;
+        match (&method, path.as_slice()) {
+            (Method::Post, ["run"]) => match call.json::<RunBody>() {
+                Ok(body) => self.run(call, body),
+                Err(message) => call.fail(400, &message),
+            },
+            (Method::Delete, ["run", submission, task]) => {
+                self.stop(call, submission, task);
+            }
+            (Method::Get, ["live"]) => {
+                let status = self.status();
+                self.answer(call, 200, status);
+            }
+            (Method::Post, ["leases"]) if worker => match call.json::<LeaseBody>() {
+                Ok(body) => self.grant(call, &body),
+                Err(message) => call.fail(400, &message),
+            },
+            (Method::Post, ["leases", id, "renew"]) if worker => self.renew(call, id),
+            (Method::Delete, ["leases", id]) if worker => self.return_lease(call, id),
+            (Method::Get, ["usage"]) if worker => {
+                let report = self.lock().usage.report(clock::now(), self.usage_lag_ms);
+                self.answer(call, 200, report);
+            }
+            _ => call.fail(404, "no such path"),
+        }
+    }
+
+    /// Sets fault switches.
+    pub fn set_faults(&self, body: &FaultBody) {
+        let was_leaving = self.lock().switches.leaving.is_some();
+        self.lock().switches.set(body);
+        body.refuse.into_iter().for_each(|refuse| self.gate.refuse(refuse));
+        body.freeze.into_iter().for_each(|freeze| self.gate.freeze(freeze));
+        if body.silent == Some(true) {
+            self.gate.silence();
+        }
+        if body.leaving.is_some() && !was_leaving {
+            self.shared.journal.record(&self.entry.name, What::Leaving, None);
+            self.register();
+        }
+        match body.die {
+            Some(true) => self.die(),
+            Some(false) => self.restart(),
+            None => {}
+        }
+    }
+
+    /// Describes the target for the control interface.
+    pub fn row(&self) -> TargetRow {
+        let state = self.lock();
+        TargetRow {
+            name: self.entry.name.clone(),
+            address: self.entry.address.clone(),
+            failure_domain: self.entry.failure_domain.clone(),
+            incarnation: state.incarnation,
+            slots: self.entry.slots,
+            busy: state.busy(),
+            leaving: state.switches.leaving.is_some(),
+            dead: state.dead,
+            starts: state.starts,
+            turned_away: state.turned_away,
+        }
+    }
+
+    /// Starts a task or turns it away.
+    fn run(&self, call: Call, body: RunBody) {
+        let hints = run_time::hints(&body.payload);
+        let mut state = self.lock();
+        let run = RunId {
+            submission: body.submission,
+            task: body.task,
+            attempt: body.attempt,
+            kind: body.kind,
+        };
+        let proof = body.lease.map(|proof| (proof.lease, proof.token));
+        if let Err(code) = self.admit(&state, proof) {
+            state.turned_away += 1;
+            drop(state);
+            let body = answer_body(&run, false, Some(code), None);
+            return self.answer(call, 503, body);
+        }
+        self.shared.journal.record(&self.entry.name, What::Started, Some(&run));
+        state.starts += 1;
+        if state.switches.fail_all {
+            drop(state);
+            self.shared.journal.record(&self.entry.name, What::Failed, Some(&run));
+            let body = answer_body(&run, true, Some("failed"), None);
+            return self.answer_run(call, 500, body);
+        }
+        let run_time = state.run_times.draw(run.kind.as_str(), &hints);
+        let result = ResultText {
+            submission: &run.submission,
+            task: run.task,
+            mark: hints.mark,
+            run_ms: u64::try_from(run_time.as_millis()).unwrap_or(u64::MAX),
+        };
+        let result = serde_json::to_string(&result).unwrap_or_default();
+        let number = state.next_run;
+        state.next_run += 1;
+        let lease = proof.map(|(lease, _)| lease);
+        state.running.insert(number, Running { run, lease, call, result });
+        self.sample(&mut state);
+        drop(state);
+        self.later(run_time, move |target| target.finish(number));
+    }
+
+    /// Checks whether a task may start.
+    fn admit(&self, state: &State, proof: Option<(u64, u64)>) -> Result<(), TurnedAway> {
+        if state.switches.leaving == Some(Leaving::Reject) {
+            return Err("leaving");
+        }
+        if self.entry.role == Role::Worker {
+            let (lease, token) = proof.ok_or("lease")?;
+            let slots = state.leases.slots_for(clock::now(), lease, token);
+            let slots = slots.ok_or("lease")?;
+            let under = state.running.values().filter(|r| r.lease == Some(lease));
+            if under.count() >= slots as usize {
+                return Err("busy");
+            }
+        }
+        match state.busy() < self.entry.slots {
+            true => Ok(()),
+            false => Err("busy"),
+        }
+    }
+
+    /// Ends a task with its result.
+    fn finish(&self, number: u64) {
+        let mut state = self.lock();
+        let Some(ended) = state.running.remove(&number) else { return };
+        self.sample(&mut state);
+        drop(state);
+        self.shared.journal.record(&self.entry.name, What::Finished, Some(&ended.run));
+        let body = answer_body(&ended.run, true, None, Some(ended.result));
+        self.answer_run(ended.call, 200, body);
+    }
+
+    /// Stops a task for its caller.
+    fn stop(&self, call: Call, submission: &str, task: &str) {
+        let is_meant = |running: &Running| {
+            running.run.submission.to_string() == submission
+                && running.run.task.0.to_string() == task
+        };
+        let stopped = self.stop_where("stopped", is_meant);
+        let status = if stopped == 0 { 404 } else { 200 };
+        self.answer(call, status, serde_json::json!({ "stopped": stopped }));
+    }
+
+    /// Stops all tasks that meet a condition and returns their number.
+    fn stop_where(&self, code: &str, condition: impl Fn(&Running) -> bool) -> usize {
+        let mut state = self.lock();
+        let stopped: Vec<Running> = state
+            .running
+            .extract_if(|_, running| condition(running))
+            .map(|e| e.1)
+            .collect();
+        self.sample(&mut state);
+        drop(state);
+        let count = stopped.len();
+        for ended in stopped {
+            self.shared.journal.record(&self.entry.name, What::Stopped, Some(&ended.run));
+            let body = answer_body(&ended.run, true, Some(code), None);
+            self.answer_run(ended.call, 500, body);
+        }
+        count
+    }
+
+    /// Returns the state of the target.
+    fn status(&self) -> TargetStatus {
+        let state = self.lock();
+        TargetStatus {
+            leaving: state.switches.leaving.is_some(),
+            slots: self.entry.slots,
+            busy: state.busy(),
+        }
+    }
+
+    /// Grants a lease.
+    fn grant(&self, call: Call, body: &LeaseBody) {
+        let now = clock::now();
+        let mut state = self.lock();
+        let leaving = state.switches.leaving == Some(Leaving::Reject);
+        let grant = match leaving {
+            true => None,
+            false => state.leases.grant(
+                now,
+                self.entry.slots,
+                &body.holder,
+                body.slots,
+                body.ttl_ms,
+            ),
+        };
+        self.sample(&mut state);
+        drop(state);
+        match grant {
+            Some(grant) => self.answer_grant(call, grant),
+            None => {
+                let code = if leaving { "leaving" } else { "busy" };
+                self.answer(call, 503, serde_json::json!({ "code": code }));
+            }
+        }
+    }
+
+    /// Renews a lease.
+    fn renew(&self, call: Call, id: &str) {
+        let id = id.parse().unwrap_or_default();
+        let grant = self.lock().leases.renew(clock::now(), id);
+        match grant {
+            Some(grant) => self.answer_grant(call, grant),
+            None => self.answer(call, 404, serde_json::json!({ "code": "lease" })),
+        }
+    }
+
+    /// Ends a lease for its holder and stops the tasks under it.
+    fn return_lease(&self, call: Call, id: &str) {
+        let id = id.parse().unwrap_or_default();
+        let status = if self.lock().leases.end(id) { 200 } else { 404 };
+        self.stop_where("lease", |running| running.lease == Some(id));
+        self.answer(call, status, serde_json::json!({}));
+    }
+
+    /// Answers with a lease and watches for its lapse.
+    fn answer_grant(&self, call: Call, grant: Grant) {
+        let now = clock::now();
+        let left = Duration::from_micros(grant.expires.us_since(now));
+        self.later(left, Self::end_lapsed);
+        let body = LeaseAnswer {
+            lease: grant.lease,
+            token: grant.token,
+            slots: grant.slots,
+            expires_in_ms: grant.expires.ms_since(now),
+        };
+        self.answer(call, 200, body);
+    }
+
+    /// Ends the leases that have lapsed and stops the tasks under them.
+    fn end_lapsed(&self) {
+        let lapsed = self.lock().leases.take_lapsed(clock::now());
+        for id in lapsed {
+            self.stop_where("lease", |running| running.lease == Some(id));
+        }
+    }
+
+    /// Dies with all tasks and connections.
+    fn die(&self) {
+        self.gate.set_dead(true);
+        let mut state = self.lock();
+        state.dead = true;
+        state.leases = Leases::default();
+        let lost = std::mem::take(&mut state.running);
+        drop(state);
+        self.shared.journal.record(&self.entry.name, What::Died, None);
+        lost.into_values().for_each(|running| running.call.withhold());
+        self.unregister();
+    }
+
+    /// Comes back under a new incarnation.
+    fn restart(&self) {
+        let mut state = self.lock();
+        state.dead = false;
+        state.switches = Switches::default();
+        state.incarnation = Incarnation(clock::now().as_us());
+        drop(state);
+        self.shared.journal.record(&self.entry.name, What::Restarted, None);
+        self.gate.set_dead(false);
+        self.register();
+    }
+
+    /// Answers a send of a task, unless its answer is to be dropped.
+    fn answer_run(&self, call: Call, status: u16, body: RunAnswer) {
+        let dropped = self.lock().switches.drop_answer;
+        match dropped {
+            true => call.withhold(),
+            false => self.answer(call, status, body),
+        }
+    }
+
+    /// Answers a call after the delay that is set.
+    fn answer(&self, call: Call, status: u16, body: impl Serialize + Send + 'static) {
+        let delay_ms = self.lock().switches.delay_ms;
+        match delay_ms {
+            0 => call.answer(status, &body),
+            _ => self.later(Duration::from_millis(delay_ms), move |_| {
+                call.answer(status, &body);
+            }),
+        }
+    }
+
+    /// Does something after a delay, if the target still exists then.
+    fn later(&self, delay: Duration, action: impl FnOnce(&Self) + Send + 'static) {
+        let this = self.this.clone();
+        self.shared.timer.after(delay, move || {
+            if let Some(target) = this.upgrade() {
+                action(&target);
+            }
+        });
+    }
+
+    /// Adds a sample to the usage report of a worker.
+    fn sample(&self, state: &mut State) {
+        if self.entry.role != Role::Worker {
+            return;
+        }
+        let sample = UsageBody {
+            as_of_ms: clock::now().as_ms(),
+            slots: self.entry.slots,
+            busy: state.busy(),
+            leased: state.leases.leased_slots(),
+        };
+        state.usage.add(sample);
+    }
+
+    /// Locks the state.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl State {
+    /// Returns the number of slots in use.
+    fn busy(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+}
+
+/// Creates the answer to a send.
+fn answer_body(
+    run: &RunId,
+    started: bool,
+    code: Option<&str>,
+    result: Option<String>,
+) -> RunAnswer {
+    RunAnswer {
+        submission: run.submission.clone(),
+        task: run.task,
+        attempt: run.attempt,
+        started,
+        code: code.map(str::to_owned),
+        result: result.map(Into::into),
+    }
+}
