Serve the stand-ins by hyper instead of tiny_http

The workers' history showed that 3 of 360 tasks never started: their calls waited behind connections that stayed open, because tiny_http counts its idle handler threads before they wake up and hands two new connections to one of them. Conclusion: tiny_http does not fit servers whose callers keep connections.

--- a/crates/bamboocart-standin/src/platform/server.rs
+++ b/crates/bamboocart-standin/src/platform/server.rs
@@ -9,10 +9,9 @@
 use bamboocart_core::id::InstanceName;
 use bamboocart_platform::{Appended, InstanceEntry};
 use bpaf::Bpaf;
-use tiny_http::Method;
 
 use crate::clock;
-use crate::http::{Call, HttpServer, Result};
+use crate::http::{Call, HttpServer, Method, Result};
 
 use super::counters::Counters;
 use super::faults::{FaultBody, Faults, Verdict};
@@ -110,8 +109,10 @@
     let (method, path) = call.route();
     let path: Vec<&str> = path.iter().map(String::as_str).collect();
     match (&method, path.as_slice()) {
-        (Method::Post, ["faults"]) => return set_faults(state, call),
-        (Method::Get, ["counters"]) => return call.answer(200, &state.counters.counts()),
+        (&Method::POST, ["faults"]) => return set_faults(state, call),
+        (&Method::GET, ["counters"]) => {
+            return call.answer(200, &state.counters.counts());
+        }
         _ => {}
     }
     let domain = call.header(DOMAIN_HEADER).map(str::to_owned);
@@ -119,11 +120,11 @@
         return finish(state, call, domain.as_deref(), Reply::unavailable());
     }
     let reply = match (&method, path.as_slice()) {
-        (Method::Post, ["streams", name, "records"]) => append(state, &mut call, name),
-        (Method::Get, ["streams", name, "records"]) => read(state, &call, name),
-        (Method::Get, ["instances"]) => list(state),
-        (Method::Put, ["instances", name]) => register(state, &mut call, name),
-        (Method::Delete, ["instances", name]) => remove(state, name),
+        (&Method::POST, ["streams", name, "records"]) => append(state, &mut call, name),
+        (&Method::GET, ["streams", name, "records"]) => read(state, &call, name),
+        (&Method::GET, ["instances"]) => list(state),
+        (&Method::PUT, ["instances", name]) => register(state, &mut call, name),
+        (&Method::DELETE, ["instances", name]) => remove(state, name),
         _ => Reply::error(404, "no such path"),
     };
     finish(state, call, domain.as_deref(), reply);
--- a/crates/bamboocart-standin/src/target/control.rs
+++ b/crates/bamboocart-standin/src/target/control.rs
@@ -2,9 +2,8 @@
 
 use bamboocart_core::id::{DomainName, Incarnation, InstanceName};
 use serde::{Deserialize, Serialize};
-use tiny_http::Method;
 
-use crate::http::Call;
+use crate::http::{Call, Method};
 
 use super::faults::FaultBody;
 use super::fleet::Members;
@@ -42,14 +41,14 @@
     let (method, path) = call.route();
     let path: Vec<&str> = path.iter().map(String::as_str).collect();
     match (&method, path.as_slice()) {
-        (Method::Get, ["history"]) => {
+        (&Method::GET, ["history"]) => {
             let limit = call.number("limit").unwrap_or(u64::MAX);
             let limit = usize::try_from(limit).unwrap_or(usize::MAX).min(PAGE_EVENTS_MAX);
             let page = members.history(call.number("from").unwrap_or(0), limit);
             call.answer(200, &page);
         }
-        (Method::Get, ["targets"]) => call.answer(200, &members.rows()),
-        (Method::Post, ["faults"]) => match call.json::<FaultBody>() {
+        (&Method::GET, ["targets"]) => call.answer(200, &members.rows()),
+        (&Method::POST, ["faults"]) => match call.json::<FaultBody>() {
             Ok(body) => {
                 let count = members.set_faults(&body);
                 call.answer(200, &serde_json::json!({ "targets": count }));
--- a/crates/bamboocart-standin/src/target/member.rs
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -9,11 +9,10 @@
 use bamboocart_platform::{InstanceEntry, ListState};
 use bamboocart_wire::api::{LeaseAnswer, LeaseBody, RunAnswer, RunBody, TargetStatus};
 use serde::Serialize;
-use tiny_http::Method;
 
 use crate::clock;
 use crate::history::{RunId, What};
-use crate::http::Call;
+use crate::http::{Call, Method};
 
 use super::control::TargetRow;
 use super::faults::{FaultBody, Leaving, Switches};
@@ -162,24 +161,24 @@
         let path: Vec<&str> = path.iter().map(String::as_str).collect();
         let worker = self.entry.role == Role::Worker;
         match (&method, path.as_slice()) {
-            (Method::Post, ["run"]) => match call.json::<RunBody>() {
+            (&Method::POST, ["run"]) => match call.json::<RunBody>() {
                 Ok(body) => self.run(call, body),
                 Err(message) => call.fail(400, &message),
             },
-            (Method::Delete, ["run", submission, task]) => {
+            (&Method::DELETE, ["run", submission, task]) => {
                 self.stop(call, submission, task);
             }
-            (Method::Get, ["live"]) => {
+            (&Method::GET, ["live"]) => {
                 let status = self.status();
                 self.answer(call, 200, status);
             }
-            (Method::Post, ["leases"]) if worker => match call.json::<LeaseBody>() {
+            (&Method::POST, ["leases"]) if worker => match call.json::<LeaseBody>() {
                 Ok(body) => self.grant(call, &body),
                 Err(message) => call.fail(400, &message),
             },
-            (Method::Post, ["leases", id, "renew"]) if worker => self.renew(call, id),
-            (Method::Delete, ["leases", id]) if worker => self.return_lease(call, id),
-            (Method::Get, ["usage"]) if worker => {
+            (&Method::POST, ["leases", id, "renew"]) if worker => self.renew(call, id),
+            (&Method::DELETE, ["leases", id]) if worker => self.return_lease(call, id),
+            (&Method::GET, ["usage"]) if worker => {
                 let report = self.lock().usage.report(clock::now(), self.usage_lag_ms);
                 self.answer(call, 200, report);
             }
