Add customer quotas

Cause: customers share the targets, and each instance has to hold its part of a quota without asking others.

Change: `QuotaTable` keeps a token bucket and an in-flight count for each customer, divides the quota by the live instances, and admits a job as a whole. A job above this instance's part but within the quota is admitted when the part is unused and its starts are paid back, because otherwise no instance could ever run it. Refills keep the fraction, so frequent checks lose no tokens.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod id;
 pub mod outcome;
 pub mod queue;
+pub mod quota;
 pub mod target;
 pub mod time;
--- /dev/null
+++ b/crates/bamboocart-core/src/quota.rs
@@ -0,0 +1,219 @@
+//! The limits on what each customer may use.
+//!
+//! Every instance enforces its part of a quota: the quota divided by the number of
+//! instances that it counts as live.
+
+use std::collections::BTreeMap;
+
+use snafu::Snafu;
+
+use crate::config::Quota;
+use crate::id::CustomerName;
+use crate::time::{Timestamp, US_PER_MS};
+
+/// The result of a quota check.
+pub type Result<T, E = QuotaError> = std::result::Result<T, E>;
+
+/// The wait that is advised when too many tasks are in flight.
+///
+/// Most tasks last 50 ms to a second, so some have ended by then.
+pub const IN_FLIGHT_RETRY_MS: u64 = 250;
+
+/// The units of a token: one token accrues in a second at one start per second.
+const UNITS_PER_TOKEN: i64 = 1_000_000;
+
+/// The limits of all customers on this instance, with one row for each quota.
+#[derive(Debug, Clone)]
+pub struct QuotaTable {
+    live_instances: u32,
+    buckets: BTreeMap<CustomerName, Bucket>,
+}
+
+/// Why tasks were not admitted.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Snafu)]
+pub enum QuotaError {
+    /// The configuration has no quota for the customer.
+    #[snafu(display("the customer has no quota; publish one"))]
+    UnknownCustomer,
+    /// The job is larger than the whole quota.
+    #[snafu(display("the job exceeds the quota's burst or in-flight limit; split it"))]
+    TooLarge,
+    /// The customer has started too many tasks.
+    #[snafu(display("the start rate is used up; retry after {retry_after_ms} ms"))]
+    Rate {
+        /// When the tasks can be admitted if nothing else is.
+        retry_after_ms: u64,
+    },
+    /// The customer has too many unfinished tasks.
+    #[snafu(display("too many tasks in flight; retry after {retry_after_ms} ms"))]
+    InFlight {
+        /// When some tasks are likely to have ended.
+        retry_after_ms: u64,
+    },
+}
+
+impl Default for QuotaTable {
+    fn default() -> Self {
+        Self { live_instances: 1, buckets: BTreeMap::new() }
+    }
+}
+
+impl QuotaTable {
+    /// Puts the quotas of a configuration into force.
+    ///
+    /// Customers that stay keep their tokens and count; new ones start with a full burst.
+    pub fn configure(&mut self, quotas: &BTreeMap<CustomerName, Quota>, now: Timestamp) {
+        for (customer, bucket) in &mut self.buckets {
+            bucket.refill(self.live_instances, now);
+            bucket.quota = quotas.get(customer).cloned();
+        }
+        // Removed customers are kept while they have tasks in flight.
+        self.buckets.retain(|_, bucket| bucket.quota.is_some() || bucket.in_flight > 0);
+        for (customer, quota) in quotas {
+            let new = || Bucket::full(quota.clone(), self.live_instances, now);
+            self.buckets.entry(customer.clone()).or_insert_with(new);
+        }
+    }
+
+    /// Sets the number of instances that share the quotas; 0 counts as 1.
+    pub fn set_live_instances(&mut self, live_instances: u32, now: Timestamp) {
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(self.live_instances, now);
+        }
+        self.live_instances = live_instances.max(1);
+    }
+
+    /// Checks whether a job of `tasks` could be admitted as a whole.
+    ///
+    /// A job that is larger than this instance's part, but not than the whole quota, is
+    /// admitted when the part is unused. The start rate is then paid back before the next
+    /// admission, so its average holds; the in-flight limit can be exceeded by one such
+    /// job on each instance.
+    pub fn check(
+        &mut self,
+        customer: &CustomerName,
+        tasks: u32,
+        now: Timestamp,
+    ) -> Result<()> {
+        let live_instances = self.live_instances;
+        let bucket = self.buckets.get_mut(customer);
+        let bucket = bucket.ok_or(QuotaError::UnknownCustomer)?;
+        bucket.refill(live_instances, now);
+        bucket.check(tasks, live_instances)
+    }
+
+    /// Admits all tasks of a job or none.
+    pub fn admit(
+        &mut self,
+        customer: &CustomerName,
+        tasks: u32,
+        now: Timestamp,
+    ) -> Result<()> {
+        self.check(customer, tasks, now)?;
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.units -= i64::from(tasks) * UNITS_PER_TOKEN;
+            bucket.in_flight = bucket.in_flight.saturating_add(tasks);
+        }
+        Ok(())
+    }
+
+    /// Notes that admitted tasks have ended, whether they were started or not.
+    pub fn finish(&mut self, customer: &CustomerName, tasks: u32) {
+        let Some(bucket) = self.buckets.get_mut(customer) else {
+            return;
+        };
+        bucket.in_flight = bucket.in_flight.saturating_sub(tasks);
+        if bucket.in_flight == 0 && bucket.quota.is_none() {
+            self.buckets.remove(customer);
+        }
+    }
+
+    /// Returns the number of admitted tasks that have not ended.
+    pub fn in_flight(&self, customer: &CustomerName) -> u32 {
+        self.buckets.get(customer).map_or(0, |bucket| bucket.in_flight)
+    }
+}
+
+impl QuotaError {
+    /// Returns when a retry is useful, or `None` if it never is.
+    pub const fn retry_after_ms(self) -> Option<u64> {
+        match self {
+            Self::UnknownCustomer | Self::TooLarge => None,
+            Self::Rate { retry_after_ms } | Self::InFlight { retry_after_ms } => {
+                Some(retry_after_ms)
+            }
+        }
+    }
+}
+
+/// The tokens and the unfinished tasks of one customer.
+#[derive(Debug, Clone)]
+struct Bucket {
+    /// The quota, or `None` when it was removed while tasks are in flight.
+    quota: Option<Quota>,
+    /// The tokens in units; negative after a job larger than this instance's burst.
+    units: i64,
+    /// The part of a unit that the last refill left, over the number of instances.
+    remainder: u64,
+    refilled_at: Timestamp,
+    in_flight: u32,
+}
+
+impl Bucket {
+    /// Creates a bucket with its full burst.
+    fn full(quota: Quota, live_instances: u32, now: Timestamp) -> Self {
+        let units = tokens_to_units(part(quota.burst, live_instances));
+        Self { quota: Some(quota), units, remainder: 0, refilled_at: now, in_flight: 0 }
+    }
+
+    /// Adds the tokens that have accrued since the last refill, up to the burst.
+    fn refill(&mut self, live_instances: u32, now: Timestamp) {
+        let elapsed_us = now.us_since(self.refilled_at);
+        self.refilled_at = self.refilled_at.max(now);
+        let Some(quota) = &self.quota else {
+            return;
+        };
+        let divisor = u64::from(live_instances);
+        let accrued = elapsed_us
+            .saturating_mul(u64::from(quota.starts_per_s))
+            .saturating_add(self.remainder);
+        // A change of the divisor can leave a larger remainder; it is worth one unit.
+        self.remainder = accrued % divisor;
+        let full = tokens_to_units(part(quota.burst, live_instances));
+        let units = i64::try_from(accrued / divisor).unwrap_or(i64::MAX);
+        self.units = self.units.saturating_add(units).min(full);
+    }
+
+    /// Checks whether `tasks` fit into this instance's part.
+    fn check(&self, tasks: u32, live_instances: u32) -> Result<()> {
+        let quota = self.quota.as_ref().ok_or(QuotaError::UnknownCustomer)?;
+        if tasks > quota.burst || tasks > quota.in_flight || quota.starts_per_s == 0 {
+            return TooLargeSnafu.fail();
+        }
+        let in_flight_part = part(quota.in_flight, live_instances);
+        if self.in_flight > 0 && self.in_flight.saturating_add(tasks) > in_flight_part {
+            return InFlightSnafu { retry_after_ms: IN_FLIGHT_RETRY_MS }.fail();
+        }
+        let needed = tokens_to_units(tasks.min(part(quota.burst, live_instances)));
+        let missing = u64::try_from(needed - self.units).unwrap_or(0);
+        if missing == 0 {
+            return Ok(());
+        }
+        let wait_us = missing
+            .saturating_mul(u64::from(live_instances))
+            .saturating_sub(self.remainder)
+            .div_ceil(u64::from(quota.starts_per_s));
+        RateSnafu { retry_after_ms: wait_us.div_ceil(US_PER_MS) }.fail()
+    }
+}
+
+/// Returns this instance's part of a limit; it is never 0, or small quotas would be
+/// unusable.
+fn part(limit: u32, live_instances: u32) -> u32 {
+    limit.div_ceil(live_instances).max(1)
+}
+
+/// Converts tokens to units.
+fn tokens_to_units(tokens: u32) -> i64 {
+    i64::from(tokens) * UNITS_PER_TOKEN
+}
