Add learned run times

Cause: placement, the queue's cost, admission and hedges need run times, and declared run times are often far off.

Change: `Estimator` keeps an exponentially weighted mean and deviation for each request kind and each pair of kind and target, the ratio by which tasks' declarations are off, and a decaying logarithmic histogram per kind for the 95th percentile and the fastest run. Failures that are faster than expected are ignored, slower ones count for their target only, and one run time counts as at most 8 times the mean. Pairs are bounded. Also corrects a comment in `quota` about refills after a change of the number of instances.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -3,6 +3,8 @@
 //! Time and randomness come in as arguments, so that every decision can be replayed.
 
 pub mod config;
+pub mod estimate;
+pub mod histogram;
 pub mod id;
 pub mod outcome;
 pub mod queue;
--- a/crates/bamboocart-core/src/quota.rs
+++ b/crates/bamboocart-core/src/quota.rs
@@ -177,7 +177,7 @@
         let accrued = elapsed_us
             .saturating_mul(u64::from(quota.starts_per_s))
             .saturating_add(self.remainder);
-        // A change of the divisor can leave a larger remainder; it is worth one unit.
+        // After a change of the divisor the old remainder is worth a few units at most.
         self.remainder = accrued % divisor;
         let full = tokens_to_units(part(quota.burst, live_instances));
         let units = i64::try_from(accrued / divisor).unwrap_or(i64::MAX);
