--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod histogram;
 pub mod id;
 pub mod outcome;
+pub mod placement;
 pub mod queue;
 pub mod quota;
 pub mod target;
