Add the admission checks

Cause: a submission that cannot be served in time has to be refused on arrival, when "not run" is still true.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Time and randomness come in as arguments, so that every decision can be replayed.
 
+pub mod admission;
 pub mod config;
 pub mod estimate;
 pub mod histogram;
