--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod placement;
 pub mod queue;
 pub mod quota;
+pub mod retry;
 pub mod target;
 pub mod time;
