Add target health

Cause: a target that fails everything fast attracts traffic, and a busy target costs a message for each send that it turns away.

Change: `GroupHealth` ejects a target after three failures in a row or for an outlying failure ratio, for 1 s to 60 s with jitter, and reopens it after one idempotent probe. At most half of a group is ejected. A target is ejected only if it fails clearly more than the other open ones: with a factor of 1.25 the first target of a group in which all fail alike was ejected (test `all_fail_alike`), with 1.5 it is not, and targets that fail everything are still ejected when they are half of the group. Busy targets back off for 5 ms to 320 ms until a slot of theirs becomes free.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod config;
 pub mod estimate;
+pub mod health;
 pub mod histogram;
 pub mod id;
 pub mod outcome;
