--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -2,9 +2,17 @@
 //!
 //! Time and randomness come in as arguments, so that every decision can be replayed.
 
+pub mod admission;
 pub mod config;
 pub mod engine;
+pub mod estimate;
+pub mod health;
+pub mod histogram;
 pub mod id;
 pub mod outcome;
+pub mod placement;
+pub mod queue;
+pub mod quota;
+pub mod retry;
 pub mod target;
 pub mod time;
