Add the ownership of submissions

Change: tickets, the claim table and its claimer, resolution, the registry and the handover as separate modules without I/O or clock.

- A claim may reach at most 300 s beyond the log's time of its append.
This bounds what expired records can have claimed, so a reader of a trimmed log accepts only claims that are valid for every possible earlier end.
The bound relies on the log's clock never stepping back by more than 30 s.
- Refusals are remembered like answers, because a late copy of a refused submission must not run after its caller was told "not run".
- The registry is consumed by the handover and names one successor.
- A key that no claim covers resolves to `Future`, which is answered "unknown" and not "not run": another instance may have read a later claim.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod config;
 pub mod id;
 pub mod outcome;
+pub mod ownership;
 pub mod target;
 pub mod time;
--- /dev/null
+++ b/crates/bamboocart-core/src/ownership/mod.rs
@@ -0,0 +1,60 @@
+//! Which instance may start a submission.
+//!
+//! The owner of an id follows from the id and from append-only facts: the issuer that a
+//! ticket names, the claims that were read from the log, and the handovers that were
+//! received completely. No rule here depends on which instances seem to be alive.
+//!
+//! Only the owner's [`Registry`] can say "not run" truthfully, because an earlier copy
+//! of the same id may have reached the owner by another way. An instance that cannot
+//! reach the owner, or cannot name it, answers "unknown".
+
+mod claims;
+mod handover;
+mod plan;
+mod registry;
+mod resolve;
+mod ticket;
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Incarnation, InstanceName};
+
+pub use self::claims::{
+    BACKDATE_MS, Claim, ClaimRecord, ClaimTable, Covered, Fault, FaultReason, HORIZON_MS,
+    KeyRange, LOG_CLOCK_SLACK_MS, MAX_AHEAD_MS, RANGES, RangeSet,
+};
+pub use self::handover::{
+    AcceptError, Assembly, Complete, Draining, HandedOver, HandoverEntry, PART_BYTES,
+    Part, Right,
+};
+pub use self::plan::{APPEND_EVERY_MS, Claimer, RENEW_AT_MS, TAKE_OVER_AT_MS};
+pub use self::registry::{
+    AdoptError, Arrival, ContentDigest, Limits, Marks, Offer, Registry, Rights,
+    SubmissionKey, Vacancy,
+};
+pub use self::resolve::{Resolved, Successions, View, resolve};
+pub use self::ticket::Issuer;
+
+/// One run of an instance, the only party that may start its submissions.
+#[derive(Debug, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// The name of the instance.
+    pub instance: InstanceName,
+    /// The run of the instance.
+    pub incarnation: Incarnation,
+}
+
+impl Owner {
+    /// Creates the owner for one run of an instance.
+    pub fn new(instance: InstanceName, incarnation: Incarnation) -> Self {
+        Self { instance, incarnation }
+    }
+}
+
+impl Display for Owner {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:x}", self.instance, self.incarnation.0)
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-core/tests/ownership.rs
@@ -0,0 +1,491 @@
+//! Table tests of claims, resolution, registry and handover.
+
+use bamboocart_core::id::{Incarnation, SubmissionId, Ticket};
+use bamboocart_core::outcome::{Outcome, Refusal, RefusalCode, TaskResult, UnknownCode};
+use bamboocart_core::ownership::*;
+use bamboocart_core::time::Timestamp;
+use uuid::Uuid;
+use yare::parameterized;
+
+/// The time at which the tables start.
+const T: u64 = 1_000_000_000;
+
+fn owner(name: &str) -> Owner {
+    Owner::new(name.into(), Incarnation(T * 1_000))
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_ms(T + ms)
+}
+
+/// Makes a key of the given time; `salt` tells keys of one time apart.
+fn key(ms: u64, salt: u64) -> Uuid {
+    let [.., a, b, c, d, e, f, g, h] = u128::from(salt).to_be_bytes();
+    uuid::Builder::from_unix_timestamp_millis(T + ms, &[a, b, c, d, e, f, g, h, 0, 0])
+        .into_uuid()
+}
+
+fn claim(name: &str, from: u64, until: u64) -> String {
+    let owner = owner(name);
+    Claim {
+        ranges: RangeSet::ALL,
+        instance: owner.instance,
+        incarnation: owner.incarnation,
+        from_ms: T + from,
+        until_ms: T + until,
+    }
+    .to_body()
+}
+
+/// Folds bodies that were appended at the given times, from the given offset on.
+fn fold(table: &mut ClaimTable, start: u64, log: &[(u64, String)]) -> Vec<Fault> {
+    let records: Vec<ClaimRecord> = (start..)
+        .zip(log)
+        .map(|(offset, (ms, body))| ClaimRecord { offset, at_ms: T + ms, body })
+        .collect();
+    table.read(start, &records)
+}
+
+/// What a table must say about the key of one time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Say {
+    By(&'static str),
+    Future,
+    Past,
+}
+
+fn say(table: &ClaimTable, ms: u64) -> Say {
+    match table.covered(&key(ms, 7), at(ms)) {
+        Covered::By(by) if by == owner("a") => Say::By("a"),
+        Covered::By(by) if by == owner("b") => Say::By("b"),
+        Covered::By(by) => panic!("unexpected holder {by}"),
+        Covered::Future => Say::Future,
+        Covered::Past => Say::Past,
+    }
+}
+
+struct FoldCase {
+    /// The offset of the first record that is still kept.
+    start: u64,
+    log: Vec<(u64, String)>,
+    faults: usize,
+    want: Vec<(u64, Say)>,
+}
+
+/// Guards against two holders of one time, against a bad record that stops the fold, and
+/// against a stale record that passes for a claim after earlier ones have expired.
+#[parameterized(
+    nothing_is_claimed = { FoldCase { start: 0, log: vec![], faults: 0, want: vec![
+        (0, Say::Future),
+    ] } },
+    interval_is_half_open = { FoldCase { start: 0, log: vec![
+        (0, claim("a", 0, 100)),
+    ], faults: 0, want: vec![
+        (0, Say::By("a")), (99, Say::By("a")), (100, Say::Future),
+    ] } },
+    the_first_of_two_wins = { FoldCase { start: 0, log: vec![
+        (0, claim("b", 0, 100)), (0, claim("a", 50, 200)),
+    ], faults: 1, want: vec![(60, Say::By("b")), (150, Say::Future)] } },
+    the_end_is_free = { FoldCase { start: 0, log: vec![
+        (0, claim("a", 0, 100)), (0, claim("b", 100, 200)), (0, claim("a", 200, 300)),
+    ], faults: 0, want: vec![
+        (99, Say::By("a")), (100, Say::By("b")), (250, Say::By("a")),
+    ] } },
+    a_gap_stays_unowned = { FoldCase { start: 0, log: vec![
+        (0, claim("a", 0, 100)), (0, claim("b", 150, 200)), (0, claim("a", 100, 150)),
+    ], faults: 1, want: vec![(120, Say::Past), (170, Say::By("b"))] } },
+    bad_records_are_skipped = { FoldCase { start: 0, log: vec![
+        (0, "{".into()), (0, claim("b", 9, 9)), (0, claim("b", 0, MAX_AHEAD_MS + 1)),
+        (0, claim("a", 0, 100)),
+    ], faults: 3, want: vec![(50, Say::By("a"))] } },
+    the_first_claim_after_a_trim_is_undecided = { FoldCase { start: 5, log: vec![
+        (0, claim("b", 0, 100)),
+    ], faults: 1, want: vec![(50, Say::Past), (100, Say::Past)] } },
+    a_claim_past_every_expired_one_counts = { FoldCase { start: 5, log: vec![
+        (0, claim("b", 0, 100)),
+        (300_000, claim("a", 330_000, 400_000)),
+    ], faults: 1, want: vec![(50, Say::Past), (330_000, Say::By("a"))] } },
+    an_undecided_claim_widens_the_bounds = { FoldCase { start: 5, log: vec![
+        (0, "{".into()),
+        (200_000, claim("b", 300_000, 400_000)),
+        (200_000, claim("a", 350_000, 450_000)),
+        (200_000, claim("a", 450_000, 460_000)),
+    ], faults: 3, want: vec![
+        (310_000, Say::Past), (360_000, Say::Past), (455_000, Say::By("a")),
+    ] } },
+    an_empty_trimmed_log_verifies_nothing = { FoldCase { start: 5, log: vec![],
+        faults: 0, want: vec![(0, Say::Past), (1_000_000, Say::Past)] } },
+)]
+fn folds(case: FoldCase) {
+    let mut table = ClaimTable::default();
+    let faults = fold(&mut table, case.start, &case.log);
+    assert_eq!(faults.len(), case.faults, "{faults:?}");
+    for (ms, want) in case.want {
+        assert_eq!(say(&table, ms), want, "key of {ms} ms");
+    }
+}
+
+/// Guards against a reader that misses expired records in between and goes on as if it
+/// had read them.
+#[test]
+fn a_gap_while_following_makes_later_claims_undecided() {
+    let mut table = ClaimTable::default();
+    fold(&mut table, 0, &[(0, claim("a", 0, 100))]);
+    let faults = fold(&mut table, 9, &[(200, claim("b", 150, 400))]);
+    assert!(matches!(faults[0].reason, FaultReason::Unverified { .. }));
+    assert_eq!(say(&table, 50), Say::By("a"));
+    assert_eq!(say(&table, 160), Say::Past);
+}
+
+/// Guards against different owners on readers that start at different records: what a
+/// reader of a trimmed log accepts, the reader of the whole log accepts as well.
+#[test]
+fn every_trimmed_reader_agrees_with_the_whole_log() {
+    proptest::proptest!(|(steps in proptest::collection::vec(
+        (0..40_000_u64, 0..5_u64, 1..5_u64, 0..2_u8), 1..40,
+    ))| {
+        let mut ms = 0;
+        let log: Vec<_> = steps.iter().map(|&(wait, from, length, who)| {
+            ms += wait;
+            let from = ms / 60_000 * 60_000 + from * 60_000;
+            (ms, claim(["a", "b"][usize::from(who)], from, from + length * 30_000))
+        }).collect();
+        let mut whole = ClaimTable::default();
+        fold(&mut whole, 0, &log);
+        for start in 1..log.len() {
+            let mut trimmed = ClaimTable::default();
+            fold(&mut trimmed, start as u64, &log[start..]);
+            for ms in (0..2_000_000).step_by(15_000) {
+                match say(&trimmed, ms) {
+                    Say::Past => {}
+                    said => proptest::prop_assert_eq!(said, say(&whole, ms)),
+                }
+            }
+        }
+    });
+}
+
+/// Appends what each claimer finds due, in rounds of one second, and returns the shares.
+fn shares(
+    claimers: &mut [(Owner, Claimer)],
+    log: &mut ClaimTable,
+    from: u64,
+    to: u64,
+) -> Vec<usize> {
+    let live: Vec<Owner> = claimers.iter().map(|(owner, _)| owner.clone()).collect();
+    for ms in (from..to).step_by(1_000) {
+        let due: Vec<Claim> = claimers
+            .iter_mut()
+            .flat_map(|(_, claimer)| claimer.due(log, &live, at(ms)))
+            .collect();
+        for claim in due {
+            let start = log.next_offset();
+            fold(log, start, &[(ms, claim.to_body())]);
+        }
+        let uncovered = (0..640).filter(|&salt| {
+            !matches!(log.covered(&key(ms, salt), at(ms)), Covered::By(_))
+        });
+        let settled = ms >= from + 5_000 || log.next_offset() == 0;
+        assert!(!settled || uncovered.count() == 0, "a gap at {ms} ms");
+    }
+    let mut counts = vec![0; live.len()];
+    for salt in 0..6_400 {
+        match log.covered(&key(to, salt), at(to)) {
+            Covered::By(by) => {
+                counts[live.iter().position(|owner| *owner == by).unwrap()] += 1;
+            }
+            other => panic!("uncovered: {other:?}"),
+        }
+    }
+    counts
+}
+
+/// Guards against ranges that pile up on one instance, that nobody takes over after a
+/// crash, or that change hands so late that keys of the present have no owner.
+#[parameterized(
+    one = { &["a"], &["a"] },
+    seven_start = { &["a", "b", "c", "d", "e", "f", "g"],
+        &["a", "b", "c", "d", "e", "f", "g"] },
+    one_crashes = { &["a", "b", "c", "d"], &["a", "b", "c"] },
+    two_join = { &["a", "b"], &["a", "b", "c", "d"] },
+)]
+fn spreads_ranges(before: &[&str], after: &[&str]) {
+    let make = |names: &[&str]| -> Vec<(Owner, Claimer)> {
+        names.iter().map(|name| (owner(name), Claimer::new(owner(name)))).collect()
+    };
+    let mut log = ClaimTable::default();
+    shares(&mut make(before), &mut log, 0, 200_000);
+    let counts = shares(&mut make(after), &mut log, 200_000, 500_000);
+    let even = 6_400 / after.len();
+    assert!(
+        counts.iter().all(|&count| count > even / 2 && count < even * 3 / 2),
+        "{counts:?}"
+    );
+}
+
+/// Guards against appending the same claim again while the first is not yet read back,
+/// and against claims that no reader could verify after a trim.
+#[test]
+fn waits_for_what_it_appended() {
+    let me = owner("a");
+    let mut table = ClaimTable::default();
+    let mut claimer = Claimer::new(me.clone());
+    assert_eq!(claimer.due(&table, &[], at(0)).len(), 1);
+    assert_eq!(claimer.due(&table, &[], at(APPEND_EVERY_MS - 1)).len(), 0);
+    assert_eq!(claimer.due(&table, &[], at(APPEND_EVERY_MS)).len(), 1);
+    fold(&mut table, 5, &[]);
+    let dated = claimer.due(&table, &[], at(2 * APPEND_EVERY_MS));
+    assert!(dated[0].ranges.is_empty());
+    assert_eq!(fold(&mut table, 5, &[(10_000, dated[0].to_body())]), []);
+    assert_eq!(say(&table, 0), Say::Past);
+    let usable = (0..400).find_map(|second| {
+        let due = claimer.due(&table, &[], at(10_000 + second * 1_000));
+        due.first().map(|claim| (10_000 + second * 1_000, claim.to_body()))
+    });
+    assert_eq!(fold(&mut table, 6, &[usable.unwrap()]), []);
+    assert_eq!(say(&table, 340_000), Say::By("a"));
+}
+
+fn ticket(name: &str, sequence: u64) -> SubmissionId {
+    let Owner { instance, incarnation } = owner(name);
+    SubmissionId::Ticket(Ticket { domain: "d".into(), instance, incarnation, sequence })
+}
+
+/// Guards against a forward to a process that is not the owner, a start under another
+/// instance's right, and a start under a ticket that is still to be issued.
+#[test]
+fn resolves_each_kind_of_id() {
+    let mut issuer = Issuer::new("d".into(), owner("me"));
+    let issued = SubmissionId::Ticket(issuer.issue());
+    let mut claims = ClaimTable::default();
+    fold(&mut claims, 0, &[(0, claim("a", 100, 200))]);
+    let registry: Registry<()> = Registry::new(owner("me"), Limits::default());
+    let mut successions = Successions::default();
+    successions.learn(owner("old"), owner("older"));
+    successions.learn(owner("older"), owner("b"));
+    successions.learn(owner("old"), owner("me"));
+    successions.learn(owner("left"), owner("me"));
+    let live =
+        |name: &_| match owner("a").instance == *name || owner("b").instance == *name {
+            true => Some(Incarnation(T * 1_000)),
+            false => Some(Incarnation(T * 1_000 + 1)),
+        };
+    let view = View {
+        rights: registry.rights(),
+        issuer: &issuer,
+        claims: &claims,
+        successions: &successions,
+        live: &live,
+    };
+    let cases = [
+        (issued, Resolved::Mine(owner("me"))),
+        (ticket("me", 1), Resolved::NotIssued),
+        (ticket("a", 4), Resolved::Other(owner("a"))),
+        (ticket("c", 4), Resolved::Gone(owner("c"))),
+        (ticket("old", 4), Resolved::Other(owner("b"))),
+        (ticket("left", 4), Resolved::Gone(owner("left"))),
+        (SubmissionId::CallerKey(key(150, 1)), Resolved::Other(owner("a"))),
+        (SubmissionId::CallerKey(key(200, 1)), Resolved::Future),
+        (SubmissionId::CallerKey(key(50, 1)), Resolved::Past),
+        (SubmissionId::CallerKey(Uuid::nil()), Resolved::Past),
+    ];
+    for (id, want) in cases {
+        assert_eq!(resolve(&id, &view), want, "{id}");
+    }
+}
+
+/// One step on a registry with room for 2 open and 4 entries that remembers for 1 s.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Offers a ticket and admits it if possible.
+    Ticket(u64, &'static str),
+    /// Offers a key of the given time and admits it if possible.
+    Key(u64, &'static str),
+    /// Offers a ticket and refuses it.
+    Refuse(u64),
+    Close(u64),
+    Wait(u64),
+}
+
+const NO: Refusal = Refusal { code: RefusalCode::Overloaded, retry_after_ms: None };
+
+fn name(offer: Offer<()>) -> &'static str {
+    match offer {
+        Offer::New(vacancy) => {
+            vacancy.admit(());
+            "new"
+        }
+        Offer::Full(arrival) => {
+            arrival.refuse(NO);
+            "full"
+        }
+        Offer::Draining(arrival) => {
+            arrival.refuse(NO);
+            "draining"
+        }
+        Offer::Known(_) => "known",
+        Offer::Refused(_) => "refused",
+        Offer::Reused => "reused",
+        Offer::Forgotten => "forgotten",
+        Offer::NotOwned => "not owned",
+    }
+}
+
+/// Guards against a forgotten id that passes for a new one, and against running a late
+/// copy of a submission whose caller was told "not run".
+#[parameterized(
+    new_then_known = { &[Step::Ticket(0, "new"), Step::Ticket(0, "known"), Step::Close(0),
+        Step::Ticket(0, "known")] },
+    full_stays_refused = { &[Step::Ticket(0, "new"), Step::Ticket(1, "new"),
+        Step::Ticket(2, "full"), Step::Close(0), Step::Ticket(2, "refused"),
+        Step::Ticket(3, "new")] },
+    refused_stays_refused = { &[Step::Refuse(0), Step::Ticket(0, "refused")] },
+    expired_is_forgotten = { &[Step::Ticket(3, "new"), Step::Close(3), Step::Wait(999),
+        Step::Ticket(3, "known"), Step::Wait(1), Step::Ticket(3, "forgotten"),
+        Step::Ticket(1, "forgotten"), Step::Ticket(4, "new")] },
+    evicted_is_forgotten = { &[Step::Ticket(0, "new"), Step::Ticket(1, "new"),
+        Step::Ticket(2, "full"), Step::Ticket(3, "full"), Step::Ticket(4, "full"),
+        Step::Ticket(2, "forgotten"), Step::Ticket(0, "known"),
+        Step::Ticket(3, "refused")] },
+    old_key_is_forgotten = { &[Step::Wait(2_000), Step::Key(999, "forgotten"),
+        Step::Key(1_000, "new")] },
+    expired_key_of_a_fast_clock = { &[Step::Key(5_000, "new"), Step::Close(0),
+        Step::Wait(1_000), Step::Key(5_000, "forgotten"), Step::Key(5_001, "new")] },
+)]
+fn registry_answers(steps: &[Step]) {
+    let limits = Limits { open: 2, total: 4, remember_ms: 1_000 };
+    let mut registry: Registry<()> = Registry::new(owner("me"), limits);
+    let mut now = at(0);
+    let digest = ContentDigest::of([&b"x"[..]]);
+    for &step in steps {
+        match step {
+            Step::Ticket(sequence, want) => {
+                let id = ticket("me", sequence);
+                let got = name(registry.offer(&id, &owner("me"), digest, now));
+                assert_eq!(got, want, "{step:?}");
+            }
+            Step::Key(ms, want) => {
+                let id = SubmissionId::CallerKey(key(ms, 0));
+                let got = name(registry.offer(&id, &owner("me"), digest, now));
+                assert_eq!(got, want, "{step:?}");
+                if let Some(key) = registry.find(&id) {
+                    registry.close(key, now);
+                }
+            }
+            Step::Refuse(sequence) => {
+                let id = ticket("me", sequence);
+                match registry.offer(&id, &owner("me"), digest, now) {
+                    Offer::New(vacancy) => vacancy.refuse(NO),
+                    other => panic!("{other:?}"),
+                };
+            }
+            Step::Close(sequence) => {
+                if let Some(key) = registry.find(&ticket("me", sequence)) {
+                    registry.close(key, now);
+                    registry.close(key, now);
+                }
+            }
+            Step::Wait(ms) => now = now.plus_ms(ms),
+        }
+        assert!(registry.len() <= 4 && registry.open() <= 2);
+    }
+    let id = ticket("me", 100);
+    assert_eq!(name(registry.offer(&id, &owner("a"), digest, now)), "not owned");
+}
+
+/// Guards against taking an id with other content for a repetition, and against parts
+/// of the content that run into each other.
+#[test]
+fn other_content_is_detected() {
+    let one = ContentDigest::of([&b"ab"[..], b"c"]);
+    let two = ContentDigest::of([&b"a"[..], b"bc"]);
+    let mut registry: Registry<()> = Registry::new(owner("me"), Limits::default());
+    let id = ticket("me", 0);
+    assert_eq!(name(registry.offer(&id, &owner("me"), one, at(0))), "new");
+    assert_eq!(name(registry.offer(&id, &owner("me"), two, at(0))), "reused");
+}
+
+/// Guards against a successor that acts on a part of a snapshot, for another
+/// incarnation, or twice, and against one that runs what the old owner has decided.
+#[test]
+fn hands_over_once_and_completely() {
+    let digest = ContentDigest::of([&b"x"[..]]);
+    let mut old: Registry<usize> = Registry::new(owner("old"), Limits::default());
+    let mut issuer = Issuer::new("d".into(), owner("old"));
+    (0..20).for_each(|_| drop(issuer.issue()));
+    for sequence in 0..9 {
+        let id = ticket("old", sequence);
+        match old.offer(&id, &owner("old"), digest, at(0)) {
+            Offer::New(vacancy) if sequence == 8 => drop(vacancy.refuse(NO)),
+            Offer::New(vacancy) => drop(vacancy.admit(400_000)),
+            other => panic!("{other:?}"),
+        }
+        if let Some(key) = old.find(&id).filter(|_| sequence != 7) {
+            old.close(key, at(0));
+        }
+    }
+    let mut old = old.drain();
+    match old.offer(&ticket("old", 9), &owner("old"), digest, at(0)) {
+        Offer::Draining(arrival) => drop(arrival.refuse(NO)),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(old.open(), 1);
+    let handed = old.hand_over(owner("new"), &issuer, |id, size| match id {
+        SubmissionId::Ticket(ticket) if ticket.sequence == 7 => {
+            Outcome::Unknown(UnknownCode::StillRunning)
+        }
+        _ => Outcome::Complete(vec![TaskResult {
+            task: Default::default(),
+            body: vec![0; size].into(),
+        }]),
+    });
+    assert_eq!(handed.parts().len(), 4);
+    let mut registry: Registry<Outcome> = Registry::new(owner("new"), Limits::default());
+    let mut assembly = Assembly::new(owner("new"));
+    let mut complete = None;
+    for (place, part) in handed.parts().iter().rev().cycle().take(7).enumerate() {
+        let config = bincode::config::standard();
+        let bytes = bincode::serde::encode_to_vec(part, config).unwrap();
+        assert!(bytes.len() <= 1 << 20, "{} bytes", bytes.len());
+        let (part, _) = bincode::serde::decode_from_slice(&bytes, config).unwrap();
+        let done = assembly.accept(part, registry.rights()).unwrap();
+        assert_eq!(done.is_some(), place == 3, "part {place}");
+        complete = done.or(complete);
+        let id = ticket("old", 0);
+        let early = registry.offer(&id, &owner("old"), digest, at(0));
+        assert!(matches!(early, Offer::NotOwned));
+    }
+    let other: Registry<Outcome> = Registry::new(owner("x"), Limits::default());
+    let mut wrong = Assembly::new(owner("x"));
+    let part = handed.parts()[0].clone();
+    assert_eq!(
+        wrong.accept(part, other.rights()).unwrap_err(),
+        AcceptError::WrongSuccessor
+    );
+    let done = complete.unwrap();
+    assert_eq!(registry.adopt(done, at(0), |_, outcome| outcome), Ok(10));
+    for (sequence, want) in [
+        (0, "known"),
+        (7, "known"),
+        (8, "refused"),
+        (9, "refused"),
+        (10, "new"),
+        (10, "known"),
+        (20, "forgotten"),
+    ] {
+        let id = ticket("old", sequence);
+        let got = match registry.offer(&id, &owner("old"), digest, at(1)) {
+            Offer::New(vacancy) => {
+                vacancy.admit(Outcome::Unknown(UnknownCode::StillRunning));
+                "new"
+            }
+            Offer::Known(_) => "known",
+            Offer::Refused(_) => "refused",
+            Offer::Forgotten => "forgotten",
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(got, want, "ticket {sequence}");
+    }
+    let again = assembly.accept(handed.parts()[0].clone(), registry.rights());
+    assert_eq!(again.unwrap_err(), AcceptError::AlreadyAdopted);
+}
