--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod histogram;
 pub mod id;
 pub mod outcome;
+pub mod ownership;
 pub mod placement;
 pub mod queue;
 pub mod quota;
