Add membership of instances and targets

Cause: the platform's list lags and may be missing, while a leaving target must get no new work after a few seconds.

Change: peers by heartbeat, the merge of the list, targets and probes, stop plans, assignment by rendezvous hashing, the choice of a successor and the heartbeat schedule as separate modules without I/O or clock.

- A dead incarnation has to be heard for 3 s before it counts as live again, and a pause of the own process makes nobody dead.
- A list that lacks more than half of the instances or targets is ignored until most of the missing ones are known to be silent; missing targets are probed to settle that.
Targets that a list drops are remembered for 10 min, so that a leaving one does not return to service.
- Peers of other failure domains get a heartbeat every 2.5 s, which leaves 0.5 s before they would become suspect.

--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod config;
 pub mod id;
+pub mod membership;
 pub mod outcome;
 pub mod ownership;
 pub mod target;
--- /dev/null
+++ b/crates/bamboocart-core/src/membership/targets.rs
@@ -0,0 +1,267 @@
+//! The targets and whether they take new work.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::stop::{Member, StopSchedule};
+use crate::config::Role;
+use crate::id::{DomainName, Incarnation, RackName, ServiceName, TargetName};
+use crate::time::Timestamp;
+
+/// The number of targets that are known at most; further ones of a list are not added.
+pub const TARGETS: usize = 16_384;
+
+/// The time between two probes of one target.
+pub const PROBE_EVERY_MS: u64 = 2_000;
+
+/// The probes that one instance sends each second; targets that gave no answer for the
+/// longest time come first.
+pub const PROBES_PER_S: usize = 10;
+
+/// The silence of a target that was asked, after which it counts as not answering.
+const SILENT_MS: u64 = 5_000;
+
+/// The time that a target has to answer a probe.
+const ANSWER_MS: u64 = 1_000;
+
+/// The time for which an unanswered probe shows that a target is silent.
+const EVIDENCE_MS: u64 = 60_000;
+
+/// The time for which a target is remembered that the list names no more.
+const RETIRED_MS: u64 = 600_000;
+
+/// What the list says about a target.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct TargetInfo {
+    /// The name.
+    pub name: TargetName,
+    /// Minion or worker.
+    pub role: Role,
+    /// The service label.
+    pub service: ServiceName,
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The rack, for workers.
+    pub rack: Option<RackName>,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The address for HTTP, as IP and port.
+    pub address: Arc<str>,
+    /// The tasks that it runs at the same time.
+    pub slots: u32,
+    /// The connections that it accepts.
+    pub connections: u32,
+    /// The processors.
+    pub cpus: u32,
+    /// The memory.
+    pub memory_mb: u64,
+}
+
+/// How it became known that a target is leaving.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash)]
+pub enum Leaving {
+    /// The platform's list says so.
+    List,
+    /// A stop plan has reached it.
+    StopPlan,
+    /// It turned a task away.
+    OwnAnswer,
+    /// It said so when it was probed.
+    Probe,
+}
+
+/// A target.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// What the list says.
+    pub info: TargetInfo,
+    /// The first source that said that it is leaving, which is final for its
+    /// incarnation.
+    pub leaving: Option<Leaving>,
+    answered_at: Option<Timestamp>,
+    /// When it was probed and has not answered since.
+    asked_at: Option<Timestamp>,
+    probe_at: Timestamp,
+    /// Since when the list does not name it.
+    retired_at: Option<Timestamp>,
+}
+
+impl Target {
+    /// Creates a target that the list names.
+    fn new(info: TargetInfo) -> Self {
+        Self {
+            info,
+            leaving: None,
+            answered_at: None,
+            asked_at: None,
+            probe_at: Timestamp::default(),
+            retired_at: None,
+        }
+    }
+
+    /// Reports whether the target takes new work.
+    pub fn is_serving(&self) -> bool {
+        self.leaving.is_none() && self.retired_at.is_none()
+    }
+
+    /// Reports whether the target was asked and gives no answers.
+    pub(super) fn is_silent(&self, now: Timestamp) -> bool {
+        let recent = now.ms_since(self.probe_at) < EVIDENCE_MS;
+        let asked = self.asked_at.is_some_and(|at| now.ms_since(at) >= ANSWER_MS);
+        let heard = self.answered_at.is_some_and(|at| now.ms_since(at) < SILENT_MS);
+        recent && asked && !heard
+    }
+}
+
+/// The targets by name, each with its latest incarnation.
+#[derive(Debug, Default)]
+pub struct Targets {
+    targets: BTreeMap<TargetName, Target>,
+    /// The second in which probes were sent last, and their number.
+    probes: (u64, usize),
+}
+
+impl Targets {
+    /// Returns every target that the list in force names, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values().filter(|target| target.retired_at.is_none())
+    }
+
+    /// Returns the targets that take new work, by name.
+    pub fn serving(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values().filter(|target| target.is_serving())
+    }
+
+    /// Returns a target, even one that the list names no more.
+    pub fn get(&self, name: &TargetName) -> Option<&Target> {
+        self.targets.get(name)
+    }
+
+    /// Marks an incarnation as leaving and reports whether that is news.
+    pub fn leave(
+        &mut self,
+        name: &TargetName,
+        incarnation: Incarnation,
+        source: Leaving,
+    ) -> bool {
+        match self.targets.get_mut(name) {
+            Some(target)
+                if target.info.incarnation == incarnation && target.leaving.is_none() =>
+            {
+                target.leaving = Some(source);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Marks the targets that a stop plan has reached and returns the new ones.
+    pub(super) fn apply_stops(
+        &mut self,
+        schedule: &StopSchedule,
+        now: Timestamp,
+    ) -> Vec<TargetName> {
+        let mut left = vec![];
+        for turn in schedule.begun(now) {
+            let Member::Target(name) = &turn.member else {
+                continue;
+            };
+            let incarnation = self.targets.get(name).map(|it| it.info.incarnation);
+            let Some(incarnation) = incarnation.filter(|&it| turn.applies(it, now))
+            else {
+                continue;
+            };
+            if self.leave(name, incarnation, Leaving::StopPlan) {
+                left.push(name.clone());
+            }
+        }
+        left
+    }
+
+    /// Notes that a target answered anything.
+    pub fn answered(&mut self, name: &TargetName, now: Timestamp) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.answered_at = Some(now);
+            target.asked_at = None;
+        }
+    }
+
+    /// Notes the answer to a probe and reports whether the target is newly leaving.
+    pub fn probed(
+        &mut self,
+        name: &TargetName,
+        incarnation: Incarnation,
+        leaving: bool,
+        now: Timestamp,
+    ) -> bool {
+        self.answered(name, now);
+        leaving && self.leave(name, incarnation, Leaving::Probe)
+    }
+
+    /// Returns the targets to probe now and notes that they are probed.
+    ///
+    /// `asked` selects the targets that are worth a probe. A target that answered a send within [`PROBE_EVERY_MS`] is not probed,
+    /// because that answer would have said that it is leaving.
+    pub(super) fn due_probes(
+        &mut self,
+        now: Timestamp,
+        asked: impl Fn(&TargetInfo) -> bool,
+    ) -> Vec<TargetInfo> {
+        let second = now.as_ms() / 1_000;
+        if self.probes.0 != second {
+            self.probes = (second, 0);
+        }
+        let mut due: Vec<&mut Target> = self
+            .targets
+            .values_mut()
+            .filter(|target| target.is_serving() && target.probe_at <= now)
+            .filter(|target| {
+                target.answered_at.is_none_or(|at| now.ms_since(at) >= PROBE_EVERY_MS)
+            })
+            .filter(|target| asked(&target.info))
+            .collect();
+        due.sort_by_key(|target| target.answered_at.max(Some(target.probe_at)));
+        due.truncate(PROBES_PER_S.saturating_sub(self.probes.1));
+        self.probes.1 += due.len();
+        due.into_iter()
+            .map(|target| {
+                target.probe_at = now.plus_ms(PROBE_EVERY_MS);
+                target.asked_at = target.asked_at.or(Some(now));
+                target.info.clone()
+            })
+            .collect()
+    }
+
+    /// Applies what an accepted list says about a target.
+    pub(super) fn list(&mut self, info: TargetInfo, leaving: bool) {
+        let name = info.name.clone();
+        let incarnation = info.incarnation;
+        let full = self.targets.len() >= TARGETS;
+        match self.targets.get_mut(&name) {
+            Some(target) if incarnation < target.info.incarnation => return,
+            Some(target) if incarnation == target.info.incarnation => {
+                target.info = info;
+                target.retired_at = None;
+            }
+            Some(target) => *target = Target::new(info),
+            None if full => return,
+            None => drop(self.targets.insert(name.clone(), Target::new(info))),
+        }
+        if leaving {
+            self.leave(&name, incarnation, Leaving::List);
+        }
+    }
+
+    /// Retires the targets that an accepted list does not name.
+    ///
+    /// They are kept for a while, so that an incarnation that is leaving does not come
+    /// back to service when a list names it again.
+    pub(super) fn retire(&mut self, now: Timestamp, named: impl Fn(&TargetName) -> bool) {
+        self.targets.retain(|name, target| {
+            if !named(name) {
+                target.retired_at = target.retired_at.or(Some(now));
+            }
+            target.retired_at.is_none_or(|at| now.ms_since(at) < RETIRED_MS)
+        });
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-core/tests/membership.rs
@@ -0,0 +1,551 @@
+//! Table tests of membership.
+
+use std::collections::BTreeMap;
+
+use bamboocart_core::config::{Role, StopPlan};
+use bamboocart_core::id::{ConfigVersion, Incarnation, StopPlanName};
+use bamboocart_core::membership::*;
+use bamboocart_core::time::Timestamp;
+use yare::parameterized;
+
+/// The time at which the tables start.
+const T: u64 = 1_000_000;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_ms(T + ms)
+}
+
+fn info(name: &str, domain: &str, incarnation: u64) -> PeerInfo {
+    PeerInfo {
+        name: name.into(),
+        incarnation: Incarnation(incarnation),
+        domain: domain.into(),
+        address: "127.0.0.1:7000".into(),
+    }
+}
+
+fn beat(info: PeerInfo, known: Vec<PeerInfo>) -> Heartbeat {
+    let config_version = ConfigVersion(1);
+    Heartbeat { info, leaving: false, config_version, free_slots: 0, known }
+}
+
+fn target(name: &str, incarnation: u64) -> TargetInfo {
+    TargetInfo {
+        name: name.into(),
+        role: Role::Minion,
+        service: "s".into(),
+        domain: "d".into(),
+        rack: None,
+        incarnation: Incarnation(incarnation),
+        address: "127.0.0.1:8000".into(),
+        slots: 8,
+        connections: 64,
+        cpus: 0,
+        memory_mb: 0,
+    }
+}
+
+/// Something that happens to the peer `p` as seen by this instance.
+#[derive(Clone, Copy, Debug)]
+enum Seen {
+    /// A heartbeat of an incarnation.
+    Beat(u64),
+    /// Another instance tells about an incarnation.
+    Told(u64),
+    /// Another message of an incarnation.
+    Message(u64),
+    /// The platform's list names an incarnation, as leaving or not.
+    Listed(u64, bool),
+    /// Ticks every 100 ms for this time.
+    Wait(u64),
+    /// Heartbeats of an incarnation every second and ticks for this time.
+    Beats(u64, u64),
+    /// This process is paused.
+    Pause(u64),
+    /// The peer must be in this state with this incarnation.
+    Is(PeerState, u64),
+    /// The peer must be leaving or not.
+    Leaves(bool),
+    /// The number of changes since the last check.
+    Changes(usize),
+}
+
+/// Guards against a dead peer that keeps its targets, a slow one that loses them, an old
+/// process that displaces a new one, and states that go back and forth.
+#[parameterized(
+    silence = { &[Seen::Beat(1), Seen::Wait(2_900), Seen::Is(PeerState::Live, 1),
+        Seen::Wait(100), Seen::Is(PeerState::Suspect, 1), Seen::Wait(1_900),
+        Seen::Is(PeerState::Suspect, 1), Seen::Wait(100), Seen::Is(PeerState::Dead, 1),
+        Seen::Changes(3)] },
+    any_message_counts = { &[Seen::Beat(1), Seen::Wait(2_900), Seen::Message(1),
+        Seen::Wait(2_900), Seen::Is(PeerState::Live, 1), Seen::Changes(1)] },
+    suspect_recovers_at_once = { &[Seen::Beat(1), Seen::Wait(4_000), Seen::Beat(1),
+        Seen::Is(PeerState::Live, 1)] },
+    higher_replaces_at_once = { &[Seen::Beat(1), Seen::Beat(2),
+        Seen::Is(PeerState::Live, 2), Seen::Changes(3)] },
+    told_higher_replaces = { &[Seen::Beat(1), Seen::Told(2),
+        Seen::Is(PeerState::Learned, 2), Seen::Beat(1), Seen::Is(PeerState::Learned, 2),
+        Seen::Changes(2)] },
+    lower_is_ignored = { &[Seen::Beat(2), Seen::Wait(2_900), Seen::Beat(1),
+        Seen::Message(1), Seen::Told(1), Seen::Wait(100), Seen::Is(PeerState::Suspect, 2)] },
+    learned_is_not_live = { &[Seen::Told(1), Seen::Is(PeerState::Learned, 1),
+        Seen::Wait(5_000), Seen::Is(PeerState::Dead, 1), Seen::Told(1),
+        Seen::Is(PeerState::Dead, 1), Seen::Changes(0)] },
+    one_beat_does_not_revive = { &[Seen::Beat(1), Seen::Wait(5_000), Seen::Beat(1),
+        Seen::Is(PeerState::Returning, 1), Seen::Wait(5_000),
+        Seen::Is(PeerState::Dead, 1), Seen::Changes(3)] },
+    steady_beats_revive = { &[Seen::Beat(1), Seen::Wait(5_000), Seen::Beats(1, 3_000),
+        Seen::Is(PeerState::Returning, 1), Seen::Beat(1), Seen::Is(PeerState::Live, 1),
+        Seen::Changes(4)] },
+    rare_beats_do_not_revive = { &[Seen::Beat(1), Seen::Wait(5_000), Seen::Beat(1),
+        Seen::Wait(4_000), Seen::Beat(1), Seen::Wait(4_000), Seen::Beat(1),
+        Seen::Is(PeerState::Returning, 1)] },
+    dead_is_replaced_at_once = { &[Seen::Beat(1), Seen::Wait(9_000), Seen::Beat(2),
+        Seen::Is(PeerState::Live, 2)] },
+    own_pause_kills_nobody = { &[Seen::Beat(1), Seen::Pause(60_000), Seen::Wait(2_900),
+        Seen::Is(PeerState::Live, 1), Seen::Wait(2_100), Seen::Is(PeerState::Dead, 1)] },
+    leaving_is_final = { &[Seen::Beat(1), Seen::Listed(1, true), Seen::Leaves(true),
+        Seen::Listed(1, false), Seen::Beat(1), Seen::Leaves(true), Seen::Changes(2),
+        Seen::Beat(2), Seen::Leaves(false)] },
+    old_listing_does_not_apply = { &[Seen::Beat(2), Seen::Listed(1, true),
+        Seen::Leaves(false), Seen::Is(PeerState::Live, 2)] },
+)]
+fn peer_states(steps: &[Seen]) {
+    let mut membership = Membership::new(info("me", "d", 1), at(0));
+    let (mut ms, mut version, mut changes) = (0, 0, 0);
+    for &step in steps {
+        let peers = &mut membership.peers;
+        match step {
+            Seen::Beat(run) => {
+                changes += peers.heard(beat(info("p", "e", run), vec![]), at(ms)).len();
+            }
+            Seen::Told(run) => {
+                let known = vec![info("p", "e", run)];
+                let teller = beat(info("q", "e", 1), known);
+                let about = peers.heard(teller, at(ms)).into_iter().filter(|change| {
+                    !matches!(change, Change::Live(name, _) if name.as_str() == "q")
+                });
+                changes += about.count();
+            }
+            Seen::Message(run) => {
+                let name = "p".into();
+                changes += peers.touched(&name, Incarnation(run), at(ms)).len();
+            }
+            Seen::Listed(run, leaving) => {
+                version += 1;
+                let instances = vec![(info("p", "e", run), leaving)];
+                let list = Listing { version, instances, ..Default::default() };
+                match membership.listed(list, at(ms)) {
+                    ListVerdict::Applied(more) => changes += more.len(),
+                    other => panic!("{other:?}"),
+                }
+            }
+            Seen::Wait(wait_ms) | Seen::Beats(_, wait_ms) => {
+                for passed in (0..wait_ms).step_by(100) {
+                    if let (Seen::Beats(run, _), 0) = (step, passed % 1_000) {
+                        let heard = beat(info("p", "e", run), vec![]);
+                        changes += peers.heard(heard, at(ms)).len();
+                    }
+                    ms += 100;
+                    changes += peers.tick(at(ms)).iter().filter(|it| of_p(it)).count();
+                }
+            }
+            Seen::Pause(pause_ms) => {
+                ms += pause_ms;
+                changes += peers.tick(at(ms)).len();
+            }
+            Seen::Is(state, run) => {
+                let peer = peers.get(&"p".into()).unwrap();
+                let got = (peer.state, peer.info.incarnation.0);
+                assert_eq!(got, (state, run), "at {ms} ms");
+            }
+            Seen::Leaves(leaves) => {
+                assert_eq!(peers.get(&"p".into()).unwrap().leaving, leaves);
+            }
+            Seen::Changes(want) => {
+                assert_eq!(changes, want, "at {ms} ms");
+                changes = 0;
+            }
+        }
+    }
+}
+
+fn of_p(change: &Change) -> bool {
+    let (Change::Live(name, _)
+    | Change::Suspect(name, _)
+    | Change::Dead(name, _)
+    | Change::Leaving(name, _)) = change;
+    name.as_str() == "p"
+}
+
+/// Guards against a table that grows without bound, or that drops live peers for others.
+#[test]
+fn peers_are_bounded() {
+    let mut peers = Peers::new(info("me", "d", 1), at(0));
+    for number in 0..PEERS {
+        peers.heard(beat(info(&format!("p{number}"), "e", 1), vec![]), at(0));
+    }
+    peers.heard(beat(info("late", "e", 1), vec![]), at(0));
+    assert_eq!(
+        (peers.iter().count(), peers.get(&"late".into()).is_none()),
+        (PEERS, true)
+    );
+    for ms in (0..=DEAD_MS).step_by(100) {
+        peers.touched(&"p0".into(), Incarnation(1), at(ms));
+        peers.tick(at(ms));
+    }
+    peers.heard(beat(info("late", "e", 1), vec![]), at(DEAD_MS));
+    assert_eq!(peers.iter().count(), PEERS);
+    assert!(peers.get(&"late".into()).is_some() && peers.get(&"p0".into()).is_some());
+}
+
+struct BeatCase {
+    /// The number of peers in the own failure domain and in others.
+    own: usize,
+    other: usize,
+    /// The longest time between two heartbeats to a peer of each kind.
+    own_ms: u64,
+    other_ms: u64,
+    bytes_per_s: u64,
+}
+
+/// Guards against heartbeats that break the bound of 7 KB/s, counted in both directions,
+/// and against pauses that make healthy peers suspect.
+#[parameterized(
+    customer_today = { BeatCase { own: 2, other: 4, own_ms: 1_000, other_ms: 2_500,
+        bytes_per_s: 1_000 } },
+    four_domains = { BeatCase { own: 12, other: 36, own_ms: 1_000, other_ms: 2_500,
+        bytes_per_s: 6_500 } },
+    uneven_domains = { BeatCase { own: 19, other: 29, own_ms: 1_200, other_ms: 2_500,
+        bytes_per_s: 7_000 } },
+    one_domain = { BeatCase { own: 48, other: 0, own_ms: 1_700, other_ms: 0,
+        bytes_per_s: 7_000 } },
+    nobody_near = { BeatCase { own: 0, other: 48, own_ms: 0, other_ms: 2_500,
+        bytes_per_s: 7_000 } },
+)]
+fn heartbeats_keep_to_the_budget(case: BeatCase) {
+    let mut peers = Peers::new(info("me", "d", 1), at(0));
+    for number in 0..case.own + case.other {
+        let domain = if number < case.own { "d" } else { "e" };
+        peers.heard(beat(info(&format!("p{number}"), domain, 1), vec![]), at(0));
+    }
+    let (mut last, mut gaps, mut sent) = (BTreeMap::new(), [0, 0], 0);
+    for ms in (0..70_000).step_by(100) {
+        for number in 0..case.own + case.other {
+            peers.touched(&format!("p{number}").into(), Incarnation(1), at(ms));
+        }
+        peers.tick(at(ms));
+        for to in peers.due_beats(at(ms)) {
+            let gap = ms - last.insert(to.name, ms).unwrap_or(0);
+            let kind = usize::from(to.domain.as_str() != "d");
+            gaps[kind] = gap.max(gaps[kind]);
+            sent += u64::from(ms >= 10_000);
+        }
+    }
+    let bytes_per_s = sent * HEARTBEAT_BYTES * 2 / 60;
+    println!("{} + {}: {gaps:?} ms, {bytes_per_s} bytes/s", case.own, case.other);
+    assert!(bytes_per_s < case.bytes_per_s, "{bytes_per_s} bytes/s");
+    assert!(gaps[0] <= case.own_ms && gaps[1] <= case.other_ms, "{gaps:?} ms");
+}
+
+/// Guards against heartbeats that grow with the number of peers, and against peers that
+/// are never made known to a newcomer.
+#[test]
+fn beats_are_small_and_tell_about_everyone() {
+    let mut peers = Peers::new(info("dispatch-01", "nonth-a", u64::MAX / 4), at(0));
+    for number in 10..40 {
+        peers.heard(beat(info(&format!("dispatch-{number}"), "bkk-a", 1), vec![]), at(0));
+    }
+    let mut told: Vec<_> = (0..30)
+        .flat_map(|_| {
+            let beat = peers.beat(false, ConfigVersion(u64::MAX / 2), 400);
+            let config = bincode::config::standard();
+            let bytes = bincode::serde::encode_to_vec(&beat, config).unwrap();
+            assert!(
+                bytes.len() + 20 <= HEARTBEAT_BYTES as usize,
+                "{} bytes",
+                bytes.len()
+            );
+            beat.known
+        })
+        .map(|info| info.name)
+        .collect();
+    told.sort();
+    told.dedup();
+    assert_eq!(told.len(), 30);
+}
+
+/// Something that happens to the targets `t0` to `t9`, all listed at version 1 and 0 ms.
+#[derive(Clone, Debug)]
+enum Does {
+    /// A list of a version names the first so many targets; the verdict must be this.
+    List(u64, u64, &'static str),
+    /// A list names an incarnation of `t0`, as leaving or not, besides the others.
+    ListOne(u64, u64, bool),
+    /// Probes are sent and answered by the first so many targets, every 500 ms until the
+    /// given time.
+    Probe(u64, u64),
+    Leave(Leaving, u64),
+    /// `t0` must serve or not.
+    Serves(bool),
+    /// The number of serving targets.
+    Serving(usize),
+}
+
+/// Guards against new work for a leaving target, against a broken list that takes most
+/// targets away, and against one that cannot take dead targets away.
+#[parameterized(
+    newer_list_removes = { &[Does::List(2, 6, "applied"), Does::Serving(6)] },
+    older_list_is_ignored = { &[Does::List(3, 9, "applied"), Does::List(2, 10, "older"),
+        Does::Serving(9)] },
+    half_may_go = { &[Does::List(2, 5, "applied"), Does::Serving(5)] },
+    more_than_half_is_doubtful = { &[Does::List(2, 4, "doubtful"), Does::Serving(10)] },
+    empty_list_is_doubtful = { &[Does::List(2, 0, "doubtful"), Does::Serving(10)] },
+    doubtful_while_they_answer = { &[Does::List(2, 2, "doubtful"),
+        Does::Probe(10, 20_000), Does::List(2, 2, "doubtful"), Does::Serving(10)] },
+    applied_once_they_are_silent = { &[Does::List(2, 2, "doubtful"),
+        Does::Probe(3, 20_000), Does::List(2, 2, "applied"), Does::Serving(2)] },
+    leaving_by_list_is_final = { &[Does::ListOne(2, 1, true), Does::Serves(false),
+        Does::ListOne(3, 1, false), Does::Serves(false), Does::ListOne(4, 2, false),
+        Does::Serves(true)] },
+    leaving_outlives_a_gap_in_the_list = { &[Does::Leave(Leaving::OwnAnswer, 1),
+        Does::List(2, 0, "doubtful"), Does::Probe(0, 20_000), Does::List(3, 0, "applied"),
+        Does::List(4, 10, "applied"), Does::Serves(false), Does::Serving(9)] },
+    leaving_of_an_old_run_is_ignored = { &[Does::ListOne(2, 2, false),
+        Does::Leave(Leaving::Probe, 1), Does::Serves(true), Does::ListOne(3, 1, true),
+        Does::Serves(true)] },
+)]
+fn merges_lists(steps: &[Does]) {
+    let mut membership = Membership::new(info("me", "d", 1), at(0));
+    let name = |number: u64| format!("t{number}");
+    let mut ms = 0;
+    let list = |version, count, first: (u64, bool)| Listing {
+        version,
+        as_of_ms: version,
+        instances: vec![],
+        targets: (0..count)
+            .map(|number| match number {
+                0 => (target("t0", first.0), first.1),
+                _ => (target(&name(number), 1), false),
+            })
+            .collect(),
+    };
+    membership.listed(list(1, 10, (1, false)), at(0));
+    for step in steps {
+        match *step {
+            Does::List(version, count, want) => {
+                let got =
+                    match membership.listed(list(version, count, (1, false)), at(ms)) {
+                        ListVerdict::Applied(_) => "applied",
+                        ListVerdict::Older => "older",
+                        ListVerdict::Doubtful => "doubtful",
+                    };
+                assert_eq!(got, want, "{step:?}");
+            }
+            Does::ListOne(version, run, leaving) => {
+                membership.listed(list(version, 10, (run, leaving)), at(ms));
+            }
+            Does::Probe(answering, until_ms) => {
+                while ms < until_ms {
+                    ms += 500;
+                    for probed in membership.due_probes(at(ms), |_| false) {
+                        let number: u64 = probed.name.as_str()[1..].parse().unwrap();
+                        if number < answering {
+                            let run = probed.incarnation;
+                            membership.targets.probed(&probed.name, run, false, at(ms));
+                        }
+                    }
+                }
+            }
+            Does::Leave(source, run) => {
+                membership.targets.leave(&"t0".into(), Incarnation(run), source);
+            }
+            Does::Serves(serves) => {
+                let target = membership.targets.get(&"t0".into()).unwrap();
+                assert_eq!(target.is_serving(), serves);
+            }
+            Does::Serving(count) => {
+                assert_eq!(membership.targets.serving().count(), count);
+            }
+        }
+    }
+    assert!(membership.list_version() >= 1);
+}
+
+/// Guards against a list that empties the table of instances while these answer, and
+/// against one that cannot remove instances that are dead.
+#[parameterized(
+    all_answer = { 4, false },
+    one_answers = { 1, true },
+)]
+fn lists_cannot_remove_answering_instances(answering: usize, applied: bool) {
+    let mut membership = Membership::new(info("me", "d", 1), at(0));
+    let names = ["a", "b", "c", "d"];
+    let instances = names.map(|name| (info(name, "d", 1), false)).to_vec();
+    membership.listed(Listing { version: 1, instances, ..Default::default() }, at(0));
+    for ms in (0..=6_000).step_by(100) {
+        for name in &names[..answering] {
+            membership.peers.heard(beat(info(name, "d", 1), vec![]), at(ms));
+        }
+        membership.peers.tick(at(ms));
+    }
+    let empty = Listing { version: 2, ..Default::default() };
+    let verdict = membership.listed(empty, at(6_000));
+    assert_eq!(verdict != ListVerdict::Doubtful, applied);
+    assert_eq!(membership.peers.serving().count(), answering);
+}
+
+/// Guards against a leaving target that is noticed late while the platform is down, and
+/// against probes that cost more than their bound.
+#[test]
+fn probes_are_complete_and_bounded() {
+    let mut membership = Membership::new(info("me", "d", 1), at(0));
+    let targets = (0..40).map(|n| (target(&format!("t{n}"), 1), false)).collect();
+    membership.listed(Listing { version: 1, targets, ..Default::default() }, at(0));
+    let (mut probed, mut each_second) = (BTreeMap::new(), BTreeMap::new());
+    for ms in (0..15_000).step_by(100) {
+        membership.targets.answered(&"t0".into(), at(ms));
+        let due = membership.due_probes(at(ms), |info| info.name.as_str() != "t1");
+        assert!(due.is_empty() || ms > STALE_MS, "probes of a fresh list at {ms} ms");
+        for info in due {
+            *each_second.entry(ms / 1_000).or_insert(0) += 1;
+            let gap = ms - probed.insert(info.name.clone(), ms).unwrap_or(STALE_MS);
+            assert!(gap <= 4_500, "{} waited {gap} ms", info.name);
+            membership.targets.answered(&info.name, at(ms));
+        }
+    }
+    assert_eq!(probed.len(), 38);
+    assert!(each_second.values().all(|&count| count <= PROBES_PER_S));
+}
+
+fn plan(members: &[&str], drain_ms: u64, at_once: u32, after: &[&str]) -> StopPlan {
+    let (targets, instances): (Vec<&str>, Vec<&str>) =
+        members.iter().partition(|name| name.starts_with('t'));
+    StopPlan {
+        targets: targets.into_iter().map(Into::into).collect(),
+        instances: instances.into_iter().map(Into::into).collect(),
+        drain_ms,
+        at_once,
+        after: after.iter().map(|&name| name.into()).collect(),
+    }
+}
+
+struct StopCase {
+    plans: Vec<(&'static str, StopPlan)>,
+    /// The members with the time at which they begin to leave.
+    want: &'static [(&'static str, u64)],
+}
+
+/// Guards against members that stop too early, all together, or before the plan that
+/// their own plan waits for.
+#[parameterized(
+    one_by_one = { StopCase { plans: vec![("p", plan(&["t1", "t2", "i1"], 100, 1, &[]))],
+        want: &[("t1", 0), ("t2", 100), ("i1", 200)] } },
+    two_at_once = { StopCase { plans: vec![("p", plan(&["t1", "t2", "t3"], 100, 2, &[]))],
+        want: &[("t1", 0), ("t2", 0), ("t3", 100)] } },
+    zero_at_once_means_one = { StopCase {
+        plans: vec![("p", plan(&["t1", "t2"], 100, 0, &[]))],
+        want: &[("t1", 0), ("t2", 100)] } },
+    after_another = { StopCase { plans: vec![
+        ("a", plan(&["t3"], 50, 1, &["b", "c"])), ("b", plan(&["t1", "t2"], 100, 1, &[])),
+        ("c", plan(&["i1"], 70, 1, &[])),
+    ], want: &[("t1", 0), ("i1", 0), ("t2", 100), ("t3", 200)] } },
+    cycles_never_begin = { StopCase { plans: vec![
+        ("a", plan(&["t1"], 50, 1, &["b"])), ("b", plan(&["t2"], 50, 1, &["a"])),
+        ("c", plan(&["t3"], 50, 1, &[])),
+    ], want: &[("t3", 0)] } },
+)]
+fn stops_in_order(case: StopCase) {
+    let plans: BTreeMap<StopPlanName, StopPlan> =
+        case.plans.into_iter().map(|(name, plan)| (name.into(), plan)).collect();
+    let schedule = StopSchedule::new(&plans, |_| at(0));
+    assert_eq!(schedule.turns().len(), case.want.len());
+    for &(name, from_ms) in case.want {
+        let member = match name.starts_with('t') {
+            true => Member::Target(name.into()),
+            false => Member::Instance(name.into()),
+        };
+        let old = Incarnation(1);
+        let restarted = Incarnation(at(from_ms).as_us());
+        let before = Timestamp::from_us(at(from_ms).as_us() - 1);
+        assert_eq!(schedule.leaving(&member, old, before), None, "{name}");
+        assert!(schedule.leaving(&member, old, at(from_ms)).is_some(), "{name}");
+        assert!(schedule.leaves_soon(&member, old, before, 1), "{name}");
+        assert_eq!(schedule.leaving(&member, restarted, at(9_999)), None, "{name}");
+    }
+    let mut membership = Membership::new(info("me", "d", 1), at(0));
+    let targets = vec![(target("t1", 1), false), (target("t3", 1), false)];
+    membership.listed(Listing { version: 1, targets, ..Default::default() }, at(0));
+    membership.peers.heard(beat(info("i1", "d", 1), vec![]), at(0));
+    let (left, changes) = membership.apply_stops(&schedule, at(9_999));
+    let listed = ["t1", "t3"].iter().filter(|it| case.want.iter().any(|w| w.0 == **it));
+    assert_eq!(left.len(), listed.count());
+    assert_eq!(changes.len(), case.want.iter().filter(|want| want.0 == "i1").count());
+    assert_eq!(membership.apply_stops(&schedule, at(9_999)), (vec![], vec![]));
+}
+
+/// Guards against targets that move without need when an instance comes or goes, that
+/// have two users in one view, or that none uses when their failure domain is gone.
+#[test]
+fn assignment_moves_little() {
+    proptest::proptest!(|(size in 1..12_usize, gone in 0..12_usize, far in 0..3_usize)| {
+        let near = (0..size).map(|n| info(&format!("i{n}"), "d", 1));
+        let all: Vec<_> = near.chain((0..far).map(|n| info(&format!("f{n}"), "e", 1))).collect();
+        let left: Vec<_> = all.iter().filter(|i| i.name.as_str() != format!("i{gone}")).collect();
+        for number in 0..50 {
+            let name = format!("t{number}").as_str().into();
+            let before = user_of(&name, &"d".into(), all.iter()).unwrap();
+            let after = user_of(&name, &"d".into(), left.iter().copied());
+            proptest::prop_assert_eq!(before.domain.as_str(), "d");
+            if before.name.as_str() != format!("i{gone}") {
+                proptest::prop_assert_eq!(Some(before), after);
+            }
+            proptest::prop_assert_eq!(after.is_none(), left.is_empty());
+        }
+    });
+}
+
+/// Guards against one instance that gets most of the targets.
+#[test]
+fn assignment_is_even() {
+    let instances: Vec<_> =
+        (0..7).map(|n| info(&format!("dispatch-{n}"), "d", 1)).collect();
+    let mut counts = BTreeMap::new();
+    for number in 0..1_200 {
+        let name = format!("worker-{number}").as_str().into();
+        let user = user_of(&name, &"d".into(), instances.iter()).unwrap();
+        *counts.entry(&user.name).or_insert(0) += 1;
+    }
+    assert!(
+        counts.len() == 7 && counts.values().all(|count| (120..=230).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// Guards against handing over to a peer that is leaving, silent, or about to stop.
+#[parameterized(
+    near_first = { &[("far", "e", 90), ("near", "d", 1)], &[], Some("near") },
+    most_free_slots = { &[("a", "d", 1), ("b", "d", 9), ("c", "d", 3)], &[], Some("b") },
+    not_a_stopping_one = { &[("a", "d", 1), ("b", "d", 9)], &["b"], Some("a") },
+    not_a_silent_one = { &[("old", "d", 90), ("a", "e", 1)], &[], Some("a") },
+    nobody = { &[("old", "d", 1)], &[], None },
+)]
+fn chooses_a_successor(
+    others: &[(&str, &str, u32)],
+    stopping: &[&str],
+    want: Option<&str>,
+) {
+    let mut peers = Peers::new(info("me", "d", 1), at(0));
+    for &(name, domain, free_slots) in others {
+        let beat = Heartbeat { free_slots, ..beat(info(name, domain, 1), vec![]) };
+        peers.heard(beat, at(0));
+    }
+    for ms in (0..=SUSPECT_MS).step_by(1_000) {
+        for &(name, ..) in others.iter().filter(|(name, ..)| *name != "old") {
+            peers.touched(&name.into(), Incarnation(1), at(ms));
+        }
+        peers.tick(at(ms));
+    }
+    let got = choose_successor(&peers, |name| stopping.contains(&name.as_str()));
+    assert_eq!(got.map(|peer| peer.info.name.as_str()), want);
+}
