--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod histogram;
 pub mod id;
+pub mod membership;
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
