Add logs, metrics and traces

Cause: operators need logs with request ids, a Prometheus page with the two measures that customers judge the system by, and a span per hop.

Change: logs go through fern as text or JSON lines, with log's key-values; control characters in text lines are escaped. Log and trace lines pass a bounded buffer to a writer thread, so a standard error that nobody reads drops lines, which are counted, and blocks no caller. The metrics page is rendered as text; a thread bounds the memory of histograms. Spans are written as OTLP-JSON lines; `Tracer::hop` continues a W3C traceparent with its sampling decision.

Conclusion: the crate is ready for the dispatcher; nothing uses it yet.

--- a/crates/bamboocart-telemetry/src/lib.rs
+++ b/crates/bamboocart-telemetry/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder until the module list is in place.
+//! Logs, metrics and traces.
+
+pub mod lines;
+pub mod logs;
+pub mod metrics;
+pub mod trace;
+pub mod utc;
--- /dev/null
+++ b/crates/bamboocart-telemetry/src/metrics.rs
@@ -0,0 +1,249 @@
+//! Names of the metrics, and the page that Prometheus reads.
+
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::{RecvTimeoutError, Sender, bounded};
+use metrics::{
+    Unit, counter, describe_counter, describe_gauge, describe_histogram, histogram,
+};
+use metrics_exporter_prometheus::{
+    Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// The result of setting up metrics.
+pub type Result<T, E = MetricsError> = std::result::Result<T, E>;
+
+/// The time between two clean-ups, which bound the memory of histograms.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The upper bounds of ratios to an ideal of 1.
+const RATIO_BUCKETS: &[f64] =
+    &[1.0, 1.05, 1.1, 1.2, 1.35, 1.5, 1.75, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0, 30.0];
+
+/// The upper bounds of times in seconds, from a network round trip to the longest tasks.
+const SECONDS_BUCKETS: &[f64] =
+    &[0.001, 0.003, 0.01, 0.03, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Defines constants for names with their descriptions, and a table of them.
+macro_rules! metrics {
+    ($($kind:ident $unit:ident $name:ident = $text:literal, $doc:literal;)*) => {
+        $(
+            #[doc = $doc]
+            pub const $name: &str = $text;
+        )*
+
+        /// All metrics.
+        pub const METRICS: &[Metric] = &[$(Metric {
+            name: $name,
+            kind: MetricKind::$kind,
+            unit: Unit::$unit,
+            description: $doc,
+        },)*];
+    };
+}
+
+metrics! {
+    Histogram Count RESPONSE_OVER_IDEAL = "bamboocart_response_time_over_ideal",
+        "Response time over the ideal, by request kind and customer.";
+    Histogram Count MESSAGES_OVER_NEEDED = "bamboocart_messages_over_needed",
+        "Messages sent over messages needed, by request kind and customer.";
+    Counter Count MESSAGES_SENT = "bamboocart_messages_sent_total",
+        "Messages sent for answered submissions, by request kind and customer.";
+    Counter Count MESSAGES_NEEDED = "bamboocart_messages_needed_total",
+        "Messages needed for answered submissions, by request kind and customer.";
+    Histogram Seconds RESPONSE_SECONDS = "bamboocart_response_seconds",
+        "Time from arrival to answer, by request kind and customer.";
+    Counter Count ANSWERS = "bamboocart_answers_total",
+        "Answers, by request kind, customer, outcome and code.";
+    Counter Count STARTS = "bamboocart_starts_total",
+        "Task starts, by target group and scheduling reason.";
+    Histogram Seconds QUEUE_WAIT_SECONDS = "bamboocart_queue_wait_seconds",
+        "Time from admission to start, by target group and priority.";
+    Gauge Count QUEUED_TASKS = "bamboocart_queued_tasks",
+        "Tasks that wait, by target group.";
+    Gauge Count IN_FLIGHT_TASKS = "bamboocart_in_flight_tasks",
+        "Tasks that are admitted and unfinished, by customer.";
+    Gauge Count REGISTRY_SUBMISSIONS = "bamboocart_registry_submissions",
+        "Submissions in the registry.";
+    Counter Count RETRIES = "bamboocart_retries_total",
+        "Sends after the first of a task, by request kind and cause.";
+    Counter Count HEDGES = "bamboocart_hedges_total",
+        "Hedges, by request kind and whether the hedge won.";
+    Counter Count DROPPED_ANSWERS = "bamboocart_dropped_answers_total",
+        "Late or crossed answers from targets that were dropped.";
+    Gauge Count TARGETS = "bamboocart_targets",
+        "Targets that this instance uses, by target group and state.";
+    Counter Count EJECTIONS = "bamboocart_ejections_total",
+        "Ejections of targets, by target group.";
+    Gauge Count LEASES_HELD = "bamboocart_leases_held",
+        "Leases that this instance holds on workers.";
+    Gauge Count PEERS = "bamboocart_peers",
+        "Known peers, by state.";
+    Counter Count LINK_MESSAGES = "bamboocart_link_messages_total",
+        "Messages to peers, by delivery.";
+    Counter Count LINK_CUTS = "bamboocart_link_cuts_total",
+        "Inbound connections of peers that were cut off, by reason.";
+    Gauge Count CONFIG_VERSION = "bamboocart_config_version",
+        "Version of the configuration in force.";
+    Histogram Seconds CONFIG_DELAY_SECONDS = "bamboocart_config_delay_seconds",
+        "Time from a publication's append to its being in force here.";
+    Gauge Seconds CLAIM_AHEAD_SECONDS = "bamboocart_claim_ahead_seconds",
+        "Time until this instance's claims on caller keys end.";
+    Counter Count LOG_CALLS = "bamboocart_log_calls_total",
+        "Calls to the platform's log, by operation and result.";
+    Gauge Count ACCOUNT_BUFFERED = "bamboocart_account_buffered_entries",
+        "Account entries that wait for the log.";
+    Counter Count ACCOUNT_DROPPED = "bamboocart_account_dropped_total",
+        "Account entries that were dropped and replaced by a gap.";
+    Gauge Count LINES_DROPPED = "bamboocart_lines_dropped",
+        "Log and trace lines that were dropped, by output.";
+}
+
+/// The label for the request kind.
+pub const KIND: &str = "kind";
+
+/// The label for the customer.
+pub const CUSTOMER: &str = "customer";
+
+/// What a metric is.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum MetricKind {
+    /// Only grows.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// Counts values by size.
+    Histogram,
+}
+
+/// A metric of the system.
+#[derive(Debug, Copy, Clone)]
+pub struct Metric {
+    /// The name on the page.
+    pub name: &'static str,
+    /// What it is.
+    pub kind: MetricKind,
+    /// The unit of its values.
+    pub unit: Unit,
+    /// What it counts.
+    pub description: &'static str,
+}
+
+/// What one answered submission cost.
+#[derive(Debug, Copy, Clone)]
+pub struct AnswerCost {
+    /// The time from arrival to answer.
+    pub response_us: u64,
+    /// The shortest time in which the answer was possible.
+    pub ideal_us: u64,
+    /// The messages that were sent.
+    pub messages_sent: u64,
+    /// The messages without which there is no answer.
+    pub messages_needed: u64,
+}
+
+/// Records the two measures that customers judge the system by.
+///
+/// The labels must come from the configuration in force, so that their number is bounded;
+/// use one fixed text for unknown names.
+pub fn record_answer(kind: &str, customer: &str, cost: AnswerCost) {
+    let labels = [(KIND, kind.to_owned()), (CUSTOMER, customer.to_owned())];
+    let seconds = Duration::from_micros(cost.response_us).as_secs_f64();
+    let response = ratio(cost.response_us, cost.ideal_us);
+    let messages = ratio(cost.messages_sent, cost.messages_needed);
+    histogram!(RESPONSE_SECONDS, &labels).record(seconds);
+    histogram!(RESPONSE_OVER_IDEAL, &labels).record(response);
+    histogram!(MESSAGES_OVER_NEEDED, &labels).record(messages);
+    counter!(MESSAGES_SENT, &labels).increment(cost.messages_sent);
+    counter!(MESSAGES_NEEDED, &labels).increment(cost.messages_needed);
+}
+
+/// The page that Prometheus reads.
+#[derive(Debug)]
+pub struct MetricsPage {
+    /// Renders the page.
+    handle: PrometheusHandle,
+    /// Ends the clean-up thread when it is dropped.
+    _running: Sender<()>,
+}
+
+impl MetricsPage {
+    /// Records the metrics of this process from now on.
+    pub fn install() -> Result<Self> {
+        let recorder = recorder()?;
+        let handle = recorder.handle();
+        metrics::set_global_recorder(recorder).ok().context(InstalledSnafu)?;
+        describe();
+        let (running, ended) = bounded(0);
+        let upkeep = handle.clone();
+        thread::Builder::new()
+            .name("metrics".into())
+            .spawn(move || {
+                while ended.recv_timeout(UPKEEP_INTERVAL)
+                    == Err(RecvTimeoutError::Timeout)
+                {
+                    upkeep.run_upkeep();
+                }
+            })
+            .context(ThreadSnafu)?;
+        Ok(Self { handle, _running: running })
+    }
+
+    /// Returns the page as text.
+    pub fn render(&self) -> String {
+        self.handle.render()
+    }
+}
+
+/// Why metrics could not be set up.
+#[derive(Debug, Snafu)]
+pub enum MetricsError {
+    /// There is a recorder already.
+    #[snafu(display("a recorder is already installed; install one per process"))]
+    Installed,
+    /// The clean-up thread did not start.
+    #[snafu(display("cannot start a thread: {source}; check the process limits"))]
+    Thread {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The buckets of a histogram are unusable.
+    #[snafu(display("unusable buckets: {source}; report this fault"))]
+    Buckets {
+        /// The cause.
+        source: metrics_exporter_prometheus::BuildError,
+    },
+}
+
+/// Returns a recorder that is not installed, for tests.
+pub fn recorder() -> Result<PrometheusRecorder> {
+    let mut builder = PrometheusBuilder::new();
+    for metric in METRICS.iter().filter(|metric| metric.kind == MetricKind::Histogram) {
+        let buckets = match metric.unit {
+            Unit::Seconds => SECONDS_BUCKETS,
+            _ => RATIO_BUCKETS,
+        };
+        let name = Matcher::Full(metric.name.to_owned());
+        builder = builder.set_buckets_for_metric(name, buckets).context(BucketsSnafu)?;
+    }
+    Ok(builder.build_recorder())
+}
+
+/// Gives the recorder in use the descriptions of all metrics.
+pub fn describe() {
+    for metric in METRICS {
+        let Metric { name, unit, description, .. } = *metric;
+        match metric.kind {
+            MetricKind::Counter => describe_counter!(name, unit, description),
+            MetricKind::Gauge => describe_gauge!(name, unit, description),
+            MetricKind::Histogram => describe_histogram!(name, unit, description),
+        }
+    }
+}
+
+/// Returns how many times `ideal` fits into `actual`; an ideal of 0 counts as 1.
+fn ratio(actual: u64, ideal: u64) -> f64 {
+    actual as f64 / ideal.max(1) as f64
+}
