--- a/crates/bamboocart-standin/src/target/member.rs
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -228,6 +228,9 @@
     fn run(&self, call: Call, body: RunBody) {
         let hints = run_time::hints(&body.payload);
         let mut state = self.lock();
+        if state.dead {
+            return call.withhold();
+        }
         let run = RunId {
             submission: body.submission,
             task: body.task,
