Add the checker of recorded histories

End-to-end runs need a judgement on the invariants that does not depend on the dispatcher's own account. The checker compares the targets' events with the calls of the callers.

A mark in the payload identifies a task whatever id the system ran it under, so a task that was started under two ids is found as well. Requests that may be resent or hedged may start again only under another attempt number.

--- a/crates/bamboocart-standin/src/history/event.rs
+++ b/crates/bamboocart-standin/src/history/event.rs
@@ -1,5 +1,7 @@
 //! What targets record.
 
+use std::sync::Arc;
+
 use bamboocart_core::id::{Attempt, InstanceName, KindName, SubmissionId, TaskIndex};
 use bamboocart_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -51,6 +53,9 @@
     pub attempt: Attempt,
     /// The request kind.
     pub kind: KindName,
+    /// The text in the payload that marks the task, whatever id it was sent under.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mark: Option<Arc<str>>,
 }
 
 /// The body of `GET /history`.
--- /dev/null
+++ b/crates/bamboocart-standin/src/history/starts.rs
@@ -0,0 +1,104 @@
+//! The rules about starts.
+
+use std::collections::{HashMap, HashSet};
+
+use bamboocart_core::id::{Attempt, InstanceName, SubmissionId};
+use bamboocart_core::time::Timestamp;
+
+use super::check::{Evidence, Policy};
+use super::event::{RunId, TargetEvent, What};
+use super::index::Index;
+use super::violation::Violation;
+
+/// The time after which a leaving target must receive no new work.
+const LEAVING_MS_MAX: u64 = 5_000;
+
+/// Finds tasks that were started more than once.
+///
+/// A repeatable request may be started again under another attempt number, a task of a
+/// job never.
+pub fn started_twice(
+    evidence: &Evidence,
+    index: &Index,
+    policy: &Policy,
+) -> Vec<Violation> {
+    let jobs = jobs(evidence);
+    let mut reported = HashSet::new();
+    let mut found = Vec::new();
+    for (_, starts) in index.all_starts() {
+        let runs: Vec<&RunId> = starts.iter().filter_map(|s| s.run.as_ref()).collect();
+        let [first, _, ..] = runs.as_slice() else { continue };
+        let allowed = policy.repeatable.contains(&first.kind)
+            && !jobs.contains(&first.submission)
+            && is_one_id_with_distinct_attempts(&runs);
+        if allowed || !reported.insert(starts[0].sequence_key()) {
+            continue;
+        }
+        found.push(Violation::StartedTwice {
+            submission: first.submission.clone(),
+            task: first.task,
+            starts: starts.iter().zip(&runs).map(|(s, r)| describe(s, r)).collect(),
+        });
+    }
+    found
+}
+
+/// Finds starts at targets that had been leaving for too long.
+pub fn started_while_leaving(events: &[TargetEvent]) -> Vec<Violation> {
+    let mut leaving: HashMap<&InstanceName, Timestamp> = HashMap::new();
+    let mut found = Vec::new();
+    for event in events {
+        match (event.what, &event.run) {
+            (What::Leaving, _) => {
+                leaving.entry(&event.target).or_insert(event.at_us);
+            }
+            (What::Restarted, _) => {
+                leaving.remove(&event.target);
+            }
+            (What::Started, Some(run)) => {
+                let since = leaving.get(&event.target);
+                let late_ms = since.map_or(0, |since| event.at_us.ms_since(*since));
+                if late_ms > LEAVING_MS_MAX {
+                    found.push(Violation::StartedWhileLeaving {
+                        target: event.target.clone(),
+                        submission: run.submission.clone(),
+                        late_ms,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+impl TargetEvent {
+    /// Identifies the event among those of several processes.
+    fn sequence_key(&self) -> (InstanceName, u64) {
+        (self.target.clone(), self.sequence)
+    }
+}
+
+/// Returns the submissions that are jobs.
+fn jobs(evidence: &Evidence) -> HashSet<SubmissionId> {
+    let sent = evidence.sends.iter().filter(|send| send.job);
+    let answered = |send: &super::send::SendRecord| {
+        send.answer.as_ref().and_then(|answer| answer.submission.clone())
+    };
+    let sent = sent.flat_map(|send| [send.asked.clone(), answered(send)]).flatten();
+    let runs = evidence.events.iter().filter_map(|event| event.run.as_ref());
+    let several = runs.filter(|run| run.task.0 > 0).map(|run| run.submission.clone());
+    sent.chain(several).collect()
+}
+
+/// Returns whether all runs have the same id and differ in their attempt numbers.
+fn is_one_id_with_distinct_attempts(runs: &[&RunId]) -> bool {
+    let attempts: HashSet<Attempt> = runs.iter().map(|run| run.attempt).collect();
+    let same_id = runs.iter().all(|run| run.submission == runs[0].submission);
+    same_id && attempts.len() == runs.len()
+}
+
+/// Describes a start.
+fn describe(start: &TargetEvent, run: &RunId) -> (InstanceName, Attempt) {
+    (start.target.clone(), run.attempt)
+}
--- a/crates/bamboocart-standin/src/lib.rs
+++ b/crates/bamboocart-standin/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod history;
 pub mod http;
 pub mod platform;
+pub mod random;
 pub mod stop;
 pub mod target;
--- a/crates/bamboocart-standin/src/target/member.rs
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -236,6 +236,7 @@
             task: body.task,
             attempt: body.attempt,
             kind: body.kind,
+            mark: hints.mark.as_deref().map(Into::into),
         };
         let proof = body.lease.map(|proof| (proof.lease, proof.token));
         if let Err(code) = self.admit(&state, proof) {
