Add the load generator and the check command

Measurements need load that does not slow down with the system. `load` is open loop: arrivals follow a seeded Poisson plan, and response times count from the time at which a submission was due. It mixes request kinds, customers and jobs, takes ids from tickets or its own keys, sends the same id again to another instance in storms, cancels in waves, and reports response over ideal, goodput, codes and attempts per needed start. Every call becomes one line of a history file.

`check` reads the targets' control interfaces and the history files and prints each violation. The tests run both against a minimal instance in front of a minion; faulty variants of the instance fail the check.

--- a/crates/bamboocart-standin/src/lib.rs
+++ b/crates/bamboocart-standin/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod clock;
 pub mod history;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod random;
 pub mod stop;
 pub mod target;
+pub mod verify;
--- /dev/null
+++ b/crates/bamboocart-standin/src/load/mod.rs
@@ -0,0 +1,15 @@
+//! An open-loop load generator that measures responses against the ideal.
+
+mod client;
+mod flight;
+mod plan;
+mod recorder;
+mod run;
+mod settings;
+mod summary;
+mod tickets;
+
+pub use self::plan::{Plan, Planned};
+pub use self::run::{Error, Result, run};
+pub use self::settings::{IdSource, Settings, settings};
+pub use self::summary::{KindSummary, Summary};
--- /dev/null
+++ b/crates/bamboocart-standin/src/load/recorder.rs
@@ -0,0 +1,189 @@
+//! Writes the history file and collects the measurements.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::time::Duration;
+
+use bamboocart_core::id::KindName;
+use bamboocart_wire::api::{AnswerBody, OutcomeName};
+use crossbeam::channel::Receiver;
+use hdrhistogram::Histogram;
+
+use crate::history::{Purpose, SendRecord};
+
+use super::summary::{KindSummary, Percentiles, Summary};
+
+/// The significant digits of histograms.
+const DIGITS: u8 = 3;
+
+/// The factor of the integers that stand for ratios in a histogram.
+const RATIO_UNIT: f64 = 1_000.0;
+
+/// Takes the records of a run.
+pub struct Recorder {
+    /// The history file.
+    file: Option<BufWriter<File>>,
+    /// The first error of writing.
+    error: Option<io::Error>,
+    /// The number of calls.
+    calls: u64,
+    /// The measurements by request kind.
+    kinds: BTreeMap<KindName, KindStats>,
+    /// The state of each submission, bounded by the count of the plan.
+    submissions: HashMap<String, SubmissionStats>,
+    /// Answers that are not complete, by outcome and code.
+    codes: BTreeMap<String, u64>,
+}
+
+/// The measurements of one request kind.
+struct KindStats {
+    /// The response times in microseconds.
+    response_us: Histogram<u64>,
+    /// The response times over the ideal.
+    ratio: Histogram<u64>,
+}
+
+/// What is known of one submission.
+#[derive(Debug, Default)]
+struct SubmissionStats {
+    /// The number of tasks.
+    tasks: u16,
+    /// The largest number of sends to targets in any of its answers.
+    attempts: u32,
+    /// Whether it was answered complete.
+    complete: bool,
+    /// Whether the first complete answer was within the deadline.
+    in_time: bool,
+}
+
+impl Recorder {
+    /// Creates a recorder that writes to a file, if there is one.
+    pub fn new(file: Option<BufWriter<File>>) -> Self {
+        Self {
+            file,
+            error: None,
+            calls: 0,
+            kinds: BTreeMap::new(),
+            submissions: HashMap::new(),
+            codes: BTreeMap::new(),
+        }
+    }
+
+    /// Takes records until there are no more.
+    pub fn record_all(mut self, records: &Receiver<SendRecord>) -> Self {
+        for record in records {
+            self.write(&record);
+            self.measure(&record);
+        }
+        self
+    }
+
+    /// Returns the measurements and completes the history file.
+    pub fn summary(mut self, elapsed: Duration, unsent: u64) -> io::Result<Summary> {
+        if let Some(error) = self.error.take() {
+            return Err(error);
+        }
+        if let Some(file) = &mut self.file {
+            file.flush()?;
+        }
+        let complete = self.submissions.values().filter(|s| s.complete);
+        let needed: u64 = complete.clone().map(|s| u64::from(s.tasks)).sum();
+        let attempts: u64 =
+            self.submissions.values().map(|s| u64::from(s.attempts)).sum();
+        let in_time = complete.clone().filter(|s| s.in_time).count() as u64;
+        let elapsed_s = elapsed.as_secs_f64();
+        Ok(Summary {
+            elapsed_s,
+            submissions: self.submissions.len() as u64,
+            calls: self.calls,
+            unsent,
+            complete: complete.count() as u64,
+            in_time,
+            goodput_per_s: in_time as f64 / elapsed_s,
+            needed_starts: needed,
+            attempts,
+            attempts_per_needed_start: attempts as f64 / needed.max(1) as f64,
+            codes: self.codes,
+            kinds: self.kinds.into_iter().map(|(k, s)| (k, s.summary())).collect(),
+        })
+    }
+
+    /// Writes a record to the history file.
+    fn write(&mut self, record: &SendRecord) {
+        let Some(file) = &mut self.file else { return };
+        let written = serde_json::to_writer(&mut *file, record).map_err(io::Error::from);
+        let written = written.and_then(|()| file.write_all(b"\n"));
+        self.error = self.error.take().or(written.err());
+    }
+
+    /// Adds a record to the measurements.
+    fn measure(&mut self, record: &SendRecord) {
+        self.calls += 1;
+        if let Some(code) = code(record) {
+            *self.codes.entry(code).or_default() += 1;
+        }
+        let submission = self.submissions.entry(record.mark.clone()).or_default();
+        submission.tasks = record.tasks;
+        let Some(answer) = &record.answer else { return };
+        submission.attempts = submission.attempts.max(answer.attempts);
+        if answer.outcome != OutcomeName::Complete || submission.complete {
+            return;
+        }
+        submission.complete = true;
+        let response_us = record.ended_us.us_since(record.due_us);
+        let deadline_us = record.deadline_ms.map_or(u64::MAX, |ms| ms * 1_000);
+        submission.in_time = response_us <= deadline_us;
+        let kind = self.kinds.entry(record.kind.clone()).or_insert_with(KindStats::new);
+        kind.add(response_us, record.ideal_us);
+    }
+}
+
+impl KindStats {
+    /// Creates empty measurements.
+    fn new() -> Self {
+        let histogram = || Histogram::new(DIGITS).expect("the digits are in range");
+        Self { response_us: histogram(), ratio: histogram() }
+    }
+
+    /// Adds a response.
+    fn add(&mut self, response_us: u64, ideal_us: u64) {
+        let ratio = response_us as f64 / ideal_us.max(1) as f64;
+        self.response_us.saturating_record(response_us);
+        self.ratio.saturating_record((ratio * RATIO_UNIT) as u64);
+    }
+
+    /// Returns the percentiles.
+    fn summary(&self) -> KindSummary {
+        KindSummary {
+            complete: self.ratio.len(),
+            response_over_ideal: percentiles(&self.ratio, RATIO_UNIT),
+            response_ms: percentiles(&self.response_us, 1_000.0),
+        }
+    }
+}
+
+/// Returns the percentiles of a histogram.
+fn percentiles(histogram: &Histogram<u64>, unit: f64) -> Percentiles {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / unit;
+    Percentiles { p50: at(0.5), p99: at(0.99), p999: at(0.999) }
+}
+
+/// Returns the name under which an answer is counted, or nothing if it is complete.
+fn code(record: &SendRecord) -> Option<String> {
+    let name = |answer: &AnswerBody| match answer.outcome {
+        OutcomeName::Complete => None,
+        OutcomeName::Failed => Some("failed"),
+        OutcomeName::Refused => Some("refused"),
+        OutcomeName::Cancelled => Some("cancelled"),
+        OutcomeName::Unknown => Some("unknown"),
+    };
+    let text = match &record.answer {
+        None => "unanswered".to_owned(),
+        Some(answer) => format!("{}/{}", name(answer)?, answer.code),
+    };
+    match record.purpose {
+        Purpose::Cancel => Some(format!("cancel call: {text}")),
+        Purpose::Submit | Purpose::Resubmit => Some(text),
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-standin/src/load/summary.rs
@@ -0,0 +1,111 @@
+//! The measurements of a run.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+
+use bamboocart_core::id::KindName;
+use serde::{Deserialize, Serialize};
+
+/// The measurements of a run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Summary {
+    /// The time from the first call to the last answer.
+    pub elapsed_s: f64,
+    /// The submissions that were sent.
+    pub submissions: u64,
+    /// All calls, with resubmissions and cancellations.
+    pub calls: u64,
+    /// Calls that were not made because too many waited for a caller.
+    pub unsent: u64,
+    /// The submissions that were answered complete.
+    pub complete: u64,
+    /// The complete submissions that were answered within the deadline.
+    pub in_time: u64,
+    /// Complete submissions in time per second.
+    pub goodput_per_s: f64,
+    /// The tasks of complete submissions.
+    pub needed_starts: u64,
+    /// The sends to targets, as the answers state them.
+    pub attempts: u64,
+    /// Sends to targets over needed starts.
+    pub attempts_per_needed_start: f64,
+    /// The number of answers that are not complete, by outcome and code.
+    pub codes: BTreeMap<String, u64>,
+    /// The response times by request kind.
+    pub kinds: BTreeMap<KindName, KindSummary>,
+}
+
+/// The response times of one request kind.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KindSummary {
+    /// The number of complete submissions.
+    pub complete: u64,
+    /// The response times over the ideal.
+    pub response_over_ideal: Percentiles,
+    /// The response times.
+    pub response_ms: Percentiles,
+}
+
+/// The percentiles that are reported.
+#[derive(Debug, Copy, Clone, Serialize, Deserialize)]
+pub struct Percentiles {
+    /// The median.
+    pub p50: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+    /// The 99.9th percentile.
+    pub p999: f64,
+}
+
+impl Display for Summary {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<20} {:>9} {:>8} {:>8} {:>8} {:>10} {:>10} {:>10}",
+            "kind",
+            "complete",
+            "p50 x",
+            "p99 x",
+            "p99.9 x",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms"
+        )?;
+        for (kind, row) in &self.kinds {
+            let (over, ms) = (row.response_over_ideal, row.response_ms);
+            writeln!(
+                f,
+                "{:<20} {:>9} {:>8.2} {:>8.2} {:>8.2} {:>10.1} {:>10.1} {:>10.1}",
+                kind.as_str(),
+                row.complete,
+                over.p50,
+                over.p99,
+                over.p999,
+                ms.p50,
+                ms.p99,
+                ms.p999
+            )?;
+        }
+        writeln!(
+            f,
+            "{} submissions, {} calls, {} unsent in {:.1} s; {} complete, {} in time, \
+             goodput {:.1}/s",
+            self.submissions,
+            self.calls,
+            self.unsent,
+            self.elapsed_s,
+            self.complete,
+            self.in_time,
+            self.goodput_per_s
+        )?;
+        writeln!(
+            f,
+            "{} attempts for {} needed starts: {:.3}",
+            self.attempts, self.needed_starts, self.attempts_per_needed_start
+        )?;
+        for (code, count) in &self.codes {
+            writeln!(f, "{code}: {count}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/bamboocart-standin/src/main.rs
+++ b/crates/bamboocart-standin/src/main.rs
@@ -1,12 +1,17 @@
 //! The stand-ins for the platform and the targets, and the load generator.
 
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 
+use bamboocart_standin::load;
 use bamboocart_standin::platform::{self, PlatformServer};
 use bamboocart_standin::stop::StopSignals;
 use bamboocart_standin::target::{
     Fleet, MinionSettings, WorkerSettings, minion_settings, worker_settings,
 };
+use bamboocart_standin::verify;
 use bpaf::Bpaf;
 
 /// Stand-ins for the platform and the targets, and a load generator
@@ -22,6 +27,12 @@
     /// Runs workers
     #[bpaf(command)]
     Workers(#[bpaf(external(worker_settings))] WorkerSettings),
+    /// Sends requests and jobs to instances and measures the answers
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::settings))] load::Settings),
+    /// Checks the recorded history of a run; fails if an invariant was violated
+    #[bpaf(command)]
+    Check(#[bpaf(external(verify::settings))] verify::Settings),
 }
 
 /// An error that ends the program.
@@ -31,7 +42,7 @@
 fn main() -> ExitCode {
     let command = command().run();
     match log_to_stderr().and_then(|()| run(command)) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("{error}");
             ExitCode::FAILURE
@@ -40,7 +51,7 @@
 }
 
 /// Runs a command until its end or a stop signal.
-fn run(command: Command) -> Result<(), AnyError> {
+fn run(command: Command) -> Result<ExitCode, AnyError> {
     let stop = StopSignals::register()?;
     match command {
         Command::Platform(settings) => {
@@ -54,10 +65,37 @@
         Command::Workers(settings) => {
             serve_fleet(Fleet::start(&settings.fleet, &settings.shape())?, stop);
         }
+        Command::Load(settings) => generate_load(&settings, stop)?,
+        Command::Check(settings) => return check_history(&settings),
     }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs the load until its end or a stop signal, and prints the measurements.
+fn generate_load(settings: &load::Settings, stop: StopSignals) -> Result<(), AnyError> {
+    let stopped = Arc::new(AtomicBool::new(false));
+    let set = Arc::clone(&stopped);
+    thread::spawn(move || {
+        stop.wait();
+        set.store(true, Ordering::Relaxed);
+    });
+    let summary = load::run(settings, &stopped)?;
+    print!("{summary}");
+    report(&serde_json::to_value(&summary)?);
     Ok(())
 }
 
+/// Prints each violation as a line and fails if there is one.
+fn check_history(settings: &verify::Settings) -> Result<ExitCode, AnyError> {
+    let violations = verify::verify(settings)?;
+    for violation in &violations {
+        eprintln!("{violation}");
+        report(&serde_json::to_value(violation)?);
+    }
+    let passed = violations.is_empty();
+    Ok(if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// Reports the addresses of a fleet and runs it until a stop signal.
 fn serve_fleet(fleet: Fleet, stop: StopSignals) {
     let rows = fleet.members().rows();
--- /dev/null
+++ b/crates/bamboocart-standin/src/verify.rs
@@ -0,0 +1,92 @@
+//! Collects the evidence of a run and checks it.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use bpaf::Bpaf;
+use snafu::{ResultExt, Snafu};
+
+use crate::history::{Evidence, HistoryPage, Policy, Violation, check};
+
+/// The result of collecting evidence.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// The settings of the check.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Settings {
+    /// Control address of minions or workers; give one flag per process
+    #[bpaf(argument("IP:PORT"), many)]
+    pub control: Vec<SocketAddr>,
+    /// History file of a load run; give one flag per run
+    #[bpaf(argument("FILE"), many)]
+    pub history: Vec<PathBuf>,
+    /// Request kind that may be resent or hedged; give one flag per kind
+    #[bpaf(argument("KIND"), many)]
+    pub repeatable: Vec<String>,
+}
+
+/// Collects the evidence and returns every violation.
+pub fn verify(settings: &Settings) -> Result<Vec<Violation>> {
+    let mut evidence = Evidence::default();
+    for control in &settings.control {
+        read_control(*control, &mut evidence)?;
+    }
+    for path in &settings.history {
+        read_file(path, &mut evidence)?;
+    }
+    let repeatable =
+        settings.repeatable.iter().map(|kind| kind.as_str().into()).collect();
+    Ok(check(&evidence, &Policy { repeatable }))
+}
+
+/// Why the evidence is not complete.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A history file cannot be read.
+    #[snafu(display("could not read {}: {source}; check the path", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A control interface does not answer.
+    #[snafu(display(
+        "could not read the history of {control}: {source}; is it running?"
+    ))]
+    Control {
+        /// The control interface.
+        control: SocketAddr,
+        /// The cause.
+        source: attohttpc::Error,
+    },
+}
+
+/// Reads the history of the targets of one process.
+fn read_control(control: SocketAddr, evidence: &mut Evidence) -> Result<()> {
+    let mut from = 0;
+    loop {
+        let url = format!("http://{control}/history?from={from}");
+        let response = attohttpc::get(url).send().context(ControlSnafu { control })?;
+        let page: HistoryPage = response.json().context(ControlSnafu { control })?;
+        if page.events.is_empty() {
+            evidence.dropped += page.dropped;
+            return Ok(());
+        }
+        from = page.next;
+        evidence.events.extend(page.events);
+    }
+}
+
+/// Reads the history of a load run.
+fn read_file(path: &Path, evidence: &mut Evidence) -> Result<()> {
+    let file = File::open(path).context(FileSnafu { path })?;
+    for line in BufReader::new(file).lines() {
+        let line = line.context(FileSnafu { path })?;
+        let record = serde_json::from_str(&line).map_err(io::Error::from);
+        evidence.sends.push(record.context(FileSnafu { path })?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bamboocart-standin/tests/load.rs
@@ -0,0 +1,263 @@
+//! The load generator sends what it is told to, and its history can be checked.
+
+mod common;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use bamboocart_core::id::{Incarnation, SubmissionId, Ticket};
+use bamboocart_standin::history::{Purpose, SendRecord};
+use bamboocart_standin::http::{Call, HttpServer};
+use bamboocart_standin::load::{self, Summary};
+use bamboocart_standin::target::Fleet;
+use bamboocart_standin::verify;
+use bpaf::Parser;
+use common::{address, call, minions};
+use serde_json::{Value, json};
+use tiny_http::Method;
+
+/// How an instance treats a submission.
+#[derive(Debug, Copy, Clone, PartialEq)]
+enum Behaviour {
+    /// Runs each task once.
+    Correct,
+    /// Runs the first task of each submission twice.
+    RunsTwice,
+    /// Runs the submission and says that it did not.
+    DeniesRun,
+    /// Does not run the submission and says so.
+    Refuses,
+    /// Answers no submission, and says of a cancelled one that it did not run.
+    Holds,
+}
+
+/// A minimal instance: it remembers answers by id in a table that all instances share.
+struct Instance {
+    behaviour: Behaviour,
+    target: SocketAddr,
+    answers: Arc<Mutex<Vec<(String, Value)>>>,
+    tickets: AtomicU64,
+}
+
+impl Instance {
+    /// Starts an instance in front of a target.
+    fn start(
+        behaviour: Behaviour,
+        target: SocketAddr,
+        answers: &Arc<Mutex<Vec<(String, Value)>>>,
+    ) -> HttpServer {
+        let answers = Arc::clone(answers);
+        let tickets = AtomicU64::new(0);
+        let instance = Arc::new(Self { behaviour, target, answers, tickets });
+        let serve = move |call| {
+            let instance = Arc::clone(&instance);
+            thread::spawn(move || instance.serve(call));
+        };
+        HttpServer::start(0, serve).unwrap()
+    }
+
+    /// Issues tickets.
+    fn issue(&self, count: u64) -> Vec<SubmissionId> {
+        let ticket = |_| {
+            SubmissionId::Ticket(Ticket {
+                domain: "marka".into(),
+                instance: "i-1".into(),
+                incarnation: Incarnation(u64::from(self.target.port())),
+                sequence: self.tickets.fetch_add(1, Ordering::Relaxed),
+            })
+        };
+        (0..count).map(ticket).collect()
+    }
+
+    /// Serves a call.
+    fn serve(&self, mut call: Call) {
+        let (method, path) = call.route();
+        match (method, path[1].as_str()) {
+            (Method::Delete, _) => {
+                let answer = answer(&json!(path[2]), "cancelled", "cancelled-not-run");
+                call.answer(409, &answer);
+            }
+            (_, "tickets") => {
+                let count = call.json::<Value>().unwrap()["count"].as_u64().unwrap();
+                call.answer(200, &json!({ "tickets": self.issue(count) }));
+            }
+            _ => {
+                let body = call.json::<Value>().unwrap();
+                match self.behaviour {
+                    Behaviour::Holds => call.withhold(),
+                    _ => call.answer(200, &self.submit(&body)),
+                }
+            }
+        }
+    }
+
+    /// Answers a submission, at most once for each id.
+    fn submit(&self, body: &Value) -> Value {
+        let id = match &body["submission"] {
+            Value::Null => json!(self.issue(1)[0]),
+            id => id.clone(),
+        };
+        let mut answers = self.answers.lock().unwrap();
+        let known = answers.iter().find(|(known, _)| json!(known) == id);
+        if let Some((_, answer)) = known {
+            return answer.clone();
+        }
+        let single = vec![body.clone()];
+        let tasks = body["tasks"].as_array().unwrap_or(&single);
+        let refuses = self.behaviour == Behaviour::Refuses;
+        let results = match refuses {
+            true => vec![],
+            false => self.run_all(&id, body, tasks),
+        };
+        let denies = refuses || self.behaviour == Behaviour::DeniesRun;
+        let (outcome, code) =
+            if denies { ("refused", "overloaded") } else { ("complete", "complete") };
+        let mut answer = answer(&id, outcome, code);
+        answer["attempts"] = json!(results.len());
+        answer["results"] = json!(if denies { vec![] } else { results });
+        answer["tickets"] = json!(self.issue(body["want_tickets"].as_u64().unwrap()));
+        answers.push((id.as_str().unwrap().to_owned(), answer.clone()));
+        answer
+    }
+
+    /// Runs the tasks of a submission.
+    fn run_all(&self, id: &Value, body: &Value, tasks: &[Value]) -> Vec<Value> {
+        let run = |(index, task): (usize, &Value)| {
+            let run = json!({
+                "submission": id, "task": index, "attempt": 1, "kind": body["kind"],
+                "payload": task["payload"], "deadline_ms": 1_000,
+            });
+            let twice = self.behaviour == Behaviour::RunsTwice && index == 0;
+            if twice {
+                call("POST", self.target, "/run", &run);
+            }
+            let result = call("POST", self.target, "/run", &run).1["result"].clone();
+            json!({ "task": index, "body": result })
+        };
+        tasks.iter().enumerate().map(run).collect()
+    }
+}
+
+/// Creates an answer.
+fn answer(id: &Value, outcome: &str, code: &str) -> Value {
+    json!({
+        "submission": id, "outcome": outcome, "code": code, "message": "",
+        "results": [], "config_version": 1, "tickets": [],
+    })
+}
+
+/// What a run of the load generator produced.
+struct Run {
+    summary: Summary,
+    sends: Vec<SendRecord>,
+    violations: Vec<String>,
+}
+
+/// Runs the load generator against two instances in front of one target.
+fn run(name: &str, behaviour: Behaviour, flags: &[&str]) -> Run {
+    let fleet: Fleet = minions(&["--count", "1", "--slots", "64"]);
+    let answers = Arc::default();
+    let start = || Instance::start(behaviour, address(&fleet, 0), &answers);
+    let instances = [start(), start()];
+    let history = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let addresses = instances.iter().map(|i| format!("--instance={}", i.address()));
+    let mut all = vec![format!("--history={}", history.display())];
+    all.extend(addresses);
+    all.extend(flags.iter().map(|flag| flag.to_string()));
+    let all: Vec<std::ffi::OsString> = all.into_iter().map(Into::into).collect();
+    let settings = load::settings().to_options().run_inner(all.as_slice()).unwrap();
+    let summary = load::run(&settings, &AtomicBool::new(false)).unwrap();
+    let text = fs::read_to_string(&history).unwrap();
+    let settings = verify::Settings {
+        control: vec![fleet.control()],
+        history: vec![history],
+        repeatable: vec![],
+    };
+    let violations = verify::verify(&settings).unwrap().into_iter();
+    let name = |v| serde_json::to_value(v).unwrap()["violation"].as_str().unwrap().into();
+    Run {
+        summary,
+        sends: text.lines().map(|line| serde_json::from_str(line).unwrap()).collect(),
+        violations: violations.map(name).collect(),
+    }
+}
+
+/// The flags of a short run with short tasks.
+const SHORT: [&str; 4] =
+    ["--rate=200", "--duration-s=60", "--count=20", "--kind=bay-check=1@2"];
+
+/// Guards against wrong counts, reused ids and false alarms in a correct run.
+#[test]
+fn correct_run_passes_the_check() {
+    let flags =
+        [&SHORT[..], &["--job-share=0.5", "--job-tasks=4", "--ids=mixed"]].concat();
+    let run = run("correct.jsonl", Behaviour::Correct, &flags);
+    assert_eq!(run.violations, [""; 0]);
+    assert_eq!((run.summary.submissions, run.summary.complete), (20, 20));
+    assert_eq!(run.summary.attempts, run.summary.needed_starts);
+    assert!(run.summary.needed_starts > 20, "no job was sent");
+    let mut ids: Vec<_> = run.sends.iter().map(|send| send.asked.clone()).collect();
+    assert!(ids.iter().any(|id| matches!(id, Some(SubmissionId::Ticket(_)))));
+    assert!(ids.iter().any(|id| matches!(id, Some(SubmissionId::CallerKey(_)))));
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), 20);
+    let row = run.summary.kinds.values().next().unwrap();
+    assert!(row.response_over_ideal.p50 > 0.0);
+}
+
+/// Guards against a check that passes faulty instances.
+#[test]
+fn faulty_instances_fail_the_check() {
+    let twice = run("twice.jsonl", Behaviour::RunsTwice, &SHORT);
+    assert_eq!(twice.violations, ["started-twice"; 20]);
+    let denied = run("denied.jsonl", Behaviour::DeniesRun, &SHORT);
+    assert_eq!(denied.violations, ["not-run-but-started"; 20]);
+    assert_eq!(denied.summary.codes["refused/overloaded"], 20);
+    let refused = run("refused.jsonl", Behaviour::Refuses, &SHORT);
+    assert_eq!(refused.violations, [""; 0]);
+    assert_eq!(refused.summary.complete, 0);
+}
+
+/// Guards against storms and waves that miss their submissions or change their ids.
+#[test]
+fn waves_reach_the_same_ids_elsewhere() {
+    let flags = [
+        "--rate=200",
+        "--count=10",
+        "--ids=keys",
+        "--timeout-ms=1000",
+        "--storm-every-ms=100",
+        "--storm-share=1",
+        "--cancel-every-ms=300",
+        "--cancel-share=1",
+    ];
+    let run = run("waves.jsonl", Behaviour::Holds, &flags);
+    let of = |purpose| run.sends.iter().filter(move |send| send.purpose == purpose);
+    assert!(of(Purpose::Resubmit).count() >= 10, "no storm reached every submission");
+    assert!(of(Purpose::Cancel).count() >= 10, "no wave reached every submission");
+    assert!(of(Purpose::Cancel).all(|send| send.answer.is_some()));
+    for again in of(Purpose::Resubmit) {
+        let first = of(Purpose::Submit).find(|send| send.mark == again.mark).unwrap();
+        assert_eq!(first.asked, again.asked);
+        assert_ne!(first.instance, again.instance);
+    }
+}
+
+/// Guards against a submission that is given up or sent under a fresh id when unanswered.
+#[test]
+fn unanswered_submissions_are_resent() {
+    let flags = ["--count=2", "--ids=keys", "--timeout-ms=300", "--resend-unanswered=1"];
+    let run = run("resend.jsonl", Behaviour::Holds, &flags);
+    let purposes = run.sends.iter().map(|send| send.purpose);
+    assert_eq!(purposes.filter(|purpose| *purpose == Purpose::Resubmit).count(), 2);
+    assert_eq!((run.summary.calls, run.summary.codes["unanswered"]), (4, 4));
+    let mut ids: Vec<_> = run.sends.iter().map(|send| send.asked.clone()).collect();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), 2);
+}
