--- a/crates/bamboocart-standin/src/target/member.rs
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -227,11 +227,15 @@
     fn run(&self, call: Call, body: RunBody) {
         let hints = run_time::hints(&body.payload);
         let mut state = self.lock();
+        if state.dead {
+            return call.withhold();
+        }
         let run = RunId {
             submission: body.submission,
             task: body.task,
             attempt: body.attempt,
             kind: body.kind,
+            mark: hints.mark.as_deref().map(Into::into),
         };
         let proof = body.lease.map(|proof| (proof.lease, proof.token));
         if let Err(code) = self.admit(&state, proof) {
