--- /dev/null
+++ b/crates/bamboocart-core/src/engine/answer.rs
@@ -0,0 +1,292 @@
+//! Answers on their way out.
+
+use crate::engine::record::{Asker, Record, SubmissionKey, Task, TaskState};
+use crate::engine::submit::unknown_code;
+use crate::engine::{Effect, Engine, Observation, Reply};
+use crate::id::{SubmissionId, TaskIndex};
+use crate::message::{Ask, Message};
+use crate::outcome::{
+    FailureCode, Outcome, Refusal, RefusalCode, TaskResult, UnknownCode,
+};
+use crate::ownership::Resolved;
+use crate::time::Timestamp;
+
+/// What a reply about a submission says.
+#[derive(Debug, Clone)]
+pub struct Verdict {
+    /// The submission, unless it was refused before it got an id.
+    pub id: Option<SubmissionId>,
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The number of sends to targets.
+    pub attempts: u32,
+}
+
+impl Verdict {
+    /// Says that the outcome is not known.
+    pub fn unknown(id: SubmissionId, code: UnknownCode) -> Self {
+        Self { id: Some(id), outcome: Outcome::Unknown(code), attempts: 0 }
+    }
+
+    /// Says that the submission is not run.
+    pub fn refused(id: SubmissionId, refusal: Refusal) -> Self {
+        Self { id: Some(id), outcome: Outcome::Refused(refusal), attempts: 0 }
+    }
+}
+
+impl Engine {
+    /// Tells the state of a submission to someone who asked.
+    pub(super) fn query(
+        &mut self,
+        now: Timestamp,
+        asker: Asker,
+        id: SubmissionId,
+        effects: &mut Vec<Effect>,
+    ) {
+        match self.resolve(&id) {
+            Resolved::Mine(_) => {
+                let verdict = self.state_of(id);
+                self.reply(&asker, verdict, 0, effects);
+            }
+            Resolved::Other(owner) => {
+                self.forward(now, asker, &owner, Ask::Query(id), effects);
+            }
+            unresolved => {
+                let verdict = Verdict::unknown(id, unknown_code(&unresolved));
+                self.reply(&asker, verdict, 0, effects);
+            }
+        }
+    }
+
+    /// Cancels a submission that has not ended.
+    pub(super) fn cancel(
+        &mut self,
+        now: Timestamp,
+        asker: Asker,
+        id: SubmissionId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mine = match self.resolve(&id) {
+            Resolved::Other(owner) => {
+                self.forward(now, asker, &owner, Ask::Cancel(id), effects);
+                return;
+            }
+            resolved => matches!(resolved, Resolved::Mine(_)),
+        };
+        let open = self.tenure.find(&id).filter(|_| mine);
+        let open = open.and_then(|key| Some((key, self.tenure.get(key)?)));
+        if let Some((key, record)) = open.filter(|(_, record)| record.outcome.is_none()) {
+            let started = record.may_have_started();
+            let outcome = Outcome::Cancelled { started };
+            self.finish(now, key, outcome, effects);
+            self.dispatch_all(now, effects);
+        }
+        self.query(now, asker, id, effects);
+    }
+
+    /// Returns the state of a submission that this instance owns.
+    fn state_of(&self, id: SubmissionId) -> Verdict {
+        if let Some(refusal) = self.tenure.refusal(&id) {
+            return Verdict::refused(id, refusal);
+        }
+        let record = self.tenure.find(&id).and_then(|key| self.tenure.get(key));
+        match record {
+            None => Verdict::unknown(id, UnknownCode::NeverSeen),
+            Some(Record { outcome, attempts, .. }) => {
+                let running = Outcome::Unknown(UnknownCode::StillRunning);
+                let outcome = outcome.clone().unwrap_or(running);
+                Verdict { id: Some(id), outcome, attempts: *attempts }
+            }
+        }
+    }
+
+    /// Ends what has reached its deadline.
+    pub(super) fn expire_deadlines(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        while let Some(&(at, key)) = self.deadlines.first() {
+            if at > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            self.deadline_passed(now, key, effects);
+        }
+        self.expire_queues(now, effects);
+    }
+
+    /// Ends submissions with a task that can no longer start in time.
+    fn expire_queues(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let pop = |engine: &mut Self| {
+            let mut groups = engine.groups.values_mut();
+            groups.find_map(|group| group.queue.pop_expired(now))
+        };
+        while let Some(task) = pop(self) {
+            self.deadline_passed(now, task.submission, effects);
+        }
+    }
+
+    /// Ends a submission that cannot meet its deadline, or tells its callers that it is
+    /// still running.
+    fn deadline_passed(
+        &mut self,
+        now: Timestamp,
+        key: SubmissionKey,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.tenure.get_mut(key) else { return };
+        match (&record.outcome, record.may_have_started()) {
+            (Some(_), _) => {}
+            (None, false) => {
+                let code = RefusalCode::DeadlineUnreachable;
+                let refusal = Refusal { code, retry_after_ms: None };
+                self.finish(now, key, Outcome::Refused(refusal), effects);
+            }
+            (None, true) if record.rules.job || record.in_flight == 0 => {
+                let outcome = Outcome::Failed(FailureCode::DeadlinePassed);
+                self.finish(now, key, outcome, effects);
+            }
+            (None, true) => {
+                let waiters = std::mem::take(&mut record.waiters);
+                let verdict = Verdict {
+                    id: Some(record.id.clone()),
+                    outcome: Outcome::Unknown(UnknownCode::StillRunning),
+                    attempts: record.attempts,
+                };
+                for (asker, want) in waiters {
+                    self.reply(&asker, verdict.clone(), want, effects);
+                }
+            }
+        }
+    }
+
+    /// Ends a submission whose tasks all have a result.
+    pub(super) fn complete(
+        &mut self,
+        now: Timestamp,
+        key: SubmissionKey,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.tenure.get(key) else { return };
+        let result = |(index, task): (usize, &Task)| match &task.state {
+            TaskState::Done(body) => {
+                Some(TaskResult { task: TaskIndex(index as u16), body: body.clone() })
+            }
+            _ => None,
+        };
+        let results = record.tasks.iter().enumerate().filter_map(result).collect();
+        self.finish(now, key, Outcome::Complete(results), effects);
+    }
+
+    /// Ends a submission, answers everyone who waits, and gives up its other tasks.
+    pub(super) fn finish(
+        &mut self,
+        now: Timestamp,
+        key: SubmissionKey,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.drop_tasks(key, effects);
+        let Some(record) = self.tenure.get_mut(key) else { return };
+        record.outcome = Some(outcome.clone());
+        let waiters = std::mem::take(&mut record.waiters);
+        let (customer, kind) = (record.customer, record.kind);
+        let tasks = record.tasks.len() as u32;
+        // The payloads are no longer needed; a finished record keeps its answer only.
+        record.tasks = vec![];
+        let (deadline, arrived) = (record.deadline, record.arrived);
+        let longest_us = record.longest_us;
+        let verdict =
+            Verdict { id: Some(record.id.clone()), outcome, attempts: record.attempts };
+        self.deadlines.remove(&(deadline, key));
+        self.tenure.close(key, now);
+        if let Some(name) = self.customers.name(customer) {
+            self.quotas.finish(name, tasks);
+            effects.push(Effect::Observed(Observation {
+                customer: name.clone(),
+                kind: self.kinds.name(kind).cloned().unwrap_or_else(|| "".into()),
+                outcome: verdict.outcome.name(),
+                response_us: now.us_since(arrived),
+                ideal_us: longest_us,
+                sends: verdict.attempts,
+                tasks,
+            }));
+        }
+        for (asker, want) in waiters {
+            self.reply(&asker, verdict.clone(), want, effects);
+        }
+    }
+
+    /// Sends a reply to someone who waits.
+    pub(super) fn reply(
+        &mut self,
+        asker: &Asker,
+        verdict: Verdict,
+        want_tickets: u16,
+        effects: &mut Vec<Effect>,
+    ) {
+        let reply = Reply::Outcome {
+            submission: verdict.id,
+            outcome: verdict.outcome,
+            config_version: self.config_version,
+            owner: self.me.instance.clone(),
+            attempts: verdict.attempts,
+            tickets: self.issue_tickets(want_tickets),
+        };
+        self.reply_with(asker, reply, effects);
+    }
+
+    /// Sends a finished reply to someone who waits.
+    pub(super) fn reply_with(
+        &mut self,
+        asker: &Asker,
+        reply: Reply,
+        effects: &mut Vec<Effect>,
+    ) {
+        match asker {
+            Asker::Caller(waiter) => {
+                effects.push(Effect::Answer { waiter: *waiter, reply });
+            }
+            Asker::Peer { peer, correlation } => {
+                effects.push(Effect::EndSpan {
+                    peer: peer.instance.clone(),
+                    correlation: *correlation,
+                });
+                let (correlation, reply) = (*correlation, Box::new(reply));
+                self.tell(
+                    &peer.instance,
+                    Message::Answer { correlation, reply },
+                    effects,
+                );
+            }
+        }
+    }
+
+    /// Issues tickets of this incarnation; a stopping one issues none.
+    pub(super) fn issue_tickets(&mut self, count: u16) -> Vec<SubmissionId> {
+        let count = if self.tenure.is_serving() { count } else { 0 };
+        (0..count).map(|_| SubmissionId::Ticket(self.issuer.issue())).collect()
+    }
+
+    /// Gives up the tasks of a submission that have no result.
+    fn drop_tasks(&mut self, key: SubmissionKey, effects: &mut Vec<Effect>) {
+        let Some(record) = self.tenure.get_mut(key) else { return };
+        let mut sent = vec![];
+        let mut queued = vec![];
+        for (index, task) in record.tasks.iter_mut().enumerate() {
+            sent.extend(task.sent());
+            match task.state {
+                TaskState::Done(_) | TaskState::Dropped => continue,
+                TaskState::Queued => queued.push(index as u16),
+                TaskState::Sent { .. } => {}
+            }
+            task.state = TaskState::Dropped;
+        }
+        let group = record.group.clone();
+        if let Some(group) = self.groups.get_mut(&group) {
+            for task in queued {
+                group.queue.cancel(super::record::QueuedTask { submission: key, task });
+            }
+        }
+        for attempt in sent {
+            self.stop_attempt(attempt, effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-core/src/engine/claim.rs
@@ -0,0 +1,49 @@
+//! Claims on caller keys.
+
+use crate::engine::{ClaimPage, Effect, Engine};
+use crate::ownership::{ClaimRecord, Owner};
+use crate::time::Timestamp;
+
+/// The log stream of claims.
+pub const CLAIM_STREAM: &str = "claims";
+
+impl Engine {
+    /// Takes in records of the stream of claims.
+    pub(super) fn claims_read(&mut self, page: &ClaimPage, effects: &mut Vec<Effect>) {
+        let record =
+            |(offset, at_ms, body): &(u64, u64, String)| (*offset, *at_ms, body.clone());
+        let owned: Vec<_> = page.records.iter().map(record).collect();
+        let records: Vec<ClaimRecord> = owned
+            .iter()
+            .map(|(offset, at_ms, body)| ClaimRecord {
+                offset: *offset,
+                at_ms: *at_ms,
+                body,
+            })
+            .collect();
+        for fault in self.claims.read(page.start, &records) {
+            effects.push(Effect::Warn(fault.to_string()));
+        }
+        self.claims_seen = true;
+    }
+
+    /// Appends the claims that are due.
+    ///
+    /// Nothing is claimed before the stream was read once, since the ranges of others
+    /// are not known until then.
+    pub(super) fn claim(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        if !self.claims_seen || self.is_leaving() {
+            return;
+        }
+        let peers = self.membership.peers.serving();
+        let owner = |info: &crate::membership::PeerInfo| {
+            Owner::new(info.name.clone(), info.incarnation)
+        };
+        let live: Vec<Owner> =
+            peers.map(|peer| owner(&peer.info)).chain([self.me.clone()]).collect();
+        for claim in self.claimer.due(&self.claims, &live, now) {
+            let (stream, body) = (CLAIM_STREAM, claim.to_body());
+            effects.push(Effect::Append { stream, body });
+        }
+    }
+}
--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -1,128 +1,210 @@
-//! Tasks on their way to targets and back.
+//! Tasks on their way to targets.
 
-use crate::engine::record::{AttemptState, SubmissionKey, TaskState};
-use crate::engine::{Effect, Engine, QueuedTask, SendOrder};
+use crate::engine::record::{
+    AttemptState, Origin, QueuedTask, RunPlace, SubmissionKey, Task, TaskState,
+};
+use crate::engine::stage::Tenure;
+use crate::engine::{Effect, Engine, KindKey, SendOrder};
 use crate::id::{Attempt, GroupName, TaskIndex};
-use crate::outcome::{FailureCode, Outcome, UnknownCode};
-use crate::target::{AttemptKey, SendReport, TargetKey, TurnAway};
-use crate::time::Timestamp;
+use crate::queue::Pick;
+use crate::target::{AttemptKey, TargetKey};
+use crate::time::{Timestamp, US_PER_MS};
+
+/// What the queue says about a task that is next.
+type NextTask = Pick<QueuedTask, crate::engine::CustomerKey>;
 
 impl Engine {
     /// Starts queued tasks of every group while there are free slots.
     pub(super) fn dispatch_all(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        let groups: Vec<GroupName> = self.queues.keys().cloned().collect();
-        for group in groups {
-            self.dispatch(now, &group, effects);
+        let waiting = self.groups.iter().filter(|(_, group)| !group.queue.is_empty());
+        let names: Vec<GroupName> = waiting.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.dispatch(now, &name, effects);
         }
     }
 
     /// Starts queued tasks of one group while there are free slots.
-    fn dispatch(&mut self, now: Timestamp, group: &GroupName, effects: &mut Vec<Effect>) {
-        while let Some(target) = self.free_target(now, group) {
-            let Some(next) = self.queues.get_mut(group).and_then(|q| q.pop_front())
-            else {
-                return;
-            };
-            self.start(now, next, target, effects);
+    pub(super) fn dispatch(
+        &mut self,
+        now: Timestamp,
+        name: &GroupName,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.start_probes(now, name, effects);
+        while let Some((next, target)) = self.next_own(name) {
+            self.start_on_target(now, name, next, (target, false), effects);
+        }
+        while let Some((next, peer)) = self.next_lent(name) {
+            self.start_on_peer(now, name, next, &peer, effects);
         }
     }
 
-    /// Orders the send of a task to a target.
-    fn start(
+    /// Takes the next task that a target of this instance has a free slot for.
+    fn next_own(&mut self, name: &GroupName) -> Option<(NextTask, TargetKey)> {
+        let group = self.groups.get_mut(name)?;
+        if group.queue.is_empty() || group.placement.free_slots() == 0 {
+            return None;
+        }
+        let (tenure, placement, rng) = (&self.tenure, &group.placement, &mut self.rng);
+        let mut chosen = None;
+        let next = group.queue.pick(|queued| {
+            let Some((kind, task)) = find_task(tenure, queued) else { return false };
+            let fresh = placement.pick(kind, &task.tried, rng);
+            chosen = fresh.or_else(|| placement.pick(kind, &[], rng));
+            chosen.is_some()
+        })?;
+        Some((next, chosen?))
+    }
+
+    /// Sends one task each to the targets that wait for a probe.
+    ///
+    /// Only a group without idempotent request kinds probes with other tasks, since its
+    /// ejected targets would otherwise never return.
+    fn start_probes(
         &mut self,
         now: Timestamp,
-        next: QueuedTask,
-        target_key: TargetKey,
+        name: &GroupName,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(record) = self.records.get_mut(next.submission) else { return };
-        let task = &mut record.tasks[next.task];
-        if !matches!(task.state, TaskState::Queued) {
-            return;
+        let Some(group) = self.groups.get_mut(name) else { return };
+        let targets = std::mem::take(&mut group.probation);
+        for target in targets {
+            let next = self.next_probe(name, target);
+            let Some(group) = self.groups.get_mut(name) else { return };
+            match next {
+                Some(next) => {
+                    group.health.start_probe(target);
+                    self.start_on_target(now, name, next, (target, true), effects);
+                }
+                None => group.probation.push(target),
+            }
+        }
+    }
+
+    /// Takes the next task that may probe a target.
+    fn next_probe(&mut self, name: &GroupName, target: TargetKey) -> Option<NextTask> {
+        let group = self.groups.get_mut(name)?;
+        let usable = self.targets.get(target).is_some_and(|target| target.slots > 0);
+        if !usable || group.queue.is_empty() {
+            return None;
+        }
+        let (tenure, any) = (&self.tenure, !group.has_idempotent);
+        group.queue.pick(|queued| {
+            let record = tenure.get(queued.submission);
+            any || record.is_some_and(|r| r.rules.idempotent && !r.rules.job)
+        })
+    }
+
+    /// Orders the send of a task to a target of this instance.
+    fn start_on_target(
+        &mut self,
+        now: Timestamp,
+        name: &GroupName,
+        next: NextTask,
+        (target, probe): (TargetKey, bool),
+        effects: &mut Vec<Effect>,
+    ) {
+        let place = RunPlace::Target(target);
+        let Some(attempt) = self.start(now, name, &next, place, probe) else { return };
+        self.order_send(now, attempt, effects);
+    }
+
+    /// Records the start of a queued task.
+    pub(super) fn start(
+        &mut self,
+        now: Timestamp,
+        name: &GroupName,
+        next: &NextTask,
+        run_place: RunPlace,
+        probe: bool,
+    ) -> Option<AttemptKey> {
+        let record = self.tenure.get_mut(next.key.submission)?;
+        let (kind, submission) = (record.kind, record.id.clone());
+        let task = record.tasks.get_mut(usize::from(next.key.task))?;
+        if task.sends == Attempt::default() {
+            self.retries.earn();
+            self.hedges.earn();
         }
-        let target = &mut self.targets[target_key];
-        target.in_use += 1;
         task.sends = Attempt(task.sends.0.saturating_add(1));
+        task.place = Some(next.place);
         record.attempts += 1;
-        record.started = true;
+        record.in_flight += 1;
+        let declared_us = task.spec.declared_ms.map(|ms| ms.saturating_mul(US_PER_MS));
         let attempt = self.attempts.insert(AttemptState {
-            submission: next.submission,
-            task: next.task,
-            target: target_key,
+            origin: Origin::Own { task: next.key, declared_us },
+            place: run_place,
+            group: name.clone(),
+            kind,
             sent: now,
+            probe,
+            submission,
+            task: TaskIndex(next.key.task),
         });
-        task.state = TaskState::Sent(attempt);
+        task.state = TaskState::Sent { first: attempt, second: None };
+        self.schedule_hedge(now, next.key.submission, attempt);
+        Some(attempt)
+    }
+
+    /// Orders the send of an attempt at a target of this instance.
+    pub(super) fn order_send(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptKey,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(state) = self.attempts.get(attempt) else { return };
+        let (RunPlace::Target(target_key), Origin::Own { task: queued, .. }) =
+            (state.place, &state.origin)
+        else {
+            return;
+        };
+        let Some(target) = self.targets.get(target_key) else { return };
+        let Some(record) = self.tenure.get(queued.submission) else { return };
+        let Some(task) = record.tasks.get(usize::from(queued.task)) else { return };
         effects.push(Effect::Send(SendOrder {
             attempt,
-            address: target.listed.address.clone(),
-            submission: record.id.clone(),
-            task: TaskIndex(next.task as u16),
+            address: target.info.address.clone(),
+            submission: state.submission.clone(),
+            task: state.task,
             number: task.sends,
-            kind: record.kind.clone(),
-            idempotent: record.idempotent,
+            kind: self.kinds.name(state.kind).cloned().unwrap_or_else(|| "".into()),
+            idempotent: record.rules.idempotent,
             payload: task.spec.payload.clone(),
             deadline_ms: record.deadline.ms_since(now),
             lease: target.lease_grant(),
             traceparent: record.traceparent.clone(),
         }));
+        let group = self.groups.get_mut(&state.group);
+        group.into_iter().for_each(|group| group.placement.take(target_key));
     }
 
-    /// Takes in the end of a send.
-    pub(super) fn send_finished(
+    /// Stops a send whose result is no longer needed.
+    ///
+    /// The slot stays taken until the target's answer shows that the task has ended.
+    pub(super) fn stop_attempt(
         &mut self,
-        now: Timestamp,
         attempt: AttemptKey,
-        report: SendReport,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(state) = self.attempts.remove(attempt) else { return };
-        if let Some(target) = self.targets.get_mut(state.target) {
-            target.in_use = target.in_use.saturating_sub(1);
-            target.note_report(now, &report);
-        }
-        let current = self.records.get(state.submission).is_some_and(|record| {
-            matches!(record.tasks[state.task].state, TaskState::Sent(a) if a == attempt)
-        });
-        if current {
-            self.task_ended(state.submission, state.task, report, effects);
-        }
-        self.dispatch_all(now, effects);
-    }
-
-    /// Moves a task on after its send ended.
-    fn task_ended(
-        &mut self,
-        key: SubmissionKey,
-        task: usize,
-        report: SendReport,
-        effects: &mut Vec<Effect>,
-    ) {
-        let record = &mut self.records[key];
-        match report {
-            SendReport::Result(body) => {
-                record.tasks[task].state = TaskState::Done(body);
-                record.unfinished -= 1;
-                if record.unfinished == 0 {
-                    self.complete(key, effects);
-                }
-            }
-            SendReport::TaskFailed => {
-                self.finish(key, Outcome::Failed(FailureCode::TaskFailed), effects);
-            }
-            SendReport::TurnedAway(
-                TurnAway::Busy | TurnAway::Leaving | TurnAway::Lease,
-            )
-            | SendReport::NotSent => {
-                record.tasks[task].state = TaskState::Queued;
-                let queue = self.queues.entry(record.group.clone()).or_default();
-                queue.push_front(QueuedTask { submission: key, task });
-            }
-            SendReport::Lost if record.job => {
-                self.finish(key, Outcome::Failed(FailureCode::TaskLost), effects);
-            }
-            SendReport::Lost => {
-                self.finish(key, Outcome::Unknown(UnknownCode::TargetLost), effects);
+        let Some(state) = self.attempts.get(attempt) else { return };
+        match state.place {
+            RunPlace::Target(target) => {
+                let Some(target) = self.targets.get(target) else { return };
+                effects.push(Effect::Stop {
+                    address: target.info.address.clone(),
+                    submission: state.submission.clone(),
+                    task: state.task,
+                });
             }
+            RunPlace::Peer(pending) => self.cancel_offer(pending, effects),
         }
     }
 }
+
+/// Returns the request kind and the task of a queue entry.
+fn find_task(tenure: &Tenure, queued: QueuedTask) -> Option<(KindKey, &Task)> {
+    let QueuedTask { submission, task } = queued;
+    let submission: SubmissionKey = submission;
+    let record = tenure.get(submission)?;
+    Some((record.kind, record.tasks.get(usize::from(task))?))
+}
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
-use crate::engine::{LeaseGrant, WaiterId};
+use crate::engine::{LeaseGrant, Status, WaiterId};
 use crate::id::{
-    Attempt, ConfigVersion, InstanceName, KindName, SubmissionId, TaskIndex,
+    Attempt, ConfigVersion, CustomerName, Incarnation, InstanceName, KindName,
+    SubmissionId, TargetName, TaskIndex,
 };
+use crate::message::Message;
 use crate::outcome::Outcome;
 use crate::target::{AttemptKey, TargetKey};
 
@@ -32,12 +35,64 @@
         /// The position of the task in its submission.
         task: TaskIndex,
     },
-    /// Ask a worker for a lease, or renew one.
+    /// Ask a worker for a lease, renew one or return one.
     Lease(LeaseOrder),
+    /// Ask a target for its state.
+    Probe(ProbeOrder),
+    /// Send a message to a peer.
+    Peer {
+        /// The peer's address for links.
+        address: Arc<str>,
+        /// The number that `PeerUndelivered` names, if the sender needs to know.
+        correlation: Option<u64>,
+        /// The message.
+        message: Message,
+    },
+    /// A submission that a peer has forwarded is answered.
+    EndSpan {
+        /// The peer.
+        peer: InstanceName,
+        /// The peer's number for the answer.
+        correlation: u64,
+    },
+    /// The peers have changed.
+    Peers(Vec<Arc<str>>),
+    /// Send the configuration in force to a peer.
+    ShareConfig {
+        /// The peer.
+        to: InstanceName,
+    },
+    /// Check a configuration that a peer has sent, and take it into force if it is newer.
+    AdoptConfig {
+        /// The version.
+        version: ConfigVersion,
+        /// The set in its canonical text form.
+        text: Bytes,
+    },
+    /// Append a record to a stream of the log; it may fail or take effect unseen.
+    Append {
+        /// The stream.
+        stream: &'static str,
+        /// The record.
+        body: String,
+    },
+    /// A configuration is in force.
+    ConfigInForce {
+        /// Its version.
+        version: ConfigVersion,
+    },
+    /// Something that operators should know.
+    Warn(String),
+    /// A submission ended.
+    Observed(Observation),
+    /// The instance no longer admits submissions and readiness ends.
+    Leaving,
+    /// The instance has finished everything and may stop.
+    Drained,
 }
 
 /// A reply to someone who waits.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Reply {
     /// The answer to a submission.
     Outcome {
@@ -56,6 +111,8 @@
     },
     /// Fresh tickets.
     Tickets(Vec<SubmissionId>),
+    /// The state of the instance.
+    Status(Box<Status>),
 }
 
 /// A task to be sent to a target.
@@ -85,15 +142,45 @@
     pub traceparent: Option<Arc<str>>,
 }
 
-/// A lease to be asked for or renewed.
+/// A lease to be asked for, renewed or returned.
 #[derive(Debug, Clone)]
 pub struct LeaseOrder {
     /// The worker.
     pub target: TargetKey,
     /// The worker's address.
     pub address: Arc<str>,
-    /// The slots to ask for.
+    /// The slots to ask for; 0 returns the lease.
     pub slots: u32,
-    /// The lease to renew, or `None` to ask for a new one.
-    pub renew: Option<LeaseGrant>,
+    /// The lease to renew or return, or `None` to ask for a new one.
+    pub held: Option<LeaseGrant>,
+}
+
+/// A target to be asked for its state.
+#[derive(Debug, Clone)]
+pub struct ProbeOrder {
+    /// The target.
+    pub target: TargetName,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// Its address.
+    pub address: Arc<str>,
+}
+
+/// What is measured of a submission that ended.
+#[derive(Debug, Clone)]
+pub struct Observation {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The request kind.
+    pub kind: KindName,
+    /// The name of the outcome.
+    pub outcome: &'static str,
+    /// The time from arrival to answer.
+    pub response_us: u64,
+    /// The run time of the longest task, which no scheduler can undercut.
+    pub ideal_us: u64,
+    /// The sends to targets.
+    pub sends: u32,
+    /// The tasks, which is the number of sends needed.
+    pub tasks: u32,
 }
--- /dev/null
+++ b/crates/bamboocart-core/src/engine/ended.rs
@@ -0,0 +1,232 @@
+//! Sends that have ended.
+
+use crate::engine::record::{AttemptState, Origin, QueuedTask, RunPlace, TaskState};
+use crate::engine::{Effect, Engine};
+use crate::estimate::RunEnd;
+use crate::health::{Standing, StartEnd};
+use crate::membership::Leaving;
+use crate::message::Message;
+use crate::outcome::{FailureCode, Outcome, UnknownCode};
+use crate::retry::{NextSend, next_send};
+use crate::target::{AttemptKey, SendReport, TargetKey, TurnAway};
+use crate::time::Timestamp;
+
+/// A send that has ended, as its submission sees it.
+struct Ended {
+    /// The send.
+    attempt: AttemptKey,
+    /// The task.
+    task: QueuedTask,
+    /// The target, if this instance uses it.
+    target: Option<TargetKey>,
+    /// The time from the order to the end.
+    run_us: u64,
+}
+
+impl Engine {
+    /// Takes in the end of a send.
+    pub(super) fn send_finished(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptKey,
+        report: SendReport,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(state) = self.attempts.remove(attempt) else {
+            self.late_answers += 1;
+            return;
+        };
+        let run_us = now.us_since(state.sent);
+        let target = match state.place {
+            RunPlace::Target(target) => Some(target),
+            RunPlace::Peer(_) => None,
+        };
+        if let Some(target) = target {
+            self.note_target(now, target, &state, &report);
+        }
+        let group = state.group.clone();
+        match state.origin {
+            Origin::Own { task, .. } => {
+                let ended = Ended { attempt, task, target, run_us };
+                self.task_ended(now, &ended, report, effects);
+            }
+            Origin::Peer { owner, correlation } => {
+                let message = Message::Ran { correlation, report };
+                self.tell(&owner.instance, message, effects);
+            }
+        }
+        self.dispatch(now, &group, effects);
+    }
+
+    /// Learns about a target from the end of a send.
+    fn note_target(
+        &mut self,
+        now: Timestamp,
+        key: TargetKey,
+        state: &AttemptState,
+        report: &SendReport,
+    ) {
+        if let Some(group) = self.groups.get_mut(&state.group) {
+            group.placement.release(key);
+        }
+        let Some(target) = self.targets.get(key) else { return };
+        let info = target.info.clone();
+        if !matches!(report, SendReport::NotSent | SendReport::Lost) {
+            self.membership.targets.answered(&info.name, now);
+        }
+        self.learn_run_time(now, key, state, report);
+        self.learn_health(now, key, state, report);
+        match report {
+            SendReport::TurnedAway(TurnAway::Leaving) => {
+                let source = Leaving::OwnAnswer;
+                self.membership.targets.leave(&info.name, info.incarnation, source);
+                self.fleet_changed = true;
+                self.retire(key);
+            }
+            SendReport::TurnedAway(TurnAway::Lease) => self.lose_lease(key),
+            _ => {}
+        }
+    }
+
+    /// Learns the run time of a send that was started.
+    fn learn_run_time(
+        &mut self,
+        now: Timestamp,
+        key: TargetKey,
+        state: &AttemptState,
+        report: &SendReport,
+    ) {
+        let end = match report {
+            SendReport::Result(_) => RunEnd::Completed,
+            SendReport::TaskFailed | SendReport::Lost => RunEnd::Failed,
+            SendReport::TurnedAway(_) | SendReport::NotSent => return,
+        };
+        let declared_us = match state.origin {
+            Origin::Own { declared_us, .. } => declared_us,
+            Origin::Peer { .. } => None,
+        };
+        let run_us = now.us_since(state.sent);
+        self.estimator.record(state.kind, key, declared_us, run_us, end);
+        let expected_us = self.estimator.target_us(state.kind, key).mean_us;
+        let prior_us = self.estimator.kind_us(state.kind, None);
+        if let Some(group) = self.groups.get_mut(&state.group) {
+            group.placement.set_expected(state.kind, key, expected_us);
+            group.placement.set_prior(state.kind, prior_us);
+        }
+    }
+
+    /// Learns whether a target can be trusted.
+    fn learn_health(
+        &mut self,
+        now: Timestamp,
+        key: TargetKey,
+        state: &AttemptState,
+        report: &SendReport,
+    ) {
+        let Some(group) = self.groups.get_mut(&state.group) else { return };
+        let (health, rng) = (&mut group.health, &mut self.rng);
+        let end = match report {
+            SendReport::Result(_) => Some(StartEnd::Succeeded),
+            SendReport::TaskFailed | SendReport::Lost | SendReport::NotSent => {
+                Some(StartEnd::Failed)
+            }
+            SendReport::TurnedAway(_) => None,
+        };
+        match end {
+            Some(end) if !self.setup.eject => {
+                let _ = end;
+            }
+            Some(end) if state.probe => health.record_probe(key, end, now, rng),
+            Some(end) => health.record(key, end, now, rng),
+            None => {}
+        }
+        // A refused connection is retried elsewhere at once, and here after a pause.
+        if matches!(report, SendReport::TurnedAway(TurnAway::Busy) | SendReport::NotSent)
+        {
+            health.turned_away(key, now, rng);
+        }
+        self.apply_standing(&state.group, key);
+    }
+
+    /// Brings the placement in line with a target's standing.
+    pub(super) fn apply_standing(&mut self, name: &crate::id::GroupName, key: TargetKey) {
+        let Some(group) = self.groups.get_mut(name) else { return };
+        let standing = group.health.standing(key);
+        group.placement.set_usable(key, standing == Some(Standing::Open));
+        group.probation.retain(|&other| other != key);
+        if standing == Some(Standing::Probation) {
+            group.probation.push(key);
+        }
+    }
+
+    /// Moves a task of this instance on after one of its sends ended.
+    fn task_ended(
+        &mut self,
+        now: Timestamp,
+        ended: &Ended,
+        report: SendReport,
+        effects: &mut Vec<Effect>,
+    ) {
+        let key = ended.task.submission;
+        let Some(record) = self.tenure.get_mut(key) else { return };
+        record.in_flight = record.in_flight.saturating_sub(1);
+        let may_have_started =
+            !matches!(report, SendReport::TurnedAway(_) | SendReport::NotSent);
+        record.started |= may_have_started;
+        let task = record.tasks.get_mut(usize::from(ended.task.task));
+        let Some(task) = task.filter(|task| task.sent().any(|a| a == ended.attempt))
+        else {
+            self.late_answers += 1;
+            return;
+        };
+        let other = task.sent().find(|&attempt| attempt != ended.attempt);
+        let next = next_send(&report, record.rules);
+        match (next, other, report) {
+            (NextSend::Done, _, SendReport::Result(body)) => {
+                task.state = TaskState::Done(body);
+                record.unfinished -= 1;
+                record.longest_us = record.longest_us.max(ended.run_us);
+                let unfinished = record.unfinished;
+                if let Some(other) = other {
+                    self.stop_attempt(other, effects);
+                }
+                if unfinished == 0 {
+                    self.complete(now, key, effects);
+                }
+            }
+            (_, Some(first), _) => task.state = TaskState::Sent { first, second: None },
+            (NextSend::Elsewhere, None, _) => self.put_back(ended),
+            (NextSend::Budgeted, None, _) if self.retries.take() => self.put_back(ended),
+            (_, None, SendReport::Lost) if record.rules.job => {
+                let outcome = Outcome::Failed(FailureCode::TaskLost);
+                self.finish(now, key, outcome, effects);
+            }
+            (_, None, SendReport::Lost) => {
+                let outcome = Outcome::Unknown(UnknownCode::TargetLost);
+                self.finish(now, key, outcome, effects);
+            }
+            (_, None, _) => {
+                let outcome = Outcome::Failed(FailureCode::TaskFailed);
+                self.finish(now, key, outcome, effects);
+            }
+        }
+    }
+
+    /// Puts a task back into the queue at its old place.
+    fn put_back(&mut self, ended: &Ended) {
+        let Some(record) = self.tenure.get_mut(ended.task.submission) else { return };
+        let group = record.group.clone();
+        let Some(task) = record.tasks.get_mut(usize::from(ended.task.task)) else {
+            return;
+        };
+        task.state = TaskState::Queued;
+        if let Some(target) = ended.target {
+            task.avoid(target);
+        }
+        let place = task.place;
+        if let (Some(group), Some(place)) = (self.groups.get_mut(&group), place) {
+            // The task was taken out of the queue when it was sent, so it is not in it.
+            let _ = group.queue.requeue(ended.task, place);
+        }
+    }
+}
--- a/crates/bamboocart-core/src/engine/event.rs
+++ b/crates/bamboocart-core/src/engine/event.rs
@@ -3,13 +3,18 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
-use crate::config::{ConfigSet, Role};
+use crate::config::ConfigSet;
 use crate::id::{
-    ConfigVersion, CustomerName, DomainName, Incarnation, KindName, ServiceName,
-    SubmissionId, TargetName,
+    ConfigVersion, CustomerName, Incarnation, InstanceName, KindName, SubmissionId,
+    TargetName,
 };
+use crate::membership::Listing;
+use crate::message::Message;
+use crate::ownership::Owner;
 use crate::target::{AttemptKey, SendReport, TargetKey};
+use crate::time::Timestamp;
 
 /// Something that happened outside the core.
 #[derive(Debug)]
@@ -42,6 +47,11 @@
         /// The submission.
         id: SubmissionId,
     },
+    /// An operator asked for the state of the instance.
+    Status {
+        /// Who waits for the state.
+        waiter: WaiterId,
+    },
     /// A send to a target ended.
     SendFinished {
         /// The send.
@@ -57,14 +67,43 @@
         grant: Option<LeaseGrant>,
     },
     /// The platform's instance list was read.
-    Listed(Vec<ListedTarget>),
-    /// A configuration came into force.
+    Listed(Listing),
+    /// A target answered a probe.
+    Probed(ProbeAnswer),
+    /// A configuration was accepted.
     ConfigAccepted {
         /// Its version.
         version: ConfigVersion,
         /// Its objects.
         set: Arc<ConfigSet>,
+        /// When it was published.
+        since: Timestamp,
+    },
+    /// Records of the stream of claims were read.
+    ClaimsRead(ClaimPage),
+    /// A message of a peer arrived.
+    PeerMessage {
+        /// The peer.
+        from: Owner,
+        /// The message.
+        message: Message,
     },
+    /// A message to a peer was not acknowledged.
+    PeerUndelivered {
+        /// The number of the message.
+        correlation: u64,
+        /// Whether the peer certainly did not take the message.
+        certain: bool,
+    },
+    /// A message is to be sent to a peer.
+    TellPeer {
+        /// The peer.
+        to: InstanceName,
+        /// The message.
+        message: Box<Message>,
+    },
+    /// The instance is to stop.
+    Drain,
     /// Time has passed.
     Tick,
 }
@@ -74,7 +113,7 @@
 pub struct WaiterId(pub u64);
 
 /// A submission as it arrives.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct NewSubmission {
     /// The caller's id, or `None` if the instance is to issue one.
     pub id: Option<SubmissionId>,
@@ -95,7 +134,7 @@
 }
 
 /// One task as it arrives.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct TaskSpec {
     /// What the target receives.
     pub payload: Bytes,
@@ -120,27 +159,22 @@
     pub expires_in_ms: u64,
 }
 
-/// A target in the platform's instance list.
+/// The answer of a target to a probe.
 #[derive(Debug, Clone)]
-pub struct ListedTarget {
-    /// The name.
-    pub name: TargetName,
-    /// The role.
-    pub role: Role,
-    /// The service label.
-    pub service: ServiceName,
-    /// The failure domain.
-    pub domain: DomainName,
-    /// The address for HTTP.
-    pub address: Arc<str>,
-    /// The slots.
-    pub slots: u32,
-    /// The processors.
-    pub cpus: u32,
-    /// The memory.
-    pub memory_mb: u64,
-    /// Whether the list says that the target is leaving.
-    pub leaving: bool,
-    /// The run of the target's process.
+pub struct ProbeAnswer {
+    /// The target.
+    pub target: TargetName,
+    /// The run of its process that was probed.
     pub incarnation: Incarnation,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Records of the stream of claims.
+#[derive(Debug, Clone)]
+pub struct ClaimPage {
+    /// The offset of the oldest record that the log still keeps.
+    pub start: u64,
+    /// The records: offset, time of the append in milliseconds and body.
+    pub records: Vec<(u64, u64, String)>,
 }
--- a/crates/bamboocart-core/src/engine/fleet.rs
+++ b/crates/bamboocart-core/src/engine/fleet.rs
@@ -1,52 +1,63 @@
-//! The targets that an instance knows.
+//! The targets that this instance uses.
 
-use std::collections::HashSet;
+use std::collections::BTreeMap;
 
 use crate::config::Role;
-use crate::engine::{Effect, Engine, LeaseGrant, LeaseOrder, ListedTarget};
+use crate::engine::{Effect, Engine, LeaseGrant, LeaseOrder, ProbeAnswer, ProbeOrder};
 use crate::id::{GroupName, TargetName};
-use crate::target::{SendReport, TargetKey, TurnAway};
+use crate::membership::{ListVerdict, Listing, PeerInfo, TargetInfo, user_of};
+use crate::target::TargetKey;
 use crate::time::Timestamp;
 
-/// The time for which a target gets nothing after it turned a send away.
-const TURN_AWAY_BACKOFF_MS: u64 = 50;
-
 /// The time before the end of a lease at which it is renewed.
-const LEASE_RENEW_AHEAD_MS: u64 = 3_000;
+const LEASE_RENEW_AHEAD_MS: u64 = 6_000;
+
+/// The time before the end of a lease from which nothing is started under it, so that a
+/// start does not arrive after the lapse.
+const LEASE_MARGIN_MS: u64 = 500;
+
+/// The time after which a refused lease is asked for again.
+const LEASE_RETRY_MS: u64 = 500;
 
-/// A target that this instance knows.
+/// A target that this instance uses, or has used until its last send ends.
 #[derive(Debug)]
-pub(super) struct Target {
+pub struct Target {
     /// What the list says.
-    pub listed: ListedTarget,
-    /// The number of sends that have not ended.
-    pub in_use: u32,
-    /// The time before which nothing is sent.
-    pub not_before: Timestamp,
+    pub info: TargetInfo,
+    /// The target group.
+    pub group: GroupName,
+    /// The slots that may be used now.
+    pub slots: u32,
+    /// Whether nothing more is sent.
+    pub retired: bool,
     /// The lease, on a worker.
-    pub lease: Option<HeldLease>,
-    /// Whether a lease request is on its way.
-    pub lease_pending: bool,
+    lease: Option<HeldLease>,
+    /// When a lease was asked for that has not been answered.
+    lease_asked: Option<Timestamp>,
+    /// When a lease may be asked for again.
+    lease_after: Timestamp,
 }
 
 /// A lease with the time of its end.
 #[derive(Debug, Copy, Clone)]
-pub(super) struct HeldLease {
+struct HeldLease {
     /// The grant.
-    pub grant: LeaseGrant,
+    grant: LeaseGrant,
     /// When the lease lapses.
-    pub until: Timestamp,
+    until: Timestamp,
 }
 
 impl Target {
-    /// Creates the state of a target that was just listed.
-    fn new(listed: ListedTarget) -> Self {
+    /// Creates the state of a target that this instance begins to use.
+    fn new(info: TargetInfo, group: GroupName) -> Self {
         Self {
-            listed,
-            in_use: 0,
-            not_before: Timestamp::default(),
+            info,
+            group,
+            slots: 0,
+            retired: false,
             lease: None,
-            lease_pending: false,
+            lease_asked: None,
+            lease_after: Timestamp::default(),
         }
     }
 
@@ -55,25 +66,15 @@
         self.lease.map(|held| held.grant)
     }
 
-    /// Returns the number of slots that can be used now.
-    fn usable_slots(&self, now: Timestamp) -> u32 {
-        match (self.listed.role, self.lease) {
-            _ if self.listed.leaving || now < self.not_before => 0,
-            (Role::Worker, Some(held)) if now < held.until => held.grant.slots,
-            (Role::Worker, _) => 0,
-            _ => self.listed.slots,
-        }
-    }
-
-    /// Takes note of the end of a send.
-    pub fn note_report(&mut self, now: Timestamp, report: &SendReport) {
-        match report {
-            SendReport::TurnedAway(TurnAway::Leaving) => self.listed.leaving = true,
-            SendReport::TurnedAway(TurnAway::Lease) => self.lease = None,
-            SendReport::TurnedAway(TurnAway::Busy) | SendReport::NotSent => {
-                self.not_before = now.plus_ms(TURN_AWAY_BACKOFF_MS);
+    /// Returns the slots that may be used at a time.
+    fn slots_at(&self, now: Timestamp) -> u32 {
+        match (self.info.role, self.lease) {
+            _ if self.retired => 0,
+            (Role::Worker, Some(held)) if now.plus_ms(LEASE_MARGIN_MS) < held.until => {
+                held.grant.slots
             }
-            _ => {}
+            (Role::Worker, _) => 0,
+            _ => self.info.slots,
         }
     }
 }
@@ -83,23 +84,193 @@
     pub(super) fn listed(
         &mut self,
         now: Timestamp,
-        listed: Vec<ListedTarget>,
+        list: Listing,
         effects: &mut Vec<Effect>,
     ) {
-        let names: HashSet<TargetName> = listed.iter().map(|t| t.name.clone()).collect();
-        self.targets.retain(|_, t| names.contains(&t.listed.name) || t.in_use > 0);
-        for new in listed {
-            match self.targets.values_mut().find(|t| t.listed.name == new.name) {
-                Some(known) => known.listed = new,
-                None => {
-                    self.targets.insert(Target::new(new));
-                }
+        let before = self.membership.list_version();
+        match self.membership.listed(list, now) {
+            ListVerdict::Applied(changes) => {
+                self.fleet_changed |= self.membership.list_version() != before;
+                self.peers_changed(now, &changes, effects);
             }
+            ListVerdict::Older => {}
+            ListVerdict::Doubtful => effects.push(Effect::Warn(
+                "the instance list lacks more than half of the known members and is \
+                 ignored; check the platform"
+                    .into(),
+            )),
         }
+        self.sync_targets(now);
         self.renew_leases(now, effects);
         self.dispatch_all(now, effects);
     }
 
+    /// Takes in a target's answer to a probe.
+    pub(super) fn probed(
+        &mut self,
+        now: Timestamp,
+        answer: &ProbeAnswer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let ProbeAnswer { target, incarnation, leaving } = answer;
+        let news = self.membership.targets.probed(target, *incarnation, *leaving, now);
+        if news {
+            self.fleet_changed = true;
+            self.sync_targets(now);
+            self.dispatch_all(now, effects);
+        }
+    }
+
+    /// Asks the targets for their state while the list is stale.
+    pub(super) fn probe_targets(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let used = |info: &TargetInfo| self.target_names.contains_key(&info.name);
+        for info in self.membership.due_probes(now, used) {
+            let TargetInfo { name, incarnation, address, .. } = info;
+            effects.push(Effect::Probe(ProbeOrder {
+                target: name,
+                incarnation,
+                address,
+            }));
+        }
+    }
+
+    /// Brings the used targets in line with the list, the peers and the configuration.
+    pub(super) fn sync_targets(&mut self, now: Timestamp) {
+        if std::mem::take(&mut self.fleet_changed) {
+            let wanted = self.wanted_targets();
+            self.retire_unwanted(&wanted);
+            for (info, group) in wanted.into_values() {
+                self.use_target(info, group);
+            }
+        }
+        let keys: Vec<TargetKey> = self.targets.keys().collect();
+        for key in keys {
+            self.refresh_slots(now, key);
+        }
+    }
+
+    /// Returns the targets that this instance should use, with their groups.
+    ///
+    /// A stopping instance takes on no further targets and keeps those that it has.
+    fn wanted_targets(&self) -> BTreeMap<TargetName, (TargetInfo, GroupName)> {
+        let me = self.membership.peers.me();
+        let peers = self.membership.peers.serving().map(|peer| &peer.info);
+        let serving: Vec<&PeerInfo> = peers.chain([me]).collect();
+        let leaving = self.is_leaving();
+        let mut wanted = BTreeMap::new();
+        for target in self.membership.targets.iter().filter(|it| it.is_serving()) {
+            let info = &target.info;
+            let mut groups = self.config.target_group.iter();
+            let group = groups.find(|(_, group)| {
+                group.role == info.role
+                    && group.service == info.service
+                    && group.failure_domains.contains(&info.domain)
+            });
+            let Some((group, _)) = group else { continue };
+            let mine = match leaving {
+                true => self.target_names.contains_key(&info.name),
+                false => {
+                    let user = user_of(&info.name, &info.domain, serving.iter().copied());
+                    user.is_some_and(|user| user.name == me.name)
+                }
+            };
+            if mine {
+                wanted.insert(info.name.clone(), (info.clone(), group.clone()));
+            }
+        }
+        wanted
+    }
+
+    /// Retires the targets that are not wanted in their present run.
+    fn retire_unwanted(
+        &mut self,
+        wanted: &BTreeMap<TargetName, (TargetInfo, GroupName)>,
+    ) {
+        let unwanted: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| {
+                wanted.get(&target.info.name).is_none_or(|(info, group)| {
+                    info.incarnation != target.info.incarnation || *group != target.group
+                })
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in unwanted {
+            self.retire(key);
+        }
+    }
+
+    /// Begins to use a target, or goes on using it.
+    fn use_target(&mut self, info: TargetInfo, group: GroupName) {
+        if let Some(&key) = self.target_names.get(&info.name) {
+            if let Some(target) = self.targets.get_mut(key) {
+                target.info = info;
+            }
+            return;
+        }
+        let name = info.name.clone();
+        let key = self.targets.insert(Target::new(info, group.clone()));
+        self.target_names.insert(name, key);
+        if let Some(group) = self.groups.get_mut(&group) {
+            group.placement.set_slots(key, 0);
+            group.health.add(key);
+        }
+    }
+
+    /// Sends nothing more to a target.
+    pub(super) fn retire(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.retired = true;
+        if self.target_names.get(&target.info.name) == Some(&key) {
+            self.target_names.remove(&target.info.name);
+        }
+    }
+
+    /// Sets the slots of a target, and removes it when it is retired and idle.
+    fn refresh_slots(&mut self, now: Timestamp, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let slots = target.slots_at(now);
+        let (changed, retired) = (slots != target.slots, target.retired);
+        target.slots = slots;
+        let group_name = target.group.clone();
+        let Some(group) = self.groups.get_mut(&group_name) else {
+            self.targets.remove(key);
+            return;
+        };
+        if changed {
+            group.placement.set_slots(key, slots);
+        }
+        if !retired || group.placement.in_use(key) > 0 {
+            return;
+        }
+        group.placement.remove(key);
+        let reopened = group.health.remove(key);
+        group.probation.retain(|&other| other != key);
+        self.estimator.forget_target(key);
+        for other in reopened {
+            self.apply_standing(&group_name, other);
+        }
+        match self.targets.get(key).and_then(|target| target.lease) {
+            Some(held) => self.returns.push((key, held.grant)),
+            None => {
+                self.targets.remove(key);
+            }
+        }
+    }
+
+    /// Ends the backoffs of targets that are over.
+    pub(super) fn end_backoffs(&mut self, now: Timestamp) {
+        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        for name in names {
+            while let Some(key) =
+                self.groups.get_mut(&name).and_then(|group| group.health.pop_due(now))
+            {
+                self.apply_standing(&name, key);
+            }
+        }
+    }
+
     /// Takes in a worker's answer to a lease request.
     pub(super) fn lease_answered(
         &mut self,
@@ -109,59 +280,66 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        target.lease_pending = false;
+        let asked = target.lease_asked.take().unwrap_or(now);
         match grant {
             Some(grant) => {
-                let until = now.plus_ms(grant.expires_in_ms);
+                let until = asked.plus_ms(grant.expires_in_ms);
                 target.lease = Some(HeldLease { grant, until });
             }
-            None => target.not_before = now.plus_ms(TURN_AWAY_BACKOFF_MS),
+            None => target.lease_after = now.plus_ms(LEASE_RETRY_MS),
+        }
+        let group = target.group.clone();
+        self.refresh_slots(now, key);
+        self.dispatch(now, &group, effects);
+    }
+
+    /// Gives up a lease that a worker no longer accepts.
+    pub(super) fn lose_lease(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.lease = None;
+        target.slots = 0;
+        let group = target.group.clone();
+        if let Some(group) = self.groups.get_mut(&group) {
+            group.placement.set_slots(key, 0);
         }
-        self.dispatch_all(now, effects);
     }
 
-    /// Asks for the leases that are missing or about to lapse.
+    /// Asks for the leases that are missing or about to lapse, and returns unused ones.
     pub(super) fn renew_leases(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        for (key, grant) in std::mem::take(&mut self.returns) {
+            let Some(target) = self.targets.remove(key) else { continue };
+            let (address, held) = (target.info.address, Some(grant));
+            effects.push(Effect::Lease(LeaseOrder {
+                target: key,
+                address,
+                slots: 0,
+                held,
+            }));
+        }
         for (key, target) in &mut self.targets {
-            let due = match target.lease {
-                _ if target.listed.role != Role::Worker || target.lease_pending => false,
-                _ if target.listed.leaving || now < target.not_before => false,
+            let held = target.lease.filter(|held| now < held.until);
+            let due = match held {
+                _ if target.info.role != Role::Worker || target.retired => false,
+                _ if target.lease_asked.is_some() || now < target.lease_after => false,
                 Some(held) => now.plus_ms(LEASE_RENEW_AHEAD_MS) >= held.until,
                 None => true,
             };
             if !due {
                 continue;
             }
-            target.lease_pending = true;
+            target.lease_asked = Some(now);
             effects.push(Effect::Lease(LeaseOrder {
                 target: key,
-                address: target.listed.address.clone(),
-                slots: target.listed.slots,
-                renew: target
-                    .lease
-                    .filter(|held| now < held.until)
-                    .map(|held| held.grant),
+                address: target.info.address.clone(),
+                slots: target.info.slots,
+                held: held.map(|held| held.grant),
             }));
         }
     }
 
-    /// Returns the target of a group with the most free slots.
-    pub(super) fn free_target(
-        &self,
-        now: Timestamp,
-        group: &GroupName,
-    ) -> Option<TargetKey> {
-        let group = self.config.target_group.get(group)?;
-        let free =
-            |target: &Target| target.usable_slots(now).saturating_sub(target.in_use);
-        self.targets
-            .iter()
-            .filter(|(_, t)| {
-                t.listed.role == group.role && t.listed.service == group.service
-            })
-            .filter(|(_, t)| group.failure_domains.contains(&t.listed.domain))
-            .filter(|(_, t)| free(t) > 0)
-            .max_by_key(|(_, t)| free(t))
-            .map(|(key, _)| key)
+    /// Returns the slots of the targets of a group that this instance uses.
+    pub(super) fn own_slots(&self, group: &GroupName) -> u32 {
+        let members = self.targets.values().filter(|target| target.group == *group);
+        members.map(|target| target.slots).sum()
     }
 }
--- /dev/null
+++ b/crates/bamboocart-core/src/engine/group.rs
@@ -0,0 +1,83 @@
+//! The queue and the targets of one target group.
+
+use crate::engine::names::{CustomerKey, KindKey};
+use crate::engine::record::QueuedTask;
+use crate::engine::{Engine, Setup};
+use crate::health::GroupHealth;
+use crate::id::GroupName;
+use crate::placement::Placement;
+use crate::queue::FairQueue;
+use crate::target::TargetKey;
+use crate::time::US_PER_MS;
+
+/// What an instance keeps for one target group.
+#[derive(Debug)]
+pub struct Group {
+    /// The tasks that wait.
+    pub queue: FairQueue<QueuedTask, CustomerKey>,
+    /// The slots of the targets.
+    pub placement: Placement<KindKey>,
+    /// Which targets are trusted.
+    pub health: GroupHealth,
+    /// The targets that wait for a probe.
+    pub probation: Vec<TargetKey>,
+    /// Whether any request kind of the group is idempotent.
+    pub has_idempotent: bool,
+}
+
+impl Group {
+    /// Creates a group without targets.
+    fn new(setup: &Setup) -> Self {
+        Self {
+            queue: FairQueue::new(setup.queue_tasks),
+            placement: Placement::new(setup.policy),
+            health: GroupHealth::default(),
+            probation: vec![],
+            has_idempotent: false,
+        }
+    }
+}
+
+impl Engine {
+    /// Brings the request kinds in line with the configuration.
+    pub(super) fn configure_kinds(&mut self) {
+        for (name, kind) in &self.config.request_kind {
+            let key = self.kinds.key(name);
+            let shortest_us = kind.shortest_run_ms * US_PER_MS;
+            self.estimator.set_kind(key, shortest_us, kind.longest_run_ms * US_PER_MS);
+        }
+        for name in self.config.quota.keys() {
+            self.customers.key(name);
+        }
+    }
+
+    /// Brings the groups in line with the configuration.
+    ///
+    /// A group that is no longer configured stays until its queue is empty.
+    pub(super) fn configure_groups(&mut self) {
+        let config = self.config.clone();
+        for name in config.target_group.keys() {
+            let state = self
+                .groups
+                .entry(name.clone())
+                .or_insert_with(|| Group::new(&self.setup));
+            for priority in config.priority.values() {
+                state.queue.set_floor(priority.rank, priority.floor_percent);
+            }
+            let kinds = config.request_kind.values();
+            state.has_idempotent = kinds.filter(|kind| kind.idempotent).any(|kind| {
+                let service = config.service.get(&kind.service);
+                service.is_some_and(|service| service.target_group == *name)
+            });
+            for kind_name in config.request_kind.keys() {
+                if let Some(key) = self.kinds.find(kind_name) {
+                    state.placement.set_prior(key, self.estimator.kind_us(key, None));
+                }
+            }
+        }
+        let stale = |name: &GroupName, group: &Group| {
+            !config.target_group.contains_key(name) && group.queue.is_empty()
+        };
+        self.groups.retain(|name, group| !stale(name, group));
+    }
+}
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -1,91 +1,222 @@
 //! The state machine of one instance, which joins the decisions of the other modules.
 
+mod admit;
+mod answer;
+mod claim;
 mod dispatch;
+mod drain;
 mod effect;
+mod ended;
 mod event;
 mod fleet;
+mod group;
+mod hedge;
+mod names;
+mod peers;
 mod record;
+mod stage;
+mod status;
 mod submit;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
 use crate::config::ConfigSet;
+use crate::estimate::Estimator;
 use crate::id::{
-    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, SubmissionId, Ticket,
+    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, TargetName,
 };
+use crate::membership::{Membership, PeerInfo, StopSchedule};
+use crate::ownership::{
+    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Successions,
+};
+use crate::placement::Policy;
+use crate::quota::QuotaTable;
+use crate::retry::SendBudget;
 use crate::target::{AttemptKey, TargetKey};
 use crate::time::Timestamp;
 
-pub use self::effect::{Effect, LeaseOrder, Reply, SendOrder};
+pub use self::effect::{Effect, LeaseOrder, Observation, ProbeOrder, Reply, SendOrder};
 pub use self::event::{
-    Event, LeaseGrant, ListedTarget, NewSubmission, TaskSpec, WaiterId,
+    ClaimPage, Event, LeaseGrant, NewSubmission, ProbeAnswer, TaskSpec, WaiterId,
 };
+pub use self::status::{GroupStatus, PeerStatus, Stage, Status, TargetStatus};
 
+use self::drain::Stop;
 use self::fleet::Target;
-use self::record::{AttemptState, Record, SubmissionKey};
+use self::group::Group;
+use self::names::{CustomerKey, Interner, KindKey};
+use self::peers::{Pending, PendingKey};
+use self::record::AttemptState;
+use self::stage::Tenure;
+
+/// The time between two rounds of periodic work.
+const ROUND_MS: u64 = 100;
+
+/// The bound on rows of learned run times.
+const ESTIMATE_ROWS: usize = 65_536;
 
-/// What an instance knows about itself from its settings.
+/// What an instance is told by its settings.
 #[derive(Debug, Clone)]
-pub struct Identity {
+pub struct Setup {
     /// The instance's name.
     pub instance: InstanceName,
     /// The instance's failure domain.
     pub domain: DomainName,
     /// The run of the process.
     pub incarnation: Incarnation,
+    /// The address for links between instances, as IP and port.
+    pub peer_address: Arc<str>,
+    /// Addresses of peers to greet before a list is known.
+    pub seeds: Vec<Arc<str>>,
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// Whether tasks are offered to peers with free slots.
+    pub lend: bool,
+    /// Whether failing targets are ejected.
+    pub eject: bool,
+    /// Whether hedges are sent.
+    pub hedge: bool,
+    /// The largest number of queued tasks.
+    pub queue_tasks: usize,
+    /// The bounds of the registry.
+    pub limits: Limits,
+    /// The time between the end of readiness and the end of admission at a stop.
+    pub lame_duck_ms: u64,
+    /// The seed of random choices.
+    pub seed: u64,
 }
 
 /// The state of one instance.
 pub struct Engine {
+    /// The settings.
+    setup: Setup,
     /// Who this instance is.
-    identity: Identity,
+    me: Owner,
     /// The configuration in force.
     config: Arc<ConfigSet>,
     /// The version of the configuration in force.
     config_version: ConfigVersion,
-    /// The submissions that this incarnation owns.
-    records: SlotMap<SubmissionKey, Record>,
-    /// The submissions by id.
-    index: HashMap<SubmissionId, SubmissionKey>,
-    /// The tasks that wait for a slot.
-    queues: BTreeMap<GroupName, VecDeque<QueuedTask>>,
-    /// The known targets.
+    /// The turns of the stop plans in force.
+    stops: StopSchedule,
+    /// The submissions that this instance owns.
+    tenure: Tenure,
+    /// Issues tickets.
+    issuer: Issuer,
+    /// The claims on caller keys.
+    claims: ClaimTable,
+    /// Decides when to claim.
+    claimer: Claimer,
+    /// The handovers of other instances.
+    successions: Successions,
+    /// The parts of handovers to this instance.
+    assembly: Assembly,
+    /// The other instances and the targets as listed.
+    membership: Membership,
+    /// The target groups.
+    groups: BTreeMap<GroupName, Group>,
+    /// The targets that this instance uses or has used.
     targets: SlotMap<TargetKey, Target>,
     /// The sends that have not ended.
     attempts: SlotMap<AttemptKey, AttemptState>,
+    /// The messages to peers that wait for an answer.
+    pending: SlotMap<PendingKey, Pending>,
+    /// The times at which unanswered messages are given up.
+    pending_until: BTreeSet<(Timestamp, PendingKey)>,
     /// The deadlines of unanswered submissions.
-    deadlines: BinaryHeap<Reverse<(Timestamp, SubmissionKey)>>,
-    /// The sequence of the next ticket.
-    next_ticket: u64,
-}
-
-/// A task that waits for a slot.
-#[derive(Debug, Copy, Clone)]
-struct QueuedTask {
-    /// The submission.
-    submission: SubmissionKey,
-    /// The position of the task in its submission.
-    task: usize,
+    deadlines: BTreeSet<(Timestamp, record::SubmissionKey)>,
+    /// The times at which a straggler may be hedged.
+    hedges_due: BTreeSet<(Timestamp, AttemptKey)>,
+    /// The request kinds by key.
+    kinds: Interner<KindKey, crate::id::KindName>,
+    /// The customers by key.
+    customers: Interner<CustomerKey, crate::id::CustomerName>,
+    /// The customers' limits.
+    quotas: QuotaTable,
+    /// The learned run times.
+    estimator: Estimator<KindKey>,
+    /// The budget of retries.
+    retries: SendBudget,
+    /// The budget of hedges.
+    hedges: SendBudget,
+    /// The used targets by name.
+    target_names: HashMap<TargetName, TargetKey>,
+    /// Whether the used targets may have to change.
+    fleet_changed: bool,
+    /// The leases that are to be returned.
+    returns: Vec<(TargetKey, LeaseGrant)>,
+    /// What peers can run for this instance.
+    credits: BTreeMap<(InstanceName, GroupName), u32>,
+    /// The addresses that were last given to the links.
+    linked: Vec<Arc<str>>,
+    /// How far a planned stop has come.
+    stop: Stop,
+    /// Whether the stream of claims was read once.
+    claims_seen: bool,
+    /// When the seeds were greeted last.
+    greeted_at: Timestamp,
+    /// When a configuration was asked for last.
+    fetched_at: Timestamp,
+    /// The source of random choices.
+    rng: SmallRng,
+    /// When periodic work was done last.
+    round_at: Timestamp,
+    /// The number of answers that were late or crossed and dropped.
+    late_answers: u64,
 }
 
 impl Engine {
     /// Creates the state of an instance that has just started.
-    pub fn new(identity: Identity) -> Self {
+    pub fn new(setup: Setup, now: Timestamp) -> Self {
+        let me = Owner::new(setup.instance.clone(), setup.incarnation);
+        let info = PeerInfo {
+            name: setup.instance.clone(),
+            incarnation: setup.incarnation,
+            domain: setup.domain.clone(),
+            address: setup.peer_address.clone(),
+        };
         Self {
-            identity,
+            tenure: Tenure::Serving(Registry::new(me.clone(), setup.limits)),
+            issuer: Issuer::new(setup.domain.clone(), me.clone()),
+            claimer: Claimer::new(me.clone()),
+            assembly: Assembly::new(me.clone()),
+            membership: Membership::new(info, now),
+            rng: SmallRng::seed_from_u64(setup.seed),
+            me,
+            setup,
             config: Arc::default(),
             config_version: ConfigVersion::default(),
-            records: SlotMap::with_key(),
-            index: HashMap::new(),
-            queues: BTreeMap::new(),
+            stops: StopSchedule::default(),
+            claims: ClaimTable::default(),
+            successions: Successions::default(),
+            groups: BTreeMap::new(),
             targets: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
-            deadlines: BinaryHeap::new(),
-            next_ticket: 1,
+            pending: SlotMap::with_key(),
+            pending_until: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            hedges_due: BTreeSet::new(),
+            kinds: Interner::default(),
+            customers: Interner::default(),
+            quotas: QuotaTable::default(),
+            estimator: Estimator::new(ESTIMATE_ROWS),
+            retries: SendBudget::for_retries(),
+            hedges: SendBudget::for_hedges(),
+            target_names: HashMap::new(),
+            fleet_changed: true,
+            returns: vec![],
+            credits: BTreeMap::new(),
+            linked: vec![],
+            stop: Stop::default(),
+            claims_seen: false,
+            greeted_at: Timestamp::default(),
+            fetched_at: Timestamp::default(),
+            round_at: Timestamp::default(),
+            late_answers: 0,
         }
     }
 
@@ -93,61 +224,61 @@
     pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Submit { waiter, submission } => {
-                self.submit(now, waiter, submission, effects);
+                self.submit(now, waiter.into(), submission, effects);
             }
             Event::IssueTickets { waiter, count } => {
                 let tickets = self.issue_tickets(count);
                 effects.push(Effect::Answer { waiter, reply: Reply::Tickets(tickets) });
             }
-            Event::Query { waiter, id } => self.query(waiter, &id, effects),
-            Event::Cancel { waiter, id } => self.cancel(now, waiter, &id, effects),
+            Event::Query { waiter, id } => self.query(now, waiter.into(), id, effects),
+            Event::Cancel { waiter, id } => self.cancel(now, waiter.into(), id, effects),
+            Event::Status { waiter } => {
+                let reply = Reply::Status(Box::new(self.status(now)));
+                effects.push(Effect::Answer { waiter, reply });
+            }
             Event::SendFinished { attempt, report } => {
                 self.send_finished(now, attempt, report, effects);
             }
             Event::LeaseAnswered { target, grant } => {
                 self.lease_answered(now, target, grant, effects);
             }
-            Event::Listed(targets) => self.listed(now, targets, effects),
-            Event::ConfigAccepted { version, set } => {
-                self.config_accepted(now, version, set, effects);
+            Event::Listed(list) => self.listed(now, list, effects),
+            Event::Probed(answer) => self.probed(now, &answer, effects),
+            Event::ConfigAccepted { version, set, since } => {
+                self.config_accepted(now, version, set, since, effects);
+            }
+            Event::ClaimsRead(page) => self.claims_read(&page, effects),
+            Event::PeerMessage { from, message } => {
+                self.peer_message(now, &from, message, effects);
             }
+            Event::PeerUndelivered { correlation, certain } => {
+                self.peer_undelivered(now, correlation, certain, effects);
+            }
+            Event::TellPeer { to, message } => self.tell(&to, *message, effects),
+            Event::Drain => self.drain(now, effects),
             Event::Tick => self.tick(now, effects),
         }
     }
 
-    /// Returns when the next `Tick` is needed at the latest, if a deadline is pending.
-    pub fn next_deadline(&self) -> Option<Timestamp> {
-        self.deadlines.peek().map(|Reverse((at, _))| *at)
-    }
-
     /// Returns the version of the configuration in force.
     pub fn config_version(&self) -> ConfigVersion {
         self.config_version
     }
 
-    /// Issues tickets of this incarnation.
-    fn issue_tickets(&mut self, count: u16) -> Vec<SubmissionId> {
-        (0..count).map(|_| SubmissionId::Ticket(self.issue_ticket())).collect()
-    }
-
-    /// Issues one ticket of this incarnation.
-    fn issue_ticket(&mut self) -> Ticket {
-        let sequence = self.next_ticket;
-        self.next_ticket += 1;
-        Ticket {
-            domain: self.identity.domain.clone(),
-            instance: self.identity.instance.clone(),
-            incarnation: self.identity.incarnation,
-            sequence,
-        }
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &Arc<ConfigSet> {
+        &self.config
     }
 
     /// Takes a newer configuration into force; an older one is ignored.
+    ///
+    /// `since` is when the publication was appended to the log.
     fn config_accepted(
         &mut self,
         now: Timestamp,
         version: ConfigVersion,
         set: Arc<ConfigSet>,
+        since: Timestamp,
         effects: &mut Vec<Effect>,
     ) {
         if version <= self.config_version {
@@ -155,13 +286,37 @@
         }
         self.config = set;
         self.config_version = version;
+        self.stops = StopSchedule::new(&self.config.stop_plan, |_| since);
+        self.quotas.configure(&self.config.quota, now);
+        self.configure_kinds();
+        self.configure_groups();
+        self.fleet_changed = true;
+        self.sync_targets(now);
+        effects.push(Effect::ConfigInForce { version });
         self.dispatch_all(now, effects);
     }
 
     /// Does what is due by time.
     fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        self.expire(now, effects);
-        self.renew_leases(now, effects);
+        self.expire_deadlines(now, effects);
+        self.expire_pending(now, effects);
+        self.send_hedges(now, effects);
+        if now.ms_since(self.round_at) >= ROUND_MS {
+            self.round_at = now;
+            self.round(now, effects);
+        }
         self.dispatch_all(now, effects);
     }
+
+    /// Does the periodic work that needs no exact time.
+    fn round(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        self.peers_round(now, effects);
+        self.apply_stops(now, effects);
+        self.sync_targets(now);
+        self.renew_leases(now, effects);
+        self.probe_targets(now, effects);
+        self.end_backoffs(now);
+        self.claim(now, effects);
+        self.drain_round(now, effects);
+    }
 }
--- /dev/null
+++ b/crates/bamboocart-core/src/engine/status.rs
@@ -0,0 +1,181 @@
+//! The state of an instance for operators.
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::Engine;
+use crate::engine::stage::Tenure;
+use crate::id::{
+    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, TargetName,
+};
+use crate::membership::PeerState;
+use crate::time::Timestamp;
+
+/// The state of an instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Status {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The stage of its life.
+    pub stage: Stage,
+    /// The configuration in force.
+    pub config_version: ConfigVersion,
+    /// The newest configuration that a peer has reported.
+    pub newest_peer_version: ConfigVersion,
+    /// The other instances.
+    pub peers: Vec<PeerStatus>,
+    /// The target groups.
+    pub groups: Vec<GroupStatus>,
+    /// The targets that the instance uses.
+    pub targets: Vec<TargetStatus>,
+    /// The submissions without an answer.
+    pub open_submissions: usize,
+    /// The sends that have not ended.
+    pub sends: usize,
+    /// Whether the platform's list is out of date.
+    pub list_is_stale: bool,
+    /// The answers that were late or crossed and dropped.
+    pub late_answers: u64,
+}
+
+/// The stage of an instance's life.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Stage {
+    /// No configuration is in force yet.
+    Starting,
+    /// Submissions are admitted.
+    Serving,
+    /// A planned stop has begun.
+    Draining,
+    /// Everything was handed over.
+    HandedOver,
+}
+
+/// The state of a peer as the instance sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// The peer.
+    pub name: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// How it seems to be.
+    pub state: String,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Its configuration in force.
+    pub config_version: ConfigVersion,
+}
+
+/// The state of a target group.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// The group.
+    pub name: GroupName,
+    /// The tasks that wait.
+    pub queued: usize,
+    /// The slots that may be used.
+    pub slots: u32,
+    /// The slots that are free.
+    pub free_slots: u32,
+    /// The targets that are ejected.
+    pub ejected: usize,
+}
+
+/// The state of a target.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// The target.
+    pub name: TargetName,
+    /// Its group.
+    pub group: GroupName,
+    /// The slots that may be used.
+    pub slots: u32,
+    /// The slots that this instance uses.
+    pub in_use: u32,
+    /// Whether nothing more is sent.
+    pub retired: bool,
+}
+
+impl Engine {
+    /// Describes the state of the instance.
+    pub fn status(&self, now: Timestamp) -> Status {
+        let stage = match &self.tenure {
+            Tenure::HandedOver(_) => Stage::HandedOver,
+            _ if self.is_leaving() => Stage::Draining,
+            _ if self.config_version.0 == 0 => Stage::Starting,
+            _ => Stage::Serving,
+        };
+        Status {
+            instance: self.me.instance.clone(),
+            domain: self.setup.domain.clone(),
+            incarnation: self.me.incarnation,
+            stage,
+            config_version: self.config_version,
+            newest_peer_version: self.newest_peer_version(),
+            peers: self.peer_statuses(),
+            groups: self.group_statuses(),
+            targets: self.target_statuses(),
+            open_submissions: self.tenure.open(),
+            sends: self.attempts.len(),
+            list_is_stale: self.membership.is_stale(now),
+            late_answers: self.late_answers,
+        }
+    }
+
+    /// Describes the peers.
+    fn peer_statuses(&self) -> Vec<PeerStatus> {
+        let describe = |peer: &crate::membership::Peer| PeerStatus {
+            name: peer.info.name.clone(),
+            domain: peer.info.domain.clone(),
+            incarnation: peer.info.incarnation,
+            state: state_name(peer.state).into(),
+            leaving: peer.leaving,
+            config_version: peer.config_version,
+        };
+        self.membership.peers.iter().map(describe).collect()
+    }
+
+    /// Describes the target groups.
+    fn group_statuses(&self) -> Vec<GroupStatus> {
+        let describe = |(name, group): (&GroupName, &crate::engine::Group)| GroupStatus {
+            name: name.clone(),
+            queued: group.queue.len(),
+            slots: self.own_slots(name),
+            free_slots: group.placement.free_slots(),
+            ejected: group.health.ejected(),
+        };
+        self.groups.iter().map(describe).collect()
+    }
+
+    /// Describes the targets.
+    fn target_statuses(&self) -> Vec<TargetStatus> {
+        let describe = |(key, target): (_, &crate::engine::Target)| {
+            let group = self.groups.get(&target.group);
+            TargetStatus {
+                name: target.info.name.clone(),
+                group: target.group.clone(),
+                slots: target.slots,
+                in_use: group.map_or(0, |group| group.placement.in_use(key)),
+                retired: target.retired,
+            }
+        };
+        self.targets.iter().map(describe).collect()
+    }
+}
+
+/// Returns the name of a peer's state.
+const fn state_name(state: PeerState) -> &'static str {
+    match state {
+        PeerState::Learned => "learned",
+        PeerState::Live => "live",
+        PeerState::Suspect => "suspect",
+        PeerState::Dead => "dead",
+        PeerState::Returning => "returning",
+    }
+}
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -1,280 +1,253 @@
-//! Submissions on their way in, and answers on their way out.
-
-use std::cmp::Reverse;
-
-use crate::config::RequestKind;
-use crate::engine::record::{Record, SubmissionKey, Task, TaskState};
-use crate::engine::{Effect, Engine, NewSubmission, QueuedTask, Reply, WaiterId};
-use crate::id::{Attempt, GroupName, SubmissionId, TaskIndex};
-use crate::outcome::{
-    FailureCode, Outcome, Refusal, RefusalCode, TaskResult, UnknownCode,
-};
+//! Submissions on their way in.
+
+use std::sync::Arc;
+
+use crate::engine::admit::Plan;
+use crate::engine::answer::Verdict;
+use crate::engine::record::{Asker, QueuedTask, Record, SubmissionKey, Task};
+use crate::engine::{Effect, Engine, NewSubmission};
+use crate::id::SubmissionId;
+use crate::message::Ask;
+use crate::outcome::{Outcome, Refusal, RefusalCode, UnknownCode};
+use crate::ownership::{self, ContentDigest, Offer, Owner, Resolved, View};
+use crate::queue::NewEntry;
 use crate::time::Timestamp;
 
-/// What was looked up for a submission that may be accepted.
-pub(super) struct Admitted {
-    /// Its request kind.
-    kind: RequestKind,
-    /// The target group that runs it.
-    group: GroupName,
-}
-
-/// What a reply about a submission says.
-struct Verdict {
-    /// The submission.
+/// A submission that this instance owns, on its way to the registry.
+struct Arrived {
+    /// Who asked.
+    asker: Asker,
+    /// The id.
     id: SubmissionId,
-    /// The outcome.
-    outcome: Outcome,
-    /// The number of sends to targets.
-    attempts: u32,
+    /// The owner under whose right it is offered.
+    owner: Owner,
+    /// The submission.
+    submission: NewSubmission,
 }
 
 impl Engine {
-    /// Takes in a submission.
+    /// Takes in a submission of a caller or of a peer.
     pub(super) fn submit(
         &mut self,
         now: Timestamp,
-        waiter: WaiterId,
-        mut submission: NewSubmission,
+        asker: Asker,
+        submission: NewSubmission,
         effects: &mut Vec<Effect>,
     ) {
-        let id = match submission.id.take() {
-            Some(id) => id,
-            None => SubmissionId::Ticket(self.issue_ticket()),
-        };
-        if let Some(&key) = self.index.get(&id) {
-            self.join(key, waiter, submission.want_tickets, effects);
+        let Some(id) = submission.id.clone() else {
+            self.submit_without_id(now, asker, submission, effects);
             return;
-        }
-        match self.admit(&submission) {
-            Ok(Admitted { kind, group }) => {
-                self.accept(now, waiter, id, submission, Admitted { kind, group });
-                self.dispatch_all(now, effects);
+        };
+        match self.resolve(&id) {
+            Resolved::Mine(owner) => {
+                let arrived = Arrived { asker, id, owner, submission };
+                self.submit_owned(now, arrived, effects);
+            }
+            Resolved::Other(owner) => {
+                let ask = Ask::Submit(Box::new(submission));
+                self.forward(now, asker, &owner, ask, effects);
             }
-            Err(code) => {
-                let refusal = Refusal { code, retry_after_ms: None };
-                let verdict =
-                    Verdict { id, outcome: Outcome::Refused(refusal), attempts: 0 };
-                self.reply(waiter, verdict, 0, effects);
+            unresolved => {
+                let verdict = Verdict::unknown(id, unknown_code(&unresolved));
+                self.reply(&asker, verdict, submission.want_tickets, effects);
             }
         }
     }
 
-    /// Tells the state of a submission to someone who asked.
-    pub(super) fn query(
-        &mut self,
-        waiter: WaiterId,
-        id: &SubmissionId,
-        effects: &mut Vec<Effect>,
-    ) {
-        let record = self.index.get(id).map(|&key| &self.records[key]);
-        let (outcome, attempts) = match record {
-            None => (Outcome::Unknown(UnknownCode::NeverSeen), 0),
-            Some(record) => match &record.outcome {
-                Some(outcome) => (outcome.clone(), record.attempts),
-                None => (Outcome::Unknown(UnknownCode::StillRunning), record.attempts),
-            },
+    /// Returns who owns an id.
+    pub(super) fn resolve(&self, id: &SubmissionId) -> Resolved {
+        let live = |name: &_| self.membership.peers.live_incarnation(name);
+        let none = ownership::Rights::default();
+        let view = View {
+            rights: self.tenure.rights().unwrap_or(&none),
+            issuer: &self.issuer,
+            claims: &self.claims,
+            successions: &self.successions,
+            live: &live,
         };
-        let verdict = Verdict { id: id.clone(), outcome, attempts };
-        self.reply(waiter, verdict, 0, effects);
+        ownership::resolve(id, &view)
     }
 
-    /// Cancels a submission that has not ended.
-    pub(super) fn cancel(
+    /// Takes in a submission that has no id yet, so that no other copy of it exists.
+    fn submit_without_id(
         &mut self,
         now: Timestamp,
-        waiter: WaiterId,
-        id: &SubmissionId,
+        asker: Asker,
+        mut submission: NewSubmission,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(&key) = self.index.get(id)
-            && self.records[key].outcome.is_none()
+        if !self.tenure.is_serving()
+            && self.hand_to_peer(now, &asker, &submission, effects)
         {
-            let started = self.records[key].started;
-            self.finish(key, Outcome::Cancelled { started }, effects);
-            self.dispatch_all(now, effects);
+            return;
         }
-        self.query(waiter, id, effects);
-    }
-
-    /// Ends what has reached its deadline.
-    pub(super) fn expire(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        while let Some(&Reverse((at, key))) = self.deadlines.peek() {
-            if at > now {
-                return;
+        match self.plan(now, &submission) {
+            Ok(plan) => {
+                let id = SubmissionId::Ticket(self.issuer.issue());
+                submission.id = Some(id.clone());
+                let me = self.me.clone();
+                let arrived = Arrived { asker, id, owner: me, submission };
+                self.offer(now, arrived, Ok(plan), effects);
+            }
+            Err(refusal) => {
+                let outcome = Outcome::Refused(refusal);
+                let verdict = Verdict { id: None, outcome, attempts: 0 };
+                self.reply(&asker, verdict, submission.want_tickets, effects);
             }
-            self.deadlines.pop();
-            self.deadline_passed(key, effects);
         }
     }
 
-    /// Ends a submission, answers everyone who waits, and gives up its other tasks.
-    pub(super) fn finish(
+    /// Takes in a submission that this instance owns.
+    fn submit_owned(
         &mut self,
-        key: SubmissionKey,
-        outcome: Outcome,
+        now: Timestamp,
+        arrived: Arrived,
         effects: &mut Vec<Effect>,
     ) {
-        self.drop_tasks(key, effects);
-        let record = &mut self.records[key];
-        record.outcome = Some(outcome.clone());
-        let waiters = std::mem::take(&mut record.waiters);
-        let (id, attempts) = (record.id.clone(), record.attempts);
-        for (waiter, want) in waiters {
-            let verdict = Verdict { id: id.clone(), outcome: outcome.clone(), attempts };
-            self.reply(waiter, verdict, want, effects);
+        if self.park(&arrived.asker, &arrived.id, &arrived.submission) {
+            return;
         }
+        let plan = self.plan(now, &arrived.submission);
+        self.offer(now, arrived, plan, effects);
     }
 
-    /// Ends a submission whose tasks all have a result.
-    pub(super) fn complete(&mut self, key: SubmissionKey, effects: &mut Vec<Effect>) {
-        let result = |(index, task): (usize, &Task)| match &task.state {
-            TaskState::Done(body) => {
-                Some(TaskResult { task: TaskIndex(index as u16), body: body.clone() })
+    /// Admits a submission that the registry does not know, or answers from the registry.
+    fn offer(
+        &mut self,
+        now: Timestamp,
+        arrived: Arrived,
+        plan: Result<Plan, Refusal>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Arrived { asker, id, owner, submission } = arrived;
+        let want = submission.want_tickets;
+        let digest = digest(&submission);
+        let overloaded = Refusal { code: RefusalCode::Overloaded, retry_after_ms: None };
+        let draining = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
+        let refused = |refusal| Verdict::refused(id.clone(), refusal);
+        let verdict = match self.tenure.offer(&id, &owner, digest, now) {
+            Some(Offer::New(vacancy)) => match plan {
+                Ok(plan) => {
+                    let record = record(&id, submission, &plan, now, asker);
+                    let key = vacancy.admit(record);
+                    self.accepted(now, key, plan, effects);
+                    return;
+                }
+                Err(refusal) => refused(vacancy.refuse(refusal)),
+            },
+            Some(Offer::Known(key)) => {
+                self.join(key, asker, want, effects);
+                return;
             }
-            _ => None,
+            Some(Offer::Refused(refusal)) => refused(refusal),
+            Some(Offer::Reused) => {
+                refused(Refusal { code: RefusalCode::IdReused, retry_after_ms: None })
+            }
+            Some(Offer::Forgotten) => Verdict::unknown(id, UnknownCode::Forgotten),
+            Some(Offer::Full(arrival)) => refused(arrival.refuse(overloaded)),
+            Some(Offer::Draining(arrival)) => refused(arrival.refuse(draining)),
+            Some(Offer::NotOwned) | None => Verdict::unknown(id, UnknownCode::OwnerGone),
         };
-        let results =
-            self.records[key].tasks.iter().enumerate().filter_map(result).collect();
-        self.finish(key, Outcome::Complete(results), effects);
+        self.reply(&asker, verdict, want, effects);
     }
 
-    /// Sends a reply to someone who waits.
-    fn reply(
+    /// Queues the tasks of a submission that was admitted.
+    fn accepted(
         &mut self,
-        waiter: WaiterId,
-        verdict: Verdict,
-        want_tickets: u16,
+        now: Timestamp,
+        key: SubmissionKey,
+        plan: Plan,
         effects: &mut Vec<Effect>,
     ) {
-        let reply = Reply::Outcome {
-            submission: Some(verdict.id),
-            outcome: verdict.outcome,
-            config_version: self.config_version,
-            owner: self.identity.instance.clone(),
-            attempts: verdict.attempts,
-            tickets: self.issue_tickets(want_tickets),
-        };
-        effects.push(Effect::Answer { waiter, reply });
+        let Some(record) = self.tenure.get(key) else { return };
+        let (count, deadline) = (record.tasks.len(), record.deadline);
+        self.deadlines.insert((deadline, key));
+        // The plan has checked the quota with the same arguments.
+        if let Some(customer) = self.customers.name(plan.customer).cloned() {
+            let _ = self.quotas.admit(&customer, count as u32, now);
+        }
+        if let Some(group) = self.groups.get_mut(&plan.group) {
+            for (task, cost_us) in plan.costs_us.iter().enumerate() {
+                let queued = QueuedTask { submission: key, task: task as u16 };
+                // The plan has checked that there is room, and the key is new.
+                let _ = group.queue.push(NewEntry {
+                    key: queued,
+                    customer: plan.customer,
+                    weight: plan.weight,
+                    rank: plan.rank,
+                    cost_us: *cost_us,
+                    start_by: plan.start_by,
+                });
+            }
+        }
+        self.dispatch(now, &plan.group, effects);
     }
 
     /// Answers a resubmission from the record, or lets it wait for the answer.
     fn join(
         &mut self,
         key: SubmissionKey,
-        waiter: WaiterId,
+        asker: Asker,
         want_tickets: u16,
         effects: &mut Vec<Effect>,
     ) {
-        let record = &mut self.records[key];
+        let Some(record) = self.tenure.get_mut(key) else { return };
         let Some(outcome) = record.outcome.clone() else {
-            record.waiters.push((waiter, want_tickets));
+            record.waiters.push((asker, want_tickets));
             return;
         };
-        let (id, attempts) = (record.id.clone(), record.attempts);
-        let verdict = Verdict { id, outcome, attempts };
-        self.reply(waiter, verdict, want_tickets, effects);
+        let (id, attempts) = (Some(record.id.clone()), record.attempts);
+        self.reply(&asker, Verdict { id, outcome, attempts }, want_tickets, effects);
     }
+}
 
-    /// Decides whether a new submission is accepted.
-    fn admit(&self, submission: &NewSubmission) -> Result<Admitted, RefusalCode> {
-        if self.config_version.0 == 0 {
-            return Err(RefusalCode::NotConfigured);
-        }
-        if !self.config.quota.contains_key(&submission.customer) {
-            return Err(RefusalCode::UnknownCustomer);
+/// Returns the answer for an id that no reachable instance owns.
+pub(super) fn unknown_code(resolved: &Resolved) -> UnknownCode {
+    match resolved {
+        Resolved::Mine(_) | Resolved::Other(_) | Resolved::Gone(_) => {
+            UnknownCode::OwnerGone
         }
-        let kind = self.config.request_kind.get(&submission.kind);
-        let kind = kind.ok_or(RefusalCode::UnknownKind)?;
-        let service = self.config.service.get(&kind.service);
-        let service = service.ok_or(RefusalCode::UnknownKind)?;
-        Ok(Admitted { kind: kind.clone(), group: service.target_group.clone() })
-    }
-
-    /// Records a submission and queues its tasks.
-    fn accept(
-        &mut self,
-        now: Timestamp,
-        waiter: WaiterId,
-        id: SubmissionId,
-        submission: NewSubmission,
-        admitted: Admitted,
-    ) {
-        let Admitted { kind, group } = admitted;
-        let deadline = now.plus_ms(submission.deadline_ms.unwrap_or(kind.deadline_ms));
-        let queued =
-            |spec| Task { spec, state: TaskState::Queued, sends: Attempt::default() };
-        let tasks: Vec<Task> = submission.tasks.into_iter().map(queued).collect();
-        let count = tasks.len();
-        let key = self.records.insert(Record {
-            id: id.clone(),
-            customer: submission.customer,
-            kind: submission.kind,
-            group: group.clone(),
-            job: submission.job,
-            idempotent: kind.idempotent,
-            unfinished: count,
-            tasks,
-            attempts: 0,
-            started: false,
-            deadline,
-            waiters: vec![(waiter, submission.want_tickets)],
-            outcome: None,
-            traceparent: submission.traceparent,
-        });
-        self.index.insert(id, key);
-        self.deadlines.push(Reverse((deadline, key)));
-        let queue = self.queues.entry(group).or_default();
-        queue.extend((0..count).map(|task| QueuedTask { submission: key, task }));
+        Resolved::Future | Resolved::Past => UnknownCode::NoClaim,
+        Resolved::NotIssued => UnknownCode::NeverSeen,
     }
+}
 
-    /// Ends a submission at its deadline, or tells its callers that it is still running.
-    fn deadline_passed(&mut self, key: SubmissionKey, effects: &mut Vec<Effect>) {
-        let Some(record) = self.records.get_mut(key) else { return };
-        match (&record.outcome, record.started) {
-            (Some(_), _) => {}
-            (None, false) => {
-                let code = RefusalCode::DeadlineUnreachable;
-                let refusal = Refusal { code, retry_after_ms: None };
-                self.finish(key, Outcome::Refused(refusal), effects);
-            }
-            (None, true) if record.job => {
-                self.finish(key, Outcome::Failed(FailureCode::DeadlinePassed), effects);
-            }
-            (None, true) => {
-                let waiters = std::mem::take(&mut record.waiters);
-                let (id, attempts) = (record.id.clone(), record.attempts);
-                for (waiter, want) in waiters {
-                    let outcome = Outcome::Unknown(UnknownCode::StillRunning);
-                    let verdict = Verdict { id: id.clone(), outcome, attempts };
-                    self.reply(waiter, verdict, want, effects);
-                }
-            }
-        }
+/// Creates the record of a submission that is admitted.
+fn record(
+    id: &SubmissionId,
+    submission: NewSubmission,
+    plan: &Plan,
+    now: Timestamp,
+    asker: Asker,
+) -> Record {
+    let tasks: Vec<Task> = submission.tasks.into_iter().map(Task::queued).collect();
+    Record {
+        id: id.clone(),
+        customer: plan.customer,
+        kind: plan.kind,
+        group: plan.group.clone(),
+        rules: plan.rules,
+        unfinished: tasks.len(),
+        tasks,
+        attempts: 0,
+        in_flight: 0,
+        started: false,
+        arrived: now,
+        deadline: plan.deadline,
+        longest_us: 0,
+        waiters: vec![(asker, submission.want_tickets)],
+        outcome: None,
+        traceparent: submission.traceparent.map(|text| Arc::from(&*text)),
     }
+}
 
-    /// Gives up the tasks of a submission that have no result.
-    fn drop_tasks(&mut self, key: SubmissionKey, effects: &mut Vec<Effect>) {
-        let record = &mut self.records[key];
-        for (index, task) in record.tasks.iter_mut().enumerate() {
-            match task.state {
-                TaskState::Done(_) | TaskState::Dropped => continue,
-                TaskState::Sent(attempt) => {
-                    if let Some(target) = self
-                        .attempts
-                        .get(attempt)
-                        .and_then(|a| self.targets.get(a.target))
-                    {
-                        effects.push(Effect::Stop {
-                            address: target.listed.address.clone(),
-                            submission: record.id.clone(),
-                            task: TaskIndex(index as u16),
-                        });
-                    }
-                }
-                TaskState::Queued => {}
-            }
-            task.state = TaskState::Dropped;
-        }
-    }
+/// Returns the digest of what a submission asks for.
+fn digest(submission: &NewSubmission) -> ContentDigest {
+    let head = [
+        submission.customer.as_str().as_bytes(),
+        submission.kind.as_str().as_bytes(),
+        if submission.job { b"job" } else { b"request" },
+    ];
+    let payloads = submission.tasks.iter().map(|task| &*task.payload);
+    ContentDigest::of(head.into_iter().chain(payloads))
 }
--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod histogram;
 pub mod id;
 pub mod membership;
+pub mod message;
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
--- a/crates/bamboocart-core/src/membership/assign.rs
+++ b/crates/bamboocart-core/src/membership/assign.rs
@@ -32,7 +32,7 @@
         .filter(|peer| peer.state == PeerState::Live && !stopping(&peer.info.name))
         .max_by_key(|peer| {
             let near = peer.info.domain == peers.me().domain;
-            (near, peer.free_slots, &peer.info.name)
+            (near, peer.free_slots.iter().sum::<u32>(), &peer.info.name)
         })
 }
 
--- a/crates/bamboocart-core/src/membership/peers.rs
+++ b/crates/bamboocart-core/src/membership/peers.rs
@@ -56,8 +56,9 @@
     pub leaving: bool,
     /// The sender's configuration in force.
     pub config_version: ConfigVersion,
-    /// The free slots of the targets that the sender uses.
-    pub free_slots: u32,
+    /// The free slots of the targets that the sender uses, for each target group in the
+    /// order of the configuration that `config_version` names.
+    pub free_slots: Vec<u32>,
     /// Peers that the sender hears, at most [`KNOWN`], in rotation.
     pub known: Vec<PeerInfo>,
 }
@@ -101,8 +102,8 @@
     pub leaving: bool,
     /// Its configuration in force, as last heard.
     pub config_version: ConfigVersion,
-    /// The free slots of its targets, as last heard.
-    pub free_slots: u32,
+    /// The free slots of its targets for each target group, as last heard.
+    pub free_slots: Vec<u32>,
     /// Whether the list in force names it.
     pub(super) listed: bool,
     /// When it was heard or, before that, heard of.
@@ -123,7 +124,7 @@
             state: PeerState::Learned,
             leaving: false,
             config_version: ConfigVersion::default(),
-            free_slots: 0,
+            free_slots: vec![],
             listed: false,
             heard_at: now,
             returning_since: now,
@@ -282,7 +283,7 @@
         &mut self,
         leaving: bool,
         config_version: ConfigVersion,
-        free_slots: u32,
+        free_slots: Vec<u32>,
     ) -> Heartbeat {
         let known = self.next_told().into_iter().collect();
         let info = self.me.clone();
--- /dev/null
+++ b/crates/bamboocart-core/src/message.rs
@@ -0,0 +1,109 @@
+//! The messages between instances.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{NewSubmission, Reply};
+use crate::id::{Attempt, ConfigVersion, GroupName, KindName, SubmissionId, TaskIndex};
+use crate::membership::Heartbeat;
+use crate::ownership::{Owner, Part};
+use crate::target::SendReport;
+
+/// A message from one instance to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// The sender is alive.
+    Heartbeat(Heartbeat),
+    /// A caller asks the owner of a submission for something.
+    Forward {
+        /// The sender's number for the answer.
+        correlation: u64,
+        /// What is asked for.
+        ask: Ask,
+    },
+    /// The answer to `Forward`.
+    Answer {
+        /// The number that the asking instance gave.
+        correlation: u64,
+        /// The answer.
+        reply: Box<Reply>,
+    },
+    /// The owner asks a peer with a free slot to run a task.
+    Offer {
+        /// The owner's number for the report.
+        correlation: u64,
+        /// The task.
+        task: OfferedTask,
+    },
+    /// The end of an offered task, which was bounced if it says that it was turned away.
+    Ran {
+        /// The number that the owner gave.
+        correlation: u64,
+        /// How the send ended.
+        report: SendReport,
+    },
+    /// The owner no longer needs an offered task.
+    Cancel {
+        /// The number that the owner gave.
+        correlation: u64,
+    },
+    /// The sender asks for the configuration in force.
+    ConfigFetch,
+    /// The configuration in force.
+    ConfigSet {
+        /// The version.
+        version: ConfigVersion,
+        /// The set in its canonical text form.
+        text: Bytes,
+    },
+    /// A part of a stopping instance's registry.
+    HandOver(Box<Part>),
+    /// The receiver has taken over the registry of an owner.
+    HandOverTaken {
+        /// The owner that handed over.
+        from: Owner,
+    },
+    /// An owner has handed over to another one.
+    Succession {
+        /// The owner that handed over.
+        from: Owner,
+        /// Its successor.
+        to: Owner,
+    },
+}
+
+/// What a caller asks for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Ask {
+    /// To run a submission.
+    Submit(Box<NewSubmission>),
+    /// To tell the state of a submission.
+    Query(SubmissionId),
+    /// To cancel a submission.
+    Cancel(SubmissionId),
+}
+
+/// A task that a peer is asked to run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OfferedTask {
+    /// The target group.
+    pub group: GroupName,
+    /// The submission.
+    pub submission: SubmissionId,
+    /// The position of the task in its submission.
+    pub task: TaskIndex,
+    /// The number of the send.
+    pub number: Attempt,
+    /// The request kind.
+    pub kind: KindName,
+    /// Whether running the task twice does no harm.
+    pub idempotent: bool,
+    /// What the target receives.
+    pub payload: Bytes,
+    /// The time that is left.
+    pub deadline_ms: u64,
+    /// The trace that the submission belongs to.
+    pub traceparent: Option<Arc<str>>,
+}
--- a/crates/bamboocart-core/src/outcome.rs
+++ b/crates/bamboocart-core/src/outcome.rs
@@ -23,6 +23,19 @@
     Unknown(UnknownCode),
 }
 
+impl Outcome {
+    /// Returns the stable name of the outcome.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Complete(_) => "complete",
+            Self::Failed(_) => "failed",
+            Self::Refused(_) => "refused",
+            Self::Cancelled { .. } => "cancelled",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// The result of one task.
 #[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TaskResult {
--- a/crates/bamboocart-core/src/target.rs
+++ b/crates/bamboocart-core/src/target.rs
@@ -1,6 +1,7 @@
 //! Targets and the answers that they give.
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -11,7 +12,7 @@
 }
 
 /// How a send to a target ended, as seen by the sender.
-#[derive(Debug, Clone, Eq, PartialEq)]
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub enum SendReport {
     /// The target returned the result.
     Result(Bytes),
@@ -26,7 +27,7 @@
 }
 
 /// Why a target turned a task away.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub enum TurnAway {
     /// Every slot is in use.
     Busy,
--- a/crates/bamboocart-core/tests/membership.rs
+++ b/crates/bamboocart-core/tests/membership.rs
@@ -26,7 +26,7 @@
 
 fn beat(info: PeerInfo, known: Vec<PeerInfo>) -> Heartbeat {
     let config_version = ConfigVersion(1);
-    Heartbeat { info, leaving: false, config_version, free_slots: 0, known }
+    Heartbeat { info, leaving: false, config_version, free_slots: vec![0], known }
 }
 
 fn target(name: &str, incarnation: u64) -> TargetInfo {
@@ -258,7 +258,7 @@
     }
     let mut told: Vec<_> = (0..30)
         .flat_map(|_| {
-            let beat = peers.beat(false, ConfigVersion(u64::MAX / 2), 400);
+            let beat = peers.beat(false, ConfigVersion(u64::MAX / 2), vec![400, 800]);
             let config = bincode::config::standard();
             let bytes = bincode::serde::encode_to_vec(&beat, config).unwrap();
             assert!(
@@ -537,6 +537,7 @@
 ) {
     let mut peers = Peers::new(info("me", "d", 1), at(0));
     for &(name, domain, free_slots) in others {
+        let free_slots = vec![free_slots];
         let beat = Heartbeat { free_slots, ..beat(info(name, domain, 1), vec![]) };
         peers.heard(beat, at(0));
     }
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -1,24 +1,35 @@
 //! The parts of an instance and how they are joined.
 
-use std::net::TcpListener;
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 
-use bamboocart_core::engine::{Engine, Identity};
+use bamboocart_core::engine::{Engine, Event, Setup};
 use bamboocart_core::id::Incarnation;
+use bamboocart_core::ownership;
+use bamboocart_peer::{LinkSettings, Links, PeerIdentity, StartError};
 use bamboocart_platform::Platform;
-use crossbeam::channel::bounded;
+use bamboocart_telemetry::lines::LineSink;
+use bamboocart_telemetry::logs::{self, LogSettings, LogsError};
+use bamboocart_telemetry::metrics::{MetricsError, MetricsPage};
+use bamboocart_telemetry::trace::{OtlpLines, Tracer};
+use crossbeam::channel::{Sender, bounded};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
+use crate::config::CurrentConfig;
 use crate::driver::{self, Outputs};
+use crate::peers::PeerGate;
 use crate::routes::Context;
 use crate::settings::Settings;
+use crate::spans::OwnerSpans;
 use crate::waiters::Waiters;
-use crate::{follower, lister, sender, server};
+use crate::{appender, follower, lister, sender, server};
 
 /// The result of running an instance.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -29,17 +40,23 @@
 /// The bound on sends that wait for a thread.
 const SEND_QUEUE: usize = 16_384;
 
-/// The connections of an instance to one target.
+/// The bound on records that wait to be appended.
+const APPEND_QUEUE: usize = 256;
+
+/// The bound on messages and reports of links that wait for the engine.
+const LINK_QUEUE: usize = 16_384;
+
+/// The idle connections of an instance to one target.
 const CONNECTIONS_PER_TARGET: usize = 16;
 
 /// Why an instance could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// The address for callers is not to be had.
-    #[snafu(display("could not listen on {address}: {source}; choose a free --listen"))]
+    /// An address is not to be had.
+    #[snafu(display("could not listen on {address}: {source}; choose a free address"))]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// The cause.
         source: std::io::Error,
     },
@@ -49,68 +66,248 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The file for spans cannot be written.
+    #[snafu(display("could not open {path}: {source}; choose another --trace-file"))]
+    TraceFile {
+        /// The path.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The links could not be started.
+    #[snafu(display("{source}"), context(false))]
+    Links {
+        /// The cause.
+        source: StartError,
+    },
+    /// The logs could not be set up.
+    #[snafu(display("{source}"), context(false))]
+    Logs {
+        /// The cause.
+        source: LogsError,
+    },
+    /// The metrics could not be set up.
+    #[snafu(display("{source}"), context(false))]
+    Metrics {
+        /// The cause.
+        source: MetricsError,
+    },
+}
+
+/// The channels and shared state of an instance.
+struct Parts {
+    /// The settings.
+    settings: Settings,
+    /// The run of this process.
+    incarnation: Incarnation,
+    /// The engine's events.
+    events: Sender<Event>,
+    /// The platform.
+    platform: Platform,
+    /// The configuration in force.
+    config: Arc<CurrentConfig>,
+    /// Whether the instance admits submissions.
+    ready: Arc<AtomicBool>,
+    /// The callers that wait.
+    waiters: Arc<Waiters>,
+    /// Starts spans.
+    tracer: Tracer,
+    /// Ends the process.
+    stop: CancellationToken,
 }
 
 /// Runs an instance until it is told to stop.
 pub fn run(settings: Settings) -> Result<()> {
-    let address = settings.listen;
-    let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
-    let local = listener.local_addr().context(ListenSnafu { address })?;
+    set_up_output(&settings)?;
+    let metrics = MetricsPage::install()?;
+    let listener = listen(settings.listen)?;
+    let peer_listener = listen(settings.peer_listen)?;
+    let address = listener.local_addr().context(StartSnafu)?;
+    let bound = peer_listener.local_addr().context(StartSnafu)?;
+    let peer_address = settings.peer_address.unwrap_or(bound);
+    let (events, event_queue) = bounded(EVENT_QUEUE);
     let clock = Clock::start();
-    let identity = Identity {
-        instance: settings.name.as_str().into(),
-        domain: settings.failure_domain.as_str().into(),
+    let parts = Parts {
         incarnation: Incarnation(clock.now().as_us()),
-    };
-    let holder = format!("{}/{}", identity.instance, identity.incarnation.0);
-    let stop = CancellationToken::new();
-    let platform = Platform::new(&settings.platform.to_string());
-    let waiters = Arc::new(Waiters::default());
-    let (events, event_queue) = bounded(EVENT_QUEUE);
-    let (outbound, outbound_queue) = bounded(SEND_QUEUE);
-
-    sender::start(
-        settings.send_threads,
-        CONNECTIONS_PER_TARGET,
-        &holder,
-        &outbound_queue,
-        &events,
-    )
-    .context(StartSnafu)?;
-    let outputs = Outputs { waiters: waiters.clone(), outbound };
-    let engine = Engine::new(identity);
-    let engine_stop = stop.clone();
-    thread::spawn(move || {
-        driver::run(engine, clock, &event_queue, &outputs, &engine_stop);
-    });
-    let (list_platform, list_events, list_stop) =
-        (platform.clone(), events.clone(), stop.clone());
-    thread::spawn(move || lister::run(&list_platform, &list_events, &list_stop));
-    let (log_events, log_stop) = (events.clone(), stop.clone());
-    thread::spawn(move || follower::run(&platform, &log_events, &log_stop));
-    watch_signals(stop.clone())?;
-
-    println!("{}", serde_json::json!({ "instance": settings.name, "address": local }));
-    let context = Arc::new(Context {
         events,
-        waiters,
-        max_connections: settings.max_connections,
-        max_body_bytes: settings.max_body_bytes,
-    });
+        platform: Platform::new(&settings.platform.to_string()),
+        config: Arc::default(),
+        ready: Arc::default(),
+        waiters: Arc::default(),
+        tracer: Tracer::new(settings.output.trace_per_10k),
+        stop: CancellationToken::new(),
+        settings,
+    };
+    let outputs = parts.start_outputs(peer_listener)?;
+    let engine = Engine::new(parts.setup(peer_address), clock.now());
+    let engine_stop = parts.stop.clone();
+    let engine_thread = thread::Builder::new()
+        .name("engine".into())
+        .spawn(move || driver::run(engine, clock, &event_queue, outputs, &engine_stop))
+        .context(StartSnafu)?;
+    parts.start_inputs();
+    parts.watch_signals()?;
+    println!("{}", parts.describe(address, peer_address));
+    let context = Arc::new(parts.context(metrics));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(StartSnafu)?;
-    runtime.block_on(server::serve(listener, context, stop)).context(StartSnafu)
+    let served = runtime.block_on(server::serve(listener, context, parts.stop.clone()));
+    if engine_thread.join().is_err() {
+        log::error!("the engine has panicked; report this fault");
+    }
+    fastrace::flush();
+    served.context(StartSnafu)
 }
 
-/// Cancels `stop` at the first signal to terminate.
-fn watch_signals(stop: CancellationToken) -> Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context(StartSnafu)?;
-    thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            stop.cancel();
+impl Parts {
+    /// Starts what carries out the engine's effects.
+    fn start_outputs(&self, peer_listener: TcpListener) -> Result<Outputs> {
+        let (outbound, outbound_queue) = bounded(SEND_QUEUE);
+        let holder = format!("{}/{}", self.settings.name, self.incarnation.0);
+        sender::start(
+            self.settings.limits.send_threads,
+            CONNECTIONS_PER_TARGET,
+            (&holder, self.tracer),
+            &outbound_queue,
+            &self.events,
+        )
+        .context(StartSnafu)?;
+        let (appends, append_queue) = bounded(APPEND_QUEUE);
+        let platform = self.platform.clone();
+        thread::spawn(move || appender::run(&platform, &append_queue));
+        Ok(Outputs {
+            waiters: self.waiters.clone(),
+            outbound,
+            appends,
+            peers: self.start_links(peer_listener)?,
+            config: self.config.clone(),
+            ready: self.ready.clone(),
+        })
+    }
+
+    /// Starts the links to peers.
+    fn start_links(&self, listener: TcpListener) -> Result<PeerGate> {
+        let identity = PeerIdentity {
+            instance: self.settings.name.as_str().into(),
+            incarnation: self.incarnation,
+        };
+        let (inbound, inbound_queue) = bounded(LINK_QUEUE);
+        let (reports, report_queue) = bounded(LINK_QUEUE);
+        // The links stop after the engine, which sends its last answers over them.
+        let links = Links::start(
+            listener,
+            LinkSettings::default(),
+            identity,
+            (inbound, reports),
+            &CancellationToken::new(),
+        )?;
+        let spans = Arc::new(OwnerSpans::new(self.tracer));
+        Ok(PeerGate::start(links, (inbound_queue, report_queue), &self.events, spans))
+    }
+
+    /// Starts what tells the engine about the platform.
+    fn start_inputs(&self) {
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        let stop = self.stop.clone();
+        thread::spawn(move || lister::run(&platform, &events, &stop));
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        let (config, stop) = (self.config.clone(), self.stop.clone());
+        thread::spawn(move || {
+            follower::follow_config(&platform, &events, &config, &stop);
+        });
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        let stop = self.stop.clone();
+        thread::spawn(move || follower::follow_claims(&platform, &events, &stop));
+    }
+
+    /// Drains at the first signal to terminate and stops at the second.
+    fn watch_signals(&self) -> Result<()> {
+        let mut signals = Signals::new([SIGTERM, SIGINT]).context(StartSnafu)?;
+        let (events, stop) = (self.events.clone(), self.stop.clone());
+        thread::spawn(move || {
+            let mut pending = signals.forever();
+            if pending.next().is_some() && events.send(Event::Drain).is_err() {
+                stop.cancel();
+            }
+            if pending.next().is_some() {
+                stop.cancel();
+            }
+        });
+        Ok(())
+    }
+
+    /// Returns what the engine is told.
+    fn setup(&self, peer_address: SocketAddr) -> Setup {
+        let Settings { limits, policies, .. } = &self.settings;
+        Setup {
+            instance: self.settings.name.as_str().into(),
+            domain: self.settings.failure_domain.as_str().into(),
+            incarnation: self.incarnation,
+            peer_address: peer_address.to_string().into(),
+            seeds: self.settings.seed.iter().map(|it| it.to_string().into()).collect(),
+            policy: policies.placement,
+            lend: !policies.no_lending,
+            eject: !policies.no_ejection,
+            hedge: !policies.no_hedges,
+            queue_tasks: limits.queue_tasks,
+            limits: ownership::Limits {
+                open: limits.open_submissions,
+                total: limits.remembered_submissions,
+                remember_ms: limits.remember_ms,
+            },
+            lame_duck_ms: limits.lame_duck_ms,
+            seed: self.incarnation.0,
         }
-    });
+    }
+
+    /// Returns what the routes need.
+    fn context(&self, metrics: MetricsPage) -> Context {
+        Context {
+            metrics,
+            tracer: self.tracer,
+            config: self.config.clone(),
+            ready: self.ready.clone(),
+            events: self.events.clone(),
+            waiters: self.waiters.clone(),
+            max_connections: self.settings.limits.max_connections,
+            max_body_bytes: self.settings.limits.max_body_bytes,
+        }
+    }
+
+    /// Returns the line that tells scripts where the instance listens.
+    fn describe(
+        &self,
+        address: SocketAddr,
+        peer_address: SocketAddr,
+    ) -> serde_json::Value {
+        serde_json::json!({
+            "instance": self.settings.name,
+            "failure_domain": self.settings.failure_domain,
+            "incarnation": self.incarnation,
+            "address": address,
+            "peer_address": peer_address,
+        })
+    }
+}
+
+/// Sets up logs and traces.
+fn set_up_output(settings: &Settings) -> Result<()> {
+    let output = &settings.output;
+    let sink = LineSink::start(std::io::stderr()).context(StartSnafu)?;
+    let log_settings = LogSettings { level: output.log_level, format: output.log_format };
+    logs::install(log_settings, sink)?;
+    if let Some(path) = &output.trace_file {
+        let file = File::options().create(true).append(true).open(path);
+        let file = file.context(TraceFileSnafu { path })?;
+        let sink = LineSink::start(file).context(StartSnafu)?;
+        OtlpLines::new(sink, "bamboocart-dispatcher", &settings.name).install();
+    }
     Ok(())
 }
+
+/// Listens on an address.
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).context(ListenSnafu { address })
+}
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -1,34 +1,55 @@
 //! The thread that runs the engine.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bamboocart_core::engine::{Effect, Engine, Event, LeaseOrder, SendOrder};
+use bamboocart_core::engine::{
+    Effect, Engine, Event, LeaseOrder, Observation, SendOrder,
+};
+use bamboocart_core::id::InstanceName;
 use bamboocart_core::target::SendReport;
+use bamboocart_telemetry::metrics::{AnswerCost, record_answer};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio_util::sync::CancellationToken;
 
+use crate::appender::Append;
 use crate::clock::Clock;
+use crate::config::CurrentConfig;
+use crate::follower;
+use crate::peers::PeerGate;
 use crate::sender::Outbound;
 use crate::waiters::Waiters;
 
 /// The longest time between two ticks.
 const TICK_MS: u64 = 20;
 
+/// The messages that a submission needs at least: one to a target and its answer count
+/// as one exchange for each task.
+const EXCHANGES_PER_TASK: u64 = 1;
+
 /// What the driver hands work to.
 pub struct Outputs {
     /// The callers that wait.
     pub waiters: Arc<Waiters>,
     /// The threads that talk to targets.
     pub outbound: Sender<Outbound>,
+    /// The thread that appends to the log.
+    pub appends: Sender<Append>,
+    /// The links to peers.
+    pub peers: PeerGate,
+    /// The configuration for peers.
+    pub config: Arc<CurrentConfig>,
+    /// Whether the instance admits submissions, for the balancer.
+    pub ready: Arc<AtomicBool>,
 }
 
-/// Runs the engine until `stop` is cancelled.
+/// Runs the engine until it is drained, and then cancels `stop`.
 pub fn run(
     mut engine: Engine,
     clock: Clock,
     events: &Receiver<Event>,
-    outputs: &Outputs,
+    outputs: Outputs,
     stop: &CancellationToken,
 ) {
     let mut effects = Vec::new();
@@ -37,17 +58,17 @@
         let event = match events.recv_timeout(Duration::from_millis(TICK_MS)) {
             Ok(event) => event,
             Err(RecvTimeoutError::Timeout) => Event::Tick,
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Disconnected) => break,
         };
         let now = clock.now();
-        let tick_due = now.ms_since(last_tick) >= TICK_MS;
         engine.handle(now, event, &mut effects);
-        if tick_due {
+        if now.ms_since(last_tick) >= TICK_MS {
             last_tick = now;
             engine.handle(now, Event::Tick, &mut effects);
         }
-        carry_out(&mut engine, clock, &mut effects, outputs);
+        carry_out(&mut engine, clock, &mut effects, &outputs, stop);
     }
+    outputs.peers.stop();
 }
 
 /// Carries out effects, among them those that follow from effects that failed at once.
@@ -56,11 +77,12 @@
     clock: Clock,
     effects: &mut Vec<Effect>,
     outputs: &Outputs,
+    stop: &CancellationToken,
 ) {
     let mut follow_ups = Vec::new();
     while !effects.is_empty() {
         for effect in effects.drain(..) {
-            follow_ups.extend(carry_out_one(effect, outputs));
+            follow_ups.extend(carry_out_one(effect, clock, outputs, stop));
         }
         for event in follow_ups.drain(..) {
             engine.handle(clock.now(), event, effects);
@@ -69,18 +91,60 @@
 }
 
 /// Carries out one effect and returns the event that follows at once, if any.
-fn carry_out_one(effect: Effect, outputs: &Outputs) -> Option<Event> {
+fn carry_out_one(
+    effect: Effect,
+    clock: Clock,
+    outputs: &Outputs,
+    stop: &CancellationToken,
+) -> Option<Event> {
     match effect {
-        Effect::Answer { waiter, reply } => {
-            outputs.waiters.reply(waiter, reply);
-            None
-        }
-        Effect::Send(order) => hand_over(outputs, Outbound::Send(order)),
-        Effect::Lease(order) => hand_over(outputs, Outbound::Lease(order)),
+        Effect::Answer { waiter, reply } => outputs.waiters.reply(waiter, reply),
+        Effect::Send(order) => return hand_over(outputs, Outbound::Send(order)),
+        Effect::Lease(order) => return hand_over(outputs, Outbound::Lease(order)),
+        Effect::Probe(order) => return hand_over(outputs, Outbound::Probe(order)),
         Effect::Stop { address, submission, task } => {
-            hand_over(outputs, Outbound::Stop { address, submission, task })
+            return hand_over(outputs, Outbound::Stop { address, submission, task });
+        }
+        Effect::Peer { address, correlation, message } => {
+            return outputs.peers.send(&address, correlation, &message);
+        }
+        Effect::Peers(addresses) => outputs.peers.set_peers(&addresses),
+        Effect::EndSpan { peer, correlation } => {
+            outputs.peers.end_span(&peer, correlation);
+        }
+        Effect::ShareConfig { to } => return share_config(outputs, &to),
+        Effect::AdoptConfig { version, text } => {
+            return follower::adopt(version, text, &outputs.config, clock.now());
+        }
+        Effect::Append { stream, body } => {
+            if outputs.appends.try_send(Append { stream, body }).is_err() {
+                log::warn!(
+                    "a record for stream {stream} is dropped; the log is too slow"
+                );
+            }
+        }
+        Effect::ConfigInForce { version } => {
+            outputs.ready.store(true, Ordering::Release);
+            log::info!("configuration {version} is in force");
+        }
+        Effect::Warn(text) => log::warn!("{text}"),
+        Effect::Observed(observation) => observe(&observation),
+        Effect::Leaving => {
+            outputs.ready.store(false, Ordering::Release);
+            log::info!("draining");
+        }
+        Effect::Drained => {
+            log::info!("drained");
+            stop.cancel();
         }
     }
+    None
+}
+
+/// Sends the configuration in force to a peer.
+fn share_config(outputs: &Outputs, to: &InstanceName) -> Option<Event> {
+    let message = outputs.config.message()?;
+    Some(Event::TellPeer { to: to.clone(), message: Box::new(message) })
 }
 
 /// Hands work to the sender threads and returns what follows if their queue is full.
@@ -92,6 +156,27 @@
         Outbound::Lease(LeaseOrder { target, .. }) => {
             Some(Event::LeaseAnswered { target, grant: None })
         }
-        Outbound::Stop { .. } => None,
+        Outbound::Stop { .. } | Outbound::Probe(_) => None,
+    }
+}
+
+/// Records the measures of a submission that ended.
+fn observe(observation: &Observation) {
+    let Observation { kind, customer, outcome, .. } = observation;
+    let labels = [
+        ("kind", kind.to_string()),
+        ("customer", customer.to_string()),
+        ("outcome", (*outcome).to_owned()),
+    ];
+    metrics::counter!(bamboocart_telemetry::metrics::ANSWERS, &labels).increment(1);
+    if *outcome != "complete" {
+        return;
     }
+    let cost = AnswerCost {
+        response_us: observation.response_us,
+        ideal_us: observation.ideal_us,
+        messages_sent: u64::from(observation.sends) * EXCHANGES_PER_TASK,
+        messages_needed: u64::from(observation.tasks) * EXCHANGES_PER_TASK,
+    };
+    record_answer(kind.as_str(), customer.as_str(), cost);
 }
--- a/crates/bamboocart-dispatcher/src/lister.rs
+++ b/crates/bamboocart-dispatcher/src/lister.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use bamboocart_core::config::Role;
-use bamboocart_core::engine::{Event, ListedTarget};
+use bamboocart_core::engine::Event;
 use bamboocart_core::id::TargetName;
-use bamboocart_platform::{InstanceEntry, ListState, Platform};
+use bamboocart_core::membership::{Listing, PeerInfo, TargetInfo};
+use bamboocart_platform::{InstanceEntry, InstanceList, ListState, Platform};
 use crossbeam::channel::Sender;
 use tokio_util::sync::CancellationToken;
 
@@ -14,35 +15,67 @@
 
 /// Reads the list until `stop` is cancelled.
 pub fn run(platform: &Platform, events: &Sender<Event>, stop: &CancellationToken) {
+    let mut failing = false;
     while !stop.is_cancelled() {
         match platform.instances() {
             Ok(list) => {
-                let targets = list.entries.iter().filter_map(target).collect();
-                if events.send(Event::Listed(targets)).is_err() {
+                failing = false;
+                if events.send(Event::Listed(listing(list))).is_err() {
                     return;
                 }
             }
-            Err(error) => log::warn!("{error}"),
+            Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!("{error}");
+                }
+            }
         }
         std::thread::sleep(Duration::from_millis(READ_EVERY_MS));
     }
 }
 
-/// Returns the entry as a target, unless it is an instance.
-fn target(entry: &InstanceEntry) -> Option<ListedTarget> {
-    if entry.role == Role::Dispatcher {
-        return None;
+/// Turns the platform's list into the core's.
+fn listing(list: InstanceList) -> Listing {
+    let mut listing =
+        Listing { version: list.version, as_of_ms: list.as_of_ms, ..Listing::default() };
+    for entry in list.entries {
+        let leaving = entry.state == ListState::Leaving;
+        match (entry.role, entry.peer_address.clone()) {
+            (Role::Dispatcher, Some(address)) => {
+                listing.instances.push((peer(entry, &address), leaving));
+            }
+            (Role::Dispatcher, None) => {
+                log::debug!("{} is listed without an address for links", entry.name);
+            }
+            _ => listing.targets.push((target(entry), leaving)),
+        }
+    }
+    listing
+}
+
+/// Returns an entry as an instance.
+fn peer(entry: InstanceEntry, address: &str) -> PeerInfo {
+    PeerInfo {
+        name: entry.name,
+        incarnation: entry.incarnation,
+        domain: entry.failure_domain,
+        address: address.into(),
     }
-    Some(ListedTarget {
+}
+
+/// Returns an entry as a target.
+fn target(entry: InstanceEntry) -> TargetInfo {
+    TargetInfo {
         name: TargetName::from(entry.name.as_str()),
         role: entry.role,
-        service: entry.service.clone(),
-        domain: entry.failure_domain.clone(),
-        address: entry.address.as_str().into(),
+        service: entry.service,
+        domain: entry.failure_domain,
+        rack: entry.rack,
+        incarnation: entry.incarnation,
+        address: entry.address.into(),
         slots: entry.slots,
+        connections: entry.connections,
         cpus: entry.cpus,
         memory_mb: entry.memory_mb,
-        leaving: entry.state == ListState::Leaving,
-        incarnation: entry.incarnation,
-    })
+    }
 }
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/peers.rs
@@ -0,0 +1,157 @@
+//! Messages to and from other instances.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use bamboocart_core::engine::Event;
+use bamboocart_core::message::{Ask, Message};
+use bamboocart_core::ownership::Owner;
+use bamboocart_peer::{
+    Delivery, Inbound, Links, MessageId, Report, SendError, SendPriority,
+};
+use bamboocart_wire::message::{decode, encode};
+use crossbeam::channel::{Receiver, Sender};
+
+use crate::spans::OwnerSpans;
+
+/// The links, with what is needed to tell the engine what became of its messages.
+pub struct PeerGate {
+    /// The links.
+    links: Links,
+    /// The engine's numbers of messages that it wants to hear about.
+    tracked: Arc<Mutex<HashMap<MessageId, u64>>>,
+    /// The spans of forwarded submissions, which end with the answer.
+    spans: Arc<OwnerSpans>,
+}
+
+impl PeerGate {
+    /// Starts to pass messages and reports on to the engine.
+    pub fn start(
+        links: Links,
+        (inbound, reports): (Receiver<Inbound>, Receiver<Report>),
+        events: &Sender<Event>,
+        spans: Arc<OwnerSpans>,
+    ) -> Self {
+        let tracked: Arc<Mutex<HashMap<MessageId, u64>>> = Arc::default();
+        let (inbound_events, inbound_spans) = (events.clone(), spans.clone());
+        thread::spawn(move || pass_messages(&inbound, &inbound_events, &inbound_spans));
+        let (report_events, report_tracked) = (events.clone(), tracked.clone());
+        thread::spawn(move || pass_reports(&reports, &report_tracked, &report_events));
+        Self { links, tracked, spans }
+    }
+
+    /// Replaces the addresses of peers.
+    pub fn set_peers(&self, addresses: &[Arc<str>]) {
+        let parse = |text: &Arc<str>| match text.parse::<SocketAddr>() {
+            Ok(address) => Some(address),
+            Err(error) => {
+                log::warn!("peer address {text} is ignored: {error}; use IP:PORT");
+                None
+            }
+        };
+        let addresses: Vec<SocketAddr> = addresses.iter().filter_map(parse).collect();
+        self.links.set_peers(&addresses);
+    }
+
+    /// Sends a message and returns what follows if it certainly is not sent.
+    pub fn send(
+        &self,
+        address: &str,
+        correlation: Option<u64>,
+        message: &Message,
+    ) -> Option<Event> {
+        let priority = match message {
+            Message::Heartbeat(_) => SendPriority::Heartbeat,
+            _ => SendPriority::Normal,
+        };
+        let not_sent = correlation
+            .map(|correlation| Event::PeerUndelivered { correlation, certain: true });
+        let Ok(address) = address.parse::<SocketAddr>() else { return not_sent };
+        let bytes = match encode(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("{error}");
+                return not_sent;
+            }
+        };
+        // The report may arrive before this thread goes on, so the table stays locked.
+        let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
+        match (self.links.send(address, priority, bytes), correlation) {
+            (Ok(id), Some(correlation)) => {
+                tracked.insert(id, correlation);
+                None
+            }
+            (Ok(_), None) => None,
+            (Err(error), _) => {
+                note_unsent(&error);
+                not_sent
+            }
+        }
+    }
+
+    /// Ends the span of a forwarded submission that is answered.
+    pub fn end_span(&self, peer: &bamboocart_core::id::InstanceName, correlation: u64) {
+        self.spans.end(peer, correlation);
+    }
+
+    /// Stops the links after the messages under way.
+    pub fn stop(self) {
+        self.links.stop();
+    }
+}
+
+/// Logs that a message is not sent.
+fn note_unsent(error: &SendError) {
+    log::debug!("{error}");
+}
+
+/// Passes the messages of peers on to the engine.
+fn pass_messages(
+    inbound: &Receiver<Inbound>,
+    events: &Sender<Event>,
+    spans: &OwnerSpans,
+) {
+    for item in inbound {
+        let mut message = match decode(&item.message) {
+            Ok(message) => message,
+            Err(error) => {
+                log::warn!("message of {} is dropped: {error}", item.from.instance);
+                continue;
+            }
+        };
+        if let Message::Forward { correlation, ask: Ask::Submit(submission) } =
+            &mut message
+        {
+            let parent = submission.traceparent.take();
+            submission.traceparent =
+                spans.begin(&item.from.instance, *correlation, parent.as_deref());
+        }
+        let from = Owner::new(item.from.instance.clone(), item.from.incarnation);
+        if events.send(Event::PeerMessage { from, message }).is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells the engine about messages that were not acknowledged.
+fn pass_reports(
+    reports: &Receiver<Report>,
+    tracked: &Mutex<HashMap<MessageId, u64>>,
+    events: &Sender<Event>,
+) {
+    for report in reports {
+        let mut tracked = tracked.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(correlation) = tracked.remove(&report.id) else { continue };
+        drop(tracked);
+        let certain = match report.delivery {
+            Delivery::Acknowledged { .. } => continue,
+            Delivery::NotSent(_) => true,
+            Delivery::Unknown(_) => false,
+        };
+        if events.send(Event::PeerUndelivered { correlation, certain }).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -1,13 +1,18 @@
 //! The HTTP interface towards callers and operators.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bamboocart_core::engine::{Event, NewSubmission, Reply, TaskSpec, WaiterId};
 use bamboocart_core::id::SubmissionId;
+use bamboocart_core::message::Message;
 use bamboocart_core::outcome::RefusalCode;
+use bamboocart_telemetry::metrics::MetricsPage;
+use bamboocart_telemetry::trace::{TRACEPARENT, Tracer, traceparent_of};
 use bamboocart_wire::api::{
-    AnswerBody, AnswerContext, JobBody, RequestBody, TaskBody, refuse_early,
+    AnswerBody, AnswerContext, CancelBody, JobBody, RequestBody, TaskBody, TicketBody,
+    refuse_early,
 };
 use bytes::Bytes;
 use crossbeam::channel::Sender;
@@ -18,6 +23,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::config::CurrentConfig;
 use crate::waiters::Waiters;
 
 /// The time in which the body of a request must have arrived.
@@ -26,11 +32,22 @@
 /// The largest number of tickets in one answer.
 const MAX_TICKETS: u16 = 1_024;
 
+/// The largest number of submissions in one list of cancellations.
+const MAX_CANCELLATIONS: usize = 10_000;
+
 /// The largest number of tasks in a job.
 const MAX_TASKS: usize = 240;
 
 /// What the routes need.
 pub struct Context {
+    /// The page of metrics.
+    pub metrics: MetricsPage,
+    /// Starts the spans of requests.
+    pub tracer: Tracer,
+    /// The configuration in force.
+    pub config: Arc<CurrentConfig>,
+    /// Whether the instance admits submissions.
+    pub ready: Arc<AtomicBool>,
     /// The engine's events.
     pub events: Sender<Event>,
     /// The callers that wait.
@@ -55,10 +72,18 @@
     let answer = match (&method, path.as_str(), submission) {
         (&Method::POST, "/v1/requests", _) => submit_request(context, request).await,
         (&Method::POST, "/v1/jobs", _) => submit_job(context, request).await,
-        (&Method::POST, "/v1/tickets", _) => tickets(context, &request).await,
+        (&Method::POST, "/v1/tickets", _) => tickets(context, request).await,
         (&Method::GET, _, Some(id)) => query(context, id).await,
         (&Method::DELETE, _, Some(id)) => cancel(context, id).await,
+        (&Method::POST, "/v1/cancellations", _) => cancel_many(context, request).await,
+        (&Method::GET, "/v1/status", _) => {
+            ask(context, |waiter| Event::Status { waiter }).await
+        }
+        (&Method::GET, "/v1/config", _) => Ok(config(context)),
+        (&Method::POST, "/v1/drain", _) => drain(context),
+        (&Method::GET, "/metrics", _) => Ok(text(200, context.metrics.render())),
         (&Method::GET, "/live", _) => Ok(json(200, &serde_json::json!({"live": true}))),
+        (&Method::GET, "/ready", _) => Ok(ready(context)),
         _ => Ok(json(404, &serde_json::json!({"code": "no-such-path"}))),
     };
     answer.unwrap_or_else(|answer| *answer)
@@ -66,7 +91,7 @@
 
 /// Handles `POST /v1/requests`.
 async fn submit_request(context: &Context, request: Request<Incoming>) -> Result<Answer> {
-    let traceparent = traceparent(&request);
+    let span = context.tracer.hop("entry", traceparent(&request));
     let body: RequestBody = read_json(context, request).await?;
     let submission = NewSubmission {
         id: body.submission,
@@ -76,14 +101,14 @@
         tasks: vec![TaskSpec { payload: body.payload, ..TaskSpec::default() }],
         job: false,
         want_tickets: body.want_tickets.min(MAX_TICKETS),
-        traceparent,
+        traceparent: traceparent_of(&span).map(Arc::from),
     };
     ask(context, |waiter| Event::Submit { waiter, submission }).await
 }
 
 /// Handles `POST /v1/jobs`.
 async fn submit_job(context: &Context, request: Request<Incoming>) -> Result<Answer> {
-    let traceparent = traceparent(&request);
+    let span = context.tracer.hop("entry", traceparent(&request));
     let body: JobBody = read_json(context, request).await?;
     if body.tasks.is_empty() || body.tasks.len() > MAX_TASKS {
         let detail = format!("a job has 1 to {MAX_TASKS} tasks");
@@ -97,16 +122,14 @@
         tasks: body.tasks.into_iter().map(task).collect(),
         job: true,
         want_tickets: body.want_tickets.min(MAX_TICKETS),
-        traceparent,
+        traceparent: traceparent_of(&span).map(Arc::from),
     };
     ask(context, |waiter| Event::Submit { waiter, submission }).await
 }
 
-/// Handles `POST /v1/tickets?count=N`.
-async fn tickets(context: &Context, request: &Request<Incoming>) -> Result<Answer> {
-    let query = request.uri().query().unwrap_or_default();
-    let count = query.split('&').find_map(|pair| pair.strip_prefix("count="));
-    let count: u16 = count.and_then(|text| text.parse().ok()).unwrap_or(1);
+/// Handles `POST /v1/tickets`.
+async fn tickets(context: &Context, request: Request<Incoming>) -> Result<Answer> {
+    let TicketBody { count } = read_json(context, request).await?;
     let count = count.min(MAX_TICKETS);
     ask(context, |waiter| Event::IssueTickets { waiter, count }).await
 }
@@ -123,6 +146,57 @@
     ask(context, |waiter| Event::Cancel { waiter, id }).await
 }
 
+/// Handles `POST /v1/cancellations`.
+async fn cancel_many(context: &Context, request: Request<Incoming>) -> Result<Answer> {
+    let body: CancelBody = read_json(context, request).await?;
+    if body.submissions.len() > MAX_CANCELLATIONS {
+        let detail = format!("at most {MAX_CANCELLATIONS} submissions at a time");
+        return Err(refusal(RefusalCode::Malformed, &detail));
+    }
+    let mut answers = Vec::with_capacity(body.submissions.len());
+    for id in body.submissions {
+        let (waiter, reply) = context.waiters.add();
+        if context.events.try_send(Event::Cancel { waiter, id }).is_err() {
+            context.waiters.remove(waiter);
+            return Err(refusal(RefusalCode::Overloaded, "the instance is at its limit"));
+        }
+        answers.push(reply);
+    }
+    let mut bodies = Vec::with_capacity(answers.len());
+    for reply in answers {
+        if let Ok(Reply::Outcome { submission, outcome, .. }) = reply.await {
+            let context = AnswerContext { submission, ..AnswerContext::default() };
+            bodies.push(AnswerBody::new(outcome, context).1);
+        }
+    }
+    Ok(json(200, &serde_json::json!({ "answers": bodies })))
+}
+
+/// Handles `GET /v1/config`.
+fn config(context: &Context) -> Answer {
+    match context.config.message() {
+        Some(Message::ConfigSet { version, text }) => {
+            let text = String::from_utf8_lossy(&text);
+            json(200, &serde_json::json!({ "config_version": version, "text": text }))
+        }
+        _ => json(503, &serde_json::json!({ "code": "not-configured" })),
+    }
+}
+
+/// Handles `POST /v1/drain`.
+fn drain(context: &Context) -> Result<Answer> {
+    match context.events.try_send(Event::Drain) {
+        Ok(()) => Ok(json(202, &serde_json::json!({ "draining": true }))),
+        Err(_) => Err(refusal(RefusalCode::Overloaded, "the instance is at its limit")),
+    }
+}
+
+/// Handles `GET /ready`.
+fn ready(context: &Context) -> Answer {
+    let ready = context.ready.load(Ordering::Acquire);
+    json(if ready { 200 } else { 503 }, &serde_json::json!({ "ready": ready }))
+}
+
 /// Asks the engine and waits for its reply, which it gives at the deadline at the latest.
 async fn ask(context: &Context, event: impl FnOnce(WaiterId) -> Event) -> Result<Answer> {
     let (waiter, reply) = context.waiters.add();
@@ -139,6 +213,7 @@
 /// Turns a reply of the engine into an answer.
 fn render(reply: Reply) -> Answer {
     match reply {
+        Reply::Status(status) => json(200, &status),
         Reply::Tickets(tickets) => json(200, &serde_json::json!({"tickets": tickets})),
         Reply::Outcome {
             submission,
@@ -208,9 +283,8 @@
 }
 
 /// Returns the trace that a request belongs to.
-fn traceparent(request: &Request<Incoming>) -> Option<Arc<str>> {
-    let value = request.headers().get("traceparent")?;
-    Some(value.to_str().ok()?.into())
+fn traceparent(request: &Request<Incoming>) -> Option<&str> {
+    request.headers().get(TRACEPARENT)?.to_str().ok()
 }
 
 /// Turns a task of a body into a task of the core.
@@ -223,6 +297,15 @@
     }
 }
 
+/// Returns an answer in plain text.
+fn text(status: u16, body: String) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    let value = hyper::header::HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
+
 /// Returns a JSON answer.
 fn json<T: Serialize>(status: u16, body: &T) -> Answer {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
--- a/crates/bamboocart-dispatcher/src/sender.rs
+++ b/crates/bamboocart-dispatcher/src/sender.rs
@@ -5,10 +5,15 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use bamboocart_core::engine::{Event, LeaseGrant, LeaseOrder, SendOrder};
+use bamboocart_core::engine::{
+    Event, LeaseGrant, LeaseOrder, ProbeAnswer, ProbeOrder, SendOrder,
+};
 use bamboocart_core::id::{SubmissionId, TaskIndex};
 use bamboocart_core::target::{SendReport, TurnAway};
-use bamboocart_wire::api::{LeaseAnswer, LeaseBody, LeaseProof, RunAnswer, RunBody};
+use bamboocart_telemetry::trace::{TRACEPARENT, Tracer, traceparent_of};
+use bamboocart_wire::api::{
+    LeaseAnswer, LeaseBody, LeaseProof, RunAnswer, RunBody, TargetStatus,
+};
 use crossbeam::channel::{Receiver, Sender};
 use ureq::{Agent, Timeout};
 
@@ -21,6 +26,9 @@
 /// The time that a lease or stop call may take.
 const CALL_TIMEOUT_MS: u64 = 2_000;
 
+/// The time that a target has to answer a probe.
+const PROBE_TIMEOUT_MS: u64 = 1_000;
+
 /// The time without a renewal after which a lease lapses.
 const LEASE_TTL_MS: u64 = 10_000;
 
@@ -40,8 +48,10 @@
 pub enum Outbound {
     /// Send a task.
     Send(SendOrder),
-    /// Ask for a lease or renew one.
+    /// Ask for a lease, renew or return one.
     Lease(LeaseOrder),
+    /// Ask a target for its state.
+    Probe(ProbeOrder),
     /// Stop a task.
     Stop {
         /// The target's address.
@@ -62,13 +72,15 @@
     fresh: Agent,
     /// The holder of leases: instance and incarnation.
     holder: Arc<str>,
+    /// Starts the spans of sends.
+    tracer: Tracer,
 }
 
 /// Starts `count` sender threads that end when `work` is closed.
 pub fn start(
     count: usize,
     connections_per_target: usize,
-    holder: &str,
+    (holder, tracer): (&str, Tracer),
     work: &Receiver<Outbound>,
     events: &Sender<Event>,
 ) -> io::Result<Vec<JoinHandle<()>>> {
@@ -76,6 +88,7 @@
         pooled: agent(POOL_IDLE_MS, connections_per_target),
         fresh: agent(FRESH_IDLE_MS, connections_per_target),
         holder: holder.into(),
+        tracer,
     };
     let spawn = |index| {
         let (pools, work, events) = (pools.clone(), work.clone(), events.clone());
@@ -98,6 +111,10 @@
             Outbound::Lease(order) => {
                 Event::LeaseAnswered { target: order.target, grant: lease(pools, &order) }
             }
+            Outbound::Probe(order) => match probe(pools, order) {
+                Some(answer) => Event::Probed(answer),
+                None => continue,
+            },
             Outbound::Stop { address, submission, task } => {
                 stop(pools, &address, &submission, task);
                 continue;
@@ -126,14 +143,15 @@
 fn send(pools: &Pools, order: SendOrder) -> SendReport {
     let agent = if order.idempotent { &pools.pooled } else { &pools.fresh };
     let timeout = Duration::from_millis(order.deadline_ms + ANSWER_GRACE_MS);
+    let span = pools.tracer.hop("target", order.traceparent.as_deref());
     let mut request = agent
         .post(format!("http://{}/run", order.address))
         .config()
         .timeout_global(Some(timeout))
         .build()
         .header("idempotency-key", format!("{}/{}", order.submission, order.task.0));
-    if let Some(parent) = &order.traceparent {
-        request = request.header("traceparent", &**parent);
+    if let Some(parent) = traceparent_of(&span) {
+        request = request.header(TRACEPARENT, parent);
     }
     let body = RunBody {
         submission: order.submission,
@@ -183,9 +201,28 @@
     }
 }
 
-/// Asks a worker for a lease or renews one.
+/// Asks a target for its state.
+fn probe(pools: &Pools, order: ProbeOrder) -> Option<ProbeAnswer> {
+    let mut response = pools
+        .pooled
+        .get(format!("http://{}/live", order.address))
+        .config()
+        .timeout_global(Some(Duration::from_millis(PROBE_TIMEOUT_MS)))
+        .build()
+        .call()
+        .ok()?;
+    let status: TargetStatus = response.body_mut().read_json().ok()?;
+    let ProbeOrder { target, incarnation, .. } = order;
+    Some(ProbeAnswer { target, incarnation, leaving: status.leaving })
+}
+
+/// Asks a worker for a lease, renews or returns one.
 fn lease(pools: &Pools, order: &LeaseOrder) -> Option<LeaseGrant> {
-    let url = match order.renew {
+    let url = match order.held {
+        Some(held) if order.slots == 0 => {
+            return_lease(pools, &order.address, held);
+            return None;
+        }
         Some(held) => format!("http://{}/leases/{}/renew", order.address, held.lease),
         None => format!("http://{}/leases", order.address),
     };
@@ -214,6 +251,20 @@
     })
 }
 
+/// Returns a lease, which otherwise lapses by itself.
+fn return_lease(pools: &Pools, address: &str, held: LeaseGrant) {
+    let result = pools
+        .pooled
+        .delete(format!("http://{address}/leases/{}", held.lease))
+        .config()
+        .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
+        .build()
+        .call();
+    if let Err(error) = result {
+        log::debug!("could not return a lease to {address}: {error}");
+    }
+}
+
 /// Asks a target to stop a task; the answer to the send tells what came of it.
 fn stop(pools: &Pools, address: &str, submission: &SubmissionId, task: TaskIndex) {
     let result = pools
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -2,34 +2,57 @@
 
 use std::net::SocketAddr;
 
+use bamboocart_core::placement::Policy;
+use bamboocart_telemetry::logs::LogFormat;
 use bpaf::Bpaf;
+use log::LevelFilter;
 
 /// Runs one entry instance of bamboocart.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, generate(parser), version)]
 pub struct Settings {
-    /// Name of this instance, unique among all instances.
+    /// Name of this instance, unique among all instances
     #[bpaf(long, env("BAMBOOCART_NAME"), argument("NAME"))]
     pub name: String,
-    /// Failure domain that this instance is in.
+    /// Failure domain that this instance is in
     #[bpaf(long, env("BAMBOOCART_FAILURE_DOMAIN"), argument("NAME"))]
     pub failure_domain: String,
-    /// IP and port for callers and operators; port 0 takes a free one.
+    /// IP and port for callers and operators; port 0 takes a free one
     #[bpaf(long, env("BAMBOOCART_LISTEN"), argument("IP:PORT"))]
     pub listen: SocketAddr,
-    /// IP and port of the platform.
+    /// IP and port for links between instances; port 0 takes a free one
+    #[bpaf(long, env("BAMBOOCART_PEER_LISTEN"), argument("IP:PORT"))]
+    pub peer_listen: SocketAddr,
+    /// IP and port for links under which peers reach this instance, if not the above
+    #[bpaf(long, env("BAMBOOCART_PEER_ADDRESS"), argument("IP:PORT"))]
+    pub peer_address: Option<SocketAddr>,
+    /// IP and port for links of a peer to greet at the start; may be given several times
+    #[bpaf(long, argument("IP:PORT"))]
+    pub seed: Vec<SocketAddr>,
+    /// IP and port of the platform
     #[bpaf(long, env("BAMBOOCART_PLATFORM"), argument("IP:PORT"))]
     pub platform: SocketAddr,
-    /// Largest number of sends to targets at the same time.
+    #[bpaf(external)]
+    pub limits: Limits,
+    #[bpaf(external)]
+    pub policies: Policies,
+    #[bpaf(external)]
+    pub output: Output,
+}
+
+/// Bounds of an instance.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Limits {
+    /// Largest number of sends to targets at the same time
     #[bpaf(
         long,
         env("BAMBOOCART_SEND_THREADS"),
         argument("COUNT"),
-        fallback(256),
+        fallback(512),
         display_fallback
     )]
     pub send_threads: usize,
-    /// Largest number of connections from callers and operators.
+    /// Largest number of connections from callers and operators
     #[bpaf(
         long,
         env("BAMBOOCART_MAX_CONNECTIONS"),
@@ -38,7 +61,7 @@
         display_fallback
     )]
     pub max_connections: usize,
-    /// Largest size of a request body.
+    /// Largest size of a request body in bytes
     #[bpaf(
         long,
         env("BAMBOOCART_MAX_BODY_BYTES"),
@@ -47,6 +70,107 @@
         display_fallback
     )]
     pub max_body_bytes: usize,
+    /// Largest number of queued tasks of one target group
+    #[bpaf(
+        long,
+        env("BAMBOOCART_QUEUE_TASKS"),
+        argument("COUNT"),
+        fallback(200_000),
+        display_fallback
+    )]
+    pub queue_tasks: usize,
+    /// Largest number of submissions without an answer
+    #[bpaf(
+        long,
+        env("BAMBOOCART_OPEN_SUBMISSIONS"),
+        argument("COUNT"),
+        fallback(75_000),
+        display_fallback
+    )]
+    pub open_submissions: usize,
+    /// Largest number of remembered submissions, more than the open ones
+    #[bpaf(
+        long,
+        env("BAMBOOCART_REMEMBERED_SUBMISSIONS"),
+        argument("COUNT"),
+        fallback(100_000),
+        display_fallback
+    )]
+    pub remembered_submissions: usize,
+    /// Time in milliseconds for which an answer is remembered
+    #[bpaf(
+        long,
+        env("BAMBOOCART_REMEMBER_MS"),
+        argument("MS"),
+        fallback(600_000),
+        display_fallback
+    )]
+    pub remember_ms: u64,
+    /// Time in milliseconds between the end of readiness and of admission at a stop
+    #[bpaf(
+        long,
+        env("BAMBOOCART_LAME_DUCK_MS"),
+        argument("MS"),
+        fallback(3_000),
+        display_fallback
+    )]
+    pub lame_duck_ms: u64,
+}
+
+/// Policies of an instance, which can be switched off for measurements.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Policies {
+    /// Placement: earliest-finish, random, shortest-queue or two-choices
+    #[bpaf(
+        long,
+        env("BAMBOOCART_PLACEMENT"),
+        argument("POLICY"),
+        fallback(Policy::EarliestFinish)
+    )]
+    pub placement: Policy,
+    /// Do not offer tasks to peers with free slots
+    #[bpaf(long, switch)]
+    pub no_lending: bool,
+    /// Do not eject failing targets
+    #[bpaf(long, switch)]
+    pub no_ejection: bool,
+    /// Do not send hedges
+    #[bpaf(long, switch)]
+    pub no_hedges: bool,
+}
+
+/// What an instance tells about itself.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Output {
+    /// Least important level that is logged: error, warn, info, debug or trace
+    #[bpaf(
+        long,
+        env("BAMBOOCART_LOG_LEVEL"),
+        argument("LEVEL"),
+        fallback(LevelFilter::Info),
+        display_fallback
+    )]
+    pub log_level: LevelFilter,
+    /// Form of log lines on standard error: text or json
+    #[bpaf(
+        long,
+        env("BAMBOOCART_LOG_FORMAT"),
+        argument("FORMAT"),
+        fallback(LogFormat::Text)
+    )]
+    pub log_format: LogFormat,
+    /// File that spans are written to as OTLP-JSON lines
+    #[bpaf(long, env("BAMBOOCART_TRACE_FILE"), argument("PATH"))]
+    pub trace_file: Option<String>,
+    /// Share of new traces that is recorded, of 10,000
+    #[bpaf(
+        long,
+        env("BAMBOOCART_TRACE_PER_10K"),
+        argument("SHARE"),
+        fallback(100),
+        display_fallback
+    )]
+    pub trace_per_10k: u16,
 }
 
 impl Settings {
@@ -54,4 +178,48 @@
     pub fn from_args() -> Self {
         parser().run()
     }
+
+    /// Returns everything that is wrong with the settings as a whole.
+    pub fn faults(&self) -> Vec<String> {
+        let limits = &self.limits;
+        let checks = [
+            (
+                !is_name(&self.name),
+                "--name must have 1 to 64 letters, digits, '-' or '_', since it becomes \
+                 part of tickets",
+            ),
+            (
+                !is_name(&self.failure_domain),
+                "--failure-domain must have 1 to 64 letters, digits, '-' or '_'",
+            ),
+            (
+                self.peer_address.unwrap_or(self.peer_listen).ip().is_unspecified(),
+                "--peer-listen names no address that peers can reach; give --peer-address",
+            ),
+            (
+                self.peer_address.is_some_and(|address| address.port() == 0),
+                "--peer-address needs a port",
+            ),
+            (self.platform.port() == 0, "--platform needs a port"),
+            (limits.send_threads == 0, "--send-threads must be at least 1"),
+            (limits.max_connections == 0, "--max-connections must be at least 1"),
+            (limits.queue_tasks == 0, "--queue-tasks must be at least 1"),
+            (
+                limits.open_submissions >= limits.remembered_submissions,
+                "--remembered-submissions must be larger than --open-submissions, so that \
+                 refusals can be remembered",
+            ),
+        ];
+        checks
+            .into_iter()
+            .filter(|(fault, _)| *fault)
+            .map(|(_, text)| text.into())
+            .collect()
+    }
+}
+
+/// Reports whether a name can be part of a ticket.
+fn is_name(text: &str) -> bool {
+    let valid = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    (1..=64).contains(&text.len()) && text.chars().all(valid)
 }
--- a/crates/bamboocart-standin/tests/load.rs
+++ b/crates/bamboocart-standin/tests/load.rs
@@ -11,6 +11,7 @@
 
 use bamboocart_core::id::{Incarnation, SubmissionId, Ticket};
 use bamboocart_standin::history::{Purpose, SendRecord};
+use bamboocart_standin::http::Method;
 use bamboocart_standin::http::{Call, HttpServer};
 use bamboocart_standin::load::{self, Summary};
 use bamboocart_standin::target::Fleet;
@@ -18,7 +19,6 @@
 use bpaf::Parser;
 use common::{address, call, minions};
 use serde_json::{Value, json};
-use tiny_http::Method;
 
 /// How an instance treats a submission.
 #[derive(Debug, Copy, Clone, PartialEq)]
@@ -77,7 +77,7 @@
     fn serve(&self, mut call: Call) {
         let (method, path) = call.route();
         match (method, path[1].as_str()) {
-            (Method::Delete, _) => {
+            (Method::DELETE, _) => {
                 let answer = answer(&json!(path[2]), "cancelled", "cancelled-not-run");
                 call.answer(409, &answer);
             }
--- a/crates/bamboocart-wire/src/api.rs
+++ b/crates/bamboocart-wire/src/api.rs
@@ -73,6 +73,22 @@
     pub declared_ms: Option<u64>,
 }
 
+/// The body of `POST /v1/tickets`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TicketBody {
+    /// The number of tickets.
+    pub count: u16,
+}
+
+/// The body of `POST /v1/cancellations`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CancelBody {
+    /// The submissions to cancel.
+    pub submissions: Vec<SubmissionId>,
+}
+
 /// The answer to a request or a job.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct AnswerBody {
