--- a/crates/bamboocart-core/src/estimate.rs
+++ b/crates/bamboocart-core/src/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use slotmap::SparseSecondaryMap;
+use slotmap::SecondaryMap;
 
 use crate::histogram::Histogram;
 use crate::target::TargetKey;
@@ -40,7 +40,7 @@
     max_rows: usize,
     rows: usize,
     kinds: BTreeMap<K, Kind>,
-    targets: SparseSecondaryMap<TargetKey, Vec<(K, Average)>>,
+    targets: SecondaryMap<TargetKey, Vec<(K, Average)>>,
 }
 
 /// The end of a run, as far as the estimate is concerned.
@@ -64,12 +64,7 @@
 impl<K: Copy + Ord> Estimator<K> {
     /// Creates an estimator that holds at most `max_rows` pairs of target and kind.
     pub fn new(max_rows: usize) -> Self {
-        Self {
-            max_rows,
-            rows: 0,
-            kinds: BTreeMap::new(),
-            targets: SparseSecondaryMap::new(),
-        }
+        Self { max_rows, rows: 0, kinds: BTreeMap::new(), targets: SecondaryMap::new() }
     }
 
     /// Sets the declared run times of a request kind; what was learned stays.
--- a/crates/bamboocart-core/src/health.rs
+++ b/crates/bamboocart-core/src/health.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use rand::Rng;
-use slotmap::SparseSecondaryMap;
+use slotmap::SecondaryMap;
 
 use crate::target::TargetKey;
 use crate::time::{Timestamp, US_PER_MS};
@@ -50,7 +50,7 @@
 /// The health of the targets of one group, with one row for each target.
 #[derive(Debug, Clone, Default)]
 pub struct GroupHealth {
-    members: SparseSecondaryMap<TargetKey, Member>,
+    members: SecondaryMap<TargetKey, Member>,
     /// The number of members that are ejected or being probed.
     ejected: usize,
     /// The sum of the failure ratios of the other members.
--- a/crates/bamboocart-core/src/placement.rs
+++ b/crates/bamboocart-core/src/placement.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use rand::Rng;
-use slotmap::SparseSecondaryMap;
+use slotmap::SecondaryMap;
 use snafu::Snafu;
 
 use crate::histogram::bucket_of;
@@ -57,7 +57,7 @@
 #[derive(Debug, Clone)]
 pub struct Placement<K> {
     policy: Policy,
-    targets: SparseSecondaryMap<TargetKey, Slots>,
+    targets: SecondaryMap<TargetKey, Slots>,
     free_slots: u32,
     free: Ranking,
     kinds: BTreeMap<K, KindRanking>,
@@ -68,7 +68,7 @@
     pub fn new(policy: Policy) -> Self {
         Self {
             policy,
-            targets: SparseSecondaryMap::new(),
+            targets: SecondaryMap::new(),
             free_slots: 0,
             free: Ranking::default(),
             kinds: BTreeMap::new(),
@@ -246,7 +246,7 @@
 #[derive(Debug, Clone, Default)]
 struct KindRanking {
     prior: u32,
-    measured: SparseSecondaryMap<TargetKey, u32>,
+    measured: SecondaryMap<TargetKey, u32>,
     free: Ranking,
 }
 
@@ -274,7 +274,7 @@
 struct Ranking {
     buckets: BTreeMap<u32, Vec<TargetKey>>,
     /// The bucket of each target and its index there.
-    places: SparseSecondaryMap<TargetKey, (u32, usize)>,
+    places: SecondaryMap<TargetKey, (u32, usize)>,
 }
 
 impl Ranking {
--- a/crates/bamboocart-core/src/queue.rs
+++ b/crates/bamboocart-core/src/queue.rs
@@ -173,7 +173,9 @@
         self.index.contains_key(&key)
     }
 
-    /// Returns the expected run time of all entries that go before a new one of `rank`.
+    /// Returns the expected run time of all entries of `rank` and of higher priorities.
+    ///
+    /// A new entry of `rank` starts before some of them if its customer is owed a share.
     pub fn work_ahead_us(&self, rank: u8) -> u64 {
         self.levels.range(..=rank).map(|(_, level)| level.work_us).sum()
     }
@@ -479,8 +481,10 @@
                 self.unlink(entries, &entry, (previous, next), removal)
             }
         };
+        // Shares count only while entries wait. Every start tag that was served is at most
+        // the virtual time, so the next customers start equal and after requeued entries.
         if !self.is_waiting() {
-            self.end_busy_period();
+            self.flows.clear();
         }
         start_tag
     }
@@ -516,13 +520,6 @@
         start_tag
     }
 
-    /// Forgets the shares of a period in which entries waited all the time.
-    fn end_busy_period(&mut self) {
-        let finish_tags = self.flows.values().map(|flow| flow.start_tag);
-        self.virtual_time = finish_tags.fold(self.virtual_time, u64::max);
-        self.flows.clear();
-    }
-
     /// Finds the first entry that fits and notes whether one before it did not.
     fn find<K: Copy>(
         &self,
