--- a/crates/bamboocart-core/src/estimate.rs
+++ b/crates/bamboocart-core/src/estimate.rs
@@ -69,7 +69,7 @@
 
     /// Sets the declared run times of a request kind; what was learned stays.
     ///
-    /// The prior is the geometric mean, because run times spread over orders of magnitude.
+    /// The prior is the geometric mean, because run times span orders of magnitude.
     pub fn set_kind(&mut self, kind: K, shortest_us: u64, longest_us: u64) {
         let (shortest_us, longest_us) = (shortest_us.max(1), longest_us.max(1));
         let prior_us = (shortest_us as f64 * longest_us as f64).sqrt();
@@ -130,8 +130,8 @@
 
     /// Returns the time that almost no run of a request kind undercuts, once it is known.
     ///
-    /// It is the first percentile of recent runs. There is no prior, because a declaration
-    /// that is too long would refuse requests that could be served.
+    /// It is the first percentile of recent runs. There is no prior, because a
+    /// declaration that is too long would refuse requests that could be served.
     pub fn fastest_us(&self, kind: K) -> Option<u64> {
         let (below_us, _) = self.kinds.get(&kind)?.learned_quantile(1)?;
         Some(below_us)
--- a/crates/bamboocart-core/src/queue.rs
+++ b/crates/bamboocart-core/src/queue.rs
@@ -481,8 +481,9 @@
                 self.unlink(entries, &entry, (previous, next), removal)
             }
         };
-        // Shares count only while entries wait. Every start tag that was served is at most
-        // the virtual time, so the next customers start equal and after requeued entries.
+        // Shares count only while entries wait. Every start tag that was served is at
+        // most the virtual time, so the next customers start equal and after requeued
+        // entries.
         if !self.is_waiting() {
             self.flows.clear();
         }
