--- a/crates/bamboocart-core/src/membership/assign.rs
+++ b/crates/bamboocart-core/src/membership/assign.rs
@@ -10,13 +10,11 @@
 pub fn user_of<'a>(
     target: &TargetName,
     domain: &DomainName,
-    serving: impl Iterator<Item = &'a PeerInfo> + Clone,
+    serving: impl Iterator<Item = &'a PeerInfo>,
 ) -> Option<&'a PeerInfo> {
-    let highest = |instances: &mut dyn Iterator<Item = &'a PeerInfo>| {
-        instances.max_by_key(|info| (weight(&info.name, target), &info.name))
-    };
-    highest(&mut serving.clone().filter(|info| info.domain == *domain))
-        .or_else(|| highest(&mut serving.clone()))
+    serving.max_by_key(|info| {
+        (info.domain == *domain, weight(&info.name, target), &info.name)
+    })
 }
 
 /// Chooses the peer that takes over the submissions of this instance.
--- a/crates/bamboocart-core/src/membership/list.rs
+++ b/crates/bamboocart-core/src/membership/list.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::assign;
 use super::peers::{Change, PeerInfo, PeerState, Peers};
 use super::stop::{Member, StopSchedule};
 use super::targets::{TargetInfo, Targets};
@@ -74,6 +75,21 @@
         self.fresh_at.is_none_or(|at| now.ms_since(at) > STALE_MS)
     }
 
+    /// Returns the instance that uses a target in this instance's view.
+    ///
+    /// `leaving` says whether this instance is draining, so that its targets move to the
+    /// others. Two instances may use the same target while their views differ.
+    pub fn user_of(&self, target: &TargetInfo, leaving: bool) -> Option<&PeerInfo> {
+        let others = self.peers.serving().map(|peer| &peer.info);
+        let own = (!leaving).then_some(self.peers.me());
+        assign::user_of(&target.name, &target.domain, others.chain(own))
+    }
+
+    /// Reports whether this instance uses a target.
+    pub fn uses(&self, target: &TargetInfo, leaving: bool) -> bool {
+        self.user_of(target, leaving) == Some(self.peers.me())
+    }
+
     /// Returns the targets to probe now and notes that they are probed.
     ///
     /// There are none while the list is fresh. `used` selects the targets that this
--- a/crates/bamboocart-core/src/membership/mod.rs
+++ b/crates/bamboocart-core/src/membership/mod.rs
@@ -17,8 +17,8 @@
 };
 pub use self::list::{ListVerdict, Listing, Membership, STALE_MS};
 pub use self::peers::{
-    Change, DEAD_MS, Heartbeat, KNOWN, PEERS, Peer, PeerInfo, PeerState, Peers,
-    RETURN_MS, SUSPECT_MS,
+    Change, ChangeKind, DEAD_MS, Heartbeat, KNOWN, PEERS, Peer, PeerInfo, PeerState,
+    Peers, RETURN_MS, SUSPECT_MS,
 };
 pub use self::stop::{Member, StopSchedule, Turn};
 pub use self::targets::{
--- a/crates/bamboocart-core/src/membership/peers.rs
+++ b/crates/bamboocart-core/src/membership/peers.rs
@@ -77,17 +77,28 @@
     Returning,
 }
 
-/// A change that decisions depend on.
+/// A change of an incarnation that decisions depend on.
 #[derive(Debug, Clone, Eq, PartialEq)]
-pub enum Change {
-    /// An incarnation is live from now on.
-    Live(InstanceName, Incarnation),
-    /// An incarnation is silent and may be dead.
-    Suspect(InstanceName, Incarnation),
-    /// An incarnation is dead, or a later one has replaced it.
-    Dead(InstanceName, Incarnation),
-    /// An incarnation is leaving.
-    Leaving(InstanceName, Incarnation),
+pub struct Change {
+    /// The name of the instance.
+    pub name: InstanceName,
+    /// The incarnation that changed.
+    pub incarnation: Incarnation,
+    /// What has become of it.
+    pub kind: ChangeKind,
+}
+
+/// What has become of an incarnation.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash)]
+pub enum ChangeKind {
+    /// It is live from now on.
+    Live,
+    /// It is silent and may be dead.
+    Suspect,
+    /// It is dead, or a later incarnation has replaced it.
+    Dead,
+    /// It is leaving.
+    Leaving,
 }
 
 /// Another instance.
@@ -302,7 +313,7 @@
         match self.peers.get_mut(&info.name) {
             Some(peer) if info.incarnation > peer.info.incarnation => {
                 if peer.is_live() {
-                    changes.push(change(Change::Dead, peer));
+                    changes.push(change(ChangeKind::Dead, peer));
                 }
                 *peer = Peer::new(info, now);
             }
@@ -383,7 +394,7 @@
     match peer.state {
         PeerState::Learned => {
             peer.state = PeerState::Live;
-            changes.push(change(Change::Live, peer));
+            changes.push(change(ChangeKind::Live, peer));
         }
         PeerState::Suspect => {
             peer.state = PeerState::Live;
@@ -395,7 +406,7 @@
         }
         PeerState::Returning if now.ms_since(peer.returning_since) >= RETURN_MS => {
             peer.state = PeerState::Live;
-            changes.push(change(Change::Live, peer));
+            changes.push(change(ChangeKind::Live, peer));
         }
         PeerState::Returning | PeerState::Live => {}
     }
@@ -406,11 +417,11 @@
     match peer.state {
         PeerState::Live | PeerState::Suspect if silent_ms >= DEAD_MS => {
             peer.state = PeerState::Dead;
-            changes.push(change(Change::Dead, peer));
+            changes.push(change(ChangeKind::Dead, peer));
         }
         PeerState::Live if silent_ms >= SUSPECT_MS => {
             peer.state = PeerState::Suspect;
-            changes.push(change(Change::Suspect, peer));
+            changes.push(change(ChangeKind::Suspect, peer));
         }
         PeerState::Learned if silent_ms >= DEAD_MS => {
             peer.state = PeerState::Dead;
@@ -429,11 +440,12 @@
 fn mark_leaving(peer: &mut Peer, leaving: bool, changes: &mut Vec<Change>) {
     if leaving && !peer.leaving {
         peer.leaving = true;
-        changes.push(change(Change::Leaving, peer));
+        changes.push(change(ChangeKind::Leaving, peer));
     }
 }
 
 /// Builds a change of a peer.
-fn change(kind: fn(InstanceName, Incarnation) -> Change, peer: &Peer) -> Change {
-    kind(peer.info.name.clone(), peer.info.incarnation)
+fn change(kind: ChangeKind, peer: &Peer) -> Change {
+    let PeerInfo { name, incarnation, .. } = peer.info.clone();
+    Change { name, incarnation, kind }
 }
--- a/crates/bamboocart-core/src/membership/targets.rs
+++ b/crates/bamboocart-core/src/membership/targets.rs
@@ -200,8 +200,9 @@
 
     /// Returns the targets to probe now and notes that they are probed.
     ///
-    /// `asked` selects the targets that are worth a probe. A target that answered a send within [`PROBE_EVERY_MS`] is not probed,
-    /// because that answer would have said that it is leaving.
+    /// `asked` selects the targets that are worth a probe. A target that answered a send
+    /// within [`PROBE_EVERY_MS`] is not probed, because that answer would have said that
+    /// it is leaving.
     pub(super) fn due_probes(
         &mut self,
         now: Timestamp,
--- a/crates/bamboocart-core/src/ownership/mod.rs
+++ b/crates/bamboocart-core/src/ownership/mod.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod registry;
 mod resolve;
+mod stage;
 mod ticket;
 
 use std::fmt::{self, Display, Formatter};
@@ -35,6 +36,7 @@
     SubmissionKey, Vacancy,
 };
 pub use self::resolve::{Resolved, Successions, View, resolve};
+pub use self::stage::Stage;
 pub use self::ticket::Issuer;
 
 /// One run of an instance, the only party that may start its submissions.
--- a/crates/bamboocart-core/src/ownership/registry.rs
+++ b/crates/bamboocart-core/src/ownership/registry.rs
@@ -114,6 +114,16 @@
 }
 
 impl Rights {
+    /// Returns the rights of an instance that owns nothing.
+    pub const fn none() -> Self {
+        Self { marks: BTreeMap::new(), adopted: VecDeque::new(), given_up: None }
+    }
+
+    /// Reports whether nothing may be started here any more.
+    pub fn is_empty(&self) -> bool {
+        self.marks.is_empty()
+    }
+
     /// Reports whether the submissions of an owner may be started here.
     pub fn holds(&self, owner: &Owner) -> bool {
         self.marks.contains_key(owner)
--- /dev/null
+++ b/crates/bamboocart-core/src/ownership/stage.rs
@@ -0,0 +1,129 @@
+//! The stages of an owner, for a holder that cannot change its type.
+
+use super::handover::{Draining, HandedOver};
+use super::registry::{ContentDigest, Offer, Registry, Rights, SubmissionKey};
+use super::{Issuer, Owner};
+use crate::id::SubmissionId;
+use crate::outcome::Outcome;
+use crate::time::Timestamp;
+
+/// The rights of an owner that has given them up.
+static NO_RIGHTS: Rights = Rights::none();
+
+/// An owner on its way from its start to a planned stop.
+///
+/// Each step consumes the stage before; a step that does not fit changes nothing.
+#[derive(Debug, Default)]
+pub enum Stage<S> {
+    /// It admits submissions.
+    Serving(Registry<S>),
+    /// It finishes what it has.
+    Draining(Draining<S>),
+    /// It has given up its right and sends the snapshot.
+    HandedOver(HandedOver),
+    /// The successor has the snapshot, or there was none to send it to.
+    #[default]
+    Stopped,
+}
+
+impl<S> Stage<S> {
+    /// Begins a planned stop.
+    pub fn drain(self) -> Self {
+        match self {
+            Self::Serving(registry) => Self::Draining(registry.drain()),
+            other => other,
+        }
+    }
+
+    /// Gives up the right to start anything, see [`Draining::hand_over`].
+    pub fn hand_over(
+        self,
+        successor: Owner,
+        issuer: &Issuer,
+        outcome: impl FnMut(&SubmissionId, S) -> Outcome,
+    ) -> Self {
+        match self {
+            Self::Draining(draining) => {
+                Self::HandedOver(draining.hand_over(successor, issuer, outcome))
+            }
+            other => other,
+        }
+    }
+
+    /// Ends a planned stop.
+    pub fn stop(self) -> Self {
+        match self {
+            Self::HandedOver(_) | Self::Draining(_) => Self::Stopped,
+            other => other,
+        }
+    }
+
+    /// Returns the owners whose submissions are answered here.
+    pub fn rights(&self) -> &Rights {
+        match self {
+            Self::Serving(registry) => registry.rights(),
+            Self::Draining(draining) => draining.rights(),
+            Self::HandedOver(_) | Self::Stopped => &NO_RIGHTS,
+        }
+    }
+
+    /// Returns the number of unfinished submissions.
+    pub fn open(&self) -> usize {
+        match self {
+            Self::Serving(registry) => registry.open(),
+            Self::Draining(draining) => draining.open(),
+            Self::HandedOver(_) | Self::Stopped => 0,
+        }
+    }
+
+    /// Looks at a submission that arrives under the right of `owner`, as resolved.
+    pub fn offer(
+        &mut self,
+        id: &SubmissionId,
+        owner: &Owner,
+        digest: ContentDigest,
+        now: Timestamp,
+    ) -> Offer<'_, S> {
+        match self {
+            Self::Serving(registry) => registry.offer(id, owner, digest, now),
+            Self::Draining(draining) => draining.offer(id, owner, digest, now),
+            Self::HandedOver(_) | Self::Stopped => Offer::NotOwned,
+        }
+    }
+
+    /// Returns the key of a submission that was admitted.
+    pub fn find(&self, id: &SubmissionId) -> Option<SubmissionKey> {
+        match self {
+            Self::Serving(registry) => registry.find(id),
+            Self::Draining(draining) => draining.find(id),
+            Self::HandedOver(_) | Self::Stopped => None,
+        }
+    }
+
+    /// Returns the state of a submission.
+    pub fn get(&self, key: SubmissionKey) -> Option<&S> {
+        match self {
+            Self::Serving(registry) => registry.get(key),
+            Self::Draining(draining) => draining.get(key),
+            Self::HandedOver(_) | Self::Stopped => None,
+        }
+    }
+
+    /// Returns the state of a submission for changing it.
+    pub fn get_mut(&mut self, key: SubmissionKey) -> Option<&mut S> {
+        match self {
+            Self::Serving(registry) => registry.get_mut(key),
+            Self::Draining(draining) => draining.get_mut(key),
+            Self::HandedOver(_) | Self::Stopped => None,
+        }
+    }
+
+    /// Marks a submission as answered.
+    pub fn close(&mut self, key: SubmissionKey, now: Timestamp) {
+        match self {
+            Self::Serving(registry) => registry.close(key, now),
+            Self::Draining(draining) => draining.close(key, now),
+            Self::HandedOver(_) | Self::Stopped => {}
+        }
+    }
+}
--- a/crates/bamboocart-core/tests/membership.rs
+++ b/crates/bamboocart-core/tests/membership.rs
@@ -8,6 +8,10 @@
 use bamboocart_core::time::Timestamp;
 use yare::parameterized;
 
+use self::Does::*;
+use self::Seen::*;
+use PeerState::*;
+
 /// The time at which the tables start.
 const T: u64 = 1_000_000;
 
@@ -73,42 +77,31 @@
 /// Guards against a dead peer that keeps its targets, a slow one that loses them, an old
 /// process that displaces a new one, and states that go back and forth.
 #[parameterized(
-    silence = { &[Seen::Beat(1), Seen::Wait(2_900), Seen::Is(PeerState::Live, 1),
-        Seen::Wait(100), Seen::Is(PeerState::Suspect, 1), Seen::Wait(1_900),
-        Seen::Is(PeerState::Suspect, 1), Seen::Wait(100), Seen::Is(PeerState::Dead, 1),
-        Seen::Changes(3)] },
-    any_message_counts = { &[Seen::Beat(1), Seen::Wait(2_900), Seen::Message(1),
-        Seen::Wait(2_900), Seen::Is(PeerState::Live, 1), Seen::Changes(1)] },
-    suspect_recovers_at_once = { &[Seen::Beat(1), Seen::Wait(4_000), Seen::Beat(1),
-        Seen::Is(PeerState::Live, 1)] },
-    higher_replaces_at_once = { &[Seen::Beat(1), Seen::Beat(2),
-        Seen::Is(PeerState::Live, 2), Seen::Changes(3)] },
-    told_higher_replaces = { &[Seen::Beat(1), Seen::Told(2),
-        Seen::Is(PeerState::Learned, 2), Seen::Beat(1), Seen::Is(PeerState::Learned, 2),
-        Seen::Changes(2)] },
-    lower_is_ignored = { &[Seen::Beat(2), Seen::Wait(2_900), Seen::Beat(1),
-        Seen::Message(1), Seen::Told(1), Seen::Wait(100), Seen::Is(PeerState::Suspect, 2)] },
-    learned_is_not_live = { &[Seen::Told(1), Seen::Is(PeerState::Learned, 1),
-        Seen::Wait(5_000), Seen::Is(PeerState::Dead, 1), Seen::Told(1),
-        Seen::Is(PeerState::Dead, 1), Seen::Changes(0)] },
-    one_beat_does_not_revive = { &[Seen::Beat(1), Seen::Wait(5_000), Seen::Beat(1),
-        Seen::Is(PeerState::Returning, 1), Seen::Wait(5_000),
-        Seen::Is(PeerState::Dead, 1), Seen::Changes(3)] },
-    steady_beats_revive = { &[Seen::Beat(1), Seen::Wait(5_000), Seen::Beats(1, 3_000),
-        Seen::Is(PeerState::Returning, 1), Seen::Beat(1), Seen::Is(PeerState::Live, 1),
-        Seen::Changes(4)] },
-    rare_beats_do_not_revive = { &[Seen::Beat(1), Seen::Wait(5_000), Seen::Beat(1),
-        Seen::Wait(4_000), Seen::Beat(1), Seen::Wait(4_000), Seen::Beat(1),
-        Seen::Is(PeerState::Returning, 1)] },
-    dead_is_replaced_at_once = { &[Seen::Beat(1), Seen::Wait(9_000), Seen::Beat(2),
-        Seen::Is(PeerState::Live, 2)] },
-    own_pause_kills_nobody = { &[Seen::Beat(1), Seen::Pause(60_000), Seen::Wait(2_900),
-        Seen::Is(PeerState::Live, 1), Seen::Wait(2_100), Seen::Is(PeerState::Dead, 1)] },
-    leaving_is_final = { &[Seen::Beat(1), Seen::Listed(1, true), Seen::Leaves(true),
-        Seen::Listed(1, false), Seen::Beat(1), Seen::Leaves(true), Seen::Changes(2),
-        Seen::Beat(2), Seen::Leaves(false)] },
-    old_listing_does_not_apply = { &[Seen::Beat(2), Seen::Listed(1, true),
-        Seen::Leaves(false), Seen::Is(PeerState::Live, 2)] },
+    silence = { &[Beat(1), Wait(2_900), Is(Live, 1), Wait(100), Is(Suspect, 1),
+        Wait(1_900), Is(Suspect, 1), Wait(100), Is(Dead, 1), Changes(3)] },
+    any_message_counts = { &[Beat(1), Wait(2_900), Message(1), Wait(2_900), Is(Live, 1),
+        Changes(1)] },
+    suspect_recovers_at_once = { &[Beat(1), Wait(4_000), Beat(1), Is(Live, 1)] },
+    higher_replaces_at_once = { &[Beat(1), Beat(2), Is(Live, 2), Changes(3)] },
+    told_higher_replaces = { &[Beat(1), Told(2), Is(Learned, 2), Beat(1), Is(Learned, 2),
+        Changes(2)] },
+    lower_is_ignored = { &[Beat(2), Wait(2_900), Beat(1), Message(1), Told(1), Wait(100),
+        Is(Suspect, 2)] },
+    learned_is_not_live = { &[Told(1), Is(Learned, 1), Wait(5_000), Is(Dead, 1), Told(1),
+        Is(Dead, 1), Changes(0)] },
+    one_beat_does_not_revive = { &[Beat(1), Wait(5_000), Beat(1), Is(Returning, 1),
+        Wait(5_000), Is(Dead, 1), Changes(3)] },
+    steady_beats_revive = { &[Beat(1), Wait(5_000), Beats(1, 3_000), Is(Returning, 1),
+        Beat(1), Is(Live, 1), Changes(4)] },
+    rare_beats_do_not_revive = { &[Beat(1), Wait(5_000), Beat(1), Wait(4_000), Beat(1),
+        Wait(4_000), Beat(1), Is(Returning, 1)] },
+    dead_is_replaced_at_once = { &[Beat(1), Wait(9_000), Beat(2), Is(Live, 2)] },
+    own_pause_kills_nobody = { &[Beat(1), Pause(60_000), Wait(2_900), Is(Live, 1),
+        Wait(2_100), Is(Dead, 1)] },
+    leaving_is_final = { &[Beat(1), Listed(1, true), Leaves(true), Listed(1, false),
+        Beat(1), Leaves(true), Changes(2), Beat(2), Leaves(false)] },
+    old_listing_does_not_apply = { &[Beat(2), Listed(1, true), Leaves(false),
+        Is(Live, 2)] },
 )]
 fn peer_states(steps: &[Seen]) {
     let mut membership = Membership::new(info("me", "d", 1), at(0));
@@ -116,53 +109,48 @@
     for &step in steps {
         let peers = &mut membership.peers;
         match step {
-            Seen::Beat(run) => {
-                changes += peers.heard(beat(info("p", "e", run), vec![]), at(ms)).len();
+            Beat(run) => {
+                let beat = beat(info("p", "e", run), vec![]);
+                changes += of_p(&peers.heard(beat, at(ms)));
             }
-            Seen::Told(run) => {
-                let known = vec![info("p", "e", run)];
-                let teller = beat(info("q", "e", 1), known);
-                let about = peers.heard(teller, at(ms)).into_iter().filter(|change| {
-                    !matches!(change, Change::Live(name, _) if name.as_str() == "q")
-                });
-                changes += about.count();
+            Told(run) => {
+                let beat = beat(info("q", "e", 1), vec![info("p", "e", run)]);
+                changes += of_p(&peers.heard(beat, at(ms)));
             }
-            Seen::Message(run) => {
-                let name = "p".into();
-                changes += peers.touched(&name, Incarnation(run), at(ms)).len();
+            Message(run) => {
+                changes += of_p(&peers.touched(&"p".into(), Incarnation(run), at(ms)));
             }
-            Seen::Listed(run, leaving) => {
+            Listed(run, leaving) => {
                 version += 1;
                 let instances = vec![(info("p", "e", run), leaving)];
                 let list = Listing { version, instances, ..Default::default() };
                 match membership.listed(list, at(ms)) {
-                    ListVerdict::Applied(more) => changes += more.len(),
+                    ListVerdict::Applied(more) => changes += of_p(&more),
                     other => panic!("{other:?}"),
                 }
             }
-            Seen::Wait(wait_ms) | Seen::Beats(_, wait_ms) => {
+            Wait(wait_ms) | Beats(_, wait_ms) => {
                 for passed in (0..wait_ms).step_by(100) {
-                    if let (Seen::Beats(run, _), 0) = (step, passed % 1_000) {
-                        let heard = beat(info("p", "e", run), vec![]);
-                        changes += peers.heard(heard, at(ms)).len();
+                    if let (Beats(run, _), 0) = (step, passed % 1_000) {
+                        let beat = beat(info("p", "e", run), vec![]);
+                        changes += of_p(&peers.heard(beat, at(ms)));
                     }
                     ms += 100;
-                    changes += peers.tick(at(ms)).iter().filter(|it| of_p(it)).count();
+                    changes += of_p(&peers.tick(at(ms)));
                 }
             }
-            Seen::Pause(pause_ms) => {
+            Pause(pause_ms) => {
                 ms += pause_ms;
-                changes += peers.tick(at(ms)).len();
+                changes += of_p(&peers.tick(at(ms)));
             }
-            Seen::Is(state, run) => {
-                let peer = peers.get(&"p".into()).unwrap();
-                let got = (peer.state, peer.info.incarnation.0);
-                assert_eq!(got, (state, run), "at {ms} ms");
+            Is(state, run) => {
+                let p = peers.get(&"p".into()).unwrap();
+                assert_eq!((p.state, p.info.incarnation.0), (state, run), "at {ms} ms");
             }
-            Seen::Leaves(leaves) => {
+            Leaves(leaves) => {
                 assert_eq!(peers.get(&"p".into()).unwrap().leaving, leaves);
             }
-            Seen::Changes(want) => {
+            Changes(want) => {
                 assert_eq!(changes, want, "at {ms} ms");
                 changes = 0;
             }
@@ -170,12 +158,9 @@
     }
 }
 
-fn of_p(change: &Change) -> bool {
-    let (Change::Live(name, _)
-    | Change::Suspect(name, _)
-    | Change::Dead(name, _)
-    | Change::Leaving(name, _)) = change;
-    name.as_str() == "p"
+/// Counts the changes of the peer `p`.
+fn of_p(changes: &[Change]) -> usize {
+    changes.iter().filter(|change| change.name.as_str() == "p").count()
 }
 
 /// Guards against a table that grows without bound, or that drops live peers for others.
@@ -218,8 +203,8 @@
         bytes_per_s: 6_500 } },
     uneven_domains = { BeatCase { own: 19, other: 29, own_ms: 1_200, other_ms: 2_500,
         bytes_per_s: 7_000 } },
-    one_domain = { BeatCase { own: 48, other: 0, own_ms: 1_700, other_ms: 0,
-        bytes_per_s: 7_000 } },
+    one_domain = { BeatCase { own: 48, other: 0, own_ms: 1_700, other_ms: 0, bytes_per_s:
+        7_000 } },
     nobody_near = { BeatCase { own: 0, other: 48, own_ms: 0, other_ms: 2_500,
         bytes_per_s: 7_000 } },
 )]
@@ -295,25 +280,23 @@
 /// Guards against new work for a leaving target, against a broken list that takes most
 /// targets away, and against one that cannot take dead targets away.
 #[parameterized(
-    newer_list_removes = { &[Does::List(2, 6, "applied"), Does::Serving(6)] },
-    older_list_is_ignored = { &[Does::List(3, 9, "applied"), Does::List(2, 10, "older"),
-        Does::Serving(9)] },
-    half_may_go = { &[Does::List(2, 5, "applied"), Does::Serving(5)] },
-    more_than_half_is_doubtful = { &[Does::List(2, 4, "doubtful"), Does::Serving(10)] },
-    empty_list_is_doubtful = { &[Does::List(2, 0, "doubtful"), Does::Serving(10)] },
-    doubtful_while_they_answer = { &[Does::List(2, 2, "doubtful"),
-        Does::Probe(10, 20_000), Does::List(2, 2, "doubtful"), Does::Serving(10)] },
-    applied_once_they_are_silent = { &[Does::List(2, 2, "doubtful"),
-        Does::Probe(3, 20_000), Does::List(2, 2, "applied"), Does::Serving(2)] },
-    leaving_by_list_is_final = { &[Does::ListOne(2, 1, true), Does::Serves(false),
-        Does::ListOne(3, 1, false), Does::Serves(false), Does::ListOne(4, 2, false),
-        Does::Serves(true)] },
-    leaving_outlives_a_gap_in_the_list = { &[Does::Leave(Leaving::OwnAnswer, 1),
-        Does::List(2, 0, "doubtful"), Does::Probe(0, 20_000), Does::List(3, 0, "applied"),
-        Does::List(4, 10, "applied"), Does::Serves(false), Does::Serving(9)] },
-    leaving_of_an_old_run_is_ignored = { &[Does::ListOne(2, 2, false),
-        Does::Leave(Leaving::Probe, 1), Does::Serves(true), Does::ListOne(3, 1, true),
-        Does::Serves(true)] },
+    newer_list_removes = { &[List(2, 6, "applied"), Serving(6)] },
+    older_list_is_ignored = { &[List(3, 9, "applied"), List(2, 10, "older"), Serving(9)]
+        },
+    half_may_go = { &[List(2, 5, "applied"), Serving(5)] },
+    more_than_half_is_doubtful = { &[List(2, 4, "doubtful"), Serving(10)] },
+    empty_list_is_doubtful = { &[List(2, 0, "doubtful"), Serving(10)] },
+    doubtful_while_they_answer = { &[List(2, 2, "doubtful"), Probe(10, 20_000),
+        List(2, 2, "doubtful"), Serving(10)] },
+    applied_once_they_are_silent = { &[List(2, 2, "doubtful"), Probe(3, 20_000),
+        List(2, 2, "applied"), Serving(2)] },
+    leaving_by_list_is_final = { &[ListOne(2, 1, true), Serves(false),
+        ListOne(3, 1, false), Serves(false), ListOne(4, 2, false), Serves(true)] },
+    leaving_outlives_a_gap_in_the_list = { &[Leave(Leaving::OwnAnswer, 1),
+        List(2, 0, "doubtful"), Probe(0, 20_000), List(3, 0, "applied"),
+        List(4, 10, "applied"), Serves(false), Serving(9)] },
+    leaving_of_an_old_run_is_ignored = { &[ListOne(2, 2, false),
+        Leave(Leaving::Probe, 1), Serves(true), ListOne(3, 1, true), Serves(true)] },
 )]
 fn merges_lists(steps: &[Does]) {
     let mut membership = Membership::new(info("me", "d", 1), at(0));
@@ -333,7 +316,7 @@
     membership.listed(list(1, 10, (1, false)), at(0));
     for step in steps {
         match *step {
-            Does::List(version, count, want) => {
+            List(version, count, want) => {
                 let got =
                     match membership.listed(list(version, count, (1, false)), at(ms)) {
                         ListVerdict::Applied(_) => "applied",
@@ -342,10 +325,10 @@
                     };
                 assert_eq!(got, want, "{step:?}");
             }
-            Does::ListOne(version, run, leaving) => {
+            ListOne(version, run, leaving) => {
                 membership.listed(list(version, 10, (run, leaving)), at(ms));
             }
-            Does::Probe(answering, until_ms) => {
+            Probe(answering, until_ms) => {
                 while ms < until_ms {
                     ms += 500;
                     for probed in membership.due_probes(at(ms), |_| false) {
@@ -357,19 +340,16 @@
                     }
                 }
             }
-            Does::Leave(source, run) => {
+            Leave(source, run) => {
                 membership.targets.leave(&"t0".into(), Incarnation(run), source);
             }
-            Does::Serves(serves) => {
+            Serves(serves) => {
                 let target = membership.targets.get(&"t0".into()).unwrap();
                 assert_eq!(target.is_serving(), serves);
             }
-            Does::Serving(count) => {
-                assert_eq!(membership.targets.serving().count(), count);
-            }
+            Serving(count) => assert_eq!(membership.targets.serving().count(), count),
         }
     }
-    assert!(membership.list_version() >= 1);
 }
 
 /// Guards against a list that empties the table of instances while these answer, and
@@ -389,6 +369,7 @@
         }
         membership.peers.tick(at(ms));
     }
+    assert!(!membership.uses(&target("t0", 1), true));
     let empty = Listing { version: 2, ..Default::default() };
     let verdict = membership.listed(empty, at(6_000));
     assert_eq!(verdict != ListVerdict::Doubtful, applied);
@@ -441,19 +422,18 @@
 #[parameterized(
     one_by_one = { StopCase { plans: vec![("p", plan(&["t1", "t2", "i1"], 100, 1, &[]))],
         want: &[("t1", 0), ("t2", 100), ("i1", 200)] } },
-    two_at_once = { StopCase { plans: vec![("p", plan(&["t1", "t2", "t3"], 100, 2, &[]))],
-        want: &[("t1", 0), ("t2", 0), ("t3", 100)] } },
-    zero_at_once_means_one = { StopCase {
-        plans: vec![("p", plan(&["t1", "t2"], 100, 0, &[]))],
-        want: &[("t1", 0), ("t2", 100)] } },
-    after_another = { StopCase { plans: vec![
-        ("a", plan(&["t3"], 50, 1, &["b", "c"])), ("b", plan(&["t1", "t2"], 100, 1, &[])),
-        ("c", plan(&["i1"], 70, 1, &[])),
-    ], want: &[("t1", 0), ("i1", 0), ("t2", 100), ("t3", 200)] } },
-    cycles_never_begin = { StopCase { plans: vec![
-        ("a", plan(&["t1"], 50, 1, &["b"])), ("b", plan(&["t2"], 50, 1, &["a"])),
-        ("c", plan(&["t3"], 50, 1, &[])),
-    ], want: &[("t3", 0)] } },
+    two_at_once = { StopCase { plans:
+        vec![("p", plan(&["t1", "t2", "t3"], 100, 2, &[]))], want: &[("t1", 0),
+        ("t2", 0), ("t3", 100)] } },
+    zero_at_once_means_one = { StopCase { plans:
+        vec![("p", plan(&["t1", "t2"], 100, 0, &[]))], want: &[("t1", 0), ("t2", 100)] }
+        },
+    after_another = { StopCase { plans: vec![ ("a", plan(&["t3"], 50, 1, &["b", "c"])),
+        ("b", plan(&["t1", "t2"], 100, 1, &[])), ("c", plan(&["i1"], 70, 1, &[])), ],
+        want: &[("t1", 0), ("i1", 0), ("t2", 100), ("t3", 200)] } },
+    cycles_never_begin = { StopCase { plans: vec![ ("a", plan(&["t1"], 50, 1, &["b"])),
+        ("b", plan(&["t2"], 50, 1, &["a"])), ("c", plan(&["t3"], 50, 1, &[])), ], want:
+        &[("t3", 0)] } },
 )]
 fn stops_in_order(case: StopCase) {
     let plans: BTreeMap<StopPlanName, StopPlan> =
@@ -490,14 +470,16 @@
 fn assignment_moves_little() {
     proptest::proptest!(|(size in 1..12_usize, gone in 0..12_usize, far in 0..3_usize)| {
         let near = (0..size).map(|n| info(&format!("i{n}"), "d", 1));
-        let all: Vec<_> = near.chain((0..far).map(|n| info(&format!("f{n}"), "e", 1))).collect();
-        let left: Vec<_> = all.iter().filter(|i| i.name.as_str() != format!("i{gone}")).collect();
+        let far = (0..far).map(|n| info(&format!("f{n}"), "e", 1));
+        let all: Vec<_> = near.chain(far).collect();
+        let remains = |info: &&PeerInfo| info.name.as_str() != format!("i{gone}");
+        let left: Vec<_> = all.iter().filter(remains).collect();
         for number in 0..50 {
             let name = format!("t{number}").as_str().into();
             let before = user_of(&name, &"d".into(), all.iter()).unwrap();
             let after = user_of(&name, &"d".into(), left.iter().copied());
             proptest::prop_assert_eq!(before.domain.as_str(), "d");
-            if before.name.as_str() != format!("i{gone}") {
+            if remains(&before) {
                 proptest::prop_assert_eq!(Some(before), after);
             }
             proptest::prop_assert_eq!(after.is_none(), left.is_empty());
@@ -516,10 +498,8 @@
         let user = user_of(&name, &"d".into(), instances.iter()).unwrap();
         *counts.entry(&user.name).or_insert(0) += 1;
     }
-    assert!(
-        counts.len() == 7 && counts.values().all(|count| (120..=230).contains(count)),
-        "{counts:?}"
-    );
+    assert_eq!(counts.len(), 7);
+    assert!(counts.values().all(|count| (120..=230).contains(count)), "{counts:?}");
 }
 
 /// Guards against handing over to a peer that is leaving, silent, or about to stop.
--- a/crates/bamboocart-core/tests/ownership.rs
+++ b/crates/bamboocart-core/tests/ownership.rs
@@ -1,28 +1,35 @@
 //! Table tests of claims, resolution, registry and handover.
 
-use bamboocart_core::id::{Incarnation, SubmissionId, Ticket};
+use bamboocart_core::id::{Incarnation, InstanceName, SubmissionId, TaskIndex, Ticket};
 use bamboocart_core::outcome::{Outcome, Refusal, RefusalCode, TaskResult, UnknownCode};
 use bamboocart_core::ownership::*;
 use bamboocart_core::time::Timestamp;
 use uuid::Uuid;
 use yare::parameterized;
 
+use self::Id::*;
+use self::Say::*;
+use self::Step::*;
+
 /// The time at which the tables start.
-const T: u64 = 1_000_000_000;
+const START_MS: u64 = 1_000_000_000;
 
 fn owner(name: &str) -> Owner {
-    Owner::new(name.into(), Incarnation(T * 1_000))
+    Owner::new(name.into(), Incarnation(START_MS * 1_000))
 }
 
 fn at(ms: u64) -> Timestamp {
-    Timestamp::from_ms(T + ms)
+    Timestamp::from_ms(START_MS + ms)
 }
 
 /// Makes a key of the given time; `salt` tells keys of one time apart.
 fn key(ms: u64, salt: u64) -> Uuid {
     let [.., a, b, c, d, e, f, g, h] = u128::from(salt).to_be_bytes();
-    uuid::Builder::from_unix_timestamp_millis(T + ms, &[a, b, c, d, e, f, g, h, 0, 0])
-        .into_uuid()
+    uuid::Builder::from_unix_timestamp_millis(
+        START_MS + ms,
+        &[a, b, c, d, e, f, g, h, 0, 0],
+    )
+    .into_uuid()
 }
 
 fn claim(name: &str, from: u64, until: u64) -> String {
@@ -31,8 +38,8 @@
         ranges: RangeSet::ALL,
         instance: owner.instance,
         incarnation: owner.incarnation,
-        from_ms: T + from,
-        until_ms: T + until,
+        from_ms: START_MS + from,
+        until_ms: START_MS + until,
     }
     .to_body()
 }
@@ -41,7 +48,7 @@
 fn fold(table: &mut ClaimTable, start: u64, log: &[(u64, String)]) -> Vec<Fault> {
     let records: Vec<ClaimRecord> = (start..)
         .zip(log)
-        .map(|(offset, (ms, body))| ClaimRecord { offset, at_ms: T + ms, body })
+        .map(|(offset, (ms, body))| ClaimRecord { offset, at_ms: START_MS + ms, body })
         .collect();
     table.read(start, &records)
 }
@@ -56,11 +63,9 @@
 
 fn say(table: &ClaimTable, ms: u64) -> Say {
     match table.covered(&key(ms, 7), at(ms)) {
-        Covered::By(by) if by == owner("a") => Say::By("a"),
-        Covered::By(by) if by == owner("b") => Say::By("b"),
-        Covered::By(by) => panic!("unexpected holder {by}"),
-        Covered::Future => Say::Future,
-        Covered::Past => Say::Past,
+        Covered::By(by) => By(if by == owner("a") { "a" } else { "b" }),
+        Covered::Future => Future,
+        Covered::Past => Past,
     }
 }
 
@@ -76,45 +81,33 @@
 /// against a stale record that passes for a claim after earlier ones have expired.
 #[parameterized(
     nothing_is_claimed = { FoldCase { start: 0, log: vec![], faults: 0, want: vec![
-        (0, Say::Future),
-    ] } },
-    interval_is_half_open = { FoldCase { start: 0, log: vec![
-        (0, claim("a", 0, 100)),
-    ], faults: 0, want: vec![
-        (0, Say::By("a")), (99, Say::By("a")), (100, Say::Future),
-    ] } },
-    the_first_of_two_wins = { FoldCase { start: 0, log: vec![
-        (0, claim("b", 0, 100)), (0, claim("a", 50, 200)),
-    ], faults: 1, want: vec![(60, Say::By("b")), (150, Say::Future)] } },
-    the_end_is_free = { FoldCase { start: 0, log: vec![
-        (0, claim("a", 0, 100)), (0, claim("b", 100, 200)), (0, claim("a", 200, 300)),
-    ], faults: 0, want: vec![
-        (99, Say::By("a")), (100, Say::By("b")), (250, Say::By("a")),
-    ] } },
-    a_gap_stays_unowned = { FoldCase { start: 0, log: vec![
-        (0, claim("a", 0, 100)), (0, claim("b", 150, 200)), (0, claim("a", 100, 150)),
-    ], faults: 1, want: vec![(120, Say::Past), (170, Say::By("b"))] } },
-    bad_records_are_skipped = { FoldCase { start: 0, log: vec![
-        (0, "{".into()), (0, claim("b", 9, 9)), (0, claim("b", 0, MAX_AHEAD_MS + 1)),
-        (0, claim("a", 0, 100)),
-    ], faults: 3, want: vec![(50, Say::By("a"))] } },
+        (0, Future), ] } },
+    interval_is_half_open = { FoldCase { start: 0, log: vec![ (0, claim("a", 0, 100)), ],
+        faults: 0, want: vec![ (0, By("a")), (99, By("a")), (100, Future), ] } },
+    the_first_of_two_wins = { FoldCase { start: 0, log: vec![ (0, claim("b", 0, 100)),
+        (0, claim("a", 50, 200)), ], faults: 1, want: vec![(60, By("b")), (150, Future)]
+        } },
+    the_end_is_free = { FoldCase { start: 0, log: vec![ (0, claim("a", 0, 100)),
+        (0, claim("b", 100, 200)), (0, claim("a", 200, 300)), ], faults: 0, want: vec![
+        (99, By("a")), (100, By("b")), (250, By("a")), ] } },
+    a_gap_stays_unowned = { FoldCase { start: 0, log: vec![ (0, claim("a", 0, 100)),
+        (0, claim("b", 150, 200)), (0, claim("a", 100, 150)), ], faults: 1, want:
+        vec![(120, Past), (170, By("b"))] } },
+    bad_records_are_skipped = { FoldCase { start: 0, log: vec![ (0, "{".into()),
+        (0, claim("b", 9, 9)), (0, claim("b", 0, MAX_AHEAD_MS + 1)),
+        (0, claim("a", 0, 100)), ], faults: 3, want: vec![(50, By("a"))] } },
     the_first_claim_after_a_trim_is_undecided = { FoldCase { start: 5, log: vec![
-        (0, claim("b", 0, 100)),
-    ], faults: 1, want: vec![(50, Say::Past), (100, Say::Past)] } },
+        (0, claim("b", 0, 100)), ], faults: 1, want: vec![(50, Past), (100, Past)] } },
     a_claim_past_every_expired_one_counts = { FoldCase { start: 5, log: vec![
-        (0, claim("b", 0, 100)),
-        (300_000, claim("a", 330_000, 400_000)),
-    ], faults: 1, want: vec![(50, Say::Past), (330_000, Say::By("a"))] } },
+        (0, claim("b", 0, 100)), (300_000, claim("a", 330_000, 400_000)), ], faults: 1,
+        want: vec![(50, Past), (330_000, By("a"))] } },
     an_undecided_claim_widens_the_bounds = { FoldCase { start: 5, log: vec![
-        (0, "{".into()),
-        (200_000, claim("b", 300_000, 400_000)),
-        (200_000, claim("a", 350_000, 450_000)),
-        (200_000, claim("a", 450_000, 460_000)),
-    ], faults: 3, want: vec![
-        (310_000, Say::Past), (360_000, Say::Past), (455_000, Say::By("a")),
-    ] } },
-    an_empty_trimmed_log_verifies_nothing = { FoldCase { start: 5, log: vec![],
-        faults: 0, want: vec![(0, Say::Past), (1_000_000, Say::Past)] } },
+        (0, "{".into()), (200_000, claim("b", 300_000, 400_000)),
+        (200_000, claim("a", 350_000, 450_000)), (200_000, claim("a", 450_000, 460_000)),
+        ], faults: 3, want: vec![ (310_000, Past), (360_000, Past), (455_000, By("a")), ]
+        } },
+    an_empty_trimmed_log_verifies_nothing = { FoldCase { start: 5, log: vec![], faults:
+        0, want: vec![(0, Past), (1_000_000, Past)] } },
 )]
 fn folds(case: FoldCase) {
     let mut table = ClaimTable::default();
@@ -133,8 +126,8 @@
     fold(&mut table, 0, &[(0, claim("a", 0, 100))]);
     let faults = fold(&mut table, 9, &[(200, claim("b", 150, 400))]);
     assert!(matches!(faults[0].reason, FaultReason::Unverified { .. }));
-    assert_eq!(say(&table, 50), Say::By("a"));
-    assert_eq!(say(&table, 160), Say::Past);
+    assert_eq!(say(&table, 50), By("a"));
+    assert_eq!(say(&table, 160), Past);
 }
 
 /// Guards against different owners on readers that start at different records: what a
@@ -157,7 +150,7 @@
             fold(&mut trimmed, start as u64, &log[start..]);
             for ms in (0..2_000_000).step_by(15_000) {
                 match say(&trimmed, ms) {
-                    Say::Past => {}
+                    Past => {}
                     said => proptest::prop_assert_eq!(said, say(&whole, ms)),
                 }
             }
@@ -174,11 +167,8 @@
 ) -> Vec<usize> {
     let live: Vec<Owner> = claimers.iter().map(|(owner, _)| owner.clone()).collect();
     for ms in (from..to).step_by(1_000) {
-        let due: Vec<Claim> = claimers
-            .iter_mut()
-            .flat_map(|(_, claimer)| claimer.due(log, &live, at(ms)))
-            .collect();
-        for claim in due {
+        let due = claimers.iter_mut().map(|(_, claimer)| claimer.due(log, &live, at(ms)));
+        for claim in due.collect::<Vec<_>>().concat() {
             let start = log.next_offset();
             fold(log, start, &[(ms, claim.to_body())]);
         }
@@ -204,8 +194,8 @@
 /// crash, or that change hands so late that keys of the present have no owner.
 #[parameterized(
     one = { &["a"], &["a"] },
-    seven_start = { &["a", "b", "c", "d", "e", "f", "g"],
-        &["a", "b", "c", "d", "e", "f", "g"] },
+    seven_start = { &["a", "b", "c", "d", "e", "f", "g"], &["a", "b", "c", "d", "e", "f",
+        "g"] },
     one_crashes = { &["a", "b", "c", "d"], &["a", "b", "c"] },
     two_join = { &["a", "b"], &["a", "b", "c", "d"] },
 )]
@@ -237,13 +227,13 @@
     let dated = claimer.due(&table, &[], at(2 * APPEND_EVERY_MS));
     assert!(dated[0].ranges.is_empty());
     assert_eq!(fold(&mut table, 5, &[(10_000, dated[0].to_body())]), []);
-    assert_eq!(say(&table, 0), Say::Past);
+    assert_eq!(say(&table, 0), Past);
     let usable = (0..400).find_map(|second| {
         let due = claimer.due(&table, &[], at(10_000 + second * 1_000));
         due.first().map(|claim| (10_000 + second * 1_000, claim.to_body()))
     });
     assert_eq!(fold(&mut table, 6, &[usable.unwrap()]), []);
-    assert_eq!(say(&table, 340_000), Say::By("a"));
+    assert_eq!(say(&table, 340_000), By("a"));
 }
 
 fn ticket(name: &str, sequence: u64) -> SubmissionId {
@@ -265,11 +255,10 @@
     successions.learn(owner("older"), owner("b"));
     successions.learn(owner("old"), owner("me"));
     successions.learn(owner("left"), owner("me"));
-    let live =
-        |name: &_| match owner("a").instance == *name || owner("b").instance == *name {
-            true => Some(Incarnation(T * 1_000)),
-            false => Some(Incarnation(T * 1_000 + 1)),
-        };
+    let live = |name: &InstanceName| {
+        let restarts = u64::from(!["a", "b"].contains(&name.as_str()));
+        Some(Incarnation(START_MS * 1_000 + restarts))
+    };
     let view = View {
         rights: registry.rights(),
         issuer: &issuer,
@@ -294,25 +283,40 @@
     }
 }
 
+/// The ticket with a sequence, or the key of a time.
+#[derive(Clone, Copy, Debug)]
+enum Id {
+    T(u64),
+    K(u64),
+}
+
+impl Id {
+    fn of(self) -> SubmissionId {
+        match self {
+            T(sequence) => ticket("me", sequence),
+            K(ms) => SubmissionId::CallerKey(key(ms, 0)),
+        }
+    }
+}
+
 /// One step on a registry with room for 2 open and 4 entries that remembers for 1 s.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// Offers a ticket and admits it if possible.
-    Ticket(u64, &'static str),
-    /// Offers a key of the given time and admits it if possible.
-    Key(u64, &'static str),
-    /// Offers a ticket and refuses it.
-    Refuse(u64),
-    Close(u64),
+    /// Offers an id and admits it if possible.
+    Send(Id, &'static str),
+    /// Offers an id and refuses it.
+    Refuse(Id),
+    Close(Id),
     Wait(u64),
 }
 
 const NO: Refusal = Refusal { code: RefusalCode::Overloaded, retry_after_ms: None };
 
-fn name(offer: Offer<()>) -> &'static str {
+/// Names an offer, after admitting or refusing what is new.
+fn name<S>(offer: Offer<S>, state: S) -> &'static str {
     match offer {
         Offer::New(vacancy) => {
-            vacancy.admit(());
+            vacancy.admit(state);
             "new"
         }
         Offer::Full(arrival) => {
@@ -334,23 +338,21 @@
 /// Guards against a forgotten id that passes for a new one, and against running a late
 /// copy of a submission whose caller was told "not run".
 #[parameterized(
-    new_then_known = { &[Step::Ticket(0, "new"), Step::Ticket(0, "known"), Step::Close(0),
-        Step::Ticket(0, "known")] },
-    full_stays_refused = { &[Step::Ticket(0, "new"), Step::Ticket(1, "new"),
-        Step::Ticket(2, "full"), Step::Close(0), Step::Ticket(2, "refused"),
-        Step::Ticket(3, "new")] },
-    refused_stays_refused = { &[Step::Refuse(0), Step::Ticket(0, "refused")] },
-    expired_is_forgotten = { &[Step::Ticket(3, "new"), Step::Close(3), Step::Wait(999),
-        Step::Ticket(3, "known"), Step::Wait(1), Step::Ticket(3, "forgotten"),
-        Step::Ticket(1, "forgotten"), Step::Ticket(4, "new")] },
-    evicted_is_forgotten = { &[Step::Ticket(0, "new"), Step::Ticket(1, "new"),
-        Step::Ticket(2, "full"), Step::Ticket(3, "full"), Step::Ticket(4, "full"),
-        Step::Ticket(2, "forgotten"), Step::Ticket(0, "known"),
-        Step::Ticket(3, "refused")] },
-    old_key_is_forgotten = { &[Step::Wait(2_000), Step::Key(999, "forgotten"),
-        Step::Key(1_000, "new")] },
-    expired_key_of_a_fast_clock = { &[Step::Key(5_000, "new"), Step::Close(0),
-        Step::Wait(1_000), Step::Key(5_000, "forgotten"), Step::Key(5_001, "new")] },
+    new_then_known = { &[Send(T(0), "new"), Send(T(0), "known"), Close(T(0)),
+        Send(T(0), "known")] },
+    full_stays_refused = { &[Send(T(0), "new"), Send(T(1), "new"), Send(T(2), "full"),
+        Close(T(0)), Send(T(2), "refused"), Send(T(3), "new")] },
+    refused_stays_refused = { &[Refuse(T(0)), Send(T(0), "refused")] },
+    expired_is_forgotten = { &[Send(T(3), "new"), Close(T(3)), Wait(999),
+        Send(T(3), "known"), Wait(1), Send(T(3), "forgotten"), Send(T(1), "forgotten"),
+        Send(T(4), "new")] },
+    evicted_is_forgotten = { &[Send(T(0), "new"), Send(T(1), "new"), Send(T(2), "full"),
+        Send(T(3), "full"), Send(T(4), "full"), Send(T(2), "forgotten"),
+        Send(T(0), "known"), Send(T(3), "refused")] },
+    old_key_is_forgotten = { &[Wait(2_000), Send(K(999), "forgotten"),
+        Send(K(1_000), "new")] },
+    expired_key_of_a_fast_clock = { &[Send(K(5_000), "new"), Close(K(5_000)),
+        Wait(1_000), Send(K(5_000), "forgotten"), Send(K(5_001), "new")] },
 )]
 fn registry_answers(steps: &[Step]) {
     let limits = Limits { open: 2, total: 4, remember_ms: 1_000 };
@@ -359,38 +361,25 @@
     let digest = ContentDigest::of([&b"x"[..]]);
     for &step in steps {
         match step {
-            Step::Ticket(sequence, want) => {
-                let id = ticket("me", sequence);
-                let got = name(registry.offer(&id, &owner("me"), digest, now));
-                assert_eq!(got, want, "{step:?}");
-            }
-            Step::Key(ms, want) => {
-                let id = SubmissionId::CallerKey(key(ms, 0));
-                let got = name(registry.offer(&id, &owner("me"), digest, now));
+            Send(id, want) => {
+                let got = name(registry.offer(&id.of(), &owner("me"), digest, now), ());
                 assert_eq!(got, want, "{step:?}");
-                if let Some(key) = registry.find(&id) {
-                    registry.close(key, now);
-                }
             }
-            Step::Refuse(sequence) => {
-                let id = ticket("me", sequence);
-                match registry.offer(&id, &owner("me"), digest, now) {
-                    Offer::New(vacancy) => vacancy.refuse(NO),
-                    other => panic!("{other:?}"),
-                };
+            Refuse(id) => match registry.offer(&id.of(), &owner("me"), digest, now) {
+                Offer::New(vacancy) => drop(vacancy.refuse(NO)),
+                other => panic!("{other:?}"),
+            },
+            Close(id) => {
+                let key = registry.find(&id.of()).expect("an admitted submission");
+                registry.close(key, now);
+                registry.close(key, now);
             }
-            Step::Close(sequence) => {
-                if let Some(key) = registry.find(&ticket("me", sequence)) {
-                    registry.close(key, now);
-                    registry.close(key, now);
-                }
-            }
-            Step::Wait(ms) => now = now.plus_ms(ms),
+            Wait(ms) => now = now.plus_ms(ms),
         }
         assert!(registry.len() <= 4 && registry.open() <= 2);
     }
     let id = ticket("me", 100);
-    assert_eq!(name(registry.offer(&id, &owner("a"), digest, now)), "not owned");
+    assert_eq!(name(registry.offer(&id, &owner("a"), digest, now), ()), "not owned");
 }
 
 /// Guards against taking an id with other content for a repetition, and against parts
@@ -401,8 +390,8 @@
     let two = ContentDigest::of([&b"a"[..], b"bc"]);
     let mut registry: Registry<()> = Registry::new(owner("me"), Limits::default());
     let id = ticket("me", 0);
-    assert_eq!(name(registry.offer(&id, &owner("me"), one, at(0))), "new");
-    assert_eq!(name(registry.offer(&id, &owner("me"), two, at(0))), "reused");
+    assert_eq!(name(registry.offer(&id, &owner("me"), one, at(0)), ()), "new");
+    assert_eq!(name(registry.offer(&id, &owner("me"), two, at(0)), ()), "reused");
 }
 
 /// Guards against a successor that acts on a part of a snapshot, for another
@@ -410,14 +399,18 @@
 #[test]
 fn hands_over_once_and_completely() {
     let digest = ContentDigest::of([&b"x"[..]]);
-    let mut old: Registry<usize> = Registry::new(owner("old"), Limits::default());
+    let running = Outcome::Unknown(UnknownCode::StillRunning);
+    let body = vec![0; 400_000].into();
+    let large = Outcome::Complete(vec![TaskResult { task: TaskIndex(0), body }]);
+    let mut old: Registry<Outcome> = Registry::new(owner("old"), Limits::default());
     let mut issuer = Issuer::new("d".into(), owner("old"));
     (0..20).for_each(|_| drop(issuer.issue()));
     for sequence in 0..9 {
         let id = ticket("old", sequence);
         match old.offer(&id, &owner("old"), digest, at(0)) {
             Offer::New(vacancy) if sequence == 8 => drop(vacancy.refuse(NO)),
-            Offer::New(vacancy) => drop(vacancy.admit(400_000)),
+            Offer::New(vacancy) if sequence == 7 => drop(vacancy.admit(running.clone())),
+            Offer::New(vacancy) => drop(vacancy.admit(large.clone())),
             other => panic!("{other:?}"),
         }
         if let Some(key) = old.find(&id).filter(|_| sequence != 7) {
@@ -425,20 +418,10 @@
         }
     }
     let mut old = old.drain();
-    match old.offer(&ticket("old", 9), &owner("old"), digest, at(0)) {
-        Offer::Draining(arrival) => drop(arrival.refuse(NO)),
-        other => panic!("{other:?}"),
-    }
+    let late = old.offer(&ticket("old", 9), &owner("old"), digest, at(0));
+    assert_eq!(name(late, running.clone()), "draining");
     assert_eq!(old.open(), 1);
-    let handed = old.hand_over(owner("new"), &issuer, |id, size| match id {
-        SubmissionId::Ticket(ticket) if ticket.sequence == 7 => {
-            Outcome::Unknown(UnknownCode::StillRunning)
-        }
-        _ => Outcome::Complete(vec![TaskResult {
-            task: Default::default(),
-            body: vec![0; size].into(),
-        }]),
-    });
+    let handed = old.hand_over(owner("new"), &issuer, |_, outcome| outcome);
     assert_eq!(handed.parts().len(), 4);
     let mut registry: Registry<Outcome> = Registry::new(owner("new"), Limits::default());
     let mut assembly = Assembly::new(owner("new"));
@@ -451,41 +434,38 @@
         let done = assembly.accept(part, registry.rights()).unwrap();
         assert_eq!(done.is_some(), place == 3, "part {place}");
         complete = done.or(complete);
-        let id = ticket("old", 0);
-        let early = registry.offer(&id, &owner("old"), digest, at(0));
-        assert!(matches!(early, Offer::NotOwned));
+        assert!(!registry.rights().holds(&owner("old")));
     }
-    let other: Registry<Outcome> = Registry::new(owner("x"), Limits::default());
-    let mut wrong = Assembly::new(owner("x"));
     let part = handed.parts()[0].clone();
-    assert_eq!(
-        wrong.accept(part, other.rights()).unwrap_err(),
-        AcceptError::WrongSuccessor
-    );
+    let wrong = Assembly::new(owner("x")).accept(part.clone(), &Rights::none());
+    assert_eq!(wrong.unwrap_err(), AcceptError::WrongSuccessor);
     let done = complete.unwrap();
     assert_eq!(registry.adopt(done, at(0), |_, outcome| outcome), Ok(10));
-    for (sequence, want) in [
-        (0, "known"),
-        (7, "known"),
-        (8, "refused"),
-        (9, "refused"),
-        (10, "new"),
-        (10, "known"),
-        (20, "forgotten"),
-    ] {
+    let wants = ["known", "known", "refused", "refused", "new", "forgotten"];
+    for (sequence, want) in [0, 7, 8, 9, 10, 20].into_iter().zip(wants) {
         let id = ticket("old", sequence);
-        let got = match registry.offer(&id, &owner("old"), digest, at(1)) {
-            Offer::New(vacancy) => {
-                vacancy.admit(Outcome::Unknown(UnknownCode::StillRunning));
-                "new"
-            }
-            Offer::Known(_) => "known",
-            Offer::Refused(_) => "refused",
-            Offer::Forgotten => "forgotten",
-            other => panic!("{other:?}"),
-        };
+        let offer = registry.offer(&id, &owner("old"), digest, at(1));
+        let got = name(offer, running.clone());
         assert_eq!(got, want, "ticket {sequence}");
     }
-    let again = assembly.accept(handed.parts()[0].clone(), registry.rights());
+    let again = assembly.accept(part, registry.rights());
     assert_eq!(again.unwrap_err(), AcceptError::AlreadyAdopted);
 }
+
+/// Guards against a repeated handover that brings back marks from before its first
+/// adoption, after the predecessor has been given up for later ones.
+#[test]
+fn a_given_up_predecessor_is_not_adopted_again() {
+    let mut registry: Registry<()> = Registry::new(owner("me"), Limits::default());
+    let mut adopt = |run| {
+        let old = Owner::new("old".into(), Incarnation(run));
+        let issuer = Issuer::new("d".into(), old.clone());
+        let draining = Registry::new(old, Limits::default()).drain();
+        let handed = draining.hand_over(owner("me"), &issuer, |_, ()| unreachable!());
+        let part = handed.parts()[0].clone();
+        let done = Assembly::new(owner("me")).accept(part, &Rights::none());
+        registry.adopt(done.unwrap().unwrap(), at(0), |_, _| ())
+    };
+    assert!((0..100).all(|run| adopt(run) == Ok(0)));
+    assert!((0..100).all(|run| adopt(run) == Err(AdoptError::AlreadyAdopted)));
+}
--- a/crates/bamboocart-core/tests/ownership_model.rs
+++ b/crates/bamboocart-core/tests/ownership_model.rs
@@ -12,6 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{Rng, SeedableRng};
+use uuid::Builder;
 use yare::parameterized;
 
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
@@ -44,16 +45,10 @@
     Answered(Outcome),
 }
 
-enum Phase {
-    Serving(Registry<Work>),
-    Draining(Draining<Work>),
-    HandedOver(HandedOver),
-}
-
 /// One process; a replaced one may go on for any time.
 struct Process {
     me: Owner,
-    phase: Phase,
+    stage: Stage<Work>,
     table: ClaimTable,
     claimer: Claimer,
     issuer: Issuer,
@@ -64,12 +59,13 @@
     frozen: bool,
     skew_ms: u64,
     /// The offset that a reader who trusts a trimmed log takes for 0.
-    base: u64,
+    base: usize,
 }
 
 impl Process {
-    fn is_leaving(&self) -> bool {
-        matches!(self.phase, Phase::HandedOver(_))
+    /// Returns the instances that seem to be live.
+    fn live(&self) -> impl Iterator<Item = Owner> {
+        self.view.iter().map(|(name, &run)| Owner::new(name.clone(), run))
     }
 
     /// Resolves an id by the given policy.
@@ -78,7 +74,7 @@
             return self.hash_over_live(id);
         }
         let view = View {
-            rights: &self.phase.rights(),
+            rights: self.stage.rights(),
             issuer: &self.issuer,
             claims: &self.table,
             successions: &self.successions,
@@ -89,10 +85,10 @@
 
     /// Chooses the instance with the highest hash among those that seem to be live.
     fn hash_over_live(&self, id: &SubmissionId) -> Resolved {
-        let hash =
-            |name: &str| *blake3::hash(format!("{name} {id}").as_bytes()).as_bytes();
-        let owner = self.view.iter().max_by_key(|(name, _)| hash(name.as_str()));
-        match owner.map(|(name, &incarnation)| Owner::new(name.clone(), incarnation)) {
+        let hash = |owner: &Owner| {
+            *blake3::hash(format!("{} {id}", owner.instance).as_bytes()).as_bytes()
+        };
+        match self.live().max_by_key(hash) {
             Some(owner) if owner != self.me => Resolved::Other(owner),
             _ => Resolved::Mine(self.me.clone()),
         }
@@ -100,7 +96,7 @@
 
     /// Receives a part of a handover.
     fn accept(&mut self, part: Part, now_ms: u64) {
-        let Phase::Serving(registry) = &mut self.phase else {
+        let Stage::Serving(registry) = &mut self.stage else {
             return;
         };
         if let Ok(Some(complete)) = self.assembly.accept(part, registry.rights()) {
@@ -111,54 +107,6 @@
     }
 }
 
-impl Phase {
-    fn rights(&self) -> Rights {
-        match self {
-            Self::Serving(registry) => registry.rights().clone(),
-            Self::Draining(draining) => draining.rights().clone(),
-            Self::HandedOver(_) => Rights::default(),
-        }
-    }
-
-    fn get(&self, key: SubmissionKey) -> Option<&Work> {
-        match self {
-            Self::Serving(registry) => registry.get(key),
-            Self::Draining(draining) => draining.get(key),
-            Self::HandedOver(_) => None,
-        }
-    }
-
-    fn find(&self, id: &SubmissionId) -> Option<SubmissionKey> {
-        match self {
-            Self::Serving(registry) => registry.find(id),
-            Self::Draining(draining) => draining.find(id),
-            Self::HandedOver(_) => None,
-        }
-    }
-
-    fn is_open(&self, key: SubmissionKey) -> bool {
-        !matches!(self.get(key), None | Some(Work::Answered(_)))
-    }
-
-    fn work(&mut self, id: &SubmissionId) -> Option<(SubmissionKey, &mut Work)> {
-        let key = self.find(id)?;
-        match self {
-            Self::Serving(registry) => registry.get_mut(key),
-            Self::Draining(draining) => draining.get_mut(key),
-            Self::HandedOver(_) => None,
-        }
-        .map(|work| (key, work))
-    }
-
-    fn close(&mut self, key: SubmissionKey, now: Timestamp) {
-        match self {
-            Self::Serving(registry) => registry.close(key, now),
-            Self::Draining(draining) => draining.close(key, now),
-            Self::HandedOver(_) => {}
-        }
-    }
-}
-
 enum Message {
     Submit { to: Owner, id: SubmissionId, hops: u8 },
     Part(Box<Part>),
@@ -225,12 +173,9 @@
         self.now_ms += 1;
         let me = Owner::new(name.into(), Incarnation(self.now_ms * 1_000));
         let limits = Limits { open: 4, total: 8, remember_ms: 90_000 };
-        let base = match self.policy {
-            Policy::TrustsTrimmedLog => self.log_start as u64,
-            _ => 0,
-        };
+        let trusts = self.policy == Policy::TrustsTrimmedLog;
         self.processes.push(Process {
-            phase: Phase::Serving(Registry::new(me.clone(), limits)),
+            stage: Stage::Serving(Registry::new(me.clone(), limits)),
             table: ClaimTable::default(),
             claimer: Claimer::new(me.clone()),
             issuer: Issuer::new("d".into(), me.clone()),
@@ -239,7 +184,7 @@
             view: BTreeMap::from([(name.into(), me.incarnation)]),
             frozen: false,
             skew_ms: self.rng.random_range(0..20_000),
-            base,
+            base: if trusts { self.log_start } else { 0 },
             me,
         });
     }
@@ -261,7 +206,7 @@
                 self.processes[at].frozen ^= changes;
             }
             82..84 if awake && self.rng.random_bool(0.4) => self.stop(at),
-            84..86 if self.processes[at].is_leaving() => self.replace(at),
+            84..86 if self.processes[at].stage.rights().is_empty() => self.replace(at),
             86 if self.rng.random_bool(0.3) => self.replace(at),
             87..89 if !self.log_up => self.log_up = true,
             89 => self.log_up = false,
@@ -279,15 +224,13 @@
         let id = match self.rng.random_bool(0.8) {
             true => {
                 let ms = self.now_ms + self.rng.random_range(0..40_000);
-                let random = self.rng.random();
-                let key = uuid::Builder::from_unix_timestamp_millis(ms, &random);
+                let key = Builder::from_unix_timestamp_millis(ms, &self.rng.random());
                 SubmissionId::CallerKey(key.into_uuid())
             }
             false => SubmissionId::Ticket(self.processes[at].issuer.issue()),
         };
         self.ids.push(id.clone());
-        let to = self.processes[at].me.clone();
-        self.messages.push(Message::Submit { to, id, hops: 0 });
+        self.send(at, id);
     }
 
     /// A caller that missed the answer sends a submission to any instance again, more
@@ -295,19 +238,23 @@
     fn resubmit(&mut self, at: usize) {
         let recent = self.ids.len().saturating_sub(self.rng.random_range(1..30));
         if let Some(id) = self.ids[recent..].choose(&mut self.rng).cloned() {
-            let to = self.processes[at].me.clone();
-            self.messages.push(Message::Submit { to, id, hops: 0 });
+            self.send(at, id);
         }
     }
 
+    /// A caller's message to an instance is under way.
+    fn send(&mut self, at: usize, id: SubmissionId) {
+        let to = self.processes[at].me.clone();
+        self.messages.push(Message::Submit { to, id, hops: 0 });
+    }
+
     /// Delivers, loses or duplicates any message under way.
     fn deliver(&mut self) {
         if self.messages.is_empty() {
             return;
         }
-        let at = self.rng.random_range(0..self.messages.len());
-        let message = self.messages.swap_remove(at);
-        match message {
+        let place = self.rng.random_range(0..self.messages.len());
+        match self.messages.swap_remove(place) {
             _ if self.rng.random_bool(0.1) => {}
             Message::Append(body) if self.log_up => self.log.push((self.now_ms, body)),
             Message::Append(_) => {}
@@ -359,11 +306,7 @@
         let adopted = *owner != process.me;
         let now = Timestamp::from_ms(self.now_ms + process.skew_ms);
         let digest = ContentDigest::of([&b"x"[..]]);
-        let offer = match &mut process.phase {
-            Phase::Serving(registry) => registry.offer(&id, owner, digest, now),
-            Phase::Draining(draining) => draining.offer(&id, owner, digest, now),
-            Phase::HandedOver(_) => return,
-        };
+        let offer = process.stage.offer(&id, owner, digest, now);
         let not_run = match offer {
             Offer::New(vacancy) if refuse => {
                 remembers.then(|| vacancy.refuse(NO));
@@ -378,15 +321,16 @@
                 true
             }
             Offer::Refused(_) => true,
-            Offer::Known(key) => matches!(
-                process.phase.get(key),
-                Some(Work::Answered(Outcome::Refused(_)))
-            ),
-            Offer::Forgotten => {
-                self.seen.forgotten += 1;
+            Offer::Known(key) => {
+                matches!(
+                    process.stage.get(key),
+                    Some(Work::Answered(Outcome::Refused(_)))
+                )
+            }
+            offer => {
+                self.seen.forgotten += usize::from(matches!(offer, Offer::Forgotten));
                 false
             }
-            Offer::Reused | Offer::NotOwned => false,
         };
         if not_run {
             self.not_run.insert(id);
@@ -398,34 +342,31 @@
     fn work(&mut self, at: usize) {
         let process = &mut self.processes[at];
         let now = Timestamp::from_ms(self.now_ms + process.skew_ms);
-        let waiting = self.ids.iter().filter(|id| {
-            let key = process.phase.find(id);
-            key.is_some_and(|key| process.phase.is_open(key))
+        let open = self.ids.iter().filter_map(|id| {
+            let key = process.stage.find(id)?;
+            let work = process.stage.get(key)?;
+            (!matches!(work, Work::Answered(_))).then_some((id, key))
         });
-        let Some(id) = waiting.choose(&mut self.rng) else {
+        let Some((id, key)) = open.choose(&mut self.rng) else {
             return;
         };
-        let Some((key, work)) = process.phase.work(id) else {
-            return;
-        };
-        match work {
-            Work::Waiting { .. } if self.rng.random_bool(0.2) => {
+        match process.stage.get_mut(key).expect("an entry that was found") {
+            work @ Work::Waiting { .. } if self.rng.random_bool(0.2) => {
                 *work = Work::Answered(Outcome::Refused(NO));
-                process.phase.close(key, now);
+                process.stage.close(key, now);
                 self.not_run.insert(id.clone());
             }
-            &mut Work::Waiting { adopted } => {
+            work @ &mut Work::Waiting { adopted } => {
                 *work = Work::Started;
                 *self.started.entry(id.clone()).or_default() += 1;
                 self.seen.starts += 1;
                 self.seen.under_claims += usize::from(id.key_time().is_some());
                 self.seen.for_predecessor += usize::from(adopted);
             }
-            Work::Started => {
+            work => {
                 *work = Work::Answered(Outcome::Complete(vec![]));
-                process.phase.close(key, now);
+                process.stage.close(key, now);
             }
-            Work::Answered(_) => {}
         }
     }
 
@@ -434,21 +375,13 @@
         if !self.log_up {
             return;
         }
-        let Process { table, base, .. } = &mut self.processes[at];
-        let base = *base as usize;
+        let &mut Process { ref mut table, base, .. } = &mut self.processes[at];
         let start = self.log_start - base.min(self.log_start);
-        let first = (table.next_offset() as usize).max(start);
-        let records: Vec<ClaimRecord> = self
-            .log
-            .iter()
-            .enumerate()
-            .skip(first + base)
-            .take(self.rng.random_range(1..20))
-            .map(|(offset, (at_ms, body))| ClaimRecord {
-                offset: (offset - base) as u64,
-                at_ms: *at_ms,
-                body,
-            })
+        let first = (table.next_offset() as usize).max(start) + base;
+        let page = self.log.iter().skip(first).take(self.rng.random_range(1..20));
+        let records: Vec<ClaimRecord> = ((first - base) as u64..)
+            .zip(page)
+            .map(|(offset, &(at_ms, ref body))| ClaimRecord { offset, at_ms, body })
             .collect();
         self.seen.rejected_claims += table.read(start as u64, &records).len();
     }
@@ -457,11 +390,7 @@
     fn append_claims(&mut self, at: usize) {
         let process = &mut self.processes[at];
         let now = Timestamp::from_ms(self.now_ms + process.skew_ms);
-        let live: Vec<Owner> = process
-            .view
-            .iter()
-            .map(|(name, &incarnation)| Owner::new(name.clone(), incarnation))
-            .collect();
+        let live: Vec<Owner> = process.live().collect();
         let due = process.claimer.due(&process.table, &live, now);
         self.messages.extend(due.iter().map(|claim| Message::Append(claim.to_body())));
     }
@@ -492,24 +421,20 @@
     /// An instance goes one step further in a planned stop.
     fn stop(&mut self, at: usize) {
         let mut process = self.processes.remove(at);
-        let successor = process
-            .view
-            .iter()
-            .filter(|&(name, _)| *name != process.me.instance)
-            .choose(&mut self.rng)
-            .map(|(name, &incarnation)| Owner::new(name.clone(), incarnation));
-        process.phase = match (process.phase, successor) {
-            (Phase::Serving(registry), _) => Phase::Draining(registry.drain()),
-            (Phase::Draining(draining), Some(successor)) => Phase::HandedOver(
-                draining.hand_over(successor, &process.issuer, |_, work| match work {
+        let others = process.live().filter(|owner| owner.instance != process.me.instance);
+        let successor = others.choose(&mut self.rng);
+        let stage = std::mem::take(&mut process.stage);
+        process.stage = match successor {
+            Some(successor) if matches!(stage, Stage::Draining(_)) => {
+                stage.hand_over(successor, &process.issuer, |_, work| match work {
                     Work::Waiting { .. } => Outcome::Refused(NO),
                     Work::Started => Outcome::Unknown(UnknownCode::StillRunning),
                     Work::Answered(outcome) => outcome,
-                }),
-            ),
-            (phase, _) => phase,
+                })
+            }
+            _ => stage.drain(),
         };
-        if let Phase::HandedOver(handed) = &process.phase {
+        if let Stage::HandedOver(handed) = &process.stage {
             let (from, successor) = (handed.from(), handed.successor());
             process.successions.learn(from.clone(), successor.clone());
             let parts = handed.parts().iter().cloned();
@@ -525,28 +450,23 @@
 
     /// Returns what breaks the invariant.
     fn violation(&self) -> Option<Violation> {
-        let twice = self.started.values().any(|&count| count > 1);
-        let lie = self.not_run.iter().any(|id| self.started.contains_key(id));
-        match (twice, lie) {
-            (true, _) => Some(Violation::StartedTwice),
-            (_, true) => Some(Violation::FalseNotRun),
-            _ => None,
+        if self.started.values().any(|&count| count > 1) {
+            return Some(Violation::StartedTwice);
         }
+        let lie = self.not_run.iter().any(|id| self.started.contains_key(id));
+        lie.then_some(Violation::FalseNotRun)
     }
 }
 
 /// Runs one seed and returns its first violation.
 fn run(policy: Policy, seed: u64, seen: &mut Seen) -> Option<Violation> {
     let mut world = World::new(policy, seed);
+    world.seen = std::mem::take(seen);
     let violation = (0..STEPS).find_map(|_| {
         world.step();
         world.violation()
     });
-    seen.starts += world.seen.starts;
-    seen.under_claims += world.seen.under_claims;
-    seen.for_predecessor += world.seen.for_predecessor;
-    seen.rejected_claims += world.seen.rejected_claims;
-    seen.forgotten += world.seen.forgotten;
+    *seen = world.seen;
     seen.not_run += world.not_run.len();
     violation
 }
