Use the shared stages of an owner in the engine

Cause: the engine had its own wrapper for the stages of a registry, and ownership has gained the same one. Change: the engine holds ownership's Stage; the two missing accessors are added there.

--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -1,11 +1,11 @@
 //! Tasks on their way to targets.
 
 use crate::engine::record::{
-    AttemptState, Origin, QueuedTask, RunPlace, SubmissionKey, Task, TaskState,
+    AttemptState, Origin, QueuedTask, Record, RunPlace, SubmissionKey, Task, TaskState,
 };
-use crate::engine::stage::Tenure;
 use crate::engine::{Effect, Engine, KindKey, SendOrder};
 use crate::id::{Attempt, GroupName, TaskIndex};
+use crate::ownership::Stage;
 use crate::queue::Pick;
 use crate::target::{AttemptKey, TargetKey};
 use crate::time::{Timestamp, US_PER_MS};
@@ -202,7 +202,7 @@
 }
 
 /// Returns the request kind and the task of a queue entry.
-fn find_task(tenure: &Tenure, queued: QueuedTask) -> Option<(KindKey, &Task)> {
+fn find_task(tenure: &Stage<Record>, queued: QueuedTask) -> Option<(KindKey, &Task)> {
     let QueuedTask { submission, task } = queued;
     let submission: SubmissionKey = submission;
     let record = tenure.get(submission)?;
--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -2,13 +2,12 @@
 
 use crate::engine::answer::Verdict;
 use crate::engine::record::{Asker, Record};
-use crate::engine::stage::Tenure;
 use crate::engine::{Effect, Engine, NewSubmission};
 use crate::id::SubmissionId;
 use crate::membership::{Member, PeerInfo, choose_successor};
 use crate::message::{Ask, Message};
 use crate::outcome::{FailureCode, Outcome, Refusal, RefusalCode, UnknownCode};
-use crate::ownership::{Owner, Part};
+use crate::ownership::{Owner, Part, Stage};
 use crate::time::Timestamp;
 
 /// The time that a stopping instance waits for its submissions, which is longer than the
@@ -103,10 +102,7 @@
     pub(super) fn drain_round(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         match self.stop.step {
             Step::LameDuck { until } if now >= until => {
-                self.tenure = match std::mem::replace(&mut self.tenure, Tenure::Moving) {
-                    Tenure::Serving(registry) => Tenure::Draining(registry.drain()),
-                    other => other,
-                };
+                self.tenure = std::mem::take(&mut self.tenure).drain();
                 let until = now.plus_ms(FINISH_MS);
                 self.stop.step = Step::Finishing { until };
             }
@@ -188,14 +184,9 @@
             return;
         };
         let owner = Owner::new(info.name, info.incarnation);
-        self.tenure = match std::mem::replace(&mut self.tenure, Tenure::Moving) {
-            Tenure::Draining(draining) => {
-                let handed = draining
-                    .hand_over(owner.clone(), &self.issuer, |_, r| last_outcome(r));
-                Tenure::HandedOver(handed)
-            }
-            other => other,
-        };
+        let tenure = std::mem::take(&mut self.tenure);
+        self.tenure =
+            tenure.hand_over(owner.clone(), &self.issuer, |_, r| last_outcome(r));
         self.successions.learn(self.me.clone(), owner);
         self.stop.step = Step::HandingOver {
             resend_at: now.plus_ms(RESEND_MS),
@@ -226,7 +217,7 @@
 
     /// Sends the parts of the handover.
     fn send_parts(&self, effects: &mut Vec<Effect>) {
-        let Tenure::HandedOver(handed) = &self.tenure else { return };
+        let Stage::HandedOver(handed) = &self.tenure else { return };
         let to = &handed.successor().instance;
         for part in handed.parts() {
             self.tell(to, Message::HandOver(Box::new(part.clone())), effects);
@@ -241,7 +232,7 @@
         part: Part,
         effects: &mut Vec<Effect>,
     ) {
-        let Tenure::Serving(registry) = &mut self.tenure else { return };
+        let Stage::Serving(registry) = &mut self.tenure else { return };
         let taken = Message::HandOverTaken { from: part.from.clone() };
         match self.assembly.accept(part, registry.rights()) {
             Ok(None) => {}
@@ -278,7 +269,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let expected = match &self.tenure {
-            Tenure::HandedOver(handed) => {
+            Stage::HandedOver(handed) => {
                 handed.from() == owner && handed.successor() == by
             }
             _ => false,
--- a/crates/bamboocart-core/src/engine/fleet.rs
+++ b/crates/bamboocart-core/src/engine/fleet.rs
@@ -5,7 +5,7 @@
 use crate::config::Role;
 use crate::engine::{Effect, Engine, LeaseGrant, LeaseOrder, ProbeAnswer, ProbeOrder};
 use crate::id::{GroupName, TargetName};
-use crate::membership::{ListVerdict, Listing, PeerInfo, TargetInfo, user_of};
+use crate::membership::{ListVerdict, Listing, TargetInfo};
 use crate::target::TargetKey;
 use crate::time::Timestamp;
 
@@ -153,9 +153,6 @@
     ///
     /// A stopping instance takes on no further targets and keeps those that it has.
     fn wanted_targets(&self) -> BTreeMap<TargetName, (TargetInfo, GroupName)> {
-        let me = self.membership.peers.me();
-        let peers = self.membership.peers.serving().map(|peer| &peer.info);
-        let serving: Vec<&PeerInfo> = peers.chain([me]).collect();
         let leaving = self.is_leaving();
         let mut wanted = BTreeMap::new();
         for target in self.membership.targets.iter().filter(|it| it.is_serving()) {
@@ -169,10 +166,7 @@
             let Some((group, _)) = group else { continue };
             let mine = match leaving {
                 true => self.target_names.contains_key(&info.name),
-                false => {
-                    let user = user_of(&info.name, &info.domain, serving.iter().copied());
-                    user.is_some_and(|user| user.name == me.name)
-                }
+                false => self.membership.uses(info, false),
             };
             if mine {
                 wanted.insert(info.name.clone(), (info.clone(), group.clone()));
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -14,7 +14,6 @@
 mod names;
 mod peers;
 mod record;
-mod stage;
 mod status;
 mod submit;
 
@@ -32,7 +31,7 @@
 };
 use crate::membership::{Membership, PeerInfo, StopSchedule};
 use crate::ownership::{
-    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Successions,
+    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Stage, Successions,
 };
 use crate::placement::Policy;
 use crate::quota::QuotaTable;
@@ -44,15 +43,14 @@
 pub use self::event::{
     ClaimPage, Event, LeaseGrant, NewSubmission, ProbeAnswer, TaskSpec, WaiterId,
 };
-pub use self::status::{GroupStatus, PeerStatus, Stage, Status, TargetStatus};
+pub use self::status::{GroupStatus, InstanceState, PeerStatus, Status, TargetStatus};
 
 use self::drain::Stop;
 use self::fleet::Target;
 use self::group::Group;
 use self::names::{CustomerKey, Interner, KindKey};
 use self::peers::{Pending, PendingKey};
-use self::record::AttemptState;
-use self::stage::Tenure;
+use self::record::{AttemptState, Record};
 
 /// The time between two rounds of periodic work.
 const ROUND_MS: u64 = 100;
@@ -104,7 +102,7 @@
     /// The turns of the stop plans in force.
     stops: StopSchedule,
     /// The submissions that this instance owns.
-    tenure: Tenure,
+    tenure: Stage<Record>,
     /// Issues tickets.
     issuer: Issuer,
     /// The claims on caller keys.
@@ -180,7 +178,7 @@
             address: setup.peer_address.clone(),
         };
         Self {
-            tenure: Tenure::Serving(Registry::new(me.clone(), setup.limits)),
+            tenure: Stage::Serving(Registry::new(me.clone(), setup.limits)),
             issuer: Issuer::new(setup.domain.clone(), me.clone()),
             claimer: Claimer::new(me.clone()),
             assembly: Assembly::new(me.clone()),
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -7,7 +7,7 @@
 use crate::engine::record::{Asker, AttemptState, Origin, QueuedTask, RunPlace};
 use crate::engine::{Effect, Engine, Reply, SendOrder};
 use crate::id::{ConfigVersion, GroupName, InstanceName};
-use crate::membership::{Change, Heartbeat, PeerInfo};
+use crate::membership::{Change, ChangeKind, Heartbeat, PeerInfo};
 use crate::message::{Ask, Message, OfferedTask};
 use crate::outcome::{Outcome, UnknownCode};
 use crate::ownership::Owner;
@@ -271,17 +271,17 @@
     ) {
         for change in changes {
             self.fleet_changed = true;
-            match change {
-                Change::Dead(name, incarnation) => {
-                    let owner = Owner::new(name.clone(), *incarnation);
-                    self.credits.retain(|(peer, _), _| peer != name);
+            match change.kind {
+                ChangeKind::Dead => {
+                    let owner = Owner::new(change.name.clone(), change.incarnation);
+                    self.credits.retain(|(peer, _), _| *peer != change.name);
                     self.assembly.forget(&owner);
                     self.peer_died(now, &owner, effects);
                 }
-                Change::Leaving(name, _) => {
-                    self.credits.retain(|(peer, _), _| peer != name);
+                ChangeKind::Leaving => {
+                    self.credits.retain(|(peer, _), _| *peer != change.name);
                 }
-                Change::Live(..) | Change::Suspect(..) => {}
+                ChangeKind::Live | ChangeKind::Suspect => {}
             }
         }
         if !changes.is_empty() {
--- a/crates/bamboocart-core/src/engine/status.rs
+++ b/crates/bamboocart-core/src/engine/status.rs
@@ -3,11 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::Engine;
-use crate::engine::stage::Tenure;
 use crate::id::{
     ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, TargetName,
 };
 use crate::membership::PeerState;
+use crate::ownership::Stage;
 use crate::time::Timestamp;
 
 /// The state of an instance.
@@ -19,8 +19,8 @@
     pub domain: DomainName,
     /// The run of its process.
     pub incarnation: Incarnation,
-    /// The stage of its life.
-    pub stage: Stage,
+    /// How far it is in its life.
+    pub state: InstanceState,
     /// The configuration in force.
     pub config_version: ConfigVersion,
     /// The newest configuration that a peer has reported.
@@ -41,10 +41,10 @@
     pub late_answers: u64,
 }
 
-/// The stage of an instance's life.
+/// How far an instance is in its life.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Stage {
+pub enum InstanceState {
     /// No configuration is in force yet.
     Starting,
     /// Submissions are admitted.
@@ -105,17 +105,17 @@
 impl Engine {
     /// Describes the state of the instance.
     pub fn status(&self, now: Timestamp) -> Status {
-        let stage = match &self.tenure {
-            Tenure::HandedOver(_) => Stage::HandedOver,
-            _ if self.is_leaving() => Stage::Draining,
-            _ if self.config_version.0 == 0 => Stage::Starting,
-            _ => Stage::Serving,
+        let state = match &self.tenure {
+            Stage::HandedOver(_) => InstanceState::HandedOver,
+            _ if self.is_leaving() => InstanceState::Draining,
+            _ if self.config_version.0 == 0 => InstanceState::Starting,
+            _ => InstanceState::Serving,
         };
         Status {
             instance: self.me.instance.clone(),
             domain: self.setup.domain.clone(),
             incarnation: self.me.incarnation,
-            stage,
+            state,
             config_version: self.config_version,
             newest_peer_version: self.newest_peer_version(),
             peers: self.peer_statuses(),
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -57,9 +57,8 @@
     /// Returns who owns an id.
     pub(super) fn resolve(&self, id: &SubmissionId) -> Resolved {
         let live = |name: &_| self.membership.peers.live_incarnation(name);
-        let none = ownership::Rights::default();
         let view = View {
-            rights: self.tenure.rights().unwrap_or(&none),
+            rights: self.tenure.rights(),
             issuer: &self.issuer,
             claims: &self.claims,
             successions: &self.successions,
@@ -126,7 +125,7 @@
         let draining = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
         let refused = |refusal| Verdict::refused(id.clone(), refusal);
         let verdict = match self.tenure.offer(&id, &owner, digest, now) {
-            Some(Offer::New(vacancy)) => match plan {
+            Offer::New(vacancy) => match plan {
                 Ok(plan) => {
                     let record = record(&id, submission, &plan, now, asker);
                     let key = vacancy.admit(record);
@@ -135,18 +134,18 @@
                 }
                 Err(refusal) => refused(vacancy.refuse(refusal)),
             },
-            Some(Offer::Known(key)) => {
+            Offer::Known(key) => {
                 self.join(key, asker, want, effects);
                 return;
             }
-            Some(Offer::Refused(refusal)) => refused(refusal),
-            Some(Offer::Reused) => {
+            Offer::Refused(refusal) => refused(refusal),
+            Offer::Reused => {
                 refused(Refusal { code: RefusalCode::IdReused, retry_after_ms: None })
             }
-            Some(Offer::Forgotten) => Verdict::unknown(id, UnknownCode::Forgotten),
-            Some(Offer::Full(arrival)) => refused(arrival.refuse(overloaded)),
-            Some(Offer::Draining(arrival)) => refused(arrival.refuse(draining)),
-            Some(Offer::NotOwned) | None => Verdict::unknown(id, UnknownCode::OwnerGone),
+            Offer::Forgotten => Verdict::unknown(id, UnknownCode::Forgotten),
+            Offer::Full(arrival) => refused(arrival.refuse(overloaded)),
+            Offer::Draining(arrival) => refused(arrival.refuse(draining)),
+            Offer::NotOwned => Verdict::unknown(id, UnknownCode::OwnerGone),
         };
         self.reply(&asker, verdict, want, effects);
     }
--- a/crates/bamboocart-core/src/ownership/stage.rs
+++ b/crates/bamboocart-core/src/ownership/stage.rs
@@ -4,7 +4,7 @@
 use super::registry::{ContentDigest, Offer, Registry, Rights, SubmissionKey};
 use super::{Issuer, Owner};
 use crate::id::SubmissionId;
-use crate::outcome::Outcome;
+use crate::outcome::{Outcome, Refusal};
 use crate::time::Timestamp;
 
 /// The rights of an owner that has given them up.
@@ -100,6 +100,20 @@
         }
     }
 
+    /// Returns the refusal of a submission that was refused on arrival.
+    pub fn refusal(&self, id: &SubmissionId) -> Option<Refusal> {
+        match self {
+            Self::Serving(registry) => registry.refusal(id),
+            Self::Draining(draining) => draining.refusal(id),
+            Self::HandedOver(_) | Self::Stopped => None,
+        }
+    }
+
+    /// Reports whether submissions are admitted.
+    pub fn is_serving(&self) -> bool {
+        matches!(self, Self::Serving(_))
+    }
+
     /// Returns the state of a submission.
     pub fn get(&self, key: SubmissionKey) -> Option<&S> {
         match self {
