Bound how far a caller key may be ahead of its owner's clock

Cause: evicting an answered key raises the low-water time past the time in the key. One caller whose clock is two minutes fast could so make its owner answer "unknown" for the keys of every other caller. Separately, a first part of a handover without the sender's own right would be accepted again later.

Change: a key more than 10 s ahead of the owner's clock is answered "unknown" without an entry, and such a first part is dropped. A draining owner may also hold a new submission and forward it after the handover.

--- a/crates/bamboocart-core/src/ownership/handover.rs
+++ b/crates/bamboocart-core/src/ownership/handover.rs
@@ -214,7 +214,8 @@
     /// The part names another successor.
     #[snafu(display("the part is meant for another incarnation; drop it"))]
     WrongSuccessor,
-    /// The position or the number of parts is out of bounds or differs between parts.
+    /// The position or the number of parts is out of bounds or differs between parts,
+    /// or the first part lacks the sender's own right.
     #[snafu(display("the part does not fit the others of its handover; drop it"))]
     Misfit,
     /// Too many handovers are under way.
@@ -250,7 +251,9 @@
         if rights.has_adopted(&part.from) {
             return AlreadyAdoptedSnafu.fail();
         }
-        if part.index >= part.total || part.total > PARTS {
+        let names_sender = part.rights.iter().any(|right| right.owner == part.from);
+        let lacks_right = part.index == 0 && !names_sender;
+        if part.index >= part.total || part.total > PARTS || lacks_right {
             return MisfitSnafu.fail();
         }
         if !self.senders.contains_key(&part.from) && self.senders.len() == SENDERS {
--- a/crates/bamboocart-core/src/ownership/registry.rs
+++ b/crates/bamboocart-core/src/ownership/registry.rs
@@ -52,11 +52,16 @@
     pub total: usize,
     /// The time that an answer is kept.
     pub remember_ms: u64,
+    /// How far the time of a key may be ahead of the own clock.
+    ///
+    /// Without this bound, one caller with a fast clock would raise the low-water time
+    /// past the present when its keys are evicted, for the keys of every caller.
+    pub ahead_ms: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { open: 75_000, total: 100_000, remember_ms: 600_000 }
+        Self { open: 75_000, total: 100_000, remember_ms: 600_000, ahead_ms: 10_000 }
     }
 }
 
@@ -168,11 +173,15 @@
     Reused,
     /// It may have been known once: "unknown", never run.
     Forgotten,
+    /// The time of the key is too far ahead: "unknown", not run now. The remedy is to
+    /// correct the caller's clock.
+    Early,
     /// This instance does not own it: "unknown", never run. Resolve the id again.
     NotOwned,
     /// It is new, and too many submissions are unfinished: refuse it.
     Full(Arrival<'a, S>),
-    /// It is new, and the instance is draining: refuse it.
+    /// It is new, and the instance is draining: refuse it, or drop this arrival, which
+    /// records nothing, and forward the submission to the successor after the handover.
     Draining(Arrival<'a, S>),
 }
 
@@ -305,6 +314,10 @@
         if marks.exclude(id) || self.is_too_old(id, now) {
             return Offer::Forgotten;
         }
+        let latest = now.plus_ms(self.limits.ahead_ms);
+        if id.key_time().is_some_and(|time| time > latest) {
+            return Offer::Early;
+        }
         let full = self.open >= self.limits.open;
         let (id, owner) = (id.clone(), owner.clone());
         let arrival = Arrival { registry: self, id, digest, owner, now };
--- a/crates/bamboocart-core/tests/ownership.rs
+++ b/crates/bamboocart-core/tests/ownership.rs
@@ -331,6 +331,7 @@
         Offer::Refused(_) => "refused",
         Offer::Reused => "reused",
         Offer::Forgotten => "forgotten",
+        Offer::Early => "early",
         Offer::NotOwned => "not owned",
     }
 }
@@ -351,11 +352,12 @@
         Send(T(0), "known"), Send(T(3), "refused")] },
     old_key_is_forgotten = { &[Wait(2_000), Send(K(999), "forgotten"),
         Send(K(1_000), "new")] },
+    early_key = { &[Send(K(5_001), "early"), Wait(1), Send(K(5_001), "new")] },
     expired_key_of_a_fast_clock = { &[Send(K(5_000), "new"), Close(K(5_000)),
         Wait(1_000), Send(K(5_000), "forgotten"), Send(K(5_001), "new")] },
 )]
 fn registry_answers(steps: &[Step]) {
-    let limits = Limits { open: 2, total: 4, remember_ms: 1_000 };
+    let limits = Limits { open: 2, total: 4, remember_ms: 1_000, ahead_ms: 5_000 };
     let mut registry: Registry<()> = Registry::new(owner("me"), limits);
     let mut now = at(0);
     let digest = ContentDigest::of([&b"x"[..]]);
@@ -439,6 +441,9 @@
     let part = handed.parts()[0].clone();
     let wrong = Assembly::new(owner("x")).accept(part.clone(), &Rights::none());
     assert_eq!(wrong.unwrap_err(), AcceptError::WrongSuccessor);
+    let rightless = Part { rights: vec![], ..part.clone() };
+    let wrong = Assembly::new(owner("new")).accept(rightless, &Rights::none());
+    assert_eq!(wrong.unwrap_err(), AcceptError::Misfit);
     let done = complete.unwrap();
     assert_eq!(registry.adopt(done, at(0), |_, outcome| outcome), Ok(10));
     let wants = ["known", "known", "refused", "refused", "new", "forgotten"];
--- a/crates/bamboocart-core/tests/ownership_model.rs
+++ b/crates/bamboocart-core/tests/ownership_model.rs
@@ -172,7 +172,7 @@
     fn launch(&mut self, name: &str) {
         self.now_ms += 1;
         let me = Owner::new(name.into(), Incarnation(self.now_ms * 1_000));
-        let limits = Limits { open: 4, total: 8, remember_ms: 90_000 };
+        let limits = Limits { open: 4, total: 8, remember_ms: 90_000, ahead_ms: 30_000 };
         let trusts = self.policy == Policy::TrustsTrimmedLog;
         self.processes.push(Process {
             stage: Stage::Serving(Registry::new(me.clone(), limits)),
