Answer keys ahead of the owner's clock as unknown

Cause: a key far ahead of the clock would push the low-water time past the present once it is evicted. Change: the registry reports such keys, and the engine answers them as unknown with the remedy; refusals name a fresh id.

--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -143,6 +143,7 @@
                 refused(Refusal { code: RefusalCode::IdReused, retry_after_ms: None })
             }
             Offer::Forgotten => Verdict::unknown(id, UnknownCode::Forgotten),
+            Offer::Early => Verdict::unknown(id, UnknownCode::ClockAhead),
             Offer::Full(arrival) => refused(arrival.refuse(overloaded)),
             Offer::Draining(arrival) => refused(arrival.refuse(draining)),
             Offer::NotOwned => Verdict::unknown(id, UnknownCode::OwnerGone),
--- a/crates/bamboocart-core/src/outcome.rs
+++ b/crates/bamboocart-core/src/outcome.rs
@@ -112,6 +112,8 @@
     Forgotten,
     /// This instance knows no claim that covers the time in the caller's key.
     NoClaim,
+    /// The time in the caller's key is ahead of the owner's clock.
+    ClockAhead,
     /// The id is not known to its owner, which was only asked for its state.
     NeverSeen,
 }
@@ -143,10 +145,14 @@
                 "not run; use a request kind of the published configuration"
             }
             Self::CanNeverRun => "not run; ask for no more than one target offers",
-            Self::QuotaExhausted => "not run; retry after the given time",
-            Self::Overloaded => "not run; retry after the given time",
-            Self::DeadlineUnreachable => "not run; allow a later deadline or retry later",
-            Self::NoTarget => "not run; retry after the given time",
+            Self::QuotaExhausted => {
+                "not run; retry after the given time under a fresh id"
+            }
+            Self::Overloaded => "not run; retry after the given time under a fresh id",
+            Self::DeadlineUnreachable => {
+                "not run; allow a later deadline or retry later under a fresh id"
+            }
+            Self::NoTarget => "not run; retry after the given time under a fresh id",
             Self::Draining => "not run; send the request to another instance",
             Self::NotConfigured => "not run; send the request to another instance",
             Self::IdReused => {
@@ -173,6 +179,9 @@
                 "the owner of this id is not known here; if it was never sent before, use \
                  a ticket"
             }
+            Self::ClockAhead => {
+                "the time in this id lies ahead; correct the caller's clock"
+            }
             Self::NeverSeen => "the owner has not received it; send it if it is to run",
         }
     }
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -256,6 +256,7 @@
                 open: limits.open_submissions,
                 total: limits.remembered_submissions,
                 remember_ms: limits.remember_ms,
+                ..ownership::Limits::default()
             },
             lame_duck_ms: limits.lame_duck_ms,
             seed: self.incarnation.0,
