--- /dev/null
+++ b/crates/bamboocart-core/src/config/fault.rs
@@ -0,0 +1,65 @@
+//! Faults in a set, located by object and field.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::Serialize;
+
+use super::Section;
+
+/// A fault in a set, without a position in a file.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize)]
+pub struct Fault {
+    /// The object, field and list item with the fault.
+    pub spot: Spot,
+    /// What is wrong.
+    pub message: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl Display for Fault {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; {}", self.spot, self.message, self.remedy)
+    }
+}
+
+/// The object, field and list item that a fault is about.
+#[derive(Debug, Clone, Eq, PartialEq, Ord, PartialOrd, Serialize)]
+pub struct Spot {
+    /// The type of the object.
+    pub section: Section,
+    /// The name of the object.
+    pub name: String,
+    /// The field, if the fault is about one.
+    pub field: Option<String>,
+    /// The position in the field's list, if the fault is about an item.
+    pub item: Option<usize>,
+}
+
+impl Spot {
+    /// Returns the spot of a whole object.
+    pub fn object(section: Section, name: &str) -> Self {
+        Self { section, name: name.into(), field: None, item: None }
+    }
+
+    /// Returns the spot of a field of the same object.
+    pub fn field(&self, field: &str) -> Self {
+        Self { field: Some(field.into()), item: None, ..self.clone() }
+    }
+
+    /// Returns the spot of an item of the same field.
+    pub fn item(&self, item: usize) -> Self {
+        Self { item: Some(item), ..self.clone() }
+    }
+}
+
+impl Display for Spot {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.section, self.name)?;
+        match (&self.field, self.item) {
+            (Some(field), Some(item)) => write!(f, ".{field}[{item}]"),
+            (Some(field), None) => write!(f, ".{field}"),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-core/src/config/fold.rs
@@ -0,0 +1,329 @@
+//! The fold of the log stream into the configuration in force.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::record::{ConfigRecord, Publication, PublicationId, RecordFault, Snapshot};
+use super::{ConfigSet, Fault, check_set};
+use crate::id::ConfigVersion;
+use crate::time::Timestamp;
+
+/// The publication ids and record times that are remembered; the oldest is dropped.
+///
+/// A repeated append follows its first within seconds, and this is more than a day's
+/// configuration changes.
+pub const RECENT_RECORDS: usize = 1_024;
+
+/// The part of the retention time after which a new snapshot is due.
+const SNAPSHOT_AFTER: (u64, u64) = (1, 2);
+
+/// The configuration in force, computed from records in log order.
+///
+/// The caller reads from [`Fold::next_offset`], reports the start of each page with
+/// [`Fold::begin`], and passes each record to [`Fold::take`]. After
+/// [`Folded::Rewind`] it reads again from the new next offset.
+#[derive(Debug)]
+pub struct Fold {
+    /// The result of the records before `next`, unless some of them were not readable.
+    state: Option<State>,
+    /// The newest version that is known from the log or a peer.
+    in_force: Option<InForce>,
+    /// The offset of the next record.
+    next: u64,
+    /// The first offset from which on every record was readable.
+    readable_from: u64,
+    /// The offset and time of the latest records.
+    times: VecDeque<(u64, Timestamp)>,
+    /// The time of the oldest record that a new reader needs; it can no longer start when
+    /// that record expires.
+    basis_at: Option<Timestamp>,
+}
+
+/// What decides about the next record.
+#[derive(Debug, Default)]
+struct State {
+    /// The version that the log puts in force; none before the first publication.
+    log_version: Option<InForce>,
+    /// The latest publication ids, oldest first.
+    recent: VecDeque<PublicationId>,
+}
+
+/// A version with its set.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct InForce {
+    /// The version.
+    pub version: ConfigVersion,
+    /// The set.
+    pub set: Arc<ConfigSet>,
+}
+
+/// What a record did.
+#[derive(Debug)]
+pub enum Folded {
+    /// The publication is in force.
+    Accepted {
+        /// The publication.
+        publication: PublicationId,
+        /// Its version.
+        version: ConfigVersion,
+    },
+    /// Another publication replaced the base first.
+    Lost {
+        /// The publication.
+        publication: PublicationId,
+        /// The version that it was to replace.
+        base: ConfigVersion,
+        /// The version that was in force.
+        in_force: ConfigVersion,
+    },
+    /// The publication is a repetition of an earlier record.
+    Repeated {
+        /// The publication.
+        publication: PublicationId,
+    },
+    /// The record has a fault and was skipped.
+    Skipped {
+        /// The publication, if its id was readable.
+        publication: Option<PublicationId>,
+        /// The fault.
+        fault: RecordFault,
+    },
+    /// The snapshot agrees with what is known, or is not usable here.
+    SnapshotSeen,
+    /// The snapshot has another set for the version in force; the known one is kept.
+    SnapshotDiffers {
+        /// The version.
+        version: ConfigVersion,
+    },
+    /// A snapshot was accepted; the records from `from` on are to be read again.
+    Rewind {
+        /// The next offset.
+        from: u64,
+    },
+    /// Earlier records have expired, so the record cannot be judged before a snapshot.
+    Undecidable,
+    /// The record was taken before.
+    Old,
+}
+
+/// What a peer's version did.
+#[derive(Debug, Eq, PartialEq)]
+pub enum Heard {
+    /// It is in force now.
+    Raised,
+    /// It is no newer than the version in force.
+    NotNewer,
+    /// The set has faults and was not taken.
+    Faulty(Vec<Fault>),
+}
+
+impl Fold {
+    /// Creates a fold that has read nothing.
+    pub fn new() -> Self {
+        Self {
+            state: Some(State::default()),
+            in_force: None,
+            next: 0,
+            readable_from: 0,
+            times: VecDeque::new(),
+            basis_at: None,
+        }
+    }
+
+    /// Returns the offset of the next record to take.
+    pub fn next_offset(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the version in force with its set, or `None` if there is none.
+    pub fn in_force(&self) -> Option<&InForce> {
+        self.in_force.as_ref()
+    }
+
+    /// Returns the version in force, or 0 if there is none.
+    pub fn version(&self) -> ConfigVersion {
+        self.in_force.as_ref().map_or(ConfigVersion(0), |known| known.version)
+    }
+
+    /// Returns whether records can be judged, which needs the log's beginning or a snapshot.
+    pub fn is_decidable(&self) -> bool {
+        self.state.is_some()
+    }
+
+    /// Reports the oldest offset that the log still keeps.
+    ///
+    /// When unread records have expired, no record is judged until a snapshot is found.
+    /// The version in force stays.
+    pub fn begin(&mut self, start: u64) {
+        if start <= self.next {
+            return;
+        }
+        self.state = None;
+        self.next = start;
+        self.readable_from = start;
+        self.times.clear();
+        self.basis_at = None;
+    }
+
+    /// Takes the record at `offset`.
+    ///
+    /// A skipped offset counts as a record that was not readable.
+    pub fn take(&mut self, offset: u64, at: Timestamp, body: &str) -> Folded {
+        if offset < self.next {
+            return Folded::Old;
+        }
+        self.begin(offset);
+        self.next = offset + 1;
+        self.note_time(offset, at);
+        match ConfigRecord::read(offset, body) {
+            Ok(ConfigRecord::Publish(publication)) => self.publish(offset, publication),
+            Ok(ConfigRecord::Snapshot(snapshot)) => self.snapshot_read(snapshot),
+            Err(fault) => Folded::Skipped { publication: None, fault },
+        }
+    }
+
+    /// Takes a version that a peer has in force; the version in force never decreases.
+    pub fn hear(&mut self, version: ConfigVersion, set: Arc<ConfigSet>) -> Heard {
+        if version <= self.version() {
+            return Heard::NotNewer;
+        }
+        if let Err(faults) = check_set(&set) {
+            return Heard::Faulty(faults);
+        }
+        self.raise(InForce { version, set });
+        Heard::Raised
+    }
+
+    /// Returns the snapshot to append if one is due.
+    ///
+    /// It is due when the oldest record that a new reader needs has passed half of the
+    /// retention time. Waiting for the age of the latest publication instead would never
+    /// write a snapshot while publications are frequent, and a new reader could not start.
+    /// `jitter_ms` spreads the instances, so that the first snapshot spares the others.
+    pub fn snapshot_due(
+        &self,
+        now: Timestamp,
+        retention_ms: u64,
+        jitter_ms: u64,
+    ) -> Option<Snapshot> {
+        let (part, whole) = SNAPSHOT_AFTER;
+        let due = self.basis_at?.plus_ms(retention_ms / whole * part);
+        if now < due.plus_ms(jitter_ms) {
+            return None;
+        }
+        self.snapshot()
+    }
+
+    /// Returns a snapshot of the records that were taken, if there is a version to keep.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        let state = self.state.as_ref()?;
+        let known = state.log_version.as_ref()?;
+        Some(Snapshot {
+            version: known.version,
+            set: (*known.set).clone(),
+            covers_until: self.next.checked_sub(1)?,
+            recent: state.recent.iter().copied().collect(),
+        })
+    }
+
+    /// Judges a publication.
+    fn publish(&mut self, offset: u64, record: Publication) -> Folded {
+        let Publication { publication, base, set } = record;
+        let Some(state) = &mut self.state else { return Folded::Undecidable };
+        if state.recent.contains(&publication) {
+            return Folded::Repeated { publication };
+        }
+        state.remember(publication);
+        let in_force = state.version();
+        if base != in_force {
+            return Folded::Lost { publication, base, in_force };
+        }
+        if let Err(faults) = check_set(&set) {
+            let fault = RecordFault::FaultySet { faults };
+            return Folded::Skipped { publication: Some(publication), fault };
+        }
+        let version = ConfigVersion(offset + 1);
+        let accepted = InForce { version, set: Arc::new(set) };
+        state.log_version = Some(accepted.clone());
+        self.raise(accepted);
+        Folded::Accepted { publication, version }
+    }
+
+    /// Takes a snapshot that was read from the log.
+    fn snapshot_read(&mut self, snapshot: Snapshot) -> Folded {
+        let needed = snapshot.covers_until + 1;
+        if self.state.is_some() {
+            return self.compare(&snapshot, needed);
+        }
+        if needed < self.readable_from {
+            return Folded::SnapshotSeen;
+        }
+        let log_version =
+            InForce { version: snapshot.version, set: Arc::new(snapshot.set) };
+        self.raise(log_version.clone());
+        self.state = Some(State {
+            log_version: Some(log_version),
+            recent: snapshot.recent.into_iter().collect(),
+        });
+        self.next = needed;
+        self.times.clear();
+        Folded::Rewind { from: needed }
+    }
+
+    /// Compares a snapshot with the known state, and notes what a new reader needs.
+    fn compare(&mut self, snapshot: &Snapshot, needed: u64) -> Folded {
+        let version = snapshot.version;
+        let known = self.state.as_ref().and_then(|state| state.log_version.as_ref());
+        let differs = |known: &InForce| {
+            known.version < version
+                || known.version == version && *known.set != snapshot.set
+        };
+        if known.is_none_or(differs) {
+            return Folded::SnapshotDiffers { version };
+        }
+        let time = self.times.iter().find(|(offset, _)| *offset == needed);
+        if let Some((_, at)) = time {
+            self.basis_at = self.basis_at.max(Some(*at));
+        }
+        Folded::SnapshotSeen
+    }
+
+    /// Puts a version in force unless a newer one is.
+    fn raise(&mut self, candidate: InForce) {
+        if candidate.version > self.version() {
+            self.in_force = Some(candidate);
+        }
+    }
+
+    /// Remembers the time of a record.
+    fn note_time(&mut self, offset: u64, at: Timestamp) {
+        if self.times.len() == RECENT_RECORDS {
+            self.times.pop_front();
+        }
+        self.times.push_back((offset, at));
+        if self.state.is_some() && self.basis_at.is_none() {
+            self.basis_at = Some(at);
+        }
+    }
+}
+
+impl Default for Fold {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl State {
+    /// Returns the version that the log puts in force.
+    fn version(&self) -> ConfigVersion {
+        self.log_version.as_ref().map_or(ConfigVersion(0), |known| known.version)
+    }
+
+    /// Remembers a publication id and drops the oldest one beyond the bound.
+    fn remember(&mut self, publication: PublicationId) {
+        if self.recent.len() == RECENT_RECORDS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(publication);
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-core/src/config/rules.rs
@@ -0,0 +1,360 @@
+//! The rules that a set must meet beyond its form.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
+
+use petgraph::algo::tarjan_scc;
+use petgraph::graphmap::DiGraphMap;
+
+use super::{
+    ConfigSet, Fault, Priority, Quota, RequestKind, Resend, Role, Section, Service, Spot,
+    StopPlan, TargetGroup,
+};
+use crate::id::DomainName;
+
+/// The longest time that a field may name, so that sums of times cannot overflow.
+const MAX_TIME_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// The largest memory of a target; larger values are mistakes in the unit.
+const MAX_MEMORY_MB: u64 = 1 << 30;
+
+/// The longest name, which also bounds the length of tickets.
+const MAX_NAME_CHARS: usize = 64;
+
+/// The starts that all floors together can reserve.
+const FULL_PERCENT: u32 = 100;
+
+/// Returns every fault of a set.
+///
+/// `broken` names objects that exist but are not in the set because they are unreadable.
+pub(super) fn faults(
+    set: &ConfigSet,
+    broken: &BTreeSet<(Section, String)>,
+) -> Vec<Fault> {
+    let mut rules = Rules { set, broken, faults: Vec::new() };
+    set.service.iter().for_each(|(name, object)| rules.service(name.as_str(), object));
+    set.request_kind.iter().for_each(|(name, o)| rules.request_kind(name.as_str(), o));
+    set.priority.iter().for_each(|(name, object)| rules.priority(name.as_str(), object));
+    set.target_group.iter().for_each(|(name, o)| rules.target_group(name.as_str(), o));
+    set.stop_plan
+        .iter()
+        .for_each(|(name, object)| rules.stop_plan(name.as_str(), object));
+    set.quota.iter().for_each(|(name, object)| rules.quota(name.as_str(), object));
+    rules.ranks();
+    rules.floors();
+    rules.plan_cycles();
+    rules.faults
+}
+
+/// A run of the rules over one set.
+struct Rules<'a> {
+    /// The set.
+    set: &'a ConfigSet,
+    /// Objects that exist but are not in the set.
+    broken: &'a BTreeSet<(Section, String)>,
+    /// The faults so far.
+    faults: Vec<Fault>,
+}
+
+impl Rules<'_> {
+    /// Checks a service.
+    fn service(&mut self, name: &str, service: &Service) {
+        let spot = self.object(Section::Service, name);
+        let group = service.target_group.as_str();
+        self.reference(spot.field("target_group"), Section::TargetGroup, group);
+        self.at_least_one(spot.field("slots"), service.slots.into());
+        self.at_least_one(spot.field("connections"), service.connections.into());
+        if service.connections < service.slots {
+            self.fault(
+                spot.field("connections"),
+                format!(
+                    "{} connections cannot fill {} slots",
+                    service.connections, service.slots
+                ),
+                "allow at least one connection for each slot",
+            );
+        }
+    }
+
+    /// Checks a request kind.
+    fn request_kind(&mut self, name: &str, kind: &RequestKind) {
+        let spot = self.object(Section::RequestKind, name);
+        let priority = kind.priority.as_str();
+        self.reference(spot.field("service"), Section::Service, kind.service.as_str());
+        self.reference(spot.field("priority"), Section::Priority, priority);
+        self.time(spot.field("deadline_ms"), kind.deadline_ms);
+        // A run may be shorter than a millisecond.
+        self.time(spot.field("shortest_run_ms"), kind.shortest_run_ms.max(1));
+        self.time(spot.field("longest_run_ms"), kind.longest_run_ms);
+        if kind.longest_run_ms < kind.shortest_run_ms {
+            self.fault(
+                spot.field("longest_run_ms"),
+                "the longest run time is below the shortest",
+                "exchange the two or correct one",
+            );
+        }
+        if kind.deadline_ms < kind.shortest_run_ms {
+            self.fault(
+                spot.field("deadline_ms"),
+                format!(
+                    "the deadline of {} ms is below the shortest run time of {} ms",
+                    kind.deadline_ms, kind.shortest_run_ms
+                ),
+                "allow at least the shortest run time",
+            );
+        }
+        if kind.resend == Resend::Budgeted && !kind.idempotent {
+            self.fault(
+                spot.field("resend"),
+                "a request kind that is not idempotent must not be sent again",
+                "use resend = \"never\", or idempotent = true if running twice does no harm",
+            );
+        }
+        if kind.hedge && !kind.idempotent {
+            self.fault(
+                spot.field("hedge"),
+                "a request kind that is not idempotent must not be hedged",
+                "use hedge = false, or idempotent = true if running twice does no harm",
+            );
+        }
+        self.reachable(spot.field("service"), kind);
+    }
+
+    /// Checks that a request kind has targets in every failure domain of the set.
+    fn reachable(&mut self, spot: Spot, kind: &RequestKind) {
+        let service = self.set.service.get(&kind.service);
+        let group = service.and_then(|s| self.set.target_group.get(&s.target_group));
+        let Some(group) = group else { return };
+        let groups = self.set.target_group.values();
+        let domains: BTreeSet<&DomainName> =
+            groups.flat_map(|group| &group.failure_domains).collect();
+        for domain in domains {
+            if !group.failure_domains.contains(domain) {
+                self.fault(
+                    spot.clone(),
+                    format!("it has no target in failure domain {domain}"),
+                    format!("add {domain} to the target group of its service"),
+                );
+            }
+        }
+    }
+
+    /// Checks a priority.
+    fn priority(&mut self, name: &str, priority: &Priority) {
+        let spot = self.object(Section::Priority, name);
+        if u32::from(priority.floor_percent) > FULL_PERCENT {
+            self.fault(
+                spot.field("floor_percent"),
+                format!("a floor of {} percent is impossible", priority.floor_percent),
+                "give a number from 0 to 100",
+            );
+        }
+    }
+
+    /// Checks that ranks are distinct, because equal ranks leave the order open.
+    fn ranks(&mut self) {
+        let mut holders = BTreeMap::new();
+        for (name, priority) in &self.set.priority {
+            let spot = Spot::object(Section::Priority, name.as_str()).field("rank");
+            if let Some(first) = holders.insert(priority.rank, name) {
+                self.fault(
+                    spot,
+                    format!("priority {first} has rank {} too", priority.rank),
+                    "give each priority a rank of its own",
+                );
+            }
+        }
+    }
+
+    /// Checks that the floors together reserve no more than all starts.
+    fn floors(&mut self) {
+        let floors = self.set.priority.values().map(|p| u32::from(p.floor_percent));
+        let sum: u32 = floors.sum();
+        let last = self.set.priority.iter().rfind(|(_, p)| p.floor_percent > 0);
+        if let Some((name, _)) = last.filter(|_| sum > FULL_PERCENT) {
+            self.fault(
+                Spot::object(Section::Priority, name.as_str()).field("floor_percent"),
+                format!("the floors of all priorities add up to {sum} percent"),
+                "lower them to 100 percent together",
+            );
+        }
+    }
+
+    /// Checks a target group.
+    fn target_group(&mut self, name: &str, group: &TargetGroup) {
+        let spot = self.object(Section::TargetGroup, name);
+        self.name(spot.field("service"), group.service.as_str());
+        let domains = spot.field("failure_domains");
+        self.distinct(&domains, &group.failure_domains);
+        for (item, domain) in group.failure_domains.iter().enumerate() {
+            self.name(domains.item(item), domain.as_str());
+        }
+        if group.failure_domains.is_empty() {
+            self.fault(
+                domains,
+                "the target group is in no failure domain",
+                "name at least one",
+            );
+        }
+        if group.role == Role::Dispatcher {
+            self.fault(
+                spot.field("role"),
+                "entry instances are not targets",
+                "use \"minion\" or \"worker\"",
+            );
+        }
+        if let Some(cpus) = group.cpus {
+            self.at_least_one(spot.field("cpus"), cpus.into());
+        }
+        if let Some(memory_mb) = group.memory_mb {
+            self.in_range(spot.field("memory_mb"), memory_mb, MAX_MEMORY_MB);
+        }
+    }
+
+    /// Checks a stop plan.
+    fn stop_plan(&mut self, name: &str, plan: &StopPlan) {
+        let spot = self.object(Section::StopPlan, name);
+        self.distinct(&spot.field("targets"), &plan.targets);
+        self.distinct(&spot.field("instances"), &plan.instances);
+        self.distinct(&spot.field("after"), &plan.after);
+        self.time(spot.field("drain_ms"), plan.drain_ms);
+        let members = plan.targets.len() + plan.instances.len();
+        if members == 0 {
+            self.fault(
+                spot.clone(),
+                "the plan stops nothing",
+                "name targets or instances, or remove the plan",
+            );
+        }
+        if !(1..=members.max(1)).contains(&(plan.at_once as usize)) {
+            self.fault(
+                spot.field("at_once"),
+                format!("{} of {members} members cannot stop at once", plan.at_once),
+                "give a number from 1 to the number of members",
+            );
+        }
+        for (item, other) in plan.after.iter().enumerate() {
+            let spot = spot.field("after").item(item);
+            self.reference(spot, Section::StopPlan, other.as_str());
+        }
+    }
+
+    /// Checks that no stop plan waits for itself.
+    fn plan_cycles(&mut self) {
+        let mut graph = DiGraphMap::<&str, ()>::new();
+        for (name, plan) in &self.set.stop_plan {
+            for other in &plan.after {
+                graph.add_edge(name.as_str(), other.as_str(), ());
+            }
+        }
+        for mut cycle in tarjan_scc(&graph) {
+            cycle.sort_unstable();
+            let first = cycle[0];
+            if cycle.len() == 1 && !graph.contains_edge(first, first) {
+                continue;
+            }
+            self.fault(
+                Spot::object(Section::StopPlan, first).field("after"),
+                format!("stop plans wait for each other: {}", cycle.join(", ")),
+                "remove one of the `after` entries in the cycle",
+            );
+        }
+    }
+
+    /// Checks a quota.
+    fn quota(&mut self, name: &str, quota: &Quota) {
+        let spot = self.object(Section::Quota, name);
+        self.at_least_one(spot.field("weight"), quota.weight.into());
+        self.at_least_one(spot.field("starts_per_s"), quota.starts_per_s.into());
+        self.at_least_one(spot.field("burst"), quota.burst.into());
+        self.at_least_one(spot.field("in_flight"), quota.in_flight.into());
+    }
+
+    /// Checks the name of an object and returns its spot.
+    fn object(&mut self, section: Section, name: &str) -> Spot {
+        let spot = Spot::object(section, name);
+        self.name(spot.clone(), name);
+        spot
+    }
+
+    /// Checks a name; dots are excluded because they separate the parts of tickets.
+    fn name(&mut self, spot: Spot, name: &str) {
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+        let usable = !name.is_empty() && name.chars().all(plain);
+        if !usable || name.len() > MAX_NAME_CHARS {
+            self.fault(
+                spot,
+                format!("`{name}` is not a usable name"),
+                "use 1 to 64 letters, digits, hyphens and underscores",
+            );
+        }
+    }
+
+    /// Checks that an object exists.
+    fn reference(&mut self, spot: Spot, section: Section, name: &str) {
+        let exists = match section {
+            Section::Service => self.set.service.contains_key(&name.into()),
+            Section::RequestKind => self.set.request_kind.contains_key(&name.into()),
+            Section::Priority => self.set.priority.contains_key(&name.into()),
+            Section::TargetGroup => self.set.target_group.contains_key(&name.into()),
+            Section::StopPlan => self.set.stop_plan.contains_key(&name.into()),
+            Section::Quota => self.set.quota.contains_key(&name.into()),
+        };
+        if !exists && !self.broken.contains(&(section, name.to_owned())) {
+            self.fault(
+                spot,
+                format!("there is no {section}.{name}"),
+                format!("add [{section}.{name}] or correct the name"),
+            );
+        }
+    }
+
+    /// Checks that a list names nothing twice.
+    fn distinct<T: Ord + Display>(&mut self, spot: &Spot, items: &[T]) {
+        let mut seen = BTreeSet::new();
+        for (item, name) in items.iter().enumerate() {
+            if !seen.insert(name) {
+                let message = format!("{name} is listed twice");
+                self.fault(spot.item(item), message, "remove one of the two");
+            }
+        }
+    }
+
+    /// Checks a time in milliseconds.
+    fn time(&mut self, spot: Spot, ms: u64) {
+        self.in_range(spot, ms, MAX_TIME_MS);
+    }
+
+    /// Checks that a size is not zero.
+    fn at_least_one(&mut self, spot: Spot, size: u64) {
+        self.in_range(spot, size, u64::MAX);
+    }
+
+    /// Checks that a size is neither zero nor above a limit.
+    fn in_range(&mut self, spot: Spot, size: u64, max: u64) {
+        let field = spot.field.clone().unwrap_or_default();
+        match size {
+            0 => self.fault(
+                spot,
+                format!("`{field}` is 0, so that nothing could run"),
+                "give at least 1",
+            ),
+            _ if size > max => self.fault(
+                spot,
+                format!("`{field}` is {size}, which is impossible"),
+                format!("give at most {max}"),
+            ),
+            _ => {}
+        }
+    }
+
+    /// Adds a fault.
+    fn fault(
+        &mut self,
+        spot: Spot,
+        message: impl Into<String>,
+        remedy: impl Into<String>,
+    ) {
+        self.faults.push(Fault { spot, message: message.into(), remedy: remedy.into() });
+    }
+}
