--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -57,18 +57,6 @@
     },
     /// The peers have changed.
     Peers(Vec<Arc<str>>),
-    /// Send the configuration in force to a peer.
-    ShareConfig {
-        /// The peer.
-        to: InstanceName,
-    },
-    /// Check a configuration that a peer has sent, and take it into force if it is newer.
-    AdoptConfig {
-        /// The version.
-        version: ConfigVersion,
-        /// The set in its canonical text form.
-        text: Bytes,
-    },
     /// Append a record to a stream of the log; it may fail or take effect unseen.
     Append {
         /// The stream.
@@ -113,6 +101,13 @@
     Tickets(Vec<SubmissionId>),
     /// The state of the instance.
     Status(Box<Status>),
+    /// The configuration in force.
+    Config {
+        /// Its version; 0 for none.
+        version: ConfigVersion,
+        /// The set as canonical JSON.
+        text: String,
+    },
 }
 
 /// A task to be sent to a target.
--- a/crates/bamboocart-core/src/engine/event.rs
+++ b/crates/bamboocart-core/src/engine/event.rs
@@ -76,8 +76,13 @@
         version: ConfigVersion,
         /// Its objects.
         set: Arc<ConfigSet>,
-        /// When it was published.
-        since: Timestamp,
+        /// When it was published, or `None` if that was too long ago to be known.
+        since: Option<Timestamp>,
+    },
+    /// An operator asked for the configuration in force.
+    Config {
+        /// Who waits for it.
+        waiter: WaiterId,
     },
     /// Records of the stream of claims were read.
     ClaimsRead(ClaimPage),
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod answer;
 mod claim;
+mod configure;
 mod dispatch;
 mod drain;
 mod effect;
@@ -27,7 +28,8 @@
 use crate::config::ConfigSet;
 use crate::estimate::Estimator;
 use crate::id::{
-    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, TargetName,
+    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, StopPlanName,
+    TargetName,
 };
 use crate::membership::{Membership, PeerInfo, StopSchedule};
 use crate::ownership::{
@@ -99,6 +101,8 @@
     config: Arc<ConfigSet>,
     /// The version of the configuration in force.
     config_version: ConfigVersion,
+    /// Since when each stop plan is in force; none if it began too long ago to matter.
+    plans_since: BTreeMap<StopPlanName, Timestamp>,
     /// The turns of the stop plans in force.
     stops: StopSchedule,
     /// The submissions that this instance owns.
@@ -188,6 +192,7 @@
             setup,
             config: Arc::default(),
             config_version: ConfigVersion::default(),
+            plans_since: BTreeMap::new(),
             stops: StopSchedule::default(),
             claims: ClaimTable::default(),
             successions: Successions::default(),
@@ -243,7 +248,12 @@
             Event::Listed(list) => self.listed(now, list, effects),
             Event::Probed(answer) => self.probed(now, &answer, effects),
             Event::ConfigAccepted { version, set, since } => {
-                self.config_accepted(now, version, set, since, effects);
+                self.config_published(now, version, set, since, effects);
+            }
+            Event::Config { waiter } => {
+                let (version, text) = (self.config_version, self.config.to_json());
+                let reply = Reply::Config { version, text };
+                effects.push(Effect::Answer { waiter, reply });
             }
             Event::ClaimsRead(page) => self.claims_read(&page, effects),
             Event::PeerMessage { from, message } => {
@@ -268,32 +278,6 @@
         &self.config
     }
 
-    /// Takes a newer configuration into force; an older one is ignored.
-    ///
-    /// `since` is when the publication was appended to the log.
-    fn config_accepted(
-        &mut self,
-        now: Timestamp,
-        version: ConfigVersion,
-        set: Arc<ConfigSet>,
-        since: Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        if version <= self.config_version {
-            return;
-        }
-        self.config = set;
-        self.config_version = version;
-        self.stops = StopSchedule::new(&self.config.stop_plan, |_| since);
-        self.quotas.configure(&self.config.quota, now);
-        self.configure_kinds();
-        self.configure_groups();
-        self.fleet_changed = true;
-        self.sync_targets(now);
-        effects.push(Effect::ConfigInForce { version });
-        self.dispatch_all(now, effects);
-    }
-
     /// Does what is due by time.
     fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         self.expire_deadlines(now, effects);
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -88,10 +88,10 @@
                 self.offer_cancelled(from, correlation, effects);
             }
             Message::ConfigFetch => {
-                effects.push(Effect::ShareConfig { to: from.instance.clone() });
+                self.share_config(&from.instance, effects);
             }
-            Message::ConfigSet { version, text } => {
-                effects.push(Effect::AdoptConfig { version, text });
+            Message::ConfigSet { version, text, plans_since } => {
+                self.config_from_peer(now, version, &text, plans_since, effects);
             }
             Message::HandOver(part) => self.handed_over(now, from, *part, effects),
             Message::HandOverTaken { from: owner } => {
--- a/crates/bamboocart-core/src/message.rs
+++ b/crates/bamboocart-core/src/message.rs
@@ -6,10 +6,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{NewSubmission, Reply};
-use crate::id::{Attempt, ConfigVersion, GroupName, KindName, SubmissionId, TaskIndex};
+use crate::id::{
+    Attempt, ConfigVersion, GroupName, KindName, StopPlanName, SubmissionId, TaskIndex,
+};
 use crate::membership::Heartbeat;
 use crate::ownership::{Owner, Part};
 use crate::target::SendReport;
+use crate::time::Timestamp;
 
 /// A message from one instance to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -55,8 +58,10 @@
     ConfigSet {
         /// The version.
         version: ConfigVersion,
-        /// The set in its canonical text form.
+        /// The set as canonical JSON.
         text: Bytes,
+        /// Since when each stop plan is in force.
+        plans_since: Vec<(StopPlanName, Timestamp)>,
     },
     /// A part of a stopping instance's registry.
     HandOver(Box<Part>),
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -22,7 +22,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use crate::config::CurrentConfig;
 use crate::driver::{self, Outputs};
 use crate::peers::PeerGate;
 use crate::routes::Context;
@@ -49,6 +48,9 @@
 /// The idle connections of an instance to one target.
 const CONNECTIONS_PER_TARGET: usize = 16;
 
+/// The span over which instances spread the snapshots of the configuration.
+const SNAPSHOT_JITTER_MS: u64 = 10_000;
+
 /// Why an instance could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -104,8 +106,6 @@
     events: Sender<Event>,
     /// The platform.
     platform: Platform,
-    /// The configuration in force.
-    config: Arc<CurrentConfig>,
     /// Whether the instance admits submissions.
     ready: Arc<AtomicBool>,
     /// The callers that wait.
@@ -131,7 +131,6 @@
         incarnation: Incarnation(clock.now().as_us()),
         events,
         platform: Platform::new(&settings.platform.to_string()),
-        config: Arc::default(),
         ready: Arc::default(),
         waiters: Arc::default(),
         tracer: Tracer::new(settings.output.trace_per_10k),
@@ -182,7 +181,6 @@
             outbound,
             appends,
             peers: self.start_links(peer_listener)?,
-            config: self.config.clone(),
             ready: self.ready.clone(),
         })
     }
@@ -213,9 +211,10 @@
         let stop = self.stop.clone();
         thread::spawn(move || lister::run(&platform, &events, &stop));
         let (platform, events) = (self.platform.clone(), self.events.clone());
-        let (config, stop) = (self.config.clone(), self.stop.clone());
+        let stop = self.stop.clone();
+        let jitter_ms = self.incarnation.0 % SNAPSHOT_JITTER_MS;
         thread::spawn(move || {
-            follower::follow_config(&platform, &events, &config, &stop);
+            follower::follow_config(&platform, &events, jitter_ms, &stop);
         });
         let (platform, events) = (self.platform.clone(), self.events.clone());
         let stop = self.stop.clone();
@@ -268,7 +267,6 @@
         Context {
             metrics,
             tracer: self.tracer,
-            config: self.config.clone(),
             ready: self.ready.clone(),
             events: self.events.clone(),
             waiters: self.waiters.clone(),
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -7,7 +7,6 @@
 use bamboocart_core::engine::{
     Effect, Engine, Event, LeaseOrder, Observation, SendOrder,
 };
-use bamboocart_core::id::InstanceName;
 use bamboocart_core::target::SendReport;
 use bamboocart_telemetry::metrics::{AnswerCost, record_answer};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
@@ -15,8 +14,6 @@
 
 use crate::appender::Append;
 use crate::clock::Clock;
-use crate::config::CurrentConfig;
-use crate::follower;
 use crate::peers::PeerGate;
 use crate::sender::Outbound;
 use crate::waiters::Waiters;
@@ -38,8 +35,6 @@
     pub appends: Sender<Append>,
     /// The links to peers.
     pub peers: PeerGate,
-    /// The configuration for peers.
-    pub config: Arc<CurrentConfig>,
     /// Whether the instance admits submissions, for the balancer.
     pub ready: Arc<AtomicBool>,
 }
@@ -82,7 +77,7 @@
     let mut follow_ups = Vec::new();
     while !effects.is_empty() {
         for effect in effects.drain(..) {
-            follow_ups.extend(carry_out_one(effect, clock, outputs, stop));
+            follow_ups.extend(carry_out_one(effect, outputs, stop));
         }
         for event in follow_ups.drain(..) {
             engine.handle(clock.now(), event, effects);
@@ -93,7 +88,6 @@
 /// Carries out one effect and returns the event that follows at once, if any.
 fn carry_out_one(
     effect: Effect,
-    clock: Clock,
     outputs: &Outputs,
     stop: &CancellationToken,
 ) -> Option<Event> {
@@ -112,10 +106,6 @@
         Effect::EndSpan { peer, correlation } => {
             outputs.peers.end_span(&peer, correlation);
         }
-        Effect::ShareConfig { to } => return share_config(outputs, &to),
-        Effect::AdoptConfig { version, text } => {
-            return follower::adopt(version, text, &outputs.config, clock.now());
-        }
         Effect::Append { stream, body } => {
             if outputs.appends.try_send(Append { stream, body }).is_err() {
                 log::warn!(
@@ -141,12 +131,6 @@
     None
 }
 
-/// Sends the configuration in force to a peer.
-fn share_config(outputs: &Outputs, to: &InstanceName) -> Option<Event> {
-    let message = outputs.config.message()?;
-    Some(Event::TellPeer { to: to.clone(), message: Box::new(message) })
-}
-
 /// Hands work to the sender threads and returns what follows if their queue is full.
 fn hand_over(outputs: &Outputs, work: Outbound) -> Option<Event> {
     match outputs.outbound.try_send(work).err()?.into_inner() {
--- a/crates/bamboocart-dispatcher/src/follower.rs
+++ b/crates/bamboocart-dispatcher/src/follower.rs
@@ -1,21 +1,14 @@
 //! The threads that follow streams of the log.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use bamboocart_core::config::{CONFIG_STREAM, ConfigRecord, Fold, Folded, InForce};
 use bamboocart_core::engine::{ClaimPage, Event};
-use bamboocart_core::id::ConfigVersion;
 use bamboocart_core::time::Timestamp;
 use bamboocart_platform::{Platform, RecordPage};
-use bytes::Bytes;
 use crossbeam::channel::Sender;
 use tokio_util::sync::CancellationToken;
 
-use crate::config::{self, CurrentConfig};
-
-/// The stream of publications.
-pub const CONFIG_STREAM: &str = "config";
-
 /// The stream of claims.
 pub const CLAIM_STREAM: &str = "claims";
 
@@ -55,31 +48,91 @@
     }
 }
 
-/// Follows the publications.
+/// Follows the publications, and keeps them alive by snapshots.
 pub fn follow_config(
     platform: &Platform,
     events: &Sender<Event>,
-    current: &CurrentConfig,
+    jitter_ms: u64,
     stop: &CancellationToken,
 ) {
-    let mut next = 0;
+    let mut fold = Fold::new();
     follow(platform, CONFIG_STREAM, stop, |page| {
+        let now =
+            Timestamp::from_ms(page.records.last().map_or(0, |record| record.at_ms));
+        let retention_ms = page.retention_ms;
+        fold.begin(page.start);
         for record in page.records {
-            next = record.offset + 1;
-            match config::parse(record.body.as_bytes()) {
-                Ok(set) => {
-                    let version = ConfigVersion(record.offset + 1);
-                    current.update(version, Bytes::from(record.body));
-                    let since = Timestamp::from_ms(record.at_ms);
-                    events.send(Event::ConfigAccepted { version, set, since }).ok()?;
-                }
-                Err(error) => log::error!("record {} is skipped: {error}", record.offset),
+            let at = Timestamp::from_ms(record.at_ms);
+            let folded = fold.take(record.offset, at, &record.body);
+            note_folded(record.offset, &folded);
+            let since = match folded {
+                Folded::Accepted { .. } => Some(at),
+                Folded::Rewind { .. } => None,
+                _ => continue,
+            };
+            tell_in_force(&fold, since, events)?;
+            if since.is_none() {
+                break;
             }
         }
-        Some(next)
+        append_snapshot(platform, &fold, now.max(system_now()), retention_ms, jitter_ms);
+        Some(fold.next_offset())
     });
 }
 
+/// Tells the engine which configuration is in force.
+fn tell_in_force(
+    fold: &Fold,
+    since: Option<Timestamp>,
+    events: &Sender<Event>,
+) -> Option<()> {
+    let Some(InForce { version, set }) = fold.in_force().cloned() else {
+        return Some(());
+    };
+    events.send(Event::ConfigAccepted { version, set, since }).ok()
+}
+
+/// Appends a snapshot if one is due, so that the set in force outlasts its record.
+fn append_snapshot(
+    platform: &Platform,
+    fold: &Fold,
+    now: Timestamp,
+    retention_ms: u64,
+    jitter_ms: u64,
+) {
+    let jitter_ms = jitter_ms.min(retention_ms / 8);
+    let Some(snapshot) = fold.snapshot_due(now, retention_ms, jitter_ms) else { return };
+    let body = ConfigRecord::Snapshot(snapshot).to_body();
+    if let Err(error) = platform.append(CONFIG_STREAM, &body) {
+        log::warn!("no snapshot of the configuration: {error}");
+    }
+}
+
+/// Logs what a record did, if operators should know.
+fn note_folded(offset: u64, folded: &Folded) {
+    match folded {
+        Folded::Accepted { publication, version } => {
+            log::info!("publication {publication} is accepted as version {version}");
+        }
+        Folded::Lost { publication, base, in_force } => log::info!(
+            "publication {publication} for version {base} lost to version {in_force}"
+        ),
+        Folded::Skipped { fault, .. } => log::error!("config record {offset}: {fault}"),
+        Folded::SnapshotDiffers { version } => {
+            log::error!(
+                "config record {offset}: a snapshot of {version} differs; ignored"
+            );
+        }
+        _ => {}
+    }
+}
+
+/// Returns the system's time.
+fn system_now() -> Timestamp {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Timestamp::from_us(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// Follows the claims on caller keys.
 pub fn follow_claims(
     platform: &Platform,
@@ -95,23 +148,3 @@
         Some(next)
     });
 }
-
-/// Takes a configuration that a peer has sent.
-pub fn adopt(
-    version: ConfigVersion,
-    text: Bytes,
-    current: &CurrentConfig,
-    now: Timestamp,
-) -> Option<Event> {
-    match config::parse(&text) {
-        Ok(set) => {
-            let set = Arc::clone(&set);
-            let newer = current.update(version, text);
-            newer.then_some(Event::ConfigAccepted { version, set, since: now })
-        }
-        Err(error) => {
-            log::error!("configuration {version} of a peer is ignored: {error}");
-            None
-        }
-    }
-}
--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -3,7 +3,6 @@
 mod app;
 mod appender;
 mod clock;
-mod config;
 mod driver;
 mod follower;
 mod lister;
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -6,7 +6,6 @@
 
 use bamboocart_core::engine::{Event, NewSubmission, Reply, TaskSpec, WaiterId};
 use bamboocart_core::id::SubmissionId;
-use bamboocart_core::message::Message;
 use bamboocart_core::outcome::RefusalCode;
 use bamboocart_telemetry::metrics::MetricsPage;
 use bamboocart_telemetry::trace::{TRACEPARENT, Tracer, traceparent_of};
@@ -22,8 +21,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
-use crate::config::CurrentConfig;
 use crate::waiters::Waiters;
 
 /// The time in which the body of a request must have arrived.
@@ -44,8 +43,6 @@
     pub metrics: MetricsPage,
     /// Starts the spans of requests.
     pub tracer: Tracer,
-    /// The configuration in force.
-    pub config: Arc<CurrentConfig>,
     /// Whether the instance admits submissions.
     pub ready: Arc<AtomicBool>,
     /// The engine's events.
@@ -79,7 +76,9 @@
         (&Method::GET, "/v1/status", _) => {
             ask(context, |waiter| Event::Status { waiter }).await
         }
-        (&Method::GET, "/v1/config", _) => Ok(config(context)),
+        (&Method::GET, "/v1/config", _) => {
+            ask(context, |waiter| Event::Config { waiter }).await
+        }
         (&Method::POST, "/v1/drain", _) => drain(context),
         (&Method::GET, "/metrics", _) => Ok(text(200, context.metrics.render())),
         (&Method::GET, "/live", _) => Ok(json(200, &serde_json::json!({"live": true}))),
@@ -172,17 +171,6 @@
     Ok(json(200, &serde_json::json!({ "answers": bodies })))
 }
 
-/// Handles `GET /v1/config`.
-fn config(context: &Context) -> Answer {
-    match context.config.message() {
-        Some(Message::ConfigSet { version, text }) => {
-            let text = String::from_utf8_lossy(&text);
-            json(200, &serde_json::json!({ "config_version": version, "text": text }))
-        }
-        _ => json(503, &serde_json::json!({ "code": "not-configured" })),
-    }
-}
-
 /// Handles `POST /v1/drain`.
 fn drain(context: &Context) -> Result<Answer> {
     match context.events.try_send(Event::Drain) {
@@ -214,6 +202,13 @@
 fn render(reply: Reply) -> Answer {
     match reply {
         Reply::Status(status) => json(200, &status),
+        Reply::Config { version, .. } if version.0 == 0 => {
+            json(503, &serde_json::json!({ "code": "not-configured" }))
+        }
+        Reply::Config { version, text } => match serde_json::from_str::<Value>(&text) {
+            Ok(set) => json(200, &serde_json::json!({ "version": version, "set": set })),
+            Err(error) => json(500, &serde_json::json!({ "code": error.to_string() })),
+        },
         Reply::Tickets(tickets) => json(200, &serde_json::json!({"tickets": tickets})),
         Reply::Outcome {
             submission,
