Add the account and its verification

Cause: operators must be able to show in which order customers were served, and that nobody has altered the record.

Change: `account::Chain` writes typed entries into a BLAKE3 chain and forms numbered batches for the log stream `account`. One batch is under way at a time and keeps its text until its append is confirmed. The buffer holds 200,000 entries; dropped entries become a gap entry with its bounds. `account::verify` reads the records alone. It checks offsets, batch numbers, hashes, the written form, sequences and times against neighbours and the log's append time, and replays each queue to check rank, fair share and arrival at every start that names no departure. Gaps, deaths and late appends are listed apart from faults. serde_json's `raw_value` feature keeps the exact text that was hashed.

Conclusion: alterations are found except a replaced end of an incarnation's account with recomputed hashes, which needs the last hash kept elsewhere.

--- /dev/null
+++ b/crates/bamboocart-core/src/account/mod.rs
@@ -0,0 +1,31 @@
+//! The account: a record of who was served in which order, and its verification.
+//!
+//! The entries of one incarnation form a BLAKE3 chain. They are appended to the log
+//! stream `account` in numbered batches, one JSON text each. The chain has no secret: it
+//! proves that entries belong together, while the log's offsets and append times prove
+//! when each batch existed. Whoever can replace the end of an incarnation in the log can
+//! also recompute its hashes, so keep the last hash of a verified stream elsewhere.
+
+mod batch;
+mod chain;
+mod entry;
+mod fault;
+mod order;
+mod summary;
+mod verify;
+
+pub use self::batch::{
+    Head, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_ENTRY_BYTES, ParseHeadError,
+};
+pub use self::chain::{Batch, Chain, MAX_BUFFER_BYTES, MAX_BUFFERED_ENTRIES};
+pub use self::entry::{
+    AnswerKind, Claim, Entry, Fact, FinishResult, Gap, StartReason, Subject, TaskRange,
+};
+pub use self::fault::{Fault, Finding};
+pub use self::summary::{
+    CustomerTotals, GapCause, GapReport, IncarnationSummary, StartTotals, Verdict,
+};
+pub use self::verify::{StreamRecord, VerifySettings, verify};
+
+/// The log stream that holds the account.
+pub const ACCOUNT_STREAM: &str = "account";
--- /dev/null
+++ b/crates/bamboocart-core/src/account/order.rs
@@ -0,0 +1,442 @@
+//! Replays the queues of one incarnation to check the order of its starts.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::entry::{
+    AnswerKind, Claim, Entry, Fact, FinishResult, StartReason, Subject, TaskRange,
+};
+use super::fault::Fault;
+use super::summary::{CustomerTotals, StartTotals};
+use crate::id::{ConfigVersion, CustomerName, GroupName, SubmissionId, TaskIndex};
+
+/// The parts of a microsecond per unit of weight that shares are counted in, so that
+/// rounding does not add up.
+const SHARE_SCALE: u128 = 1 << 20;
+
+/// The queues of one incarnation as its entries describe them.
+///
+/// The model is start-time fair queueing per queue and rank. A customer's tag grows by
+/// cost over weight at the first start of each task, whatever the reason of the start. A
+/// customer without waiting tasks catches up with the tag of the latest start when one
+/// is admitted.
+#[derive(Debug)]
+pub(super) struct OrderReplay {
+    /// How many largest tasks of both customers a share may be behind.
+    tolerance: u32,
+    /// Whether every earlier admission is known.
+    complete: bool,
+    /// The queues.
+    queues: HashMap<GroupName, Queue>,
+    /// The unanswered submissions.
+    submissions: HashMap<SubmissionId, Tasks>,
+    /// The configuration in force, once it is known.
+    config: Option<ConfigVersion>,
+    /// The starts by reason.
+    pub(super) starts: StartTotals,
+    /// The totals by customer.
+    pub(super) customers: BTreeMap<CustomerName, CustomerTotals>,
+}
+
+impl OrderReplay {
+    /// Creates a replay from an incarnation's first entry on.
+    pub(super) fn new(tolerance: u32) -> Self {
+        Self {
+            tolerance,
+            complete: true,
+            queues: HashMap::new(),
+            submissions: HashMap::new(),
+            config: None,
+            starts: StartTotals::default(),
+            customers: BTreeMap::new(),
+        }
+    }
+
+    /// Forgets what waits, because unknown entries have changed it.
+    pub(super) fn forget(&mut self) {
+        self.complete = false;
+        self.queues.clear();
+        self.submissions.clear();
+        self.config = None;
+    }
+
+    /// Applies an entry and adds the faults that it shows.
+    pub(super) fn apply(&mut self, entry: Entry, faults: &mut Vec<Fault>) {
+        match entry.fact {
+            Fact::Admitted { subject, tasks, claim } => {
+                self.admit(subject, tasks, claim, faults);
+            }
+            Fact::Refused { submission, customer, .. } => {
+                self.totals(&customer).refused += 1;
+                if let Some(submission) = submission {
+                    self.end(&submission, true, faults);
+                }
+            }
+            Fact::Started { subject, task, reason, .. } => {
+                self.totals(&subject.customer).starts += 1;
+                *self.starts.by_reason.entry(reason).or_default() += 1;
+                self.start(subject, task, reason, faults);
+            }
+            Fact::Finished { subject, task, result, .. } => {
+                self.finish(&subject, task, result);
+            }
+            Fact::Answered { subject, answer } => self.answer(&subject, answer, faults),
+            Fact::Cancelled { subject, started } => {
+                self.withdraw(&subject.submission);
+                self.check_not_run(&subject.submission, !started, faults);
+            }
+            Fact::PolicyChange { from, to } => self.change_policy(from, to, faults),
+            Fact::Gap(_) => self.forget(),
+        }
+    }
+
+    /// Puts tasks into their queue.
+    fn admit(
+        &mut self,
+        subject: Subject,
+        range: TaskRange,
+        claim: Claim,
+        faults: &mut Vec<Fault>,
+    ) {
+        let submission = &subject.submission;
+        self.totals(&subject.customer).admitted_tasks += u64::from(range.count);
+        let queue = self.queues.entry(claim.queue.clone()).or_default();
+        match queue.last_arrival.replace(claim.arrival) {
+            Some(previous) if previous > claim.arrival => {
+                let (submission, arrival) = (submission.clone(), claim.arrival);
+                faults.push(Fault::ArrivalNotRising { submission, previous, arrival });
+            }
+            _ => {}
+        }
+        let tasks = self.submissions.entry(submission.clone()).or_default();
+        let claim_index = tasks.claims.len();
+        let share = queue.share(&claim, &subject.customer);
+        share.largest = share.largest.max(scaled_cost(&claim));
+        for offset in 0..range.count {
+            let task = TaskIndex(range.first.0.saturating_add(offset));
+            if tasks.states.contains_key(&task) {
+                let submission = submission.clone();
+                faults.push(Fault::AdmittedTwice { submission, task });
+                continue;
+            }
+            tasks.states.insert(task, Task::waiting(claim_index));
+            queue.add(&claim, &subject.customer);
+        }
+        tasks.claims.push((subject.customer, claim));
+    }
+
+    /// Checks a start and takes the task out of its queue.
+    fn start(
+        &mut self,
+        subject: Subject,
+        index: TaskIndex,
+        reason: StartReason,
+        faults: &mut Vec<Fault>,
+    ) {
+        let submission = subject.submission.clone();
+        let tasks = self.submissions.get_mut(&submission);
+        let found = tasks.and_then(|tasks| {
+            let task = tasks.states.get_mut(&index)?;
+            let (customer, claim) = tasks.claims.get(task.claim)?;
+            Some((task, customer, claim))
+        });
+        let Some((task, customer, claim)) = found else {
+            match self.complete {
+                true => faults.push(Fault::NotWaiting { submission, task: index }),
+                false => self.starts.unchecked += 1,
+            }
+            return;
+        };
+        let again = matches!(reason, StartReason::Retry | StartReason::Hedge);
+        let contradicts = *customer != subject.customer
+            || again && task.starts == 0
+            || reason == StartReason::Requeued && task.starts == 0;
+        match task.place {
+            Place::Queued => {
+                let queue = self.queues.entry(claim.queue.clone()).or_default();
+                if reason == StartReason::Order {
+                    let fault =
+                        queue.better_claim(&submission, customer, claim, self.tolerance);
+                    faults.extend(fault);
+                }
+                queue.take(claim, customer, task.starts == 0);
+            }
+            Place::Withdrawn => {
+                let submission = submission.clone();
+                faults.push(Fault::NotWaiting { submission, task: index });
+            }
+            Place::Sent if !again => {
+                let submission = submission.clone();
+                faults.push(Fault::StartedTwice { submission, task: index });
+            }
+            Place::Sent => {}
+        }
+        task.place = Place::Sent;
+        task.starts += 1;
+        task.running += 1;
+        if contradicts {
+            let subject = Box::new(subject);
+            faults.push(Fault::StartContradictsAdmission { subject, reason });
+        }
+    }
+
+    /// Ends a send, and lets the task wait again if it certainly never ran.
+    fn finish(&mut self, subject: &Subject, index: TaskIndex, result: FinishResult) {
+        let Some(tasks) = self.submissions.get_mut(&subject.submission) else {
+            return;
+        };
+        let Some(task) = tasks.states.get_mut(&index) else {
+            return;
+        };
+        task.running = task.running.saturating_sub(1);
+        task.ran |= result != FinishResult::NotStarted;
+        let waits_again = task.place == Place::Sent && task.running == 0 && !task.ran;
+        if waits_again && !tasks.cancelled {
+            task.place = Place::Queued;
+            let (customer, claim) = &tasks.claims[task.claim];
+            let queue = self.queues.entry(claim.queue.clone()).or_default();
+            queue.add(claim, customer);
+        }
+    }
+
+    /// Counts an answer and forgets the submission.
+    fn answer(&mut self, subject: &Subject, answer: AnswerKind, faults: &mut Vec<Fault>) {
+        let totals = self.totals(&subject.customer);
+        match answer {
+            AnswerKind::Complete => totals.complete += 1,
+            _ => totals.otherwise += 1,
+        }
+        let not_run = matches!(answer, AnswerKind::Refused(_));
+        self.end(&subject.submission, not_run, faults);
+    }
+
+    /// Checks that policies follow each other.
+    fn change_policy(
+        &mut self,
+        from: ConfigVersion,
+        to: ConfigVersion,
+        faults: &mut Vec<Fault>,
+    ) {
+        let in_force = self.config.unwrap_or(from);
+        if from != in_force || to <= from {
+            faults.push(Fault::PolicyWentBack { from: in_force, to });
+        }
+        self.config = Some(to);
+    }
+
+    /// Forgets a submission.
+    fn end(&mut self, submission: &SubmissionId, not_run: bool, faults: &mut Vec<Fault>) {
+        self.withdraw(submission);
+        self.check_not_run(submission, not_run, faults);
+        self.submissions.remove(submission);
+    }
+
+    /// Checks an answer that says "not run".
+    fn check_not_run(
+        &self,
+        submission: &SubmissionId,
+        not_run: bool,
+        faults: &mut Vec<Fault>,
+    ) {
+        let tasks = self.submissions.get(submission);
+        let may_have_run = tasks.is_some_and(|tasks| {
+            tasks.states.values().any(|task| task.running > 0 || task.ran)
+        });
+        if not_run && may_have_run {
+            faults.push(Fault::UntrueRefusal { submission: submission.clone() });
+        }
+    }
+
+    /// Takes a submission's waiting tasks out of their queues.
+    fn withdraw(&mut self, submission: &SubmissionId) {
+        let Some(tasks) = self.submissions.get_mut(submission) else {
+            return;
+        };
+        tasks.cancelled = true;
+        for task in tasks.states.values_mut() {
+            if task.place != Place::Queued {
+                continue;
+            }
+            task.place = Place::Withdrawn;
+            let (customer, claim) = &tasks.claims[task.claim];
+            if let Some(queue) = self.queues.get_mut(&claim.queue) {
+                queue.share(claim, customer).remove(claim.arrival);
+            }
+        }
+    }
+
+    /// Returns the totals of a customer.
+    fn totals(&mut self, customer: &CustomerName) -> &mut CustomerTotals {
+        self.customers.entry(customer.clone()).or_default()
+    }
+}
+
+/// The tasks of one submission.
+#[derive(Debug, Default)]
+struct Tasks {
+    /// The claims of its admissions, with their customer.
+    claims: Vec<(CustomerName, Claim)>,
+    /// The tasks.
+    states: BTreeMap<TaskIndex, Task>,
+    /// Whether its tasks left the queue without a start.
+    cancelled: bool,
+}
+
+/// One task.
+#[derive(Debug)]
+struct Task {
+    /// The position of its claim.
+    claim: usize,
+    /// Where it is.
+    place: Place,
+    /// The sends so far.
+    starts: u32,
+    /// The sends that have not ended.
+    running: u32,
+    /// Whether a send ended and may have run.
+    ran: bool,
+}
+
+impl Task {
+    /// Creates a task that waits.
+    fn waiting(claim: usize) -> Self {
+        Self { claim, place: Place::Queued, starts: 0, running: 0, ran: false }
+    }
+}
+
+/// Where a task is.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum Place {
+    /// In its queue.
+    Queued,
+    /// Sent at least once.
+    Sent,
+    /// Out of its queue without a start.
+    Withdrawn,
+}
+
+/// One queue.
+#[derive(Debug, Default)]
+struct Queue {
+    /// The arrival number of the last admission.
+    last_arrival: Option<u64>,
+    /// The customers of each rank.
+    ranks: BTreeMap<u8, Rank>,
+}
+
+/// The customers of one rank.
+#[derive(Debug, Default)]
+struct Rank {
+    /// The tag of the latest start.
+    latest_tag: u128,
+    /// The customers.
+    shares: HashMap<CustomerName, Share>,
+}
+
+/// What one customer has had and what waits.
+#[derive(Debug, Default)]
+struct Share {
+    /// The cost over weight of its starts.
+    tag: u128,
+    /// The largest cost over weight of one of its tasks.
+    largest: u128,
+    /// The number of waiting tasks of each arrival.
+    waiting: BTreeMap<u64, u32>,
+}
+
+impl Share {
+    /// Removes one waiting task.
+    fn remove(&mut self, arrival: u64) {
+        if let Some(count) = self.waiting.get_mut(&arrival) {
+            *count -= 1;
+            if *count == 0 {
+                self.waiting.remove(&arrival);
+            }
+        }
+    }
+}
+
+impl Queue {
+    /// Returns the share that a claim belongs to.
+    fn share(&mut self, claim: &Claim, customer: &CustomerName) -> &mut Share {
+        let rank = self.ranks.entry(claim.rank).or_default();
+        rank.shares.entry(customer.clone()).or_default()
+    }
+
+    /// Adds a waiting task.
+    fn add(&mut self, claim: &Claim, customer: &CustomerName) {
+        let rank = self.ranks.entry(claim.rank).or_default();
+        let share = rank.shares.entry(customer.clone()).or_default();
+        if share.waiting.is_empty() {
+            share.tag = share.tag.max(rank.latest_tag);
+        }
+        *share.waiting.entry(claim.arrival).or_default() += 1;
+    }
+
+    /// Takes a task that is started, and charges its customer unless that was done.
+    fn take(&mut self, claim: &Claim, customer: &CustomerName, charge: bool) {
+        let rank = self.ranks.entry(claim.rank).or_default();
+        let share = rank.shares.entry(customer.clone()).or_default();
+        share.remove(claim.arrival);
+        if charge {
+            rank.latest_tag = rank.latest_tag.max(share.tag);
+            share.tag += scaled_cost(claim);
+        }
+    }
+
+    /// Returns the fault if another waiting task should have been started.
+    fn better_claim(
+        &self,
+        submission: &SubmissionId,
+        customer: &CustomerName,
+        claim: &Claim,
+        tolerance: u32,
+    ) -> Option<Fault> {
+        let submission = submission.clone();
+        let mut better_ranks = self.ranks.range(..claim.rank);
+        let waiting_rank = better_ranks
+            .find(|(_, rank)| rank.shares.values().any(|s| !s.waiting.is_empty()));
+        if let Some((&waiting_rank, _)) = waiting_rank {
+            let rank = claim.rank;
+            return Some(Fault::RankPassedOver { submission, rank, waiting_rank });
+        }
+        let shares = &self.ranks.get(&claim.rank)?.shares;
+        let share = shares.get(customer)?;
+        match share.waiting.first_key_value() {
+            Some((&waiting_arrival, _)) if waiting_arrival < claim.arrival => {
+                let arrival = claim.arrival;
+                return Some(Fault::ArrivalPassedOver {
+                    submission,
+                    arrival,
+                    waiting_arrival,
+                });
+            }
+            _ => {}
+        }
+        let allowed = |other: &Share| {
+            (share.largest + other.largest).saturating_mul(u128::from(tolerance))
+        };
+        let behind = |other: &Share| share.tag.saturating_sub(other.tag);
+        let (waiting, other) = shares
+            .iter()
+            .filter(|(_, other)| !other.waiting.is_empty())
+            .filter(|(_, other)| behind(other) > allowed(other))
+            .max_by_key(|(_, other)| behind(other))?;
+        Some(Fault::SharePassedOver {
+            submission,
+            customer: customer.clone(),
+            waiting: waiting.clone(),
+            behind_us: unscaled(behind(other)),
+            tolerance_us: unscaled(allowed(other)),
+        })
+    }
+}
+
+/// Returns the cost over weight of one task of a claim.
+fn scaled_cost(claim: &Claim) -> u128 {
+    u128::from(claim.cost_us) * SHARE_SCALE / u128::from(claim.weight.max(1))
+}
+
+/// Returns whole microseconds per unit of weight.
+fn unscaled(scaled: u128) -> u64 {
+    u64::try_from(scaled / SHARE_SCALE).unwrap_or(u64::MAX)
+}
--- a/crates/bamboocart-core/src/lib.rs
+++ b/crates/bamboocart-core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Time and randomness come in as arguments, so that every decision can be replayed.
 
+pub mod account;
 pub mod config;
 pub mod id;
 pub mod outcome;
--- /dev/null
+++ b/crates/bamboocart-core/tests/account/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the account: its chain, its verification, and the order of starts.
+
+mod chain;
+mod order;
+mod stream;
+mod tampering;
--- /dev/null
+++ b/crates/bamboocart-core/tests/account/stream.rs
@@ -0,0 +1,217 @@
+//! A log stream in memory, and entries in short form.
+
+use bamboocart_core::account::{
+    AnswerKind, Chain, Claim, Fact, Fault, FinishResult, StartReason, StreamRecord,
+    Subject, TaskRange, Verdict, VerifySettings, verify,
+};
+use bamboocart_core::id::{
+    Attempt, ConfigVersion, Incarnation, SubmissionId, TaskIndex, Ticket,
+};
+use bamboocart_core::time::Timestamp;
+use serde_json::Value;
+
+/// The start of the first incarnation.
+pub const START_MS: u64 = 1_800_000_000_000;
+
+/// A record that tests can alter.
+#[derive(Debug, Clone)]
+pub struct Record {
+    pub offset: u64,
+    pub at_ms: u64,
+    pub text: String,
+}
+
+/// The stream `account`.
+#[derive(Debug, Clone, Default)]
+pub struct Stream {
+    pub records: Vec<Record>,
+}
+
+impl Stream {
+    pub fn append(&mut self, at_ms: u64, text: &str) {
+        let offset = self.records.len() as u64;
+        self.records.push(Record { offset, at_ms, text: text.to_owned() });
+    }
+
+    /// Appends everything that waits in a chain.
+    pub fn drain(&mut self, chain: &mut Chain, at_ms: u64) {
+        while let Some(batch) = chain.next_batch(Timestamp::from_ms(at_ms)) {
+            self.append(at_ms, &batch.text);
+            chain.appended(batch.number);
+        }
+    }
+
+    pub fn verify(&self) -> Verdict {
+        let records = self.records.iter().map(|record| StreamRecord {
+            offset: record.offset,
+            at_ms: record.at_ms,
+            text: &record.text,
+        });
+        verify(records, VerifySettings::default())
+    }
+
+    /// Gives the records consecutive offsets, as a forger of the whole stream would.
+    pub fn renumber(&mut self) {
+        for (offset, record) in (0..).zip(&mut self.records) {
+            record.offset = offset;
+        }
+    }
+
+    /// Changes a batch as JSON, without changing its hash.
+    pub fn edit(&mut self, index: usize, change: impl FnOnce(&mut Value)) {
+        let text = &mut self.records[index].text;
+        let mut batch = serde_json::from_str(text).unwrap();
+        change(&mut batch);
+        *text = render(&batch);
+    }
+
+    /// Recomputes the hashes from a record on, as a forger would.
+    pub fn rehash_from(&mut self, index: usize) {
+        let mut previous = None;
+        for record in &mut self.records[index..] {
+            let mut batch: Value = serde_json::from_str(&record.text).unwrap();
+            if let Some(previous) = previous {
+                batch["previous"] = previous;
+            }
+            batch["hash"] = hash(&batch).into();
+            previous = Some(batch["hash"].clone());
+            record.text = render(&batch);
+        }
+    }
+}
+
+/// Writes a batch with its fields in the order that instances use.
+fn render(batch: &Value) -> String {
+    let entries: Vec<String> =
+        batch["entries"].as_array().unwrap().iter().map(render_entry).collect();
+    let field = |name: &str| format!("\"{name}\":{}", batch[name]);
+    let front = ["account", "instance", "incarnation", "batch", "formed", "closes"];
+    let mut fields: Vec<String> = front.map(field).into();
+    fields.push(field("previous"));
+    fields.push(format!("\"entries\":[{}]", entries.join(",")));
+    fields.push(field("hash"));
+    format!("{{{}}}", fields.join(","))
+}
+
+/// Writes an entry in the order that instances use.
+fn render_entry(entry: &Value) -> String {
+    match serde_json::from_value::<bamboocart_core::account::Entry>(entry.clone()) {
+        Ok(entry) => serde_json::to_string(&entry).unwrap(),
+        Err(_) => entry.to_string(),
+    }
+}
+
+/// Computes the hash of a batch from the documented rule.
+fn hash(batch: &Value) -> String {
+    let link = |head: blake3::Hash, text: &str| {
+        blake3::hash(&[head.as_bytes().as_slice(), text.as_bytes()].concat())
+    };
+    let previous = batch["previous"].as_str().unwrap();
+    let mut head = blake3::Hash::from_hex(previous).unwrap();
+    for entry in batch["entries"].as_array().unwrap() {
+        head = link(head, &render_entry(entry));
+    }
+    let seal = format!("{} {} {}", batch["batch"], batch["formed"], batch["closes"]);
+    link(head, &seal).to_hex().to_string()
+}
+
+/// Starts the account of an incarnation.
+pub fn chain(instance: &str, start_ms: u64) -> Chain {
+    Chain::new(instance.into(), Incarnation(start_ms * 1_000))
+}
+
+pub fn ms(at_ms: u64) -> Timestamp {
+    Timestamp::from_ms(at_ms)
+}
+
+pub fn id(number: u64) -> SubmissionId {
+    SubmissionId::Ticket(Ticket {
+        domain: "marka".into(),
+        instance: "a1".into(),
+        incarnation: Incarnation(7),
+        sequence: number,
+    })
+}
+
+pub fn subject(number: u64, customer: &str) -> Subject {
+    Subject {
+        submission: id(number),
+        customer: customer.into(),
+        kind: "bay-check".into(),
+        config: ConfigVersion(3),
+    }
+}
+
+/// Admits one task, whose number is also its arrival.
+pub fn admit(number: u64, customer: &str, rank: u8) -> Fact {
+    let claim = Claim {
+        queue: "yard".into(),
+        rank,
+        weight: 1,
+        cost_us: 100_000,
+        arrival: number,
+    };
+    let tasks = TaskRange { first: TaskIndex(0), count: 1 };
+    Fact::Admitted { subject: subject(number, customer), tasks, claim }
+}
+
+pub fn start(number: u64, customer: &str, reason: StartReason) -> Fact {
+    Fact::Started {
+        subject: subject(number, customer),
+        task: TaskIndex(0),
+        attempt: Attempt(1),
+        target: "m-1".into(),
+        reason,
+    }
+}
+
+pub fn finish(number: u64, customer: &str, result: FinishResult) -> Fact {
+    let subject = subject(number, customer);
+    Fact::Finished { subject, task: TaskIndex(0), attempt: Attempt(1), result }
+}
+
+pub fn answer(number: u64, customer: &str, answer: AnswerKind) -> Fact {
+    Fact::Answered { subject: subject(number, customer), answer }
+}
+
+pub fn cancel(number: u64, customer: &str, started: bool) -> Fact {
+    Fact::Cancelled { subject: subject(number, customer), started }
+}
+
+/// The life of one request from admission to answer.
+pub fn served(number: u64, customer: &str) -> [Fact; 4] {
+    [
+        admit(number, customer, 0),
+        start(number, customer, StartReason::Order),
+        finish(number, customer, FinishResult::Complete),
+        answer(number, customer, AnswerKind::Complete),
+    ]
+}
+
+pub fn record_served(chain: &mut Chain, number: u64, at_ms: u64) {
+    for fact in served(number, "amman") {
+        chain.record(ms(at_ms), fact);
+    }
+}
+
+/// A closed account of five batches with two served requests each, one second apart.
+pub fn clean() -> Stream {
+    let mut stream = Stream::default();
+    let mut chain = chain("a1", START_MS);
+    for batch in 0..5 {
+        let at_ms = START_MS + 1_000 * (batch + 1);
+        for request in 0..2 {
+            record_served(&mut chain, batch * 2 + request, at_ms - 500);
+        }
+        if batch == 4 {
+            chain.close(ms(at_ms));
+        }
+        stream.drain(&mut chain, at_ms);
+    }
+    stream
+}
+
+/// Returns the faults of a verdict.
+pub fn faults(verdict: &Verdict) -> Vec<&Fault> {
+    verdict.findings.iter().map(|finding| &finding.fault).collect()
+}
