Add a fixture that runs dispatcher processes between stand-ins

Cause: nothing ran the dispatcher as a process, so its invariants could only be checked in parts.

Change: tests/support starts the platform, minions and workers in process and dispatchers as processes on ports that the system chooses, registers them, publishes a configuration through one function, and puts forwarders between instances and between instances and the platform. A forwarder finds the instance that opened a link by the process that holds the connection, so that each pair can be cut on its own. Everything ends when the cluster is dropped.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -0,0 +1,315 @@
+//! A whole system.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bamboocart_core::config::{ConfigSet, Role};
+use bamboocart_core::id::Incarnation;
+use bamboocart_platform::{InstanceEntry, ListState};
+use bamboocart_standin::platform::{self, PlatformServer};
+use bamboocart_standin::target::{
+    Fleet, MinionSettings, WorkerSettings, minion_settings, worker_settings,
+};
+use bpaf::Parser;
+use serde_json::Value;
+
+use super::config::register;
+use super::forward::{Mode, Net, Node};
+use super::http::call;
+use super::process::Instance;
+use super::{POLL, RECOVERY, base_config, publish, wait_until};
+
+/// What a cluster consists of.
+#[derive(Debug, Clone)]
+pub struct ClusterSettings {
+    /// The failure domain of each instance.
+    pub instances: Vec<&'static str>,
+    /// Flags of the minions, which are spread over all failure domains.
+    pub minions: Vec<&'static str>,
+    /// Flags of the workers, which are spread over all failure domains.
+    pub workers: Vec<&'static str>,
+    /// Further flags of each dispatcher.
+    pub flags: Vec<&'static str>,
+    /// The time that the platform keeps records.
+    pub retention_ms: u64,
+    /// The first configuration, if one is published.
+    pub config: Option<ConfigSet>,
+}
+
+impl Default for ClusterSettings {
+    fn default() -> Self {
+        Self {
+            instances: vec!["marka", "sahab", "qastal"],
+            minions: vec!["--count", "6"],
+            workers: vec!["--count", "3"],
+            flags: vec![],
+            retention_ms: 3_600_000,
+            config: Some(base_config()),
+        }
+    }
+}
+
+/// A running system.
+pub struct Cluster {
+    /// The instances; killed ones stay in their place.
+    pub instances: Vec<Instance>,
+    /// The minions.
+    pub minions: Fleet,
+    /// The workers.
+    pub workers: Fleet,
+    /// The platform.
+    pub platform: PlatformServer,
+    /// The forwarders between instances, and between instances and platform.
+    pub net: Net,
+    settings: ClusterSettings,
+    /// The addresses of the forwarders to and from each instance.
+    doors: Vec<Doors>,
+}
+
+/// The forwarders of one instance.
+#[derive(Debug, Copy, Clone)]
+struct Doors {
+    /// Where its peers connect.
+    links: SocketAddr,
+    /// Where it connects to reach the platform.
+    platform: SocketAddr,
+}
+
+impl Cluster {
+    /// Starts a system and waits until every instance serves and knows the others.
+    pub fn start(settings: ClusterSettings) -> Self {
+        let platform = PlatformServer::start(&platform::Settings {
+            port: 0,
+            retention_ms: settings.retention_ms,
+            appends_per_s: 300,
+            append_ms: 5,
+            list_lag_ms: 500,
+        })
+        .unwrap();
+        let net = Net::start();
+        net.set_backend(Node::Platform, platform.address(), None);
+        if let Some(config) = &settings.config {
+            publish(platform.address(), config);
+        }
+        let mut domains = settings.instances.clone();
+        domains.sort_unstable();
+        domains.dedup();
+        let common = ["--domains".into(), domains.join(",")];
+        let common = common.into_iter();
+        let at = ["--platform".into(), platform.address().to_string()];
+        let common: Vec<String> = common.chain(at).collect();
+        let (minions, workers) =
+            (minions(&settings.minions, &common), workers(&settings.workers, &common));
+        let mut cluster = Self {
+            instances: vec![],
+            minions,
+            workers,
+            platform,
+            net,
+            settings,
+            doors: vec![],
+        };
+        for domain in cluster.settings.instances.clone() {
+            cluster.add_instance(domain);
+        }
+        if cluster.settings.config.is_some() {
+            cluster.wait_for_service();
+        }
+        cluster
+    }
+
+    /// Starts a further instance and registers it.
+    pub fn add_instance(&mut self, domain: &str) -> usize {
+        let index = self.instances.len();
+        let links = self.net.open(Node::Instance(index), None);
+        let platform = self.net.open(Node::Platform, Some(Node::Instance(index)));
+        self.doors.push(Doors { links, platform });
+        let instance = self.launch(index, &format!("i-{index}"), domain);
+        self.instances.push(instance);
+        index
+    }
+
+    /// Kills an instance if it still runs, and starts it again under the same name.
+    pub fn restart(&mut self, index: usize) {
+        self.instances[index].kill();
+        let (name, domain) =
+            (self.instances[index].name.clone(), self.instances[index].domain.clone());
+        self.instances[index] = self.launch(index, &name, &domain);
+    }
+
+    /// Starts a process and registers it.
+    fn launch(&self, index: usize, name: &str, domain: &str) -> Instance {
+        let Doors { links, platform } = self.doors[index];
+        let flags: Vec<String> =
+            self.settings.flags.iter().map(|&flag| flag.into()).collect();
+        let instance = Instance::start(name, domain, links, platform, &flags);
+        let (node, process) = (Node::Instance(index), instance.process());
+        self.net.set_backend(node, instance.link_listener, Some(process));
+        let entry = self.entry(&instance, links, ListState::Live);
+        register(self.platform.address(), &entry);
+        instance
+    }
+
+    /// Describes an instance for the platform's list.
+    fn entry(
+        &self,
+        instance: &Instance,
+        links: SocketAddr,
+        state: ListState,
+    ) -> InstanceEntry {
+        InstanceEntry {
+            name: instance.name.as_str().into(),
+            role: Role::Dispatcher,
+            service: "bamboocart".into(),
+            failure_domain: instance.domain.as_str().into(),
+            rack: None,
+            address: instance.address.to_string(),
+            peer_address: Some(links.to_string()),
+            state,
+            slots: 0,
+            connections: 0,
+            cpus: 0,
+            memory_mb: 0,
+            incarnation: Incarnation(instance.incarnation),
+        }
+    }
+
+    /// Removes an instance from the platform's list.
+    pub fn unregister(&self, index: usize) {
+        let path = format!("/instances/{}", self.instances[index].name);
+        call("DELETE", self.platform.address(), &path, &Value::Null);
+    }
+
+    /// Waits until every instance serves, knows every other and uses every target.
+    pub fn wait_for_service(&self) {
+        let all: Vec<usize> = (0..self.instances.len()).collect();
+        self.wait_for_service_of(&all);
+    }
+
+    /// Waits until some instances serve, know each other and use every target.
+    pub fn wait_for_service_of(&self, indices: &[usize]) {
+        let rows = [&self.minions, &self.workers].map(|fleet| fleet.members().rows());
+        let targets = rows.iter().flatten().filter(|row| !row.dead && !row.leaving);
+        let targets: Vec<String> = targets.map(|row| row.name.to_string()).collect();
+        let start = Instant::now();
+        while let Err(lack) = self.check_service(indices, &targets) {
+            assert!(start.elapsed() < RECOVERY, "no full service: {lack}");
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Returns what some instances lack for full service.
+    fn check_service(&self, indices: &[usize], targets: &[String]) -> Result<(), String> {
+        let statuses: BTreeMap<usize, Value> = indices
+            .iter()
+            .filter_map(|&index| Some((index, self.instances[index].try_status()?)))
+            .collect();
+        let mut used: BTreeMap<String, usize> = BTreeMap::new();
+        for &index in indices {
+            let name = &self.instances[index].name;
+            let status =
+                statuses.get(&index).ok_or_else(|| format!("{name} is silent"))?;
+            if status["stage"] != "serving" {
+                return Err(format!("{name} is {}", status["stage"]));
+            }
+            let live: Vec<&str> = rows(status, "peers")
+                .filter(|peer| peer["state"] == "live" && peer["leaving"] == false)
+                .filter_map(|peer| peer["name"].as_str())
+                .collect();
+            let others = indices.iter().filter(|&&other| other != index);
+            for &other in others {
+                let other = &self.instances[other].name;
+                if !live.contains(&other.as_str()) {
+                    return Err(format!("{name} does not see {other}"));
+                }
+            }
+            let usable = rows(status, "targets")
+                .filter(|target| target["retired"] == false && target["slots"] != 0);
+            for target in usable {
+                let target = target["name"].as_str().unwrap_or_default();
+                *used.entry(target.into()).or_default() += 1;
+            }
+        }
+        match targets.iter().find(|target| used.get(*target) != Some(&1)) {
+            Some(target) => Err(format!("{target} is used by {:?}", used.get(target))),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits until every range of caller keys is claimed for the present time.
+    pub fn wait_for_claims(&self) {
+        let claimed = || {
+            let path = "/streams/claims/records?from=0";
+            let (_, page) = call("GET", self.platform.address(), path, &Value::Null);
+            page["records"].as_array().is_some_and(|records| !records.is_empty())
+        };
+        wait_until("the claims on caller keys", RECOVERY, claimed);
+    }
+
+    /// Sets fault switches of the platform.
+    pub fn platform_faults(&self, body: &Value) {
+        let answer = call("POST", self.platform.address(), "/faults", body);
+        assert_eq!(answer.0, 200, "{answer:?}");
+    }
+
+    /// Sets fault switches of targets of both fleets.
+    pub fn target_faults(&self, body: &Value) {
+        for fleet in [&self.minions, &self.workers] {
+            let answer = call("POST", fleet.control(), "/faults", body);
+            assert_eq!(answer.0, 200, "{answer:?}");
+        }
+    }
+
+    /// Sets the mode between a failure domain and everything outside of it.
+    pub fn isolate(&self, domain: &str, mode: Mode) {
+        let nodes = (0..self.instances.len()).map(Node::Instance);
+        let all: Vec<Node> = nodes.chain([Node::Platform]).collect();
+        let members = self.instances.iter().enumerate();
+        let inside: Vec<Node> = members
+            .filter(|(_, instance)| instance.domain == domain)
+            .map(|(index, _)| Node::Instance(index))
+            .collect();
+        self.net.set_around(&inside, &all, mode);
+    }
+
+    /// Returns where callers reach each instance.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|instance| instance.address).collect()
+    }
+
+    /// Marks an instance as leaving in the platform's list.
+    pub fn list_as_leaving(&self, index: usize) {
+        let instance = &self.instances[index];
+        let entry = self.entry(instance, self.doors[index].links, ListState::Leaving);
+        register(self.platform.address(), &entry);
+    }
+}
+
+/// Returns the entries of a list in a status.
+fn rows<'a>(status: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> {
+    status[name].as_array().into_iter().flatten()
+}
+
+/// Starts minions.
+fn minions(flags: &[&str], common: &[String]) -> Fleet {
+    let flags: Vec<&str> =
+        flags.iter().copied().chain(common.iter().map(String::as_str)).collect();
+    let settings: MinionSettings =
+        minion_settings().to_options().run_inner(flags.as_slice()).unwrap();
+    Fleet::start(&settings.fleet, &settings.shape()).unwrap()
+}
+
+/// Starts workers.
+fn workers(flags: &[&str], common: &[String]) -> Fleet {
+    let own = ["--service", "yard-work"];
+    let flags: Vec<&str> = flags
+        .iter()
+        .copied()
+        .chain(own)
+        .chain(common.iter().map(String::as_str))
+        .collect();
+    let settings: WorkerSettings =
+        worker_settings().to_options().run_inner(flags.as_slice()).unwrap();
+    Fleet::start(&settings.fleet, &settings.shape()).unwrap()
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -0,0 +1,60 @@
+//! A running system for tests: stand-ins in process, and dispatchers as processes.
+//!
+//! Everything listens on loopback ports that the system chooses, and everything that a
+//! [`Cluster`] starts ends when it is dropped.
+// Each test program uses a part of the fixture.
+#![allow(dead_code, unused_imports)]
+
+mod cluster;
+mod config;
+mod forward;
+mod http;
+mod process;
+mod sockets;
+
+use std::time::{Duration, Instant};
+
+pub use self::cluster::{Cluster, ClusterSettings};
+pub use self::config::{base_config, publish};
+pub use self::forward::{Mode, Net, Node};
+pub use self::http::{call, try_call};
+pub use self::process::Instance;
+
+/// The pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The time in which an instance notices that a peer is dead, with a margin.
+pub const PEER_DEAD: Duration = Duration::from_secs(8);
+
+/// The time in which full service has to return after a fault: the nine seconds in which
+/// a configuration is in force and the five seconds until a peer is dead or live again.
+pub const RECOVERY: Duration = Duration::from_secs(14);
+
+/// Waits until a condition holds and fails the test at the limit.
+pub fn wait_until(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < limit, "{what}: not within {limit:?}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Lets a fault last for a time that the design page names.
+pub fn hold(duration: Duration) {
+    std::thread::sleep(duration);
+}
+
+/// Returns the seed of a run: the test's own, or that of the environment.
+pub fn seed(own: u64) -> u64 {
+    number("BAMBOOCART_TEST_SEED").unwrap_or(own)
+}
+
+/// Returns the factor by which runs are longer than in their short form.
+pub fn length() -> u64 {
+    number("BAMBOOCART_TEST_LENGTH").unwrap_or(1).max(1)
+}
+
+/// Reads a number from the environment.
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/support/process.rs
@@ -0,0 +1,127 @@
+//! A dispatcher process.
+
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::http::{call, try_call};
+use super::{RECOVERY, sockets, wait_until};
+
+/// A running dispatcher, killed when it is dropped.
+pub struct Instance {
+    /// The name.
+    pub name: String,
+    /// The failure domain.
+    pub domain: String,
+    /// The run of the process.
+    pub incarnation: u64,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Where links of peers arrive behind the forwarder.
+    pub link_listener: SocketAddr,
+    child: Child,
+}
+
+/// The line that a dispatcher writes when it is ready.
+#[derive(Debug, Deserialize)]
+struct Ready {
+    incarnation: u64,
+    address: SocketAddr,
+}
+
+impl Instance {
+    /// Starts a dispatcher and reads its addresses.
+    pub fn start(
+        name: &str,
+        domain: &str,
+        peer_address: SocketAddr,
+        platform: SocketAddr,
+        flags: &[String],
+    ) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
+            .args(["--name", name, "--failure-domain", domain])
+            .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
+            .args(["--peer-address", &peer_address.to_string()])
+            .args(["--platform", &platform.to_string()])
+            .args(["--send-threads", "96", "--log-level", "warn"])
+            .args(flags)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the dispatcher starts");
+        let mut line = String::new();
+        let output = child.stdout.as_mut().expect("the output is a pipe");
+        BufReader::new(output).read_line(&mut line).expect("the output can be read");
+        let ready: Ready = serde_json::from_str(&line)
+            .unwrap_or_else(|error| panic!("{name} is not ready: {error}: {line}"));
+        let port = sockets::other_listening_port(child.id(), ready.address)
+            .expect("the dispatcher listens for links");
+        Self {
+            name: name.into(),
+            domain: domain.into(),
+            incarnation: ready.incarnation,
+            address: ready.address,
+            link_listener: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+            child,
+        }
+    }
+
+    /// Returns the id of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the state that `GET /v1/status` reports.
+    pub fn status(&self) -> Value {
+        call("GET", self.address, "/v1/status", &Value::Null).1
+    }
+
+    /// Returns the state, or nothing when the instance does not answer in time.
+    pub fn try_status(&self) -> Option<Value> {
+        let answer = try_call("GET", self.address, "/v1/status", &Value::Null, RECOVERY);
+        answer.map(|answer| answer.1)
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&self) {
+        assert_eq!(call("POST", self.address, "/v1/drain", &json!({})).0, 202);
+    }
+
+    /// Stops the process until [`resume`](Self::resume), as a pause of its machine does.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Continues the process.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait_for_end(&mut self, limit: std::time::Duration) {
+        let ended = || self.child.try_wait().ok().flatten().is_some();
+        wait_until("the end of the process", limit, ended);
+    }
+
+    /// Sends a signal to the process.
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(id.expect("a process has an id"), signal).expect("a child is ours");
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
