Publish test configurations by the records of the fold

Cause: the fixture appended plain TOML, which the follower no longer reads. Change: it appends a publication for the version that the log has in force.

--- a/crates/bamboocart-dispatcher/tests/support/config.rs
+++ b/crates/bamboocart-dispatcher/tests/support/config.rs
@@ -2,7 +2,14 @@
 
 use std::net::SocketAddr;
 
-use bamboocart_core::config::ConfigSet;
+use bamboocart_core::config::{
+    CONFIG_STREAM, ConfigRecord, ConfigSet, Fold, Folded, Publication, PublicationId,
+    SourceFile, check,
+};
+use bamboocart_core::id::ConfigVersion;
+use bamboocart_core::time::Timestamp;
+use bamboocart_platform::Platform;
+use uuid::Uuid;
 
 use super::http::try_call;
 
@@ -82,21 +89,45 @@
 
 /// Returns the set that tests start from.
 pub fn base_config() -> ConfigSet {
-    toml::from_str(BASE).expect("the text is a configuration set")
+    check(&[SourceFile { name: "base.toml", text: BASE }])
+        .expect("the set passes the check")
 }
 
-/// Publishes a set, in the one place that knows the records of the stream `config`.
+/// Publishes a set in place of the one that the log has in force.
 ///
 /// An append without an answer counts as published, since it may have taken effect.
-pub fn publish(platform: SocketAddr, set: &ConfigSet) {
-    let text = toml::to_string(set).expect("a configuration set has a text form");
-    let agent = ureq::Agent::new_with_defaults();
-    let url = format!("http://{platform}/streams/config/records");
-    if let Err(error) = agent.post(url).send(text) {
+pub fn publish(address: SocketAddr, set: &ConfigSet) {
+    let platform = Platform::new(&address.to_string());
+    let publication = Publication {
+        publication: PublicationId(Uuid::now_v7()),
+        base: version_in_log(&platform),
+        set: set.clone(),
+    };
+    let body = ConfigRecord::Publish(publication).to_body();
+    if let Err(error) = platform.append(CONFIG_STREAM, &body) {
         eprintln!("the publication was not acknowledged: {error}");
     }
 }
 
+/// Returns the version that the log puts in force.
+fn version_in_log(platform: &Platform) -> ConfigVersion {
+    let mut fold = Fold::new();
+    loop {
+        let page = platform.read(CONFIG_STREAM, fold.next_offset(), 0);
+        let page = page.expect("the log can be read before a publication");
+        fold.begin(page.start);
+        for record in &page.records {
+            let at = Timestamp::from_ms(record.at_ms);
+            if let Folded::Rewind { .. } = fold.take(record.offset, at, &record.body) {
+                break;
+            }
+        }
+        if fold.next_offset() >= page.end {
+            return fold.version();
+        }
+    }
+}
+
 /// Registers an entry in the platform's list.
 pub fn register(platform: SocketAddr, entry: &bamboocart_platform::InstanceEntry) {
     let body = serde_json::to_value(entry).expect("an entry has a JSON form");
