--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -210,8 +210,8 @@
             let name = &self.instances[index].name;
             let status =
                 statuses.get(&index).ok_or_else(|| format!("{name} is silent"))?;
-            if status["stage"] != "serving" {
-                return Err(format!("{name} is {}", status["stage"]));
+            if status["state"] != "serving" {
+                return Err(format!("{name} is {}", status["state"]));
             }
             let live: Vec<&str> = rows(status, "peers")
                 .filter(|peer| peer["state"] == "live" && peer["leaving"] == false)
