Add the bodies of the operators' interface

Cause: the command line and the dispatcher need one type for the status of an instance. `show` also needs the set that an instance has in force.

Change: `bamboocart-wire` gets the module `status` with the bodies of `GET /v1/status` and `GET /v1/config`. The doc comment of `Folded::Rewind` says that the rest of a page is to be dropped; a reader that passes it on would skip records and lose its state.

Conclusion: no behaviour changes.

--- a/crates/bamboocart-core/src/config/fold.rs
+++ b/crates/bamboocart-core/src/config/fold.rs
@@ -96,6 +96,8 @@
         version: ConfigVersion,
     },
     /// A snapshot was accepted; the records from `from` on are to be read again.
+    ///
+    /// The rest of a page that was read before this is to be dropped.
     Rewind {
         /// The next offset.
         from: u64,
--- a/crates/bamboocart-wire/src/lib.rs
+++ b/crates/bamboocart-wire/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod api;
 pub mod message;
+pub mod status;
 pub mod text;
