Add the operators' command line

Cause: operators need to check, compare and publish sets, and to work with instances, from scripts as well as by hand.

Change: the program `bamboocart` has the commands check, diff, publish, show, status, drain, submit, job, cancel, account verify and completion. Settings are read as text and checked together, so that one run reports all faults.

`publish` reads the log before each append and after each failure, and keeps its publication id, so that a lost answer does not lead to a second append and a late one has no effect. A submission whose answer is lost, or answered with a status of 500 or above without a readable body, ends as "outcome unknown".

--- /dev/null
+++ b/crates/bamboocart-cli/src/commands/mod.rs
@@ -0,0 +1,102 @@
+//! The commands, one in each file.
+
+mod account;
+mod cancel;
+mod check;
+mod completion;
+mod diff;
+mod drain;
+mod job;
+mod publish;
+mod show;
+mod status;
+mod submit;
+
+use bpaf::{Bpaf, OptionParser, Parser};
+
+use self::account::{Account, account};
+use self::cancel::{Cancel, cancel};
+use self::check::{Check, check};
+use self::completion::{Completion, completion};
+use self::diff::{Diff, diff};
+use self::drain::{Drain, drain};
+use self::job::{Job, job};
+use self::publish::{Publish, publish};
+use self::show::{Show, show};
+use self::status::{Status, status};
+use self::submit::{Submit, submit};
+use crate::error::Result;
+use crate::report::{EXIT_CODES, Report};
+use crate::settings::Common;
+
+/// Commands
+#[derive(Debug, Clone, Bpaf)]
+pub enum Command {
+    /// Checks files.
+    Check(#[bpaf(external(check))] Check),
+    /// Compares sets.
+    Diff(#[bpaf(external(diff))] Diff),
+    /// Publishes a set.
+    Publish(#[bpaf(external(publish))] Publish),
+    /// Shows the set in force.
+    Show(#[bpaf(external(show))] Show),
+    /// Shows the state of instances.
+    Status(#[bpaf(external(status))] Status),
+    /// Stops an instance.
+    Drain(#[bpaf(external(drain))] Drain),
+    /// Submits a request.
+    Submit(#[bpaf(external(submit))] Submit),
+    /// Submits a job.
+    Job(#[bpaf(external(job))] Job),
+    /// Cancels submissions.
+    Cancel(#[bpaf(external(cancel))] Cancel),
+    /// Works on the account.
+    Account(#[bpaf(external(account))] Account),
+    /// Prints a completion script.
+    Completion(#[bpaf(external(completion))] Completion),
+}
+
+impl Command {
+    /// Runs the command.
+    pub fn run(&self) -> Result<Report> {
+        match self {
+            Self::Check(command) => command.run(),
+            Self::Diff(command) => command.run(),
+            Self::Publish(command) => command.run(),
+            Self::Show(command) => command.run(),
+            Self::Status(command) => command.run(),
+            Self::Drain(command) => command.run(),
+            Self::Submit(command) => command.run(),
+            Self::Job(command) => command.run(),
+            Self::Cancel(command) => command.run(),
+            Self::Account(command) => command.run(),
+            Self::Completion(command) => command.run(),
+        }
+    }
+
+    /// Returns the settings that all commands share.
+    pub fn common(&self) -> &Common {
+        match self {
+            Self::Check(command) => &command.common,
+            Self::Diff(command) => &command.common,
+            Self::Publish(command) => &command.common,
+            Self::Show(command) => &command.common,
+            Self::Status(command) => &command.common,
+            Self::Drain(command) => &command.common,
+            Self::Submit(command) => &command.common,
+            Self::Job(command) => &command.common,
+            Self::Cancel(command) => &command.common,
+            Self::Account(command) => command.common(),
+            Self::Completion(command) => &command.common,
+        }
+    }
+}
+
+/// Returns the parser of the command line.
+pub fn options() -> OptionParser<Command> {
+    command()
+        .to_options()
+        .descr("Publishes the configuration of bamboocart and works with its instances.")
+        .footer(EXIT_CODES)
+        .version(env!("CARGO_PKG_VERSION"))
+}
--- /dev/null
+++ b/crates/bamboocart-cli/src/commands/submit.rs
@@ -0,0 +1,125 @@
+//! The command `submit`.
+
+use std::ops::RangeInclusive;
+
+use bamboocart_core::id::SubmissionId;
+use bamboocart_wire::api::{AnswerBody, RequestBody};
+use bpaf::Bpaf;
+use bytes::Bytes;
+use snafu::ResultExt;
+use uuid::Uuid;
+
+use crate::error::{Result, UnansweredSnafu};
+use crate::instance::Instance;
+use crate::report::{EXIT_CODES, Exit, Report};
+use crate::settings::{Common, Faults};
+
+/// The deadlines that can be asked for.
+pub const DEADLINE_MS: RangeInclusive<u64> = 1..=86_400_000;
+
+/// Submit a request and print its answer
+///
+/// The id is printed when no answer arrives, so that the same submission can be asked
+/// for again.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("submit"), footer(EXIT_CODES))]
+pub struct Submit {
+    /// Settings of every command
+    #[bpaf(external(crate::settings::common))]
+    pub common: Common,
+    /// Settings of a submission
+    #[bpaf(external(crate::commands::submit::submission))]
+    submission: Submission,
+    /// What the target receives
+    #[bpaf(long, env("BAMBOOCART_PAYLOAD"), argument("TEXT"))]
+    payload: Option<String>,
+}
+
+/// Settings of a submission
+#[derive(Debug, Clone, Bpaf)]
+pub struct Submission {
+    /// Customer
+    #[bpaf(long, env("BAMBOOCART_CUSTOMER"), argument("NAME"))]
+    customer: Option<String>,
+    /// Request kind
+    #[bpaf(long, env("BAMBOOCART_KIND"), argument("NAME"))]
+    kind: Option<String>,
+    /// Time until the answer is needed (default that of the request kind)
+    #[bpaf(long, env("BAMBOOCART_DEADLINE_MS"), argument("MS"))]
+    deadline_ms: Option<String>,
+    /// Ticket or UUID of version 7 (default a new UUID)
+    #[bpaf(long, env("BAMBOOCART_SUBMISSION"), argument("ID"))]
+    submission: Option<String>,
+}
+
+/// The checked settings of a request or a job.
+#[derive(Debug, Clone)]
+pub struct CheckedSubmission {
+    /// The customer.
+    pub customer: String,
+    /// The request kind.
+    pub kind: String,
+    /// The time until the answer is needed.
+    pub deadline_ms: Option<u64>,
+    /// The id.
+    pub id: SubmissionId,
+}
+
+impl Submit {
+    /// Runs the command.
+    pub fn run(&self) -> Result<Report> {
+        let mut faults = Faults::default();
+        let settings = self.common.check(&mut faults);
+        let address = faults.need("--instance", settings.instance);
+        let payload = faults.need("--payload", self.payload.clone());
+        let submission = self.submission.check(&mut faults);
+        let (Some(address), Some(payload), Some(submission)) =
+            (address, payload, submission)
+        else {
+            return Err(faults.into_error());
+        };
+        faults.finish()?;
+        let body = RequestBody {
+            submission: Some(submission.id.clone()),
+            customer: submission.customer.into(),
+            kind: submission.kind.into(),
+            deadline_ms: submission.deadline_ms,
+            payload: Bytes::from(payload),
+            want_tickets: 0,
+        };
+        let answer = Instance::new(address, settings.timeout_ms).request(&body);
+        report(answer, &submission.id)
+    }
+}
+
+impl Submission {
+    /// Checks the settings.
+    pub fn check(&self, faults: &mut Faults) -> Option<CheckedSubmission> {
+        let form = "a ticket as it was issued, or a UUID of version 7";
+        let id = self.submission.as_deref();
+        let id = match faults.parse("--submission", form, id) {
+            None => SubmissionId::CallerKey(Uuid::now_v7()),
+            Some(id) => id,
+        };
+        let deadline = self.deadline_ms.as_deref();
+        let deadline_ms = faults.number("--deadline-ms", deadline, DEADLINE_MS);
+        let customer = faults.need("--customer", self.customer.clone());
+        let kind = faults.need("--kind", self.kind.clone());
+        Some(CheckedSubmission { customer: customer?, kind: kind?, deadline_ms, id })
+    }
+}
+
+/// Tells the outcome of a submission, or its id if there is no answer.
+pub fn report(answer: Result<AnswerBody>, id: &SubmissionId) -> Result<Report> {
+    let answer = match answer {
+        Err(error) if error.had_no_effect() => return Err(error),
+        answer => answer.context(UnansweredSnafu { submission: id.to_string() })?,
+    };
+    let mut lines = vec![format!("{id}: {}", answer.code)];
+    lines.extend((!answer.message.is_empty()).then(|| answer.message.clone()));
+    let results = answer.results.iter();
+    lines.extend(
+        results.map(|r| format!("{}: {}", r.task.0, String::from_utf8_lossy(&r.body))),
+    );
+    Ok(Report::new(Exit::from(answer.outcome), &answer, lines.join("\n")))
+}
--- /dev/null
+++ b/crates/bamboocart-cli/src/config_log.rs
@@ -0,0 +1,99 @@
+//! Reading of the configuration stream.
+
+use bamboocart_core::config::{CONFIG_STREAM, Fold, Folded, PublicationId};
+use bamboocart_core::id::ConfigVersion;
+use bamboocart_core::time::Timestamp;
+use bamboocart_platform::{Platform, Result};
+
+/// A reader of the configuration stream that looks out for one publication.
+#[derive(Debug)]
+pub struct ConfigLog {
+    /// The platform.
+    platform: Platform,
+    /// The fold of the records that were read.
+    fold: Fold,
+    /// The publication to look out for.
+    own: Option<PublicationId>,
+    /// What became of it.
+    fate: Option<Fate>,
+}
+
+/// What became of a publication.
+#[derive(Debug, Clone)]
+pub enum Fate {
+    /// It was accepted with this version.
+    Accepted(ConfigVersion),
+    /// Another one was first; this version was in force.
+    Lost(ConfigVersion),
+    /// It was skipped for this reason.
+    Skipped(String),
+    /// It is older than the records that can be read.
+    Earlier,
+}
+
+impl ConfigLog {
+    /// Creates a reader that has read nothing.
+    pub fn new(platform: Platform, own: Option<PublicationId>) -> Self {
+        Self { platform, fold: Fold::new(), own, fate: None }
+    }
+
+    /// Returns the fold of the records that were read.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Returns what became of the publication, once its record was read.
+    pub fn fate(&self) -> Option<&Fate> {
+        self.fate.as_ref()
+    }
+
+    /// Reads to the end of the stream, and waits up to `wait_ms` if there is nothing new.
+    pub fn read_on(&mut self, wait_ms: u64) -> Result<()> {
+        let mut wait_ms = wait_ms;
+        loop {
+            let from = self.fold.next_offset();
+            let page = self.platform.read(CONFIG_STREAM, from, wait_ms)?;
+            self.fold.begin(page.start);
+            for record in &page.records {
+                let at = Timestamp::from_ms(record.at_ms);
+                let folded = self.fold.take(record.offset, at, &record.body);
+                let is_rewound = matches!(folded, Folded::Rewind { .. });
+                self.note(record.offset, folded);
+                // The rest of the page comes after the records to read again.
+                if is_rewound {
+                    break;
+                }
+            }
+            if page.records.is_empty() || self.fold.next_offset() >= page.end {
+                return Ok(());
+            }
+            wait_ms = 0;
+        }
+    }
+
+    /// Notes what became of the publication, and logs faults.
+    fn note(&mut self, offset: u64, folded: Folded) {
+        let (publication, fate) = match folded {
+            Folded::Accepted { publication, version } => {
+                (Some(publication), Fate::Accepted(version))
+            }
+            Folded::Lost { publication, in_force, .. } => {
+                (Some(publication), Fate::Lost(in_force))
+            }
+            Folded::Repeated { publication } => (Some(publication), Fate::Earlier),
+            Folded::Skipped { publication, fault } => {
+                log::warn!("record {offset} of the configuration is skipped: {fault}");
+                (publication, Fate::Skipped(fault.to_string()))
+            }
+            Folded::SnapshotDiffers { version } => {
+                log::error!("snapshot {offset} has another set for version {version}");
+                return;
+            }
+            _ => return,
+        };
+        // The first record decides; later ones with the same id are repetitions.
+        if publication.is_some() && publication == self.own && self.fate.is_none() {
+            self.fate = Some(fate);
+        }
+    }
+}
