Write the account from the engine

Cause: decisions left no record that could be checked afterwards. A planned stop closes the account.

--- a/crates/bamboocart-core/src/engine/admit.rs
+++ b/crates/bamboocart-core/src/engine/admit.rs
@@ -4,7 +4,7 @@
 use crate::config::{RequestKind, TargetGroup};
 use crate::engine::names::{CustomerKey, KindKey};
 use crate::engine::{Engine, NewSubmission};
-use crate::id::GroupName;
+use crate::id::{ConfigVersion, GroupName};
 use crate::outcome::Refusal;
 use crate::retry::SendRules;
 use crate::time::{Timestamp, US_PER_MS};
@@ -26,6 +26,8 @@
     pub weight: u32,
     /// The expected run time of each task.
     pub costs_us: Vec<u32>,
+    /// The configuration that decides.
+    pub config_version: ConfigVersion,
     /// When the answer is needed.
     pub deadline: Timestamp,
     /// The latest start that can still end in time.
@@ -91,6 +93,7 @@
             rank,
             weight: quota.map_or(1, |quota| quota.weight),
             costs_us,
+            config_version: self.config_version,
             deadline,
             start_by: Timestamp::from_us(start_by_us),
         })
--- a/crates/bamboocart-core/src/engine/answer.rs
+++ b/crates/bamboocart-core/src/engine/answer.rs
@@ -196,6 +196,7 @@
         let verdict =
             Verdict { id: Some(record.id.clone()), outcome, attempts: record.attempts };
         self.deadlines.remove(&(deadline, key));
+        self.note_answered(now, key, &verdict.outcome);
         self.tenure.close(key, now);
         if let Some(name) = self.customers.name(customer) {
             self.quotas.finish(name, tasks);
--- a/crates/bamboocart-core/src/engine/configure.rs
+++ b/crates/bamboocart-core/src/engine/configure.rs
@@ -112,6 +112,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.config = set;
+        self.note_policy(now, self.config_version, version);
         self.config_version = version;
         self.plans_since = plans_since;
         let begun = |name: &StopPlanName| self.plans_since.get(name).copied();
--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -1,5 +1,6 @@
 //! Tasks on their way to targets.
 
+use crate::engine::ledger::start_reason;
 use crate::engine::record::{
     AttemptState, Origin, QueuedTask, Record, RunPlace, SubmissionKey, Task, TaskState,
 };
@@ -130,6 +131,8 @@
         record.attempts += 1;
         record.in_flight += 1;
         let declared_us = task.spec.declared_ms.map(|ms| ms.saturating_mul(US_PER_MS));
+        let number = task.sends;
+        let reason = start_reason(next.reason, task.ran_before);
         let attempt = self.attempts.insert(AttemptState {
             origin: Origin::Own { task: next.key, declared_us },
             place: run_place,
@@ -137,10 +140,12 @@
             kind,
             sent: now,
             probe,
+            number,
             submission,
             task: TaskIndex(next.key.task),
         });
         task.state = TaskState::Sent { first: attempt, second: None };
+        self.note_started(now, next.key, (number, run_place), reason);
         self.schedule_hedge(now, next.key.submission, attempt);
         Some(attempt)
     }
--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -23,6 +23,9 @@
 /// The time that last answers have to leave.
 const LINGER_MS: u64 = 300;
 
+/// The time that the end of the account has to reach the log.
+const CLOSE_MS: u64 = 5_000;
+
 /// The submissions that wait for the end of the handover; more are refused.
 const PARKED: usize = 10_000;
 
@@ -66,6 +69,11 @@
         /// When the instance stops.
         until: Timestamp,
     },
+    /// The end of the account is on its way to the log.
+    Closing {
+        /// When the instance stops without a confirmation.
+        until: Timestamp,
+    },
     /// The instance may stop.
     Done,
 }
@@ -114,6 +122,11 @@
             }
             Step::Lingering { until } if now >= until && self.forwards() == 0 => {
                 self.return_leases(now, effects);
+                self.ledger.close(now);
+                let until = now.plus_ms(CLOSE_MS);
+                self.stop.step = Step::Closing { until };
+            }
+            Step::Closing { until } if self.ledger.is_finished() || now >= until => {
                 self.stop.step = Step::Done;
                 effects.push(Effect::Drained);
             }
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -64,6 +64,13 @@
         /// The record.
         body: String,
     },
+    /// Append a batch to the account, and report the end of the append.
+    AppendAccount {
+        /// The number of the batch.
+        number: u64,
+        /// The record.
+        text: Arc<str>,
+    },
     /// A configuration is in force.
     ConfigInForce {
         /// Its version.
--- a/crates/bamboocart-core/src/engine/ended.rs
+++ b/crates/bamboocart-core/src/engine/ended.rs
@@ -47,6 +47,8 @@
         let group = state.group.clone();
         match state.origin {
             Origin::Own { task, .. } => {
+                let stopped = self.is_stopped(task, attempt);
+                self.note_finished(now, task, (&state, stopped), &report);
                 let ended = Ended { attempt, task, target, run_us };
                 self.task_ended(now, &ended, report, effects);
             }
@@ -195,8 +197,10 @@
                 }
             }
             (_, Some(first), _) => task.state = TaskState::Sent { first, second: None },
-            (NextSend::Elsewhere, None, _) => self.put_back(ended),
-            (NextSend::Budgeted, None, _) if self.retries.take() => self.put_back(ended),
+            (NextSend::Elsewhere, None, _) => self.put_back(ended, false),
+            (NextSend::Budgeted, None, _) if self.retries.take() => {
+                self.put_back(ended, true);
+            }
             (_, None, SendReport::Lost) if record.rules.job => {
                 let outcome = Outcome::Failed(FailureCode::TaskLost);
                 self.finish(now, key, outcome, effects);
@@ -212,14 +216,22 @@
         }
     }
 
+    /// Reports whether a send was stopped because its submission has ended.
+    fn is_stopped(&self, task: QueuedTask, attempt: AttemptKey) -> bool {
+        let record = self.tenure.get(task.submission);
+        let task = record.and_then(|record| record.tasks.get(usize::from(task.task)));
+        task.is_none_or(|task| task.sent().all(|other| other != attempt))
+    }
+
     /// Puts a task back into the queue at its old place.
-    fn put_back(&mut self, ended: &Ended) {
+    fn put_back(&mut self, ended: &Ended, may_have_run: bool) {
         let Some(record) = self.tenure.get_mut(ended.task.submission) else { return };
         let group = record.group.clone();
         let Some(task) = record.tasks.get_mut(usize::from(ended.task.task)) else {
             return;
         };
         task.state = TaskState::Queued;
+        task.ran_before |= may_have_run;
         if let Some(target) = ended.target {
             task.avoid(target);
         }
--- a/crates/bamboocart-core/src/engine/event.rs
+++ b/crates/bamboocart-core/src/engine/event.rs
@@ -100,6 +100,13 @@
         /// Whether the peer certainly did not take the message.
         certain: bool,
     },
+    /// An append to the account has ended.
+    AccountAppended {
+        /// The number of the batch.
+        number: u64,
+        /// Whether the log has confirmed it.
+        confirmed: bool,
+    },
     /// A message is to be sent to a peer.
     TellPeer {
         /// The peer.
--- a/crates/bamboocart-core/src/engine/group.rs
+++ b/crates/bamboocart-core/src/engine/group.rs
@@ -15,6 +15,8 @@
 pub struct Group {
     /// The tasks that wait.
     pub queue: FairQueue<QueuedTask, CustomerKey>,
+    /// The arrival number of the next task, for the account.
+    pub next_arrival: u64,
     /// The slots of the targets.
     pub placement: Placement<KindKey>,
     /// Which targets are trusted.
@@ -30,6 +32,7 @@
     fn new(setup: &Setup) -> Self {
         Self {
             queue: FairQueue::new(setup.queue_tasks),
+            next_arrival: 0,
             placement: Placement::new(setup.policy),
             health: GroupHealth::default(),
             probation: vec![],
--- a/crates/bamboocart-core/src/engine/hedge.rs
+++ b/crates/bamboocart-core/src/engine/hedge.rs
@@ -1,5 +1,6 @@
 //! Second sends of stragglers.
 
+use crate::account::StartReason;
 use crate::engine::record::{AttemptState, Origin, RunPlace, SubmissionKey, TaskState};
 use crate::engine::{Effect, Engine};
 use crate::id::Attempt;
@@ -62,6 +63,7 @@
             return;
         }
         task.sends = Attempt(task.sends.0.saturating_add(1));
+        let number = task.sends;
         record.attempts += 1;
         record.in_flight += 1;
         let second = self.attempts.insert(AttemptState {
@@ -69,9 +71,12 @@
             place: RunPlace::Target(target),
             sent: now,
             probe: false,
+            number: task.sends,
             ..state.clone()
         });
         task.state = TaskState::Sent { first, second: Some(second) };
+        let send = (number, RunPlace::Target(target));
+        self.note_started(now, queued, send, StartReason::Hedge);
         self.order_send(now, second, effects);
     }
 }
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod group;
 mod hedge;
+mod ledger;
 mod names;
 mod peers;
 mod record;
@@ -25,6 +26,7 @@
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
+use crate::account::Chain;
 use crate::config::ConfigSet;
 use crate::estimate::Estimator;
 use crate::id::{
@@ -50,6 +52,7 @@
 use self::drain::Stop;
 use self::fleet::Target;
 use self::group::Group;
+use self::ledger::Ledger;
 use self::names::{CustomerKey, Interner, KindKey};
 use self::peers::{Pending, PendingKey};
 use self::record::{AttemptState, Record};
@@ -163,6 +166,8 @@
     greeted_at: Timestamp,
     /// When a configuration was asked for last.
     fetched_at: Timestamp,
+    /// The account.
+    ledger: Ledger,
     /// The source of random choices.
     rng: SmallRng,
     /// When periodic work was done last.
@@ -183,6 +188,7 @@
         };
         Self {
             tenure: Stage::Serving(Registry::new(me.clone(), setup.limits)),
+            ledger: Ledger::new(Chain::new(me.instance.clone(), me.incarnation)),
             issuer: Issuer::new(setup.domain.clone(), me.clone()),
             claimer: Claimer::new(me.clone()),
             assembly: Assembly::new(me.clone()),
@@ -262,6 +268,9 @@
             Event::PeerUndelivered { correlation, certain } => {
                 self.peer_undelivered(now, correlation, certain, effects);
             }
+            Event::AccountAppended { number, confirmed } => {
+                self.account_appended(now, number, confirmed, effects);
+            }
             Event::TellPeer { to, message } => self.tell(&to, *message, effects),
             Event::Drain => self.drain(now, effects),
             Event::Tick => self.tick(now, effects),
@@ -299,6 +308,7 @@
         self.probe_targets(now, effects);
         self.end_backoffs(now);
         self.claim(now, effects);
+        self.append_account(now, effects);
         self.drain_round(now, effects);
     }
 }
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -43,6 +43,13 @@
     about: About,
 }
 
+impl Pending {
+    /// Returns the name of the peer.
+    pub fn peer_name(&self) -> &InstanceName {
+        &self.peer.instance
+    }
+}
+
 /// What an answer is for.
 #[derive(Debug)]
 enum About {
@@ -513,6 +520,7 @@
             kind,
             sent: now,
             probe: false,
+            number: task.number,
             submission: task.submission.clone(),
             task: task.task,
         });
--- a/crates/bamboocart-core/src/engine/record.rs
+++ b/crates/bamboocart-core/src/engine/record.rs
@@ -7,7 +7,7 @@
 use crate::config::Resend;
 use crate::engine::names::{CustomerKey, KindKey};
 use crate::engine::{TaskSpec, WaiterId};
-use crate::id::{Attempt, GroupName, SubmissionId, TaskIndex};
+use crate::id::{Attempt, ConfigVersion, GroupName, SubmissionId, TaskIndex};
 use crate::outcome::Outcome;
 use crate::ownership::Owner;
 use crate::queue::Place;
@@ -63,6 +63,8 @@
     pub in_flight: u32,
     /// Whether any send that has ended may have started a task.
     pub started: bool,
+    /// The configuration that decided on its admission.
+    pub config_version: ConfigVersion,
     /// When it arrived.
     pub arrived: Timestamp,
     /// When the answer is needed.
@@ -88,6 +90,8 @@
     pub sends: Attempt,
     /// The targets that did not start it, latest last.
     pub tried: Vec<TargetKey>,
+    /// Whether it waits again although it may have run.
+    pub ran_before: bool,
     /// The place that it had in the queue when it was taken out.
     pub place: Option<Place<CustomerKey>>,
 }
@@ -112,6 +116,7 @@
             attempts: 0,
             in_flight: 0,
             started: false,
+            config_version: ConfigVersion::default(),
             arrived: Timestamp::default(),
             deadline: Timestamp::default(),
             longest_us: 0,
@@ -131,7 +136,7 @@
     /// Creates a task that waits for a slot.
     pub fn queued(spec: TaskSpec) -> Self {
         let (state, sends) = (TaskState::Queued, Attempt::default());
-        Self { spec, state, sends, tried: vec![], place: None }
+        Self { spec, state, sends, tried: vec![], ran_before: false, place: None }
     }
 
     /// Notes that a target did not start the task.
@@ -194,6 +199,8 @@
     pub sent: Timestamp,
     /// Whether the send probes a target.
     pub probe: bool,
+    /// The number of the send among those of its task.
+    pub number: Attempt,
     /// The submission.
     pub submission: SubmissionId,
     /// The position of the task in its submission.
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -89,6 +89,7 @@
                 self.offer(now, arrived, Ok(plan), effects);
             }
             Err(refusal) => {
+                self.note_refused(now, None, &submission, refusal);
                 let outcome = Outcome::Refused(refusal);
                 let verdict = Verdict { id: None, outcome, attempts: 0 };
                 self.reply(&asker, verdict, submission.want_tickets, effects);
@@ -124,6 +125,7 @@
         let overloaded = Refusal { code: RefusalCode::Overloaded, retry_after_ms: None };
         let draining = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
         let refused = |refusal| Verdict::refused(id.clone(), refusal);
+        let mut fresh = false;
         let verdict = match self.tenure.offer(&id, &owner, digest, now) {
             Offer::New(vacancy) => match plan {
                 Ok(plan) => {
@@ -132,7 +134,10 @@
                     self.accepted(now, key, plan, effects);
                     return;
                 }
-                Err(refusal) => refused(vacancy.refuse(refusal)),
+                Err(refusal) => {
+                    fresh = true;
+                    refused(vacancy.refuse(refusal))
+                }
             },
             Offer::Known(key) => {
                 self.join(key, asker, want, effects);
@@ -144,10 +149,19 @@
             }
             Offer::Forgotten => Verdict::unknown(id, UnknownCode::Forgotten),
             Offer::Early => Verdict::unknown(id, UnknownCode::ClockAhead),
-            Offer::Full(arrival) => refused(arrival.refuse(overloaded)),
-            Offer::Draining(arrival) => refused(arrival.refuse(draining)),
+            Offer::Full(arrival) => {
+                fresh = true;
+                refused(arrival.refuse(overloaded))
+            }
+            Offer::Draining(arrival) => {
+                fresh = true;
+                refused(arrival.refuse(draining))
+            }
             Offer::NotOwned => Verdict::unknown(id, UnknownCode::OwnerGone),
         };
+        if let (true, Outcome::Refused(refusal)) = (fresh, &verdict.outcome) {
+            self.note_refused(now, verdict.id.clone(), &submission, *refusal);
+        }
         self.reply(&asker, verdict, want, effects);
     }
 
@@ -162,6 +176,7 @@
         let Some(record) = self.tenure.get(key) else { return };
         let (count, deadline) = (record.tasks.len(), record.deadline);
         self.deadlines.insert((deadline, key));
+        self.note_admitted(now, key, &plan);
         // The plan has checked the quota with the same arguments.
         if let Some(customer) = self.customers.name(plan.customer).cloned() {
             let _ = self.quotas.admit(&customer, count as u32, now);
@@ -232,6 +247,7 @@
         attempts: 0,
         in_flight: 0,
         started: false,
+        config_version: plan.config_version,
         arrived: now,
         deadline: plan.deadline,
         longest_us: 0,
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -42,6 +42,9 @@
 /// The bound on records that wait to be appended.
 const APPEND_QUEUE: usize = 256;
 
+/// The bound on batches of the account that wait; the engine has one under way.
+const ACCOUNT_QUEUE: usize = 1;
+
 /// The bound on messages and reports of links that wait for the engine.
 const LINK_QUEUE: usize = 16_384;
 
@@ -176,7 +179,11 @@
         let (appends, append_queue) = bounded(APPEND_QUEUE);
         let platform = self.platform.clone();
         thread::spawn(move || appender::run(&platform, &append_queue));
+        let (account, account_queue) = bounded(ACCOUNT_QUEUE);
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        thread::spawn(move || appender::run_account(&platform, &account_queue, &events));
         Ok(Outputs {
+            account,
             waiters: self.waiters.clone(),
             outbound,
             appends,
--- a/crates/bamboocart-dispatcher/src/appender.rs
+++ b/crates/bamboocart-dispatcher/src/appender.rs
@@ -1,7 +1,11 @@
-//! The thread that appends records to the log.
+//! The threads that append records to the log.
 
+use std::sync::Arc;
+
+use bamboocart_core::account::ACCOUNT_STREAM;
+use bamboocart_core::engine::Event;
 use bamboocart_platform::Platform;
-use crossbeam::channel::Receiver;
+use crossbeam::channel::{Receiver, Sender};
 
 /// A record to append.
 #[derive(Debug)]
@@ -23,3 +27,36 @@
         }
     }
 }
+
+/// A batch of the account to append.
+#[derive(Debug)]
+pub struct AccountBatch {
+    /// The number of the batch.
+    pub number: u64,
+    /// The record.
+    pub text: Arc<str>,
+}
+
+/// Appends batches of the account until the queue is closed, and reports each end.
+pub fn run_account(
+    platform: &Platform,
+    batches: &Receiver<AccountBatch>,
+    events: &Sender<Event>,
+) {
+    let mut failing = false;
+    for AccountBatch { number, text } in batches {
+        let result = platform.append(ACCOUNT_STREAM, &text);
+        let confirmed = result.is_ok();
+        match result {
+            Err(error) if !failing => {
+                log::warn!("batch {number} of the account: {error}")
+            }
+            Ok(_) if failing => log::info!("the account is appended again"),
+            _ => {}
+        }
+        failing = !confirmed;
+        if events.send(Event::AccountAppended { number, confirmed }).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -12,7 +12,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio_util::sync::CancellationToken;
 
-use crate::appender::Append;
+use crate::appender::{AccountBatch, Append};
 use crate::clock::Clock;
 use crate::peers::PeerGate;
 use crate::sender::Outbound;
@@ -33,6 +33,8 @@
     pub outbound: Sender<Outbound>,
     /// The thread that appends to the log.
     pub appends: Sender<Append>,
+    /// The thread that appends to the account.
+    pub account: Sender<AccountBatch>,
     /// The links to peers.
     pub peers: PeerGate,
     /// Whether the instance admits submissions, for the balancer.
@@ -113,6 +115,11 @@
                 );
             }
         }
+        Effect::AppendAccount { number, text } => {
+            if outputs.account.try_send(AccountBatch { number, text }).is_err() {
+                return Some(Event::AccountAppended { number, confirmed: false });
+            }
+        }
         Effect::ConfigInForce { version } => {
             outputs.ready.store(true, Ordering::Release);
             log::info!("configuration {version} is in force");
