Check histories of resubmission storms while an instance fails

Change: callers submit under tickets and caller keys, send everything to all instances at once, send it again later and cancel some, while an instance is killed, restarted, frozen past the dead time, cut off with its failure domain, or loses its links. The verdict joins the history checker with rules of its own: nothing that was answered "not run" starts at any time, each id has one final outcome that every instance repeats, and no answer but a complete one holds results.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/support/judge.rs
@@ -0,0 +1,218 @@
+//! The verdict on a recorded run.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use bamboocart_core::id::SubmissionId;
+use bamboocart_standin::history::{Evidence, Policy, Purpose, SendRecord, What, check};
+use bamboocart_wire::api::{AnswerBody, OutcomeName, ResultBody};
+
+use super::callers::Callers;
+use super::cluster::Cluster;
+use super::wait_until;
+
+/// The time after the last call in which every submission has its final outcome: the
+/// longest deadline of a request kind and the wait for a peer's answer.
+const SETTLED: Duration = Duration::from_secs(12);
+
+/// The request kinds that may be sent again under another attempt number.
+const REPEATABLE: [&str; 2] = ["bay-check", "tag-lookup"];
+
+/// What an answer says for good.
+type Final = (OutcomeName, String, Vec<ResultBody>);
+
+/// Fails the test with every violation that a run shows.
+///
+/// `live` are the instances that have run without interruption or were only paused.
+pub fn judge(cluster: &Cluster, callers: &Callers, live: &[usize]) -> Summary {
+    let ids: BTreeSet<SubmissionId> =
+        callers.records().iter().filter_map(|record| record.asked.clone()).collect();
+    let states = final_states(cluster, callers, live, &ids);
+    let sends = callers.records();
+    let evidence = evidence(cluster, sends.clone());
+    let repeatable = REPEATABLE.map(Into::into).into_iter().collect();
+    let found = check(&evidence, &Policy { repeatable });
+    let mut violations: Vec<String> = found.iter().map(ToString::to_string).collect();
+    violations.extend(partial_answers(&sends));
+    violations.extend(starts_after_not_run(&evidence));
+    violations.extend(differing_outcomes(cluster, live, &sends, &states));
+    assert!(violations.is_empty(), "violations:\n{}", violations.join("\n"));
+    Summary::of(&evidence)
+}
+
+/// What happened in a run, for tests that must not pass on an idle system.
+#[derive(Debug, Clone, Default)]
+pub struct Summary {
+    /// The number of starts.
+    pub starts: usize,
+    /// The number of answers by outcome and code.
+    pub answers: BTreeMap<String, usize>,
+}
+
+impl Summary {
+    /// Counts starts and answers.
+    fn of(evidence: &Evidence) -> Self {
+        let starts = evidence.events.iter().filter(|event| event.what == What::Started);
+        let mut answers = BTreeMap::new();
+        for send in &evidence.sends {
+            let name = match &send.answer {
+                Some(answer) => format!("{:?} {}", answer.outcome, answer.code),
+                None => "no answer".into(),
+            };
+            *answers.entry(name).or_default() += 1;
+        }
+        Self { starts: starts.count(), answers }
+    }
+
+    /// Returns the number of answers with a code.
+    pub fn with_code(&self, code: &str) -> usize {
+        let suffix = format!(" {code}");
+        let matching = self.answers.iter().filter(|(name, _)| name.ends_with(&suffix));
+        matching.map(|(_, count)| count).sum()
+    }
+}
+
+/// Collects the events of both fleets and the calls.
+pub fn evidence(cluster: &Cluster, sends: Vec<SendRecord>) -> Evidence {
+    let mut evidence = Evidence { sends, ..Evidence::default() };
+    for fleet in [&cluster.minions, &cluster.workers] {
+        let page = fleet.members().history(0, usize::MAX);
+        evidence.events.extend(page.events);
+        evidence.dropped += page.dropped;
+    }
+    evidence
+}
+
+/// Asks every live instance for the state of every submission, until none is running.
+fn final_states(
+    cluster: &Cluster,
+    callers: &Callers,
+    live: &[usize],
+    ids: &BTreeSet<SubmissionId>,
+) -> HashMap<SubmissionId, Vec<AnswerBody>> {
+    let mut states = HashMap::new();
+    let start = std::time::Instant::now();
+    for id in ids {
+        let ask = || -> Vec<AnswerBody> {
+            let ask_one = |&index: &usize| {
+                let instance = &cluster.instances[index];
+                callers.query(instance.address, id).unwrap_or_else(|| {
+                    panic!("{} did not tell the state of {id}", instance.name)
+                })
+            };
+            live.iter().map(ask_one).collect()
+        };
+        let mut answers = ask();
+        let left = SETTLED.saturating_sub(start.elapsed());
+        wait_until(&format!("the end of {id}"), left + Duration::from_secs(1), || {
+            answers = ask();
+            answers.iter().all(|answer| answer.code != "still-running")
+        });
+        states.insert(id.clone(), answers);
+    }
+    states
+}
+
+/// Finds answers that hold results without being complete.
+fn partial_answers(sends: &[SendRecord]) -> Vec<String> {
+    let answers = sends.iter().filter_map(|send| Some((send, send.answer.as_ref()?)));
+    answers
+        .filter(|(_, answer)| answer.outcome != OutcomeName::Complete)
+        .filter(|(_, answer)| !answer.results.is_empty())
+        .map(|(send, answer)| format!("{} is {} with results", send.mark, answer.code))
+        .collect()
+}
+
+/// Finds starts, at any time, of submissions under an id that was answered "not run".
+///
+/// The checker of histories excuses a start by another open call; under one id, which
+/// has one owner and one outcome, nothing excuses it.
+fn starts_after_not_run(evidence: &Evidence) -> Vec<String> {
+    let refused = evidence.sends.iter().filter_map(|send| {
+        let (answer, id) = (send.answer.as_ref()?, send.asked.as_ref()?);
+        let not_run = match answer.outcome {
+            OutcomeName::Refused => send.purpose != Purpose::Cancel,
+            OutcomeName::Cancelled => answer.code == "cancelled-not-run",
+            _ => false,
+        };
+        let own = answer.submission.is_some() && answer.code != "id-reused";
+        (not_run && own).then(|| (id.clone(), answer.code.clone()))
+    });
+    let refused: HashMap<SubmissionId, String> = refused.collect();
+    let started = evidence.events.iter().filter(|event| event.what == What::Started);
+    let runs = started.filter_map(|event| event.run.as_ref());
+    let wrong = runs.filter_map(|run| Some((run, refused.get(&run.submission)?)));
+    wrong
+        .map(|(run, code)| format!("{} was {code} and started", run.submission))
+        .collect()
+}
+
+/// Finds submissions with more than one final outcome, or without one although their
+/// owner is live.
+fn differing_outcomes(
+    cluster: &Cluster,
+    live: &[usize],
+    sends: &[SendRecord],
+    states: &HashMap<SubmissionId, Vec<AnswerBody>>,
+) -> Vec<String> {
+    let mut found = vec![];
+    for (id, now) in states {
+        let given: Vec<(&AnswerBody, bool)> = sends
+            .iter()
+            .filter(|send| send.asked.as_ref() == Some(id))
+            .filter_map(|send| Some((send.answer.as_ref()?, false)))
+            .chain(now.iter().map(|answer| (answer, true)))
+            .collect();
+        let finals: Vec<Final> =
+            given.iter().filter_map(|(answer, _)| as_final(answer)).collect();
+        let differing = finals.iter().find(|other| **other != finals[0]);
+        if let Some(other) = differing {
+            let (a, b) = (&finals[0], other);
+            found.push(format!("{id} is {:?} {} and {:?} {}", a.0, a.1, b.0, b.1));
+        }
+        let owner_is_live = owner_is_live(cluster, live, id, &given);
+        let open: Vec<&AnswerBody> = now
+            .iter()
+            .filter(|answer| as_final(answer).is_none())
+            .filter(|answer| !finals.is_empty() || answer.code != "never-seen")
+            .collect();
+        if owner_is_live && !open.is_empty() {
+            let codes: Vec<&str> = open.iter().map(|a| a.code.as_str()).collect();
+            found.push(format!("{id} has no final outcome at the end: {codes:?}"));
+        }
+    }
+    found
+}
+
+/// Returns whether the owner of a submission is among the live instances, as far as the
+/// id or an answer shows it.
+fn owner_is_live(
+    cluster: &Cluster,
+    live: &[usize],
+    id: &SubmissionId,
+    given: &[(&AnswerBody, bool)],
+) -> bool {
+    let mut live = live.iter().map(|&index| &cluster.instances[index]);
+    match id {
+        SubmissionId::Ticket(ticket) => live.any(|instance| {
+            instance.name == ticket.instance.as_str()
+                && instance.incarnation == ticket.incarnation.0
+        }),
+        SubmissionId::CallerKey(_) => {
+            let mut answers = given.iter().filter(|(a, _)| as_final(a).is_some());
+            let owner = answers.next().and_then(|(answer, _)| answer.owner.clone());
+            owner.is_some_and(|owner| live.any(|i| i.name == owner.as_str()))
+        }
+    }
+}
+
+/// Returns what an answer says for good, if it does.
+fn as_final(answer: &AnswerBody) -> Option<Final> {
+    let is_final = match answer.outcome {
+        OutcomeName::Complete | OutcomeName::Failed | OutcomeName::Cancelled => true,
+        OutcomeName::Refused => answer.code != "id-reused",
+        OutcomeName::Unknown => answer.code == "target-lost",
+    };
+    let known = is_final && answer.submission.is_some();
+    known.then(|| (answer.outcome, answer.code.clone(), answer.results.clone()))
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/support/load.rs
@@ -0,0 +1,146 @@
+//! Concurrent submissions with resubmission storms, while a test injects faults.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bamboocart_core::id::SubmissionId;
+use bamboocart_standin::history::Purpose;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use uuid::Uuid;
+
+use super::callers::{Callers, Work};
+
+/// The stack of a caller's thread.
+const STACK_BYTES: usize = 256 << 10;
+
+/// What is submitted.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The number of submissions.
+    pub count: usize,
+    /// The time over which they are spread.
+    pub over: Duration,
+    /// The request kinds, each with the number of tasks.
+    pub kinds: &'static [(&'static str, usize)],
+    /// The longest run time of a task.
+    pub run_ms_max: u64,
+    /// The share of submissions that are cancelled.
+    pub cancel_share: f64,
+    /// The time until each submission is sent to one instance once more.
+    pub again_after: Duration,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            count: 120,
+            over: Duration::from_secs(3),
+            kinds: &[
+                ("release-order", 1),
+                ("release-order", 1),
+                ("bay-check", 1),
+                ("tag-lookup", 1),
+                ("haul-plan", 4),
+                ("release-order", 3),
+            ],
+            run_ms_max: 300,
+            cancel_share: 0.1,
+            again_after: Duration::from_secs(4),
+        }
+    }
+}
+
+/// A load that is being submitted.
+pub struct RunningLoad(Vec<JoinHandle<()>>);
+
+impl RunningLoad {
+    /// Waits until every call has ended.
+    pub fn join(self) {
+        self.0.into_iter().for_each(|caller| caller.join().unwrap());
+    }
+}
+
+impl Load {
+    /// Starts to submit: half under tickets of all instances, half under keys.
+    ///
+    /// Each submission goes to one instance, soon after to all of them at once, and
+    /// later to one again; some are cancelled in between.
+    pub fn start(
+        &self,
+        seed: u64,
+        callers: &Arc<Callers>,
+        instances: &[SocketAddr],
+    ) -> RunningLoad {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let share = self.count.div_ceil(instances.len());
+        let mut tickets: Vec<SubmissionId> =
+            instances.iter().flat_map(|&at| callers.tickets(at, share)).collect();
+        let mut threads = vec![];
+        for _ in 0..self.count {
+            let ticket = match rng.random() {
+                true => tickets.pop(),
+                false => None,
+            };
+            let (kind, tasks) = *self.kinds.choose(&mut rng).unwrap();
+            let run_ms: Vec<u64> =
+                (0..tasks).map(|_| rng.random_range(1..=self.run_ms_max)).collect();
+            let due = self.over.mul_f64(rng.random());
+            let storm = due + Duration::from_millis(rng.random_range(0..300));
+            let cancel = storm + Duration::from_millis(rng.random_range(0..200));
+            let again = due + self.again_after;
+            let pick = |rng: &mut SmallRng| vec![*instances.choose(rng).unwrap()];
+            let mut calls = vec![
+                (due, Purpose::Submit, pick(&mut rng)),
+                (storm, Purpose::Resubmit, instances.to_vec()),
+                (again, Purpose::Resubmit, pick(&mut rng)),
+            ];
+            if rng.random_bool(self.cancel_share) {
+                calls.push((cancel, Purpose::Cancel, pick(&mut rng)));
+            }
+            let callers = Arc::clone(callers);
+            let caller = move || {
+                std::thread::sleep(due);
+                let key = || SubmissionId::CallerKey(Uuid::now_v7());
+                let work = Work::new(ticket.unwrap_or_else(key), kind, &run_ms);
+                make_calls(&callers, due, &work, &calls);
+            };
+            threads.push(spawn(caller));
+        }
+        RunningLoad(threads)
+    }
+}
+
+/// Makes the calls of one submission at their times, all without waiting for others.
+fn make_calls(
+    callers: &Arc<Callers>,
+    due: Duration,
+    work: &Work,
+    calls: &[(Duration, Purpose, Vec<SocketAddr>)],
+) {
+    let start = |at: &Duration, purpose: Purpose, instance: SocketAddr| {
+        let (callers, work, wait) = (Arc::clone(callers), work.clone(), *at - due);
+        spawn(move || {
+            std::thread::sleep(wait);
+            match purpose {
+                Purpose::Cancel => callers.cancel(instance, &work),
+                _ => callers.submit(instance, &work, purpose),
+            };
+        })
+    };
+    let threads: Vec<_> = calls
+        .iter()
+        .flat_map(|(at, purpose, instances)| {
+            instances.iter().map(move |&instance| start(at, *purpose, instance))
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+}
+
+/// Starts a caller.
+pub fn spawn(run: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
+    std::thread::Builder::new().stack_size(STACK_BYTES).spawn(run).unwrap()
+}
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -5,19 +5,25 @@
 // Each test program uses a part of the fixture.
 #![allow(dead_code, unused_imports)]
 
+mod callers;
 mod cluster;
 mod config;
 mod forward;
 mod http;
+mod judge;
+mod load;
 mod process;
 mod sockets;
 
 use std::time::{Duration, Instant};
 
+pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
 pub use self::config::{base_config, publish};
 pub use self::forward::{Mode, Net, Node};
 pub use self::http::{call, try_call};
+pub use self::judge::{Summary, evidence, judge};
+pub use self::load::{Load, RunningLoad, spawn};
 pub use self::process::Instance;
 
 /// The pause between two looks at a condition.
--- a/crates/bamboocart-dispatcher/tests/support/process.rs
+++ b/crates/bamboocart-dispatcher/tests/support/process.rs
@@ -85,6 +85,11 @@
         answer.map(|answer| answer.1)
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Begins a planned stop.
     pub fn drain(&self) {
         assert_eq!(call("POST", self.address, "/v1/drain", &json!({})).0, 202);
