Keep answers to an earlier run of an instance from its later run

Cause: the number by which the answer to a forward or a lent task finds back is the key of a table, and keys repeat in each run. A peer answers an earlier run by its name, at the address that the later run has taken over, and the later run took the answer for one to its own message with the same number. Callers received answers to other submissions, and results of other tasks were kept as final outcomes.

Ruled out: the targets (each result names the task that it was run for, and only tasks of the earlier run were crossed), the links (the later run did sit at the address), and the answers of one run (none was crossed without the restart).

Change: the number is combined with a hash of the incarnation, so that a number of another run belongs to no message.

--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -111,7 +111,7 @@
         certain: bool,
         effects: &mut Vec<Effect>,
     ) {
-        let key = PendingKey::from(KeyData::from_ffi(correlation));
+        let key = self.pending_key(correlation);
         if certain && let Some(pending) = self.take_pending(key) {
             self.give_up(now, pending, true, effects);
         }
@@ -148,7 +148,7 @@
         let until = now.plus_ms(wait_ms);
         let about = About::Forward { asker, ask: ask.clone() };
         let key = self.add_pending(Pending { peer: owner.clone(), until, about });
-        let correlation = key.data().as_ffi();
+        let correlation = self.correlation(key);
         let message = Message::Forward { correlation, ask };
         self.tell_tracked(&owner.instance, Some(correlation), message, effects);
     }
@@ -319,6 +319,29 @@
         self.pending.values().filter(forward).count()
     }
 
+    /// Returns the number that a message carries, by which its answer finds back.
+    ///
+    /// Keys repeat in each run of an instance. Peers send late answers to an earlier run
+    /// to the address that a later one has taken over, and the later run must not take
+    /// them for answers to its own messages.
+    fn correlation(&self, key: PendingKey) -> u64 {
+        key.data().as_ffi() ^ self.correlation_mask()
+    }
+
+    /// Returns the message that a number belongs to, which is none of this run's if the
+    /// number is an earlier run's.
+    fn pending_key(&self, correlation: u64) -> PendingKey {
+        KeyData::from_ffi(correlation ^ self.correlation_mask()).into()
+    }
+
+    /// Returns a number that differs in all its parts between the runs of an instance.
+    fn correlation_mask(&self) -> u64 {
+        let hash = blake3::hash(&self.me.incarnation.0.to_le_bytes());
+        let mut mask = [0; 8];
+        mask.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_le_bytes(mask)
+    }
+
     /// Adds a message that waits for an answer.
     fn add_pending(&mut self, pending: Pending) -> PendingKey {
         let until = pending.until;
@@ -400,7 +423,7 @@
 
     /// Passes the owner's answer on to the caller.
     fn answered(&mut self, correlation: u64, reply: Reply, effects: &mut Vec<Effect>) {
-        let key = PendingKey::from(KeyData::from_ffi(correlation));
+        let key = self.pending_key(correlation);
         let Some(Pending { about: About::Forward { asker, .. }, .. }) =
             self.take_pending(key)
         else {
@@ -451,7 +474,7 @@
             pending.about = About::Offer(attempt);
         }
         let Some(task) = self.offered_task(now, name, next.key) else { return };
-        let correlation = pending.data().as_ffi();
+        let correlation = self.correlation(pending);
         let message = Message::Offer { correlation, task };
         self.tell_tracked(&peer.name, Some(correlation), message, effects);
     }
@@ -481,7 +504,7 @@
     /// Tells a peer that an offered task is no longer needed.
     pub(super) fn cancel_offer(&self, key: PendingKey, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(key) else { return };
-        let correlation = key.data().as_ffi();
+        let correlation = self.correlation(key);
         self.tell(&pending.peer.instance, Message::Cancel { correlation }, effects);
     }
 
@@ -542,7 +565,7 @@
         report: SendReport,
         effects: &mut Vec<Effect>,
     ) {
-        let key = PendingKey::from(KeyData::from_ffi(correlation));
+        let key = self.pending_key(correlation);
         let Some(Pending { peer, about: About::Offer(attempt), .. }) =
             self.take_pending(key)
         else {
