Check that late and crossed answers reach nobody else

Cause: no test let answers arrive at another run of an instance or let a target answer a request with the result of another.

Change: one test restarts an instance while its peers hold forwarded and lent tasks of the earlier run; the other puts a minion into the list that answers each task with the result of the one before.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/answers.rs
@@ -0,0 +1,168 @@
+//! Late and crossed answers reach nobody but the caller that they are for.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use bamboocart_core::config::Role;
+use bamboocart_core::id::Incarnation;
+use bamboocart_platform::{InstanceEntry, ListState};
+use bamboocart_standin::clock;
+use bamboocart_standin::history::Purpose;
+use bamboocart_standin::http::{Call, HttpServer, Method};
+use bamboocart_wire::api::{RunAnswer, RunBody, TargetStatus};
+use support::{
+    Callers, Cluster, ClusterSettings, RECOVERY, Work, judge, register, spawn, wait_until,
+};
+
+/// Submits several pieces of work to one instance at the same time.
+fn submit_all(
+    callers: &Arc<Callers>,
+    at: SocketAddr,
+    works: Vec<Work>,
+) -> Vec<std::thread::JoinHandle<()>> {
+    let submit = |work: Work| {
+        let callers = callers.clone();
+        spawn(move || {
+            callers.submit(at, &work, Purpose::Submit);
+        })
+    };
+    works.into_iter().map(submit).collect()
+}
+
+/// Returns work under tickets of an instance.
+fn works(callers: &Callers, owner: SocketAddr, count: usize, run_ms: u64) -> Vec<Work> {
+    let tickets = callers.tickets(owner, count).into_iter();
+    tickets.map(|ticket| Work::new(ticket, "release-order", &[run_ms])).collect()
+}
+
+/// Guards against answers to an earlier run of an instance that its later run takes for
+/// its own: the earlier run has forwarded submissions and lent tasks to its peers, which
+/// answer after the later run, at the same address, has done the same.
+#[test]
+fn answers_to_an_earlier_run_are_dropped() {
+    let mut cluster = Cluster::start(ClusterSettings::default());
+    let callers = Callers::new();
+    let run = |cluster: &Cluster, forwarded: usize, lent: usize| {
+        let entry = cluster.instances[0].address;
+        let owner = cluster.instances[1].address;
+        let mut threads =
+            submit_all(&callers, entry, works(&callers, owner, forwarded, 3_500));
+        threads.extend(submit_all(&callers, entry, works(&callers, entry, lent, 3_500)));
+        threads
+    };
+    let mut threads = run(&cluster, 6, 24);
+    let busy =
+        || cluster.minions.members().rows().iter().map(|row| row.busy).sum::<u32>();
+    wait_until("the start of the first run's tasks", RECOVERY, || busy() == 30);
+    cluster.restart(0);
+    let knows_peers = |cluster: &Cluster| {
+        let status = cluster.instances[0].status();
+        let peers = status["peers"].as_array().into_iter().flatten();
+        peers.filter(|peer| peer["state"] == "live").count() == 2
+    };
+    wait_until("the later run's view of its peers", RECOVERY, || knows_peers(&cluster));
+    threads.extend(run(&cluster, 12, 12));
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    cluster.wait_for_service();
+    let summary = judge(&cluster, &callers, &[1, 2]);
+    println!("{summary:#?}");
+    assert!(summary.with_code("complete") >= 6, "the system hardly served");
+}
+
+/// A minion that answers each task with the result of the one that came before it.
+struct CrossingMinion {
+    /// The server.
+    server: HttpServer,
+}
+
+impl CrossingMinion {
+    /// Starts the minion.
+    fn start() -> Self {
+        let earlier: Mutex<Option<RunBody>> = Mutex::default();
+        let serve = move |mut call: Call| match call.route() {
+            (Method::POST, path) if path == ["run"] => {
+                let body: RunBody = call.json().unwrap();
+                let other = earlier.lock().unwrap().replace(body.clone());
+                call.answer(200, &result_of(other.unwrap_or(body)));
+            }
+            _ => {
+                let status = TargetStatus { leaving: false, slots: 8, busy: 0 };
+                call.answer(200, &status);
+            }
+        };
+        Self { server: HttpServer::start(0, serve).unwrap() }
+    }
+
+    /// Describes the minion in the platform's list.
+    fn entry(&self) -> InstanceEntry {
+        InstanceEntry {
+            name: "crossing".into(),
+            role: Role::Minion,
+            service: "float-yard".into(),
+            failure_domain: "marka".into(),
+            rack: None,
+            address: self.server.address().to_string(),
+            peer_address: None,
+            state: ListState::Live,
+            slots: 8,
+            connections: 64,
+            cpus: 0,
+            memory_mb: 0,
+            incarnation: Incarnation(clock::now().as_us()),
+        }
+    }
+}
+
+/// Returns the answer that a minion would give to a task.
+fn result_of(body: RunBody) -> RunAnswer {
+    let hints: serde_json::Value = serde_json::from_slice(&body.payload).unwrap();
+    let result = serde_json::json!({
+        "submission": body.submission, "task": body.task, "mark": hints["mark"],
+    });
+    RunAnswer {
+        submission: body.submission,
+        task: body.task,
+        attempt: body.attempt,
+        started: true,
+        code: None,
+        result: Some(result.to_string().into()),
+    }
+}
+
+/// Guards against a caller that gets the result of another request, when a target answers
+/// a request with the result of an earlier one. The right result is not to be had, and
+/// the task may have run.
+#[test]
+fn crossed_answers_of_a_target_are_dropped() {
+    let settings = ClusterSettings {
+        instances: vec!["marka"],
+        minions: vec!["--count", "0"],
+        workers: vec!["--count", "0"],
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start(settings);
+    let minion = CrossingMinion::start();
+    register(cluster.platform.address(), &minion.entry());
+    let entry = cluster.instances[0].address;
+    let uses_minion = || cluster.instances[0].status()["targets"][0]["slots"] == 8;
+    wait_until("the use of the minion", RECOVERY, uses_minion);
+    let callers = Callers::new();
+    let works = works(&callers, entry, 20, 1);
+    for work in &works {
+        callers.submit(entry, work, Purpose::Submit);
+    }
+    let records = callers.records();
+    for (index, record) in records.iter().enumerate() {
+        let answer = record.answer.as_ref().expect("each request is answered");
+        // The first task is its own predecessor.
+        let expected = if index == 0 { "complete" } else { "target-lost" };
+        assert_eq!(answer.code, expected, "request {index}");
+        let own = answer
+            .results
+            .iter()
+            .all(|result| String::from_utf8_lossy(&result.body).contains(&record.mark));
+        assert!(own, "request {index} was answered {answer:?}");
+    }
+}
--- a/crates/bamboocart-dispatcher/tests/support/judge.rs
+++ b/crates/bamboocart-dispatcher/tests/support/judge.rs
@@ -25,9 +25,21 @@
 ///
 /// `live` are the instances that have run without interruption or were only paused.
 pub fn judge(cluster: &Cluster, callers: &Callers, live: &[usize]) -> Summary {
+    judge_with(cluster, callers, live, live)
+}
+
+/// Fails the test with every violation that a run shows.
+///
+/// The `asked` instances must know the outcome of every submission of the `owners`.
+pub fn judge_with(
+    cluster: &Cluster,
+    callers: &Callers,
+    asked: &[usize],
+    owners: &[usize],
+) -> Summary {
     let ids: BTreeSet<SubmissionId> =
         callers.records().iter().filter_map(|record| record.asked.clone()).collect();
-    let states = final_states(cluster, callers, live, &ids);
+    let states = final_states(cluster, callers, asked, &ids);
     let sends = callers.records();
     let evidence = evidence(cluster, sends.clone());
     let repeatable = REPEATABLE.map(Into::into).into_iter().collect();
@@ -35,7 +47,7 @@
     let mut violations: Vec<String> = found.iter().map(ToString::to_string).collect();
     violations.extend(partial_answers(&sends));
     violations.extend(starts_after_not_run(&evidence));
-    violations.extend(differing_outcomes(cluster, live, &sends, &states));
+    violations.extend(differing_outcomes(cluster, owners, &sends, &states));
     assert!(violations.is_empty(), "violations:\n{}", violations.join("\n"));
     Summary::of(&evidence)
 }
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -19,10 +19,10 @@
 
 pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
-pub use self::config::{base_config, publish};
+pub use self::config::{base_config, publish, register};
 pub use self::forward::{Mode, Net, Node};
 pub use self::http::{call, try_call};
-pub use self::judge::{Summary, evidence, judge};
+pub use self::judge::{Summary, evidence, judge, judge_with};
 pub use self::load::{Load, RunningLoad, spawn};
 pub use self::process::Instance;
 
