Check histories of resubmission storms while targets fail

Cause: no history covered targets that fail under load.

Change: seven cases in which one minion of each failure domain and a worker die, freeze, drop answers, fail everything, refuse connections, lose their open connections or answer after every deadline. The run of a load with a fault is now a step of the fixture.

--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -175,6 +175,12 @@
         }
     }
 
+    /// Returns the instances whose processes run.
+    pub fn running(&mut self) -> Vec<usize> {
+        let instances = self.instances.iter_mut().enumerate();
+        instances.filter_map(|(index, it)| it.is_running().then_some(index)).collect()
+    }
+
     /// Removes an instance from the platform's list.
     pub fn unregister(&self, index: usize) {
         let path = format!("/instances/{}", self.instances[index].name);
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod process;
 mod sockets;
+mod storm;
 
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,7 @@
 pub use self::judge::{Summary, evidence, judge, judge_with};
 pub use self::load::{Load, RunningLoad, spawn};
 pub use self::process::Instance;
+pub use self::storm::{Fault, Storm};
 
 /// The pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/targets.rs
@@ -0,0 +1,64 @@
+//! The invariants hold in recorded histories of runs in which targets fail.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::{Cluster, Fault, Storm, hold};
+use yare::parameterized;
+
+/// The time that a fault of targets lasts.
+const FAULT: Duration = Duration::from_secs(4);
+
+/// A run with a fault of targets.
+struct Case {
+    /// The seed.
+    seed: u64,
+    /// The fault.
+    fault: Fault,
+}
+
+/// Guards against requests that are sent again although they may have started, against
+/// refusals of what has started and against outcomes that change, when targets of each
+/// group fail under load.
+#[parameterized(
+    dead = { Case { seed: 21, fault: |c, _| during(c, "die") } },
+    frozen = { Case { seed: 22, fault: |c, _| during(c, "freeze") } },
+    dropping_answers = { Case { seed: 23, fault: |c, _| during(c, "drop_answer") } },
+    failing_everything = { Case { seed: 24, fault: |c, _| during(c, "fail_all") } },
+    refusing_connections = { Case { seed: 25, fault: |c, _| during(c, "refuse") } },
+    silent_connections = { Case { seed: 26, fault: silence } },
+    late_answers = { Case { seed: 27, fault: delay } },
+)]
+fn storms_while_targets_fail(case: Case) {
+    Storm::new(case.seed, case.fault).run();
+}
+
+/// Sets a switch of one target in each failure domain.
+fn set(cluster: &Cluster, switch: &str, value: Value) {
+    let targets = ["minion-0", "minion-1", "minion-2", "worker-0"];
+    cluster.target_faults(&json!({ "targets": targets, switch: value }));
+}
+
+/// Leaves a switch on for a while.
+fn during(cluster: &mut Cluster, switch: &str) -> Vec<usize> {
+    set(cluster, switch, json!(true));
+    hold(FAULT);
+    set(cluster, switch, json!(false));
+    vec![0, 1, 2]
+}
+
+/// Makes the open connections to some targets carry nothing more.
+fn silence(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    set(cluster, "silent", json!(true));
+    vec![0, 1, 2]
+}
+
+/// Delays answers beyond the deadlines of all request kinds.
+fn delay(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    set(cluster, "delay_ms", json!(9_000));
+    hold(FAULT);
+    set(cluster, "delay_ms", json!(0));
+    vec![0, 1, 2]
+}
