--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/instances.rs
@@ -0,0 +1,70 @@
+//! The invariants hold in recorded histories of runs in which instances fail.
+
+mod support;
+
+use support::{Cluster, Fault, Mode, Node, PEER_DEAD, Storm, hold};
+use yare::parameterized;
+
+/// A run with a fault of instances.
+struct Case {
+    /// The seed.
+    seed: u64,
+    /// The fault.
+    fault: Fault,
+}
+
+/// Guards against tasks that start twice, outcomes that change and service that does not
+/// return, when callers send everything to all instances while an instance fails.
+#[parameterized(
+    no_fault = { Case { seed: 11, fault: none } },
+    killed = { Case { seed: 12, fault: kill } },
+    killed_and_restarted = { Case { seed: 13, fault: restart } },
+    frozen_past_the_dead_time = { Case { seed: 14, fault: freeze } },
+    failure_domain_cut_off = { Case { seed: 15, fault: cut_off } },
+    silent_links = { Case { seed: 16, fault: silence_links } },
+)]
+fn storms_while_an_instance_fails(case: Case) {
+    Storm::new(case.seed, case.fault).run();
+}
+
+/// Leaves everything as it is.
+fn none(_: &mut Cluster, _: u64) -> Vec<usize> {
+    vec![0, 1, 2]
+}
+
+/// Kills an instance for good.
+fn kill(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    cluster.instances[0].kill();
+    cluster.unregister(0);
+    vec![1, 2]
+}
+
+/// Kills an instance and starts it again at once.
+fn restart(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    cluster.restart(0);
+    vec![1, 2]
+}
+
+/// Stops an instance for longer than the time after which peers count it as dead.
+fn freeze(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    cluster.instances[0].freeze();
+    hold(PEER_DEAD);
+    cluster.instances[0].resume();
+    vec![0, 1, 2]
+}
+
+/// Cuts a failure domain off from the others and from the platform.
+fn cut_off(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    cluster.isolate("marka", Mode::Cut);
+    hold(PEER_DEAD);
+    cluster.isolate("marka", Mode::Pass);
+    vec![0, 1, 2]
+}
+
+/// Makes the open connections between instances carry nothing more.
+fn silence_links(cluster: &mut Cluster, _: u64) -> Vec<usize> {
+    for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+        cluster.net.silence(Node::Instance(a), Node::Instance(b));
+    }
+    vec![0, 1, 2]
+}
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -5,20 +5,28 @@
 // Each test program uses a part of the fixture.
 #![allow(dead_code, unused_imports)]
 
+mod callers;
 mod cluster;
 mod config;
 mod forward;
 mod http;
+mod judge;
+mod load;
 mod process;
 mod sockets;
+mod storm;
 
 use std::time::{Duration, Instant};
 
+pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
-pub use self::config::{base_config, publish};
+pub use self::config::{base_config, publish, register};
 pub use self::forward::{Mode, Net, Node};
 pub use self::http::{call, try_call};
+pub use self::judge::{Summary, evidence, judge, judge_with};
+pub use self::load::{Load, RunningLoad, spawn};
 pub use self::process::Instance;
+pub use self::storm::{Fault, Storm};
 
 /// The pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
