Let the load generator's histograms grow

Cause: saturating_record keeps a new histogram at its smallest range, so every percentile above about 2 x or 2 ms was reported as the range's end. Change: values are recorded so that the histogram grows. Conclusion: earlier printed percentiles above 2 x are void.

--- a/crates/bamboocart-dispatcher/tests/support/storm.rs
+++ b/crates/bamboocart-dispatcher/tests/support/storm.rs
@@ -33,8 +33,11 @@
     /// not return in time. Returns the counts of the last round.
     pub fn run(&self) -> Summary {
         let seed = seed(self.seed);
-        let rounds = (0..length()).map(|round| self.round(seed + round * 1_000));
-        rounds.last().expect("there is at least one round")
+        let mut last = None;
+        for round in 0..length() {
+            last = Some(self.round(seed + round * 1_000));
+        }
+        last.expect("there is at least one round")
     }
 
     /// Runs the load once.
--- a/crates/bamboocart-standin/src/load/recorder.rs
+++ b/crates/bamboocart-standin/src/load/recorder.rs
@@ -149,8 +149,9 @@
     /// Adds a response.
     fn add(&mut self, response_us: u64, ideal_us: u64) {
         let ratio = response_us as f64 / ideal_us.max(1) as f64;
-        self.response_us.saturating_record(response_us);
-        self.ratio.saturating_record((ratio * RATIO_UNIT) as u64);
+        // Unlike `saturating_record`, `record` lets the histogram grow to the value.
+        record(&mut self.response_us, response_us);
+        record(&mut self.ratio, (ratio * RATIO_UNIT) as u64);
     }
 
     /// Returns the percentiles.
@@ -163,6 +164,13 @@
     }
 }
 
+/// Adds a value to a histogram, which grows up to the range of its memory.
+fn record(histogram: &mut Histogram<u64>, value: u64) {
+    if let Err(error) = histogram.record(value) {
+        log::error!("{value} is not recorded: {error}");
+    }
+}
+
 /// Returns the percentiles of a histogram.
 fn percentiles(histogram: &Histogram<u64>, unit: f64) -> Percentiles {
     let at = |quantile| histogram.value_at_quantile(quantile) as f64 / unit;
