--- a/crates/bamboocart-core/src/admission.rs
+++ b/crates/bamboocart-core/src/admission.rs
@@ -39,6 +39,8 @@
     pub time_left_us: u64,
     /// The run time that almost no task of the request kind undercuts, if it is known.
     pub fastest_us: Option<u64>,
+    /// The time that a task must have from its start to its deadline.
+    pub needed_us: u64,
     /// The expected run time of the tasks that are queued ahead.
     pub work_ahead_us: u64,
     /// The slots of the usable targets, which is the work done per unit of time.
@@ -105,8 +107,7 @@
     let work_before_us =
         context.work_ahead_us.saturating_add(context.own_work_us - last_task_us);
     let start_us = work_before_us / slots;
-    let latest_start_us =
-        context.time_left_us.saturating_sub(context.fastest_us.unwrap_or(0));
+    let latest_start_us = context.time_left_us.saturating_sub(context.needed_us);
     if start_us <= latest_start_us {
         return Ok(());
     }
@@ -117,6 +118,20 @@
     Err(refusal(RefusalCode::DeadlineUnreachable, retry_after_ms))
 }
 
+/// Returns the time that a task must have from its start to its deadline.
+///
+/// A task that is started later would usually hold a slot and still be late. A deadline
+/// that is shorter than usual runs leaves half of its time for the queue, since the
+/// caller may know that the task is short.
+pub fn needed_us(
+    usual_us: Option<u64>,
+    fastest_us: Option<u64>,
+    time_left_us: u64,
+) -> u64 {
+    let usual_us = usual_us.unwrap_or(0).min(time_left_us / 2);
+    usual_us.max(fastest_us.unwrap_or(0))
+}
+
 /// Clamps the wait that is advised for overload.
 fn clamp(wait_ms: u64) -> u64 {
     wait_ms.clamp(SHORTEST_OVERLOAD_RETRY_MS, LONGEST_OVERLOAD_RETRY_MS)
--- a/crates/bamboocart-core/src/estimate.rs
+++ b/crates/bamboocart-core/src/estimate.rs
@@ -128,6 +128,14 @@
         Some(learned.unwrap_or(row.declared_us.1))
     }
 
+    /// Returns the time within which 95% of a request kind's runs end, once it is known.
+    ///
+    /// There is no prior, for the same reason as in [`Self::fastest_us`].
+    pub fn usual_us(&self, kind: K) -> Option<u64> {
+        let (_, above_us) = self.kinds.get(&kind)?.learned_quantile(95)?;
+        Some(above_us)
+    }
+
     /// Returns the time that almost no run of a request kind undercuts, once it is known.
     ///
     /// It is the first percentile of recent runs. There is no prior, because a
--- a/crates/bamboocart-core/tests/admission.rs
+++ b/crates/bamboocart-core/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Tests of the checks on arrival.
 
-use bamboocart_core::admission::{Context, check};
+use bamboocart_core::admission::{Context, check, needed_us};
 use bamboocart_core::outcome::{Refusal, RefusalCode};
 use bamboocart_core::quota::QuotaError;
 use yare::parameterized;
@@ -16,6 +16,7 @@
     own_work_us: 1_000_000,
     time_left_us: 200_000,
     fastest_us: Some(50_000),
+    needed_us: 50_000,
     work_ahead_us: 600_000,
     slots: 10,
     queue_room: 10,
@@ -73,7 +74,8 @@
         refused(RefusalCode::DeadlineUnreachable, None),
     },
     unknown_fastest_run_refuses_nothing = {
-        Context { fastest_us: None, work_ahead_us: 1_100_000, ..PASSES }, Ok(()),
+        Context { fastest_us: None, needed_us: 0, work_ahead_us: 1_100_000, ..PASSES },
+        Ok(()),
     },
     quota_exhausted = {
         Context { quota: Err(QuotaError::Rate { retry_after_ms: 7 }), ..PASSES },
@@ -87,3 +89,21 @@
 fn checks(context: Context, expected: Result<(), Refusal>) {
     assert_eq!(check(&context), expected);
 }
+
+/// Guards against tasks that start too late to end in time, and against refusals of short
+/// deadlines that could be met.
+#[parameterized(
+    nothing_is_known = { None, None, 1_000, 0 },
+    only_the_fastest_is_known = { None, Some(50), 1_000, 50 },
+    usual_runs_fit = { Some(400), Some(50), 1_000, 400 },
+    deadline_is_short = { Some(900), Some(50), 1_000, 500 },
+    deadline_is_shorter_than_two_fastest_runs = { Some(900), Some(50), 80, 50 },
+)]
+fn leaves_time_to_run(
+    usual_us: Option<u64>,
+    fastest_us: Option<u64>,
+    time_left_us: u64,
+    expected_us: u64,
+) {
+    assert_eq!(needed_us(usual_us, fastest_us, time_left_us), expected_us);
+}
