Repeat a stop that overtook its task

Cause: a stop and the send of its task travel on different connections. A target that gets the stop first does not know the task, answers 404, and starts the task afterwards.

Ruled out: stops that are not ordered (the target had answered 404), and lent tasks as the only cause (it also happens on targets of the owner).

Change: the sender threads note the sends whose answer they await. A stop that is answered 404 is repeated six times within 1.3 s for as long as the send is open.

A target that can't be reached for longer still runs what it has, within its lease if it is a worker.

--- a/crates/bamboocart-dispatcher/src/sender.rs
+++ b/crates/bamboocart-dispatcher/src/sender.rs
@@ -1,7 +1,8 @@
 //! The threads that talk to targets.
 
+use std::collections::HashSet;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
     LeaseAnswer, LeaseBody, LeaseProof, RunAnswer, RunBody, TargetStatus,
 };
 use crossbeam::channel::{Receiver, Sender};
+use ureq::http::StatusCode;
 use ureq::{Agent, Timeout};
 
 /// The time that a connection attempt to a target may take.
@@ -29,6 +31,16 @@
 /// The time that a target has to answer a probe.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 
+/// The pauses before a stop is repeated that came before its task at the target.
+///
+/// A stop and the send of its task travel on different connections. A stop that overtook
+/// the task would let it run to its end although its submission has ended.
+const STOP_AGAIN_MS: [u64; 6] = [20, 40, 80, 160, 320, 640];
+
+/// The repetitions of a stop for which a send that another thread has just taken from the
+/// queue may still be missing from the table of open sends.
+const UNSEEN_REPEATS: usize = 2;
+
 /// The time without a renewal after which a lease lapses.
 const LEASE_TTL_MS: u64 = 10_000;
 
@@ -74,6 +86,18 @@
     holder: Arc<str>,
     /// Starts the spans of sends.
     tracer: Tracer,
+    /// The sends whose answer is awaited, at most one for each thread.
+    open: Arc<Mutex<HashSet<SendKey>>>,
+}
+
+/// Identifies a send: the address of the target, the submission and the task.
+type SendKey = (Arc<str>, SubmissionId, TaskIndex);
+
+impl Pools {
+    /// Locks the table of open sends, which stays usable after a panic in another thread.
+    fn open_sends(&self) -> MutexGuard<'_, HashSet<SendKey>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Starts `count` sender threads that end when `work` is closed.
@@ -89,6 +113,7 @@
         fresh: agent(FRESH_IDLE_MS, connections_per_target),
         holder: holder.into(),
         tracer,
+        open: Arc::default(),
     };
     let spawn = |index| {
         let (pools, work, events) = (pools.clone(), work.clone(), events.clone());
@@ -106,7 +131,11 @@
         let event = match item {
             Outbound::Send(order) => {
                 let attempt = order.attempt;
-                Event::SendFinished { attempt, report: send(pools, order) }
+                let key = (order.address.clone(), order.submission.clone(), order.task);
+                pools.open_sends().insert(key.clone());
+                let report = send(pools, order);
+                pools.open_sends().remove(&key);
+                Event::SendFinished { attempt, report }
             }
             Outbound::Lease(order) => {
                 Event::LeaseAnswered { target: order.target, grant: lease(pools, &order) }
@@ -116,7 +145,7 @@
                 None => continue,
             },
             Outbound::Stop { address, submission, task } => {
-                stop(pools, &address, &submission, task);
+                stop(pools, &(address, submission, task));
                 continue;
             }
         };
@@ -266,7 +295,28 @@
 }
 
 /// Asks a target to stop a task; the answer to the send tells what came of it.
-fn stop(pools: &Pools, address: &str, submission: &SubmissionId, task: TaskIndex) {
+///
+/// The stop is repeated for a short time if the target does not know the task while its
+/// send is open.
+fn stop(pools: &Pools, key: &SendKey) {
+    let mut found = stop_once(pools, key);
+    for (repeat, pause_ms) in STOP_AGAIN_MS.into_iter().enumerate() {
+        if found {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(pause_ms));
+        match pools.open_sends().contains(key) {
+            false if repeat >= UNSEEN_REPEATS => return,
+            false => continue,
+            true => {}
+        }
+        found = stop_once(pools, key);
+    }
+}
+
+/// Asks a target once to stop a task, and returns whether there is nothing left to stop
+/// or no way to do so.
+fn stop_once(pools: &Pools, (address, submission, task): &SendKey) -> bool {
     let result = pools
         .pooled
         .delete(format!("http://{address}/run/{submission}/{}", task.0))
@@ -274,8 +324,14 @@
         .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
         .build()
         .call();
-    if let Err(error) = result {
-        log::debug!(submission:% = submission; "could not stop task {}: {error}", task.0);
+    match result {
+        Ok(response) => response.status() != StatusCode::NOT_FOUND,
+        Err(error) => {
+            log::debug!(
+                submission:% = submission; "could not stop task {}: {error}", task.0
+            );
+            true
+        }
     }
 }
 
