--- a/crates/bamboocart-dispatcher/tests/support/callers.rs
+++ b/crates/bamboocart-dispatcher/tests/support/callers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bamboocart_core::id::{SubmissionId, TaskIndex};
+use bamboocart_core::time::Timestamp;
 use bamboocart_standin::clock;
 use bamboocart_standin::history::{Purpose, SendRecord, task_mark};
 use bamboocart_wire::api::AnswerBody;
@@ -51,7 +52,7 @@
     }
 
     /// Returns path and body of the call that submits it.
-    fn body(&self) -> (&'static str, Value) {
+    pub fn body(&self) -> (&'static str, Value) {
         let payload = |task: usize| {
             let mark = task_mark(&self.mark, TaskIndex(task as u16));
             json!({ "run_ms": self.run_ms[task], "mark": mark }).to_string()
@@ -69,6 +70,34 @@
     }
 }
 
+impl Work {
+    /// Describes a call about the submission that has no answer yet.
+    pub fn record(
+        &self,
+        instance: SocketAddr,
+        purpose: Purpose,
+        sent_us: Timestamp,
+    ) -> SendRecord {
+        SendRecord {
+            mark: self.mark.clone(),
+            asked: self.id.clone(),
+            purpose,
+            customer: "float-storage".into(),
+            kind: self.kind.into(),
+            job: self.is_job(),
+            tasks: self.run_ms.len() as u16,
+            instance,
+            due_us: sent_us,
+            sent_us,
+            ended_us: sent_us,
+            ideal_us: 0,
+            deadline_ms: self.deadline_ms,
+            answer: None,
+            error: None,
+        }
+    }
+}
+
 /// Callers that share a record.
 pub struct Callers {
     agent: Agent,
@@ -140,21 +169,10 @@
             Err(error) => (None, Some(error)),
         };
         let record = SendRecord {
-            mark: work.mark.clone(),
-            asked: work.id.clone(),
-            purpose,
-            customer: "float-storage".into(),
-            kind: work.kind.into(),
-            job: work.is_job(),
-            tasks: work.run_ms.len() as u16,
-            instance,
-            due_us: sent_us,
-            sent_us,
             ended_us: clock::now(),
-            ideal_us: 0,
-            deadline_ms: work.deadline_ms,
             answer,
             error,
+            ..work.record(instance, purpose, sent_us)
         };
         self.add(record.clone());
         record
--- a/crates/bamboocart-dispatcher/tests/support/storm.rs
+++ b/crates/bamboocart-dispatcher/tests/support/storm.rs
@@ -34,7 +34,7 @@
     pub fn run(&self) -> Summary {
         let seed = seed(self.seed);
         let rounds = (0..length()).map(|round| self.round(seed + round * 1_000));
-        rounds.last().expect("there is at least one round")
+        rounds.reduce(|_, last| last).expect("there is at least one round")
     }
 
     /// Runs the load once.
