Check that nothing runs on workers beyond a lapsed lease

Cause: no history covered leases that lapse while their holder pauses or while the network holds back a send.

Change: an instance pauses across the lapse of its leases, once with tasks that run and wait on all workers and once under a storm; and a worker gets sends after their leases have lapsed and their jobs were answered.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/leases.rs
@@ -0,0 +1,118 @@
+//! What runs on workers ends with its lease, and nothing starts under a lapsed one.
+
+mod support;
+
+use std::time::Duration;
+
+use bamboocart_standin::history::{Purpose, What};
+use serde_json::json;
+use support::{
+    Callers, Cluster, ClusterSettings, Load, PEER_DEAD, RECOVERY, Storm, Work, evidence,
+    hold, judge, spawn, wait_until,
+};
+
+/// The time in which every lease lapses that isn't renewed, with a margin.
+const LAPSED: Duration = Duration::from_millis(11_500);
+
+/// Guards against tasks that start again, or go on without a holder of their lease, when
+/// an instance pauses for longer than its leases on workers last.
+#[test]
+fn an_instance_pauses_across_the_lapse_of_its_leases() {
+    let cluster = Cluster::start(ClusterSettings::default());
+    let callers = Callers::new();
+    let owner = cluster.instances[0].address;
+    let submit = |run_ms: &[u64], deadline_ms: u64| {
+        let id = callers.tickets(owner, 1).remove(0);
+        let work = Work::new(id, "haul-plan", run_ms).with_deadline(deadline_ms);
+        let callers = callers.clone();
+        spawn(move || {
+            callers.submit(owner, &work, Purpose::Submit);
+        })
+    };
+    let busy =
+        || cluster.workers.members().rows().iter().map(|row| row.busy).sum::<u32>();
+    // More than all slots, so that tasks wait and are sent at once after the pause.
+    let mut threads = vec![];
+    for _ in 0..14 {
+        threads.push(submit(&[13_000; 4], 17_000));
+        threads.push(submit(&[100; 1], 17_000));
+    }
+    wait_until("the use of the workers", RECOVERY, || busy() >= 32);
+    cluster.instances[0].freeze();
+    let load = Load { kinds: &[("haul-plan", 2)], count: 30, ..Load::default() };
+    let others = [cluster.instances[1].address, cluster.instances[2].address];
+    let load = load.start(51, &callers, &others);
+    hold(LAPSED);
+    cluster.instances[0].resume();
+    cluster.wait_for_service();
+    load.join();
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    let summary = judge(&cluster, &callers, &[0, 1, 2]);
+    println!("{summary:#?}");
+    let events = evidence(&cluster, vec![]).events;
+    let stopped = events.iter().filter(|event| event.what == What::Stopped).count();
+    assert!(stopped > 0, "no task was stopped when the leases lapsed");
+}
+
+/// Guards against a task that starts long after its job was answered: the worker gets the
+/// send after the lease has lapsed, because the network held it back.
+#[test]
+fn a_send_arrives_after_the_lapse_of_its_lease() {
+    let cluster = Cluster::start(ClusterSettings::default());
+    let callers = Callers::new();
+    let owner = cluster.instances[0].address;
+    let works: Vec<Work> = callers
+        .tickets(owner, 8)
+        .into_iter()
+        .map(|id| Work::new(id, "haul-plan", &[200, 200]).with_deadline(2_000))
+        .collect();
+    cluster.target_faults(&json!({ "targets": ["worker-0"], "freeze": true }));
+    let frozen = std::time::Instant::now();
+    let threads: Vec<_> = works
+        .into_iter()
+        .map(|work| {
+            let callers = callers.clone();
+            spawn(move || {
+                callers.submit(owner, &work, Purpose::Submit);
+            })
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    hold(LAPSED.saturating_sub(frozen.elapsed()));
+    cluster.target_faults(&json!({ "targets": ["worker-0"], "freeze": false }));
+    let answered = callers.records();
+    let late = answered.iter().filter(|record| {
+        record.answer.as_ref().is_some_and(|answer| answer.code == "deadline-passed")
+    });
+    assert!(late.count() > 0, "no send was held back: {answered:?}");
+    let rejected = || cluster.workers.members().rows()[0].turned_away > 0;
+    let started = || cluster.workers.members().rows()[0].starts > 0;
+    wait_until("the arrival of the sends", RECOVERY, || rejected() || started());
+    cluster.wait_for_service();
+    judge(&cluster, &callers, &[0, 1, 2]);
+    let ended: std::collections::HashMap<_, _> = answered
+        .iter()
+        .filter_map(|record| Some((record.asked.clone()?, record.ended_us)))
+        .collect();
+    let events = evidence(&cluster, vec![]).events;
+    let started_late = events.iter().filter(|event| event.what == What::Started);
+    let started_late = started_late.filter(|event| {
+        let run = event.run.as_ref();
+        run.and_then(|run| ended.get(&run.submission)).is_some_and(|at| event.at_us > *at)
+    });
+    assert_eq!(started_late.count(), 0, "tasks started after the answer to their job");
+}
+
+/// Guards against tasks that start twice when an instance pauses across the lapse of its
+/// leases under a storm of everything.
+#[test]
+fn storms_across_a_lapse() {
+    let storm = Storm::new(52, |cluster, _| {
+        cluster.instances[0].freeze();
+        hold(LAPSED.max(PEER_DEAD));
+        cluster.instances[0].resume();
+        vec![0, 1, 2]
+    });
+    let load = Load { over: LAPSED, ..storm.load };
+    Storm { load, ..storm }.run();
+}
