Check handovers, standing refusals and two faults at once

Cause: no history covered a handover under load, a refusal that is asked about again, or faults that coincide.

Change: a storm while an instance hands over, after which the others have to know the outcome of everything that it owned; work that is refused under overload and sent again at every stage of its owner's life; and four pairs of faults, drawn by the seed from eight.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/handover.rs
@@ -0,0 +1,95 @@
+//! What an owner has said stands, also after it has handed over.
+
+mod support;
+
+use std::time::Duration;
+
+use bamboocart_standin::history::Purpose;
+use bamboocart_wire::api::OutcomeName;
+use support::{
+    Callers, Cluster, ClusterSettings, Load, RECOVERY, Work, hold, judge, judge_with,
+    length, seed, spawn, wait_until,
+};
+
+/// The time in which a draining instance ends: it serves on for 3 s, finishes what it has,
+/// whose deadlines are 8 s at most, and hands over within 5 s.
+const DRAINED: Duration = Duration::from_secs(18);
+
+/// Guards against tasks that start twice, and against outcomes that are lost or change,
+/// when an instance hands over to a successor under a storm: the others know the outcome
+/// of everything that it owned.
+#[test]
+fn storms_while_an_instance_hands_over() {
+    for round in 0..length() {
+        let seed = seed(61) + round * 1_000;
+        println!("seed {seed}");
+        let mut cluster = Cluster::start(ClusterSettings::default());
+        cluster.wait_for_claims();
+        let callers = Callers::new();
+        let load = Load { again_after: Duration::from_secs(9), ..Load::default() };
+        let load = load.start(seed, &callers, &cluster.addresses());
+        hold(Duration::from_secs(1));
+        cluster.instances[0].drain();
+        cluster.instances[0].wait_for_end(DRAINED);
+        cluster.unregister(0);
+        cluster.wait_for_service_of(&[1, 2]);
+        load.join();
+        let summary = judge_with(&cluster, &callers, &[1, 2], &[0, 1, 2]);
+        println!("{summary:#?}");
+        assert!(summary.with_code("complete") > 300, "the system hardly served");
+    }
+}
+
+/// Guards against a refusal that does not stand: work that was refused under overload is
+/// submitted again when the targets are free, at its owner while that serves, while it
+/// drains, and at the others after the handover.
+#[test]
+fn refusals_stand() {
+    let settings = ClusterSettings {
+        minions: vec!["--count", "1", "--slots", "1"],
+        workers: vec!["--count", "1"],
+        ..ClusterSettings::default()
+    };
+    let mut cluster = Cluster::start(settings);
+    let callers = Callers::new();
+    let owner = cluster.instances[0].address;
+    let blocker =
+        Work::new(callers.tickets(owner, 1).remove(0), "release-order", &[2_000]);
+    let blocking = {
+        let callers = callers.clone();
+        spawn(move || {
+            callers.submit(owner, &blocker, Purpose::Submit);
+        })
+    };
+    let busy = || cluster.minions.members().rows()[0].busy;
+    wait_until("the use of the only slot", RECOVERY, || busy() == 1);
+    let works: Vec<Work> = callers
+        .tickets(owner, 30)
+        .into_iter()
+        .map(|id| Work::new(id, "release-order", &[20]).with_deadline(300))
+        .collect();
+    let submit_all = |at, purpose| {
+        for work in &works {
+            let record = callers.submit(at, work, purpose);
+            let answer = record.answer.expect("each request is answered");
+            assert_eq!(answer.outcome, OutcomeName::Refused, "{answer:?}");
+        }
+    };
+    std::thread::scope(|scope| {
+        let submit = |work| callers.submit(owner, work, Purpose::Submit);
+        works.iter().for_each(|work| drop(scope.spawn(move || submit(work))));
+    });
+    blocking.join().unwrap();
+    wait_until("the end of the other work", RECOVERY, || busy() == 0);
+    submit_all(owner, Purpose::Resubmit);
+    submit_all(cluster.instances[1].address, Purpose::Resubmit);
+    judge(&cluster, &callers, &[0, 1, 2]);
+    cluster.instances[0].drain();
+    let draining = || cluster.instances[0].status()["stage"] == "draining";
+    wait_until("the start of the stop", RECOVERY, draining);
+    submit_all(owner, Purpose::Resubmit);
+    cluster.instances[0].wait_for_end(DRAINED);
+    submit_all(cluster.instances[1].address, Purpose::Resubmit);
+    submit_all(cluster.instances[2].address, Purpose::Resubmit);
+    judge_with(&cluster, &callers, &[1, 2], &[0, 1, 2]);
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/mixes.rs
@@ -0,0 +1,130 @@
+//! The invariants hold in recorded histories of runs with two faults at once.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use support::{Cluster, Mode, Node, PEER_DEAD, Storm, hold};
+use yare::parameterized;
+
+/// A fault that can begin and end beside others.
+struct Part {
+    /// The name.
+    name: &'static str,
+    /// Begins the fault.
+    begin: fn(&mut Cluster, usize),
+    /// Ends the fault.
+    end: fn(&mut Cluster, usize),
+    /// Whether an instance loses its state.
+    loses_state: bool,
+}
+
+/// The targets that a fault of targets hits.
+fn targets(number: usize) -> [String; 2] {
+    [format!("minion-{number}"), format!("worker-{number}")]
+}
+
+/// Sets a switch of some targets.
+fn set(cluster: &Cluster, number: usize, switch: &str, on: bool) {
+    cluster.target_faults(&json!({ "targets": targets(number), switch: on }));
+}
+
+/// The faults; each is given the number of an instance.
+const PARTS: [Part; 8] = [
+    Part {
+        name: "an instance is killed and restarted",
+        begin: |cluster, number| cluster.instances[number].kill(),
+        end: |cluster, number| cluster.restart(number),
+        loses_state: true,
+    },
+    Part {
+        name: "an instance is frozen",
+        begin: |cluster, number| cluster.instances[number].freeze(),
+        end: |cluster, number| cluster.instances[number].resume(),
+        loses_state: false,
+    },
+    Part {
+        name: "a failure domain is cut off",
+        begin: |cluster, number| {
+            let domain = cluster.instances[number].domain.clone();
+            cluster.isolate(&domain, Mode::Cut);
+        },
+        end: |cluster, number| {
+            let domain = cluster.instances[number].domain.clone();
+            cluster.isolate(&domain, Mode::Pass);
+        },
+        loses_state: false,
+    },
+    Part {
+        name: "links of an instance go silent",
+        begin: |cluster, number| {
+            let others = (0..3).filter(|&other| other != number);
+            others.for_each(|other| {
+                cluster.net.silence(Node::Instance(number), Node::Instance(other));
+            });
+        },
+        end: |_, _| {},
+        loses_state: false,
+    },
+    Part {
+        name: "the log is down",
+        begin: |cluster, _| cluster.platform_faults(&json!({ "down": 60_000 })),
+        end: |cluster, _| cluster.platform_faults(&json!({ "down": 0 })),
+        loses_state: false,
+    },
+    Part {
+        name: "targets drop answers",
+        begin: |cluster, number| set(cluster, number, "drop_answer", true),
+        end: |cluster, number| set(cluster, number, "drop_answer", false),
+        loses_state: false,
+    },
+    Part {
+        name: "targets fail everything",
+        begin: |cluster, number| set(cluster, number, "fail_all", true),
+        end: |cluster, number| set(cluster, number, "fail_all", false),
+        loses_state: false,
+    },
+    Part {
+        name: "targets die",
+        begin: |cluster, number| set(cluster, number, "die", true),
+        end: |cluster, number| set(cluster, number, "die", false),
+        loses_state: false,
+    },
+];
+
+/// Guards against violations that need two faults at once: two different ones, each on an
+/// instance or its targets, are drawn by the seed and overlap for a time.
+#[parameterized(
+    first = { 71 },
+    second = { 72 },
+    third = { 73 },
+    fourth = { 74 },
+)]
+fn storms_with_two_faults(seed: u64) {
+    Storm::new(seed, two_faults).run();
+}
+
+/// Lets two faults overlap and returns the instances that kept their state.
+fn two_faults(cluster: &mut Cluster, seed: u64) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let parts: Vec<&Part> = PARTS.choose_multiple(&mut rng, 2).collect();
+    let numbers = [rng.random_range(0..3), rng.random_range(0..3)];
+    let gap = Duration::from_millis(rng.random_range(0..1_500));
+    let restarted = |part: &Part, number| part.loses_state.then_some(number);
+    for (part, number) in parts.iter().zip(numbers) {
+        println!("{} ({number})", part.name);
+        (part.begin)(cluster, number);
+        hold(gap);
+    }
+    hold(PEER_DEAD);
+    for (part, number) in parts.iter().zip(numbers) {
+        (part.end)(cluster, number);
+    }
+    let lost: Vec<usize> =
+        parts.iter().zip(numbers).filter_map(|(p, n)| restarted(p, n)).collect();
+    (0..3).filter(|index| !lost.contains(index)).collect()
+}
