Keep a stopping instance not ready when a configuration comes into force

Cause: every configuration that came into force set the readiness of the instance, also after a planned stop had ended it, so that a load balancer sent it new requests again. Ruled out: a late heartbeat or the list; GET /ready reads only this flag.

Change: the effect says whether the instance admits submissions, and a stopping one does not.

Before: publication_during_stop read 200 from GET /ready in the lame-duck time after a publication.

Conclusion: publications no longer end the effect of a planned stop.

--- a/crates/bamboocart-core/src/engine/configure.rs
+++ b/crates/bamboocart-core/src/engine/configure.rs
@@ -123,7 +123,8 @@
         self.configure_groups();
         self.fleet_changed = true;
         self.sync_targets(now);
-        effects.push(Effect::ConfigInForce { version });
+        let ready = !self.is_leaving();
+        effects.push(Effect::ConfigInForce { ready, version });
         self.dispatch_all(now, effects);
     }
 }
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -66,6 +66,8 @@
     },
     /// A configuration is in force.
     ConfigInForce {
+        /// Whether the instance admits submissions under it and does not stop.
+        ready: bool,
         /// Its version.
         version: ConfigVersion,
     },
