Route forwards for a stopping owner to its successor

Cause: a submission that a peer had forwarded to a stopping owner was kept back during the drain and then answered "unknown", since a forwarded submission is not forwarded again. One that arrived while the registry was on its way was forwarded before the successor had the rights, with the same answer. Callers behind a balancer hit this with every ticket and caller key of the stopping instance that they use at a ready one.

Ruled out: a lost handover; the successor had acknowledged it and answered later calls.

Change: the owner tells the peer who its successor is, and the peer gives all its forwards with an id to that one, which is as safe as a resubmission. Submissions for the successor are kept back until it has acknowledged the handover, and released after the step has ended, so that they are not kept back again.

Before: forwarded_during_stop failed at its first ticket after the end of admission (owner-gone). After: it passes for all 40 tickets and for the keys that a claim covers.

Conclusion: no submission under an id is answered "unknown" because its owner stops.

--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -3,7 +3,7 @@
 use crate::engine::answer::Verdict;
 use crate::engine::record::{Asker, Record};
 use crate::engine::{Effect, Engine, NewSubmission};
-use crate::id::SubmissionId;
+use crate::id::{InstanceName, SubmissionId};
 use crate::membership::{Member, PeerInfo, choose_successor};
 use crate::message::{Ask, Message};
 use crate::outcome::{FailureCode, Outcome, Refusal, RefusalCode, UnknownCode};
@@ -124,7 +124,8 @@
     /// Keeps a submission back until the successor can take it.
     ///
     /// Only one that the registry does not know is kept back, since the registry answers
-    /// the others.
+    /// the others. While the registry is on its way, the successor does not know its
+    /// rights yet and would answer "unknown".
     pub(super) fn park(
         &mut self,
         asker: &Asker,
@@ -133,7 +134,9 @@
     ) -> bool {
         let full = self.stop.parked.len() >= PARKED;
         let known = self.tenure.find(id).is_some() || self.tenure.refusal(id).is_some();
-        if !matches!(self.stop.step, Step::Finishing { .. }) || full || known {
+        let waiting =
+            matches!(self.stop.step, Step::Finishing { .. } | Step::HandingOver { .. });
+        if !waiting || full || known {
             return false;
         }
         self.stop.parked.push((asker.clone(), submission.clone()));
@@ -162,7 +165,7 @@
     /// Returns the peer that takes over from this instance.
     fn successor(&self, now: Timestamp) -> Option<PeerInfo> {
         let stopping = |name: &_| {
-            let member = Member::Instance(crate::id::InstanceName::clone(name));
+            let member = Member::Instance(InstanceName::clone(name));
             let peer = self.membership.peers.get(name);
             peer.is_some_and(|peer| {
                 let incarnation = peer.info.incarnation;
@@ -175,6 +178,31 @@
         successor.map(|peer| peer.info.clone())
     }
 
+    /// Reports whether an owner is to take over from this instance and may not have yet.
+    pub(super) fn is_handing_over_to(&self, owner: &Owner) -> bool {
+        let successor = match &self.tenure {
+            Stage::HandedOver(handed) => handed.successor() == owner,
+            _ => false,
+        };
+        successor && matches!(self.stop.step, Step::HandingOver { .. })
+    }
+
+    /// Tells a peer who answers for the submissions of this instance now, and reports
+    /// whether anybody does.
+    ///
+    /// The peer then gives its forwards to the successor, so none of them needs a second
+    /// hop from here.
+    pub(super) fn tell_successor(
+        &self,
+        peer: &InstanceName,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Stage::HandedOver(handed) = &self.tenure else { return false };
+        let (from, to) = (handed.from().clone(), handed.successor().clone());
+        self.tell(peer, Message::Succession { from, to }, effects);
+        true
+    }
+
     /// Gives up the right to start anything and sends the registry to a successor.
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let successor = self.successor(now);
@@ -206,8 +234,8 @@
             let warning = "the successor did not acknowledge the handover; its ids are \
                            answered as unknown";
             effects.push(Effect::Warn(warning.into()));
-            self.release_parked(now, effects);
             self.linger(now);
+            self.release_parked(now, effects);
         } else if now >= resend_at {
             let resend_at = now.plus_ms(RESEND_MS);
             self.stop.step = Step::HandingOver { resend_at, until };
@@ -278,8 +306,8 @@
             return;
         }
         let now = self.round_at;
-        self.release_parked(now, effects);
         self.linger(now);
+        self.release_parked(now, effects);
     }
 
     /// Forwards the submissions that were kept back.
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -97,7 +97,9 @@
             Message::HandOverTaken { from: owner } => {
                 self.hand_over_taken(from, &owner, effects);
             }
-            Message::Succession { from, to } => self.successions.learn(from, to),
+            Message::Succession { from, to } => {
+                self.succeeded(now, from, to, effects);
+            }
         }
     }
 
@@ -129,8 +131,13 @@
         ask: Ask,
         effects: &mut Vec<Effect>,
     ) {
-        if let Asker::Peer { .. } = asker {
-            self.answer_unknown(&asker, &ask, UnknownCode::OwnerGone, effects);
+        if let Asker::Peer { peer, correlation } = &asker {
+            if self.tell_successor(&peer.instance, effects) {
+                let (peer, correlation) = (peer.instance.clone(), *correlation);
+                effects.push(Effect::EndSpan { peer, correlation });
+            } else {
+                self.answer_unknown(&asker, &ask, UnknownCode::OwnerGone, effects);
+            }
             return;
         }
         let wait_ms = match &ask {
@@ -319,6 +326,34 @@
         self.pending.values().filter(forward).count()
     }
 
+    /// Learns of a handover and gives the forwards to the old owner to the new one.
+    ///
+    /// The old owner has answered what it knew, and an answer that is still on its way is
+    /// the same as the successor's. A submission without an id may have been started
+    /// under one that is not known here, so it keeps waiting.
+    fn succeeded(
+        &mut self,
+        now: Timestamp,
+        from: Owner,
+        to: Owner,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.successions.learn(from.clone(), to);
+        let moves = |pending: &Pending| match &pending.about {
+            About::Forward { ask, .. } => pending.peer == from && ask.has_id(),
+            About::Offer(_) => false,
+        };
+        let waiting = self.pending.iter().filter(|(_, pending)| moves(pending));
+        let keys: Vec<PendingKey> = waiting.map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(Pending { about: About::Forward { asker, ask }, .. }) =
+                self.take_pending(key)
+            {
+                self.asked(now, asker, ask, effects);
+            }
+        }
+    }
+
     /// Adds a message that waits for an answer.
     fn add_pending(&mut self, pending: Pending) -> PendingKey {
         let until = pending.until;
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -44,6 +44,10 @@
                 self.submit_owned(now, arrived, effects);
             }
             Resolved::Other(owner) => {
+                if self.is_handing_over_to(&owner) && self.park(&asker, &id, &submission)
+                {
+                    return;
+                }
                 let ask = Ask::Submit(Box::new(submission));
                 self.forward(now, asker, &owner, ask, effects);
             }
--- a/crates/bamboocart-core/src/message.rs
+++ b/crates/bamboocart-core/src/message.rs
@@ -90,6 +90,16 @@
     Cancel(SubmissionId),
 }
 
+impl Ask {
+    /// Reports whether the caller has named a submission, so that asking again is safe.
+    pub fn has_id(&self) -> bool {
+        match self {
+            Self::Submit(submission) => submission.id.is_some(),
+            Self::Query(_) | Self::Cancel(_) => true,
+        }
+    }
+}
+
 /// A task that a peer is asked to run.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct OfferedTask {
