Tell new instances about earlier handovers before they are ready

Cause: a handover was announced to the peers of that moment only, and an instance was ready as soon as a configuration was in force. The replacement of a stopped instance therefore took the owner of its predecessor's tickets and caller keys for gone, and all others too until their first heartbeat.

Ruled out: the claims and the successor's registry; the same ids were answered by the other instances.

Change: a peer that is newly live is told the latest 256 handovers. An instance is ready when it has read the list and the claims and has heard every listed peer for 1 s, or 5 s after its start while the platform is down.

Conclusion: a balancer sends to a replacement only what it can answer.

--- a/crates/bamboocart-core/src/engine/configure.rs
+++ b/crates/bamboocart-core/src/engine/configure.rs
@@ -123,8 +123,7 @@
         self.configure_groups();
         self.fleet_changed = true;
         self.sync_targets(now);
-        let ready = !self.is_leaving();
-        effects.push(Effect::ConfigInForce { ready, version });
+        effects.push(Effect::ConfigInForce { version });
         self.dispatch_all(now, effects);
     }
 }
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -64,10 +64,10 @@
         /// The record.
         body: String,
     },
+    /// The balancer may send submissions.
+    Ready,
     /// A configuration is in force.
     ConfigInForce {
-        /// Whether the instance admits submissions under it and does not stop.
-        ready: bool,
         /// Its version.
         version: ConfigVersion,
     },
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -157,6 +157,12 @@
     linked: Vec<Arc<str>>,
     /// How far a planned stop has come.
     stop: Stop,
+    /// Whether the instance was announced as ready.
+    ready: bool,
+    /// When the instance started.
+    started_at: Timestamp,
+    /// Since when every peer that the list names was heard.
+    acquainted_at: Option<Timestamp>,
     /// Whether the stream of claims was read once.
     claims_seen: bool,
     /// When the seeds were greeted last.
@@ -215,6 +221,9 @@
             credits: BTreeMap::new(),
             linked: vec![],
             stop: Stop::default(),
+            ready: false,
+            started_at: now,
+            acquainted_at: None,
             claims_seen: false,
             greeted_at: Timestamp::default(),
             fetched_at: Timestamp::default(),
@@ -293,6 +302,7 @@
     /// Does the periodic work that needs no exact time.
     fn round(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         self.peers_round(now, effects);
+        self.announce_ready(now, effects);
         self.apply_stops(now, effects);
         self.sync_targets(now);
         self.renew_leases(now, effects);
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -7,7 +7,7 @@
 use crate::engine::record::{Asker, AttemptState, Origin, QueuedTask, RunPlace};
 use crate::engine::{Effect, Engine, Reply, SendOrder};
 use crate::id::{ConfigVersion, GroupName, InstanceName};
-use crate::membership::{Change, ChangeKind, Heartbeat, PeerInfo};
+use crate::membership::{Change, ChangeKind, Heartbeat, PeerInfo, PeerState};
 use crate::message::{Ask, Message, OfferedTask};
 use crate::outcome::{Outcome, UnknownCode};
 use crate::ownership::Owner;
@@ -27,6 +27,17 @@
 /// The time between greetings to the seed addresses while no peer is known.
 const GREET_EVERY_MS: u64 = 1_000;
 
+/// The handovers that a newly live peer is told, more than the planned stops of an hour.
+const TOLD_SUCCESSIONS: usize = 256;
+
+/// The time after the first heartbeats in which peers tell about handovers: one heartbeat
+/// of this instance to another failure domain, and the answer to it.
+const ACQUAINTED_MS: u64 = 1_000;
+
+/// The time after the start at which an instance is ready without the list or the claims,
+/// since it is to serve tickets while the platform is down.
+const READY_AFTER_MS: u64 = 5_000;
+
 new_key_type! {
     /// The key of a message that waits for an answer.
     pub struct PendingKey;
@@ -288,7 +299,8 @@
                 ChangeKind::Leaving => {
                     self.credits.retain(|(peer, _), _| *peer != change.name);
                 }
-                ChangeKind::Live | ChangeKind::Suspect => {}
+                ChangeKind::Live => self.tell_successions(&change.name, effects),
+                ChangeKind::Suspect => {}
             }
         }
         if !changes.is_empty() {
@@ -326,6 +338,39 @@
         self.pending.values().filter(forward).count()
     }
 
+    /// Tells a peer that is newly live about the handovers that it may have missed.
+    fn tell_successions(&self, peer: &InstanceName, effects: &mut Vec<Effect>) {
+        for (from, to) in self.successions.latest(TOLD_SUCCESSIONS) {
+            let (from, to) = (from.clone(), to.clone());
+            self.tell(peer, Message::Succession { from, to }, effects);
+        }
+    }
+
+    /// Announces that this instance is ready once it is configured and knows the others.
+    ///
+    /// An instance that has just started takes the owners of other ids for gone until it
+    /// has heard its peers, so a balancer must not use it before.
+    pub(super) fn announce_ready(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        if self.ready || self.is_leaving() || self.config_version.0 == 0 {
+            return;
+        }
+        let mut peers = self.membership.peers.iter();
+        let listed = self.membership.list_version() > 0 && self.claims_seen;
+        let unheard = peers.any(|peer| peer.state == PeerState::Learned);
+        if !listed || unheard {
+            self.acquainted_at = None;
+        } else {
+            self.acquainted_at = self.acquainted_at.or(Some(now));
+        }
+        let settled =
+            self.acquainted_at.is_some_and(|at| now.ms_since(at) >= ACQUAINTED_MS);
+        let late = now.ms_since(self.started_at) >= READY_AFTER_MS;
+        if settled || late {
+            self.ready = true;
+            effects.push(Effect::Ready);
+        }
+    }
+
     /// Learns of a handover and gives the forwards to the old owner to the new one.
     ///
     /// The old owner has answered what it knew, and an answer that is still on its way is
--- a/crates/bamboocart-core/src/ownership/resolve.rs
+++ b/crates/bamboocart-core/src/ownership/resolve.rs
@@ -114,9 +114,10 @@
         self.next.insert(from, to);
     }
 
-    /// Returns the handovers, for passing them on to peers.
-    pub fn iter(&self) -> impl Iterator<Item = (&Owner, &Owner)> {
-        self.next.iter()
+    /// Returns the latest handovers, at most `count`, for passing them on to a peer.
+    pub fn latest(&self, count: usize) -> impl Iterator<Item = (&Owner, &Owner)> {
+        let latest = self.order.iter().rev().take(count);
+        latest.filter_map(|from| self.next.get_key_value(from))
     }
 
     /// Returns the last successor that is known.
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -113,8 +113,8 @@
                 );
             }
         }
-        Effect::ConfigInForce { ready, version } => {
-            outputs.ready.store(ready, Ordering::Release);
+        Effect::Ready => outputs.ready.store(true, Ordering::Release),
+        Effect::ConfigInForce { version } => {
             log::info!("configuration {version} is in force");
         }
         Effect::Warn(text) => log::warn!("{text}"),
