--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -71,6 +71,8 @@
         /// The record.
         text: Arc<str>,
     },
+    /// The balancer may send submissions.
+    Ready,
     /// A configuration is in force.
     ConfigInForce {
         /// Its version.
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -120,8 +120,8 @@
                 return Some(Event::AccountAppended { number, confirmed: false });
             }
         }
+        Effect::Ready => outputs.ready.store(true, Ordering::Release),
         Effect::ConfigInForce { version } => {
-            outputs.ready.store(true, Ordering::Release);
             log::info!("configuration {version} is in force");
         }
         Effect::Warn(text) => log::warn!("{text}"),
