Add a measurement of the decisions over real processes

The ideal is the schedule of the same arrivals on the same slots by one scheduler that knows all speeds and has no delay, because the response over the task's own run time alone does not show a task that waited or ran on a slow target.

New commands of bamboocart-standin: register, await, fault, score, table, client-cost. The load generator is unchanged.

--- a/crates/bamboocart-standin/src/lib.rs
+++ b/crates/bamboocart-standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod history;
 pub mod http;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod random;
 pub mod stop;
--- a/crates/bamboocart-standin/src/main.rs
+++ b/crates/bamboocart-standin/src/main.rs
@@ -6,6 +6,7 @@
 use std::thread;
 
 use bamboocart_standin::load;
+use bamboocart_standin::measure;
 use bamboocart_standin::platform::{self, PlatformServer};
 use bamboocart_standin::stop::StopSignals;
 use bamboocart_standin::target::{
@@ -33,6 +34,24 @@
     /// Checks the recorded history of a run; fails if an invariant was violated
     #[bpaf(command)]
     Check(#[bpaf(external(verify::settings))] verify::Settings),
+    /// Registers running instances in the platform's list
+    #[bpaf(command)]
+    Register(#[bpaf(external(measure::register_settings))] measure::RegisterSettings),
+    /// Waits until every instance serves and every target is used
+    #[bpaf(command)]
+    Await(#[bpaf(external(measure::await_settings))] measure::AwaitSettings),
+    /// Sets fault switches of a stand-in
+    #[bpaf(command)]
+    Fault(#[bpaf(external(measure::fault_settings))] measure::FaultSettings),
+    /// Scores the load runs of one cell of a measurement
+    #[bpaf(command)]
+    Score(#[bpaf(external(measure::score_settings))] measure::ScoreSettings),
+    /// Prints the scores of several cells as tables
+    #[bpaf(command)]
+    Table(#[bpaf(external(measure::table_settings))] measure::TableSettings),
+    /// Compares pooled connections with a connection per request
+    #[bpaf(command("client-cost"))]
+    ClientCost(#[bpaf(external(measure::cost_settings))] measure::CostSettings),
 }
 
 /// An error that ends the program.
@@ -67,6 +86,20 @@
         }
         Command::Load(settings) => generate_load(&settings, stop)?,
         Command::Check(settings) => return check_history(&settings),
+        Command::Register(settings) => {
+            let registered = measure::register(&settings)?;
+            report(&serde_json::json!({ "registered": registered }));
+        }
+        Command::Await(settings) => {
+            let waited = measure::await_service(&settings)?;
+            report(&serde_json::json!({ "waited_ms": waited.as_millis() as u64 }));
+        }
+        Command::Fault(settings) => report(&measure::set_fault(&settings)?),
+        Command::Score(settings) => {
+            report(&serde_json::to_value(measure::score(&settings)?)?);
+        }
+        Command::Table(settings) => measure::print_table(&settings)?,
+        Command::ClientCost(settings) => report(&measure::compare_clients(&settings)?),
     }
     Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/crates/bamboocart-standin/src/measure/score.rs
@@ -0,0 +1,333 @@
+//! The measures of one cell, from the histories of its load runs and its targets.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use serde::{Deserialize, Serialize};
+
+use crate::history::SendRecord;
+use crate::target::{KindRunTime, Listed, TargetRow};
+use crate::verify;
+
+use super::Result;
+use super::ideal::{self, Arrival, Slots};
+use super::recovery::{self, Response};
+use super::submissions::{self, Observed};
+
+/// The deadline of kinds for which none is given.
+const DEADLINE_MS: u64 = 30_000;
+
+/// The settings of the scoring.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(score_settings))]
+pub struct ScoreSettings {
+    /// Name of the cell
+    #[bpaf(argument("TEXT"))]
+    cell: String,
+    /// History file of a load run; give one flag per run
+    #[bpaf(argument("FILE"), some("give the history of at least one run"))]
+    history: Vec<PathBuf>,
+    /// Control address of minions or workers; give one flag per process
+    #[bpaf(argument("IP:PORT"), many)]
+    control: Vec<SocketAddr>,
+    /// Speed factors, which the targets were given in turn
+    #[bpaf(argument("X,..."), fallback(Listed::of(1.0)))]
+    speeds: Listed<f64>,
+    /// Number of targets
+    #[bpaf(argument("N"))]
+    targets: u32,
+    /// Slots of each target
+    #[bpaf(argument("N"))]
+    slots: u32,
+    /// Request kind of the highest priority; give one flag per kind
+    #[bpaf(argument("KIND"), many)]
+    first: Vec<String>,
+    /// Deadline of a request kind; give one flag per kind
+    #[bpaf(argument("KIND=MS"), many)]
+    deadline: Vec<KindRunTime>,
+    /// Request kind that may be resent or hedged; give one flag per kind
+    #[bpaf(argument("KIND"), many)]
+    repeatable: Vec<String>,
+    /// Time at the start that is not measured
+    #[bpaf(argument("MS"), fallback(3_000), display_fallback)]
+    warm_up_ms: u64,
+    /// Round trip that the ideal contains
+    #[bpaf(argument("US"), fallback(1_000), display_fallback)]
+    round_trip_us: u64,
+    /// Time of a fault, since the Unix epoch
+    #[bpaf(argument("US"))]
+    fault_at_us: Option<u64>,
+    /// Share of the machine's processor time that was used during the cell
+    #[bpaf(argument("X"), fallback(0.0))]
+    machine_busy: f64,
+    /// Share of the machine's processor time that the cell's own processes used
+    #[bpaf(argument("X"), fallback(0.0))]
+    own_busy: f64,
+}
+
+/// The measures of a cell.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Score {
+    /// The name of the cell.
+    pub cell: String,
+    /// The submissions after the warm-up.
+    pub submissions: u64,
+    /// The submissions that were answered complete in time.
+    pub complete: u64,
+    /// The submissions that the ideal schedule completes in time; 0 for jobs.
+    pub ideal_complete: u64,
+    /// The useful work per second over the capacity of the slots, at speed 1.
+    pub useful: f64,
+    /// The same for the ideal schedule; 0 for jobs.
+    pub ideal_useful: f64,
+    /// The sends to targets, as the targets counted them.
+    pub sends: u64,
+    /// The sends that the targets turned away.
+    pub turned_away: u64,
+    /// The sends and offers to peers, as the answers state them.
+    pub attempts: u64,
+    /// The tasks of complete submissions.
+    pub needed: u64,
+    /// The number of submissions that are not complete, by outcome and code.
+    pub outcomes: BTreeMap<String, u64>,
+    /// The violations that the checker of histories found.
+    pub violations: usize,
+    /// The time to full service after the fault, if there was one and it ended.
+    pub recovery_ms: Option<u64>,
+    /// Whether there was a fault.
+    pub fault: bool,
+    /// Share of the machine's processor time that was used.
+    pub machine_busy: f64,
+    /// Share of the machine's processor time that the cell's own processes used.
+    pub own_busy: f64,
+    /// The measures by request kind.
+    pub kinds: BTreeMap<String, KindScore>,
+}
+
+/// The measures of one request kind.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KindScore {
+    /// The submissions after the warm-up.
+    pub submissions: u64,
+    /// The submissions that were answered complete in time.
+    pub complete: u64,
+    /// The submissions that the ideal schedule completes in time; 0 for jobs.
+    pub ideal_complete: u64,
+    /// The response times in ms.
+    pub response_ms: Quantiles,
+    /// The response times of the ideal schedule in ms.
+    pub ideal_ms: Quantiles,
+    /// The response times over the task's run time where it ran.
+    pub over_own_run: Quantiles,
+}
+
+/// The quantiles that are reported.
+#[derive(Debug, Copy, Clone, Default, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// The median.
+    pub p50: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+    /// The 99.9th percentile.
+    pub p999: f64,
+}
+
+/// A submission next to its end in the ideal schedule.
+struct Pair {
+    observed: Observed,
+    deadline_us: u64,
+    ideal_us: Option<u64>,
+}
+
+/// Scores a cell.
+pub fn score(settings: &ScoreSettings) -> Result<Score> {
+    let records = read_records(&settings.history)?;
+    let observed = submissions::collapse(&records);
+    let rows = read_rows(&settings.control)?;
+    let violations = verify::verify(&verify::Settings {
+        control: settings.control.clone(),
+        history: settings.history.clone(),
+        repeatable: settings.repeatable.clone(),
+    })?;
+    violations.iter().take(3).for_each(|violation| log::warn!("{violation}"));
+    let pairs = pair(settings, observed);
+    let all_needed = pairs.iter().filter(|pair| pair.complete());
+    let needed = all_needed.map(|pair| u64::from(pair.observed.tasks)).sum();
+    let attempts = pairs.iter().map(|pair| u64::from(pair.observed.attempts)).sum();
+    let responses: Vec<Response> = pairs.iter().map(Pair::response).collect();
+    let recovery = |at_us| recovery::recovery_ms(&responses, at_us);
+    let first_us = pairs.first().map_or(0, |pair| pair.observed.due_us);
+    let last_us = pairs.last().map_or(0, |pair| pair.observed.due_us);
+    let warm_us = first_us + settings.warm_up_ms * 1_000;
+    let window = warm_us..last_us;
+    let measured: Vec<&Pair> =
+        pairs.iter().filter(|pair| pair.observed.due_us >= warm_us).collect();
+    let useful = |end: fn(&Pair) -> Option<u64>| {
+        let ended =
+            pairs.iter().filter(|p| end(p).is_some_and(|at| window.contains(&at)));
+        let work_us: u64 = ended.map(|p| p.run_us(settings.round_trip_us)).sum();
+        let span_us = last_us.saturating_sub(warm_us) as f64;
+        work_us as f64 / (span_us * capacity(settings)).max(1.0)
+    };
+    Ok(Score {
+        cell: settings.cell.clone(),
+        submissions: measured.len() as u64,
+        complete: measured.iter().filter(|pair| pair.complete()).count() as u64,
+        ideal_complete: measured.iter().filter(|p| p.ideal_us.is_some()).count() as u64,
+        useful: useful(|pair| pair.observed.complete_us.filter(|_| pair.complete())),
+        ideal_useful: useful(|pair| pair.ideal_us),
+        sends: rows.iter().map(|row| row.starts + row.turned_away).sum(),
+        turned_away: rows.iter().map(|row| row.turned_away).sum(),
+        attempts,
+        needed,
+        outcomes: outcomes(&measured),
+        violations: violations.len(),
+        recovery_ms: settings.fault_at_us.and_then(recovery),
+        fault: settings.fault_at_us.is_some(),
+        machine_busy: settings.machine_busy,
+        own_busy: settings.own_busy,
+        kinds: kind_scores(&measured, settings.round_trip_us),
+    })
+}
+
+impl Pair {
+    /// Returns whether the submission was answered complete in time.
+    fn complete(&self) -> bool {
+        self.observed.complete_us.is_some_and(|at| at <= self.deadline_us)
+    }
+
+    /// Returns the run time of the longest task at speed 1.
+    fn run_us(&self, round_trip_us: u64) -> u64 {
+        self.observed.ideal_us.saturating_sub(round_trip_us)
+    }
+
+    /// Returns the response as the time to full service needs it.
+    fn response(&self) -> Response {
+        let due_us = self.observed.due_us;
+        let end_us = self.observed.complete_us.filter(|_| self.complete());
+        let ratio = end_us.map(|at| (at - due_us) as f64 / self.observed.ideal_us as f64);
+        Response { due_us, ratio }
+    }
+}
+
+/// Reads the history files.
+fn read_records(paths: &[PathBuf]) -> Result<Vec<SendRecord>> {
+    let mut records = Vec::new();
+    for path in paths {
+        for line in BufReader::new(File::open(path)?).lines() {
+            records.push(serde_json::from_str(&line?)?);
+        }
+    }
+    Ok(records)
+}
+
+/// Reads the states of all targets.
+fn read_rows(controls: &[SocketAddr]) -> Result<Vec<TargetRow>> {
+    let mut rows = Vec::new();
+    for control in controls {
+        let url = format!("http://{control}/targets");
+        rows.extend(attohttpc::get(url).send()?.json::<Vec<TargetRow>>()?);
+    }
+    Ok(rows)
+}
+
+/// Puts each submission next to its end in the ideal schedule.
+fn pair(settings: &ScoreSettings, observed: Vec<Observed>) -> Vec<Pair> {
+    let deadline_ms = |kind: &str| {
+        let given = settings.deadline.iter().find(|entry| entry.kind == kind);
+        given.map_or(DEADLINE_MS, |entry| entry.run_ms as u64)
+    };
+    let arrival = |observed: &Observed| Arrival {
+        due_us: observed.due_us,
+        deadline_us: observed.due_us + deadline_ms(observed.kind.as_str()) * 1_000,
+        run_us: observed.ideal_us.saturating_sub(settings.round_trip_us),
+        rank: u8::from(!settings.first.iter().any(|k| k == observed.kind.as_str())),
+    };
+    let arrivals: Vec<Arrival> = observed.iter().map(arrival).collect();
+    let requests_only = observed.iter().all(|observed| observed.tasks == 1);
+    let ends = match requests_only {
+        true => ideal::schedule(&arrivals, &slots(settings)),
+        false => vec![None; observed.len()],
+    };
+    let pairs = observed.into_iter().zip(arrivals).zip(ends);
+    pairs
+        .map(|((observed, arrival), ideal_us)| Pair {
+            observed,
+            deadline_us: arrival.deadline_us,
+            ideal_us,
+        })
+        .collect()
+}
+
+/// Returns the slots of all targets.
+fn slots(settings: &ScoreSettings) -> Vec<Slots> {
+    let speed = |index: u32| *settings.speeds.in_turn(index as usize);
+    let targets = 0..settings.targets;
+    targets.map(|i| Slots { speed: speed(i), count: settings.slots }).collect()
+}
+
+/// Returns the work that all slots do per unit of time, in work at speed 1.
+fn capacity(settings: &ScoreSettings) -> f64 {
+    slots(settings).iter().map(|slots| slots.speed * f64::from(slots.count)).sum()
+}
+
+/// Counts the submissions that are not complete.
+fn outcomes(pairs: &[&Pair]) -> BTreeMap<String, u64> {
+    let mut outcomes = BTreeMap::new();
+    for pair in pairs.iter().filter(|pair| !pair.complete()) {
+        *outcomes.entry(pair.observed.outcome.clone()).or_default() += 1;
+    }
+    outcomes
+}
+
+/// Returns the measures by request kind.
+fn kind_scores(pairs: &[&Pair], round_trip_us: u64) -> BTreeMap<String, KindScore> {
+    let mut by_kind: BTreeMap<String, Vec<&Pair>> = BTreeMap::new();
+    for pair in pairs {
+        by_kind.entry(pair.observed.kind.to_string()).or_default().push(pair);
+    }
+    let score = |pairs: Vec<&Pair>| kind_score(&pairs, round_trip_us);
+    by_kind.into_iter().map(|(kind, pairs)| (kind, score(pairs))).collect()
+}
+
+/// Returns the measures of one request kind.
+fn kind_score(pairs: &[&Pair], round_trip_us: u64) -> KindScore {
+    let complete: Vec<&&Pair> = pairs.iter().filter(|pair| pair.complete()).collect();
+    let response_us = |pair: &Pair| {
+        pair.observed.complete_us.unwrap_or_default() - pair.observed.due_us
+    };
+    let ideal_us = |pair: &&Pair| Some(pair.ideal_us? + round_trip_us);
+    let over_own = |pair: &&&Pair| {
+        let own_us = pair.observed.own_run_us? + round_trip_us;
+        Some(response_us(pair) as f64 / own_us as f64)
+    };
+    KindScore {
+        submissions: pairs.len() as u64,
+        complete: complete.len() as u64,
+        ideal_complete: pairs.iter().filter(|p| p.ideal_us.is_some()).count() as u64,
+        response_ms: quantiles(
+            complete.iter().map(|p| response_us(p) as f64 / 1e3).collect(),
+        ),
+        ideal_ms: quantiles(
+            pairs
+                .iter()
+                .filter_map(|p| Some((ideal_us(p)? - p.observed.due_us) as f64 / 1e3))
+                .collect(),
+        ),
+        over_own_run: quantiles(complete.iter().filter_map(over_own).collect()),
+    }
+}
+
+/// Returns the quantiles of values, 0 if there are none.
+fn quantiles(mut values: Vec<f64>) -> Quantiles {
+    values.sort_by(f64::total_cmp);
+    let at = |quantile: f64| {
+        let rank = (values.len() as f64 * quantile).ceil() as usize;
+        values.get(rank.saturating_sub(1)).copied().unwrap_or_default()
+    };
+    Quantiles { p50: at(0.5), p99: at(0.99), p999: at(0.999) }
+}
--- /dev/null
+++ b/crates/bamboocart-standin/src/measure/submissions.rs
@@ -0,0 +1,94 @@
+//! The calls of a run, taken together by submission.
+
+use std::collections::BTreeMap;
+
+use bamboocart_core::id::KindName;
+use bamboocart_wire::api::{AnswerBody, OutcomeName};
+use serde::Deserialize;
+
+use crate::history::{Purpose, SendRecord};
+
+/// One submission with the calls that concern it.
+#[derive(Debug, Clone)]
+pub struct Observed {
+    /// The request kind.
+    pub kind: KindName,
+    /// The number of tasks.
+    pub tasks: u16,
+    /// When it was due.
+    pub due_us: u64,
+    /// The run time of its longest task at speed 1, plus one round trip.
+    pub ideal_us: u64,
+    /// When the first complete answer arrived.
+    pub complete_us: Option<u64>,
+    /// The run time of its longest task on the target that it ran on.
+    pub own_run_us: Option<u64>,
+    /// The outcome and code of the last answer, or that there was none.
+    pub outcome: String,
+    /// The largest number of sends in any of its answers.
+    pub attempts: u32,
+}
+
+/// The part of a stand-in's result that tells how long the task ran.
+#[derive(Debug, Deserialize)]
+struct Ran {
+    run_ms: u64,
+}
+
+/// Takes the calls together by submission, ordered by the time at which they were due.
+pub fn collapse(records: &[SendRecord]) -> Vec<Observed> {
+    let mut by_mark: BTreeMap<&str, Observed> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.purpose != Purpose::Cancel) {
+        let observed = by_mark.entry(&record.mark).or_insert_with(|| Observed {
+            kind: record.kind.clone(),
+            tasks: record.tasks,
+            due_us: record.due_us.as_us(),
+            ideal_us: record.ideal_us,
+            complete_us: None,
+            own_run_us: None,
+            outcome: String::new(),
+            attempts: 0,
+        });
+        observed.add(record);
+    }
+    let mut observed: Vec<Observed> = by_mark.into_values().collect();
+    observed.sort_by_key(|observed| observed.due_us);
+    observed
+}
+
+impl Observed {
+    /// Adds a call.
+    fn add(&mut self, record: &SendRecord) {
+        if self.complete_us.is_some() {
+            return;
+        }
+        let Some(answer) = &record.answer else {
+            self.outcome = "unanswered".into();
+            return;
+        };
+        self.attempts = self.attempts.max(answer.attempts);
+        self.outcome = format!("{}/{}", name(answer.outcome), answer.code);
+        if answer.outcome == OutcomeName::Complete {
+            self.complete_us = Some(record.ended_us.as_us());
+            self.own_run_us = own_run_us(answer);
+        }
+    }
+}
+
+/// Returns the name of an outcome.
+fn name(outcome: OutcomeName) -> &'static str {
+    match outcome {
+        OutcomeName::Complete => "complete",
+        OutcomeName::Failed => "failed",
+        OutcomeName::Refused => "refused",
+        OutcomeName::Cancelled => "cancelled",
+        OutcomeName::Unknown => "unknown",
+    }
+}
+
+/// Returns the run time of the longest task of an answer.
+fn own_run_us(answer: &AnswerBody) -> Option<u64> {
+    let run_ms = |body: &[u8]| Some(serde_json::from_slice::<Ran>(body).ok()?.run_ms);
+    let longest_ms = answer.results.iter().filter_map(|r| run_ms(&r.body)).max();
+    longest_ms.map(|ms| ms * 1_000)
+}
--- a/crates/bamboocart-standin/src/target/mod.rs
+++ b/crates/bamboocart-standin/src/target/mod.rs
@@ -19,6 +19,7 @@
 pub use self::leases::{Grant, Leases};
 pub use self::run_time::RunTimes;
 pub use self::settings::{
-    FleetSettings, MinionSettings, WorkerSettings, minion_settings, worker_settings,
+    FleetSettings, KindRunTime, Listed, MinionSettings, WorkerSettings, minion_settings,
+    worker_settings,
 };
 pub use self::usage::UsageBody;
--- /dev/null
+++ b/crates/bamboocart-standin/tests/measure.rs
@@ -0,0 +1,73 @@
+//! Tests of the reference values that measurements are compared with.
+
+use bamboocart_standin::measure::{Arrival, Response, Slots, recovery_ms, schedule};
+use yare::parameterized;
+
+/// A case of the ideal schedule.
+struct Case {
+    /// Time of arrival, run time and rank of each request, in ms.
+    arrivals: &'static [(u64, u64, u8)],
+    /// The speeds of single slots.
+    speeds: &'static [f64],
+    /// When each request ends, in ms.
+    ended: &'static [Option<u64>],
+}
+
+/// The time after its arrival at which every request of the cases needs its answer.
+const DEADLINE_MS: u64 = 1_000;
+
+/// An ideal that is too good or too bad would move every ratio of a measurement.
+#[parameterized(
+    fastest_slot_first = { Case {
+        arrivals: &[(0, 100, 1), (0, 100, 1)],
+        speeds: &[1.0, 2.0],
+        ended: &[Some(50), Some(100)],
+    } },
+    waits_for_the_first_free_slot = { Case {
+        arrivals: &[(0, 100, 1), (10, 100, 1)],
+        speeds: &[1.0],
+        ended: &[Some(100), Some(200)],
+    } },
+    higher_priority_overtakes = { Case {
+        arrivals: &[(0, 100, 1), (10, 100, 1), (20, 100, 0)],
+        speeds: &[1.0],
+        ended: &[Some(100), Some(300), Some(200)],
+    } },
+    hopeless_request_takes_no_slot = { Case {
+        arrivals: &[(0, 600, 1), (1, 600, 1), (2, 300, 1)],
+        speeds: &[1.0],
+        ended: &[Some(600), None, Some(900)],
+    } },
+)]
+fn ideal_schedule(case: Case) {
+    let arrivals: Vec<Arrival> = case
+        .arrivals
+        .iter()
+        .map(|&(due_ms, run_ms, rank)| Arrival {
+            due_us: due_ms * 1_000,
+            deadline_us: (due_ms + DEADLINE_MS) * 1_000,
+            run_us: run_ms * 1_000,
+            rank,
+        })
+        .collect();
+    let slots: Vec<Slots> =
+        case.speeds.iter().map(|&speed| Slots { speed, count: 1 }).collect();
+    let ended: Vec<Option<u64>> =
+        schedule(&arrivals, &slots).into_iter().map(|e| e.map(|us| us / 1_000)).collect();
+    assert_eq!(ended, case.ended);
+}
+
+/// Without the bound at the end of the run, a system that never recovers looks recovered.
+#[parameterized(
+    never_disturbed = { &[], Some(0) },
+    failures_for_a_while = { &[(1_000, 1_900)], Some(1_000) },
+    failures_until_the_end = { &[(1_000, 5_000)], None },
+)]
+fn time_to_full_service(failing_ms: &[(u64, u64)], expected_ms: Option<u64>) {
+    let respond = |at_ms: u64| {
+        let failing = failing_ms.iter().any(|&(from, to)| (from..to).contains(&at_ms));
+        Response { due_us: at_ms * 1_000, ratio: (!failing).then_some(1.1) }
+    };
+    let responses: Vec<Response> = (0..5_000).step_by(10).map(respond).collect();
+    assert_eq!(recovery_ms(&responses, 1_000_000), expected_ms);
+}
