Share the status body between instances and the command line

Cause: the wire crate and the core each described GET /v1/status, and GET /v1/config named its version differently from what the command line reads. The command line could not read the answers of a real instance.

Change: the core's status is the body, with the names failure_domain, queued and running and with the peers' states as an enumeration; the wire crate re-exports it. GET /v1/config answers {config_version, set}, with version 0 while none is in force. The command line shows peers and groups of one instance, and sends a traceparent of its own with submissions and prints the trace id.

--- a/crates/bamboocart-cli/src/commands/job.rs
+++ b/crates/bamboocart-cli/src/commands/job.rs
@@ -10,6 +10,7 @@
 use crate::instance::Instance;
 use crate::report::{EXIT_CODES, Report};
 use crate::settings::{Common, Faults};
+use crate::trace::Trace;
 
 /// Submit a job of several tasks and print its answer
 #[derive(Debug, Clone, Bpaf)]
@@ -48,8 +49,9 @@
             tasks,
             want_tickets: 0,
         };
-        let answer = Instance::new(address, settings.timeout_ms).job(&body);
-        report(answer, &submission.id)
+        let trace = Trace::start();
+        let answer = Instance::new(address, settings.timeout_ms).job(&body, trace);
+        report(answer, &submission.id, trace)
     }
 }
 
--- a/crates/bamboocart-cli/src/commands/status.rs
+++ b/crates/bamboocart-cli/src/commands/status.rs
@@ -7,7 +7,7 @@
 use bamboocart_core::config::Role;
 use bamboocart_core::id::ConfigVersion;
 use bamboocart_platform::{ListState, Platform};
-use bamboocart_wire::status::StatusBody;
+use bamboocart_wire::status::{self, PeerState};
 use bpaf::Bpaf;
 use serde::Serialize;
 use serde_json::json;
@@ -57,6 +57,9 @@
         let silent: Vec<_> =
             answers.iter().filter(|(_, a)| a.is_none()).map(|(name, _)| name).collect();
         let mut lines: Vec<_> = known.iter().map(|status| describe(status)).collect();
+        if let ([status], Some(_)) = (known.as_slice(), settings.instance) {
+            lines.extend(details(status));
+        }
         lines.extend(silent.iter().map(|name| format!("{name}: no answer")));
         let exit = if silent.is_empty() { Exit::Done } else { Exit::NoAnswer };
         let json = json!({ "instances": known, "silent": silent });
@@ -142,7 +145,7 @@
 fn ask_all(
     instances: &BTreeMap<String, String>,
     timeout_ms: u64,
-) -> BTreeMap<String, Option<StatusBody>> {
+) -> BTreeMap<String, Option<status::Status>> {
     let mut answers = BTreeMap::new();
     let all: Vec<_> = instances.iter().collect();
     for batch in all.chunks(BATCH) {
@@ -166,17 +169,48 @@
 }
 
 /// Describes an instance in one line.
-fn describe(status: &StatusBody) -> String {
-    let state = json!(status.state);
+fn describe(status: &status::Status) -> String {
+    let live = status.peers.iter().filter(|peer| peer.state == PeerState::Live);
+    let used = status.targets.iter().filter(|target| !target.retired);
+    let stale = if status.list_is_stale { ", instance list is stale" } else { "" };
     format!(
-        "{} in {}: {}, version {}, {} peers, {} targets, {} queued, {} running",
+        "{} in {}: {}, version {}, {} of {} peers live, {} targets, {} queued, \
+         {} running{stale}",
         status.instance,
         status.failure_domain,
-        state.as_str().unwrap_or_default(),
+        name(&status.state),
         status.config_version,
+        live.count(),
         status.peers.len(),
-        status.targets.len(),
+        used.count(),
         status.queued,
         status.running
     )
 }
+
+/// Describes the peers and the target groups of an instance.
+fn details(status: &status::Status) -> Vec<String> {
+    let group = |group: &status::GroupStatus| {
+        format!(
+            "  group {}: {} queued, {} of {} slots free, {} targets ejected",
+            group.name, group.queued, group.free_slots, group.slots, group.ejected
+        )
+    };
+    let peer = |peer: &status::PeerStatus| {
+        let leaving = if peer.leaving { ", leaving" } else { "" };
+        format!(
+            "  peer {} in {}: {}{leaving}, version {}",
+            peer.name,
+            peer.failure_domain,
+            name(&peer.state),
+            peer.config_version
+        )
+    };
+    let groups = status.groups.iter().map(group);
+    groups.chain(status.peers.iter().map(peer)).collect()
+}
+
+/// Returns the name of a state as in JSON.
+fn name(state: &impl Serialize) -> String {
+    json!(state).as_str().unwrap_or_default().to_owned()
+}
--- a/crates/bamboocart-cli/src/commands/submit.rs
+++ b/crates/bamboocart-cli/src/commands/submit.rs
@@ -6,6 +6,7 @@
 use bamboocart_wire::api::{AnswerBody, RequestBody};
 use bpaf::Bpaf;
 use bytes::Bytes;
+use serde::Serialize;
 use snafu::ResultExt;
 use uuid::Uuid;
 
@@ -13,6 +14,7 @@
 use crate::instance::Instance;
 use crate::report::{EXIT_CODES, Exit, Report};
 use crate::settings::{Common, Faults};
+use crate::trace::Trace;
 
 /// The deadlines that can be asked for.
 pub const DEADLINE_MS: RangeInclusive<u64> = 1..=86_400_000;
@@ -87,8 +89,9 @@
             payload: Bytes::from(payload),
             want_tickets: 0,
         };
-        let answer = Instance::new(address, settings.timeout_ms).request(&body);
-        report(answer, &submission.id)
+        let trace = Trace::start();
+        let answer = Instance::new(address, settings.timeout_ms).request(&body, trace);
+        report(answer, &submission.id, trace)
     }
 }
 
@@ -109,17 +112,36 @@
     }
 }
 
+/// An answer with the trace that it belongs to.
+#[derive(Debug, Serialize)]
+struct Traced {
+    /// The trace.
+    trace_id: String,
+    /// The answer.
+    #[serde(flatten)]
+    answer: AnswerBody,
+}
+
 /// Tells the outcome of a submission, or its id if there is no answer.
-pub fn report(answer: Result<AnswerBody>, id: &SubmissionId) -> Result<Report> {
+pub fn report(
+    answer: Result<AnswerBody>,
+    id: &SubmissionId,
+    trace: Trace,
+) -> Result<Report> {
     let answer = match answer {
         Err(error) if error.had_no_effect() => return Err(error),
-        answer => answer.context(UnansweredSnafu { submission: id.to_string() })?,
+        answer => answer.context(UnansweredSnafu {
+            submission: id.to_string(),
+            trace_id: trace.to_string(),
+        })?,
     };
-    let mut lines = vec![format!("{id}: {}", answer.code)];
+    let mut lines = vec![format!("{id}: {} (trace {trace})", answer.code)];
     lines.extend((!answer.message.is_empty()).then(|| answer.message.clone()));
     let results = answer.results.iter();
     lines.extend(
         results.map(|r| format!("{}: {}", r.task.0, String::from_utf8_lossy(&r.body))),
     );
-    Ok(Report::new(Exit::from(answer.outcome), &answer, lines.join("\n")))
+    let exit = Exit::from(answer.outcome);
+    let traced = Traced { trace_id: trace.to_string(), answer };
+    Ok(Report::new(exit, traced, lines.join("\n")))
 }
--- a/crates/bamboocart-cli/src/error.rs
+++ b/crates/bamboocart-cli/src/error.rs
@@ -81,11 +81,13 @@
     /// An answer to a submission did not arrive.
     #[snafu(display(
         "no answer for {submission}, which may have run: {source}; ask again with \
-         --submission {submission}"
+         --submission {submission} (trace {trace_id})"
     ))]
     Unanswered {
         /// The submission.
         submission: String,
+        /// The trace.
+        trace_id: String,
         /// The cause.
         #[snafu(source(from(Error, Box::new)))]
         source: Box<Error>,
@@ -127,8 +129,10 @@
             Self::Findings { findings } => {
                 Report::new(Exit::Faulty, json!({ "findings": findings }), text)
             }
-            Self::Unanswered { submission, .. } => {
-                let json = json!({ "error": text, "submission": submission });
+            Self::Unanswered { submission, trace_id, .. } => {
+                let json = json!({
+                    "error": text, "submission": submission, "trace_id": trace_id,
+                });
                 Report::new(Exit::Unknown, json, text)
             }
             Self::AppendUnknown { publication, .. } => {
--- a/crates/bamboocart-cli/src/instance.rs
+++ b/crates/bamboocart-cli/src/instance.rs
@@ -5,13 +5,14 @@
 
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
 use bamboocart_wire::api::{AnswerBody, JobBody, RequestBody};
-use bamboocart_wire::status::{ConfigBody, StatusBody};
+use bamboocart_wire::status::{ConfigBody, Status};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use snafu::ResultExt;
 
 use crate::error::{InstanceSnafu, Result, StatusSnafu};
+use crate::trace::Trace;
 
 /// A handle to an instance.
 #[derive(Debug, Clone)]
@@ -34,7 +35,7 @@
     }
 
     /// Reads the status.
-    pub fn status(&self) -> Result<StatusBody> {
+    pub fn status(&self) -> Result<Status> {
         self.read(self.call(Method::GET, "/v1/status"), "read the status")
     }
 
@@ -56,13 +57,13 @@
     }
 
     /// Submits a request.
-    pub fn request(&self, body: &RequestBody) -> Result<AnswerBody> {
-        self.submit("/v1/requests", body)
+    pub fn request(&self, body: &RequestBody, trace: Trace) -> Result<AnswerBody> {
+        self.submit("/v1/requests", body, trace)
     }
 
     /// Submits a job.
-    pub fn job(&self, body: &JobBody) -> Result<AnswerBody> {
-        self.submit("/v1/jobs", body)
+    pub fn job(&self, body: &JobBody, trace: Trace) -> Result<AnswerBody> {
+        self.submit("/v1/jobs", body, trace)
     }
 
     /// Cancels a submission.
@@ -72,9 +73,14 @@
     }
 
     /// Sends a body and reads the answer of the submission.
-    fn submit(&self, path: &str, body: &impl Serialize) -> Result<AnswerBody> {
+    fn submit(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        trace: Trace,
+    ) -> Result<AnswerBody> {
         let what = "submit";
-        let request = self.call(Method::POST, path);
+        let request = trace.mark(self.call(Method::POST, path));
         let request =
             request.json(body).context(InstanceSnafu { what, address: &self.address })?;
         self.answer(request, what)
--- a/crates/bamboocart-cli/tests/cli_commands.rs
+++ b/crates/bamboocart-cli/tests/cli_commands.rs
@@ -126,7 +126,7 @@
     assert_eq!(result["silent"], json!(["two"]));
     let (exit, text) = run_text(&["status", "--instance", &one], &[]);
     assert_eq!(exit, 0);
-    assert!(text.starts_with("one in a: serving, version 3, 0 peers"), "{text}");
+    assert!(text.starts_with("one in a: serving, version 3, 0 of 0 peers"), "{text}");
 }
 
 // Guards against commands that use another path than the instance serves.
--- a/crates/bamboocart-cli/tests/fake/mod.rs
+++ b/crates/bamboocart-cli/tests/fake/mod.rs
@@ -114,7 +114,9 @@
 pub fn status(name: &str, version: u64) -> Value {
     json!({
         "instance": name, "failure_domain": "a", "incarnation": 1, "state": "serving",
-        "config_version": version, "peers": [], "targets": [], "queued": 2, "running": 1,
+        "config_version": version, "newest_peer_version": version, "peers": [],
+        "groups": [], "targets": [], "queued": 2, "running": 1, "open_submissions": 3,
+        "list_is_stale": false, "late_answers": 0,
     })
 }
 
--- a/crates/bamboocart-core/src/engine/status.rs
+++ b/crates/bamboocart-core/src/engine/status.rs
@@ -10,13 +10,13 @@
 use crate::ownership::Stage;
 use crate::time::Timestamp;
 
-/// The state of an instance.
+/// The state of an instance, which is also the body of `GET /v1/status`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Status {
     /// The instance.
     pub instance: InstanceName,
     /// Its failure domain.
-    pub domain: DomainName,
+    pub failure_domain: DomainName,
     /// The run of its process.
     pub incarnation: Incarnation,
     /// How far it is in its life.
@@ -31,10 +31,12 @@
     pub groups: Vec<GroupStatus>,
     /// The targets that the instance uses.
     pub targets: Vec<TargetStatus>,
+    /// The tasks that wait in all target groups.
+    pub queued: usize,
+    /// The sends to targets that have not ended.
+    pub running: usize,
     /// The submissions without an answer.
     pub open_submissions: usize,
-    /// The sends that have not ended.
-    pub sends: usize,
     /// Whether the platform's list is out of date.
     pub list_is_stale: bool,
     /// The answers that were late or crossed and dropped.
@@ -61,11 +63,11 @@
     /// The peer.
     pub name: InstanceName,
     /// Its failure domain.
-    pub domain: DomainName,
+    pub failure_domain: DomainName,
     /// The run of its process.
     pub incarnation: Incarnation,
     /// How it seems to be.
-    pub state: String,
+    pub state: PeerState,
     /// Whether it is leaving.
     pub leaving: bool,
     /// Its configuration in force.
@@ -113,7 +115,7 @@
         };
         Status {
             instance: self.me.instance.clone(),
-            domain: self.setup.domain.clone(),
+            failure_domain: self.setup.domain.clone(),
             incarnation: self.me.incarnation,
             state,
             config_version: self.config_version,
@@ -121,8 +123,9 @@
             peers: self.peer_statuses(),
             groups: self.group_statuses(),
             targets: self.target_statuses(),
+            queued: self.groups.values().map(|group| group.queue.len()).sum(),
+            running: self.attempts.len(),
             open_submissions: self.tenure.open(),
-            sends: self.attempts.len(),
             list_is_stale: self.membership.is_stale(now),
             late_answers: self.late_answers,
         }
@@ -132,9 +135,9 @@
     fn peer_statuses(&self) -> Vec<PeerStatus> {
         let describe = |peer: &crate::membership::Peer| PeerStatus {
             name: peer.info.name.clone(),
-            domain: peer.info.domain.clone(),
+            failure_domain: peer.info.domain.clone(),
             incarnation: peer.info.incarnation,
-            state: state_name(peer.state).into(),
+            state: peer.state,
             leaving: peer.leaving,
             config_version: peer.config_version,
         };
@@ -168,14 +171,3 @@
         self.targets.iter().map(describe).collect()
     }
 }
-
-/// Returns the name of a peer's state.
-const fn state_name(state: PeerState) -> &'static str {
-    match state {
-        PeerState::Learned => "learned",
-        PeerState::Live => "live",
-        PeerState::Suspect => "suspect",
-        PeerState::Dead => "dead",
-        PeerState::Returning => "returning",
-    }
-}
--- a/crates/bamboocart-core/src/membership/peers.rs
+++ b/crates/bamboocart-core/src/membership/peers.rs
@@ -64,7 +64,8 @@
 }
 
 /// How an instance seems to be.
-#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum PeerState {
     /// Named by others and not heard yet.
     Learned,
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -13,6 +13,7 @@
     AnswerBody, AnswerContext, CancelBody, JobBody, RequestBody, TaskBody, TicketBody,
     refuse_early,
 };
+use bamboocart_wire::status::ConfigBody;
 use bytes::Bytes;
 use crossbeam::channel::Sender;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -21,7 +22,6 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 
 use crate::waiters::Waiters;
 
@@ -203,10 +203,10 @@
     match reply {
         Reply::Status(status) => json(200, &status),
         Reply::Config { version, .. } if version.0 == 0 => {
-            json(503, &serde_json::json!({ "code": "not-configured" }))
+            json(200, &ConfigBody::default())
         }
-        Reply::Config { version, text } => match serde_json::from_str::<Value>(&text) {
-            Ok(set) => json(200, &serde_json::json!({ "version": version, "set": set })),
+        Reply::Config { version, text } => match serde_json::from_str(&text) {
+            Ok(set) => json(200, &ConfigBody { config_version: version, set }),
             Err(error) => json(500, &serde_json::json!({ "code": error.to_string() })),
         },
         Reply::Tickets(tickets) => json(200, &serde_json::json!({"tickets": tickets})),
