Verify and show the account on the command line

Cause: account verify fetched the records and said that it could not verify them.

Change: the core's verification takes records one by one, so that the command line reads the stream in pages and holds one page at a time. account verify prints faults, the head of each incarnation, starts by reason, totals by customer and gaps, and ends with 10 if there are faults or no records. account show prints the newest entries, filtered by submission or customer, in bounded memory.

--- /dev/null
+++ b/crates/bamboocart-cli/src/commands/account/verify.rs
@@ -0,0 +1,167 @@
+//! The command `account verify`.
+
+use bamboocart_core::account::{
+    Finding, GapReport, IncarnationSummary, StreamRecord, Verdict, Verifier,
+    VerifySettings,
+};
+use bamboocart_platform::Platform;
+use bpaf::Bpaf;
+use serde_json::{Value, json};
+
+use super::{Extent, read_account};
+use crate::error::Result;
+use crate::report::{EXIT_CODES, Exit, Report};
+use crate::settings::{Common, Faults};
+
+/// The settings that tolerances can have.
+const TOLERANCE_MS: std::ops::RangeInclusive<u64> = 0..=86_400_000;
+
+/// Verify the chains, the sequence and the scheduling order of the account
+///
+/// Keep the printed heads elsewhere: a later verification must show the same head for
+/// an incarnation that was closed.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("verify"), footer(EXIT_CODES))]
+pub struct Verify {
+    /// Settings of every command
+    #[bpaf(external(crate::settings::common))]
+    pub common: Common,
+    /// Difference allowed between the clocks of instances and log (default 2000)
+    #[bpaf(long, env("BAMBOOCART_CLOCK_TOLERANCE_MS"), argument("MS"))]
+    clock_tolerance_ms: Option<String>,
+    /// Time from an entry to its append beyond which it is listed as late (default
+    /// 10000)
+    #[bpaf(long, env("BAMBOOCART_DELAY_MS"), argument("MS"))]
+    delay_ms: Option<String>,
+}
+
+impl Verify {
+    /// Runs the command.
+    pub fn run(&self) -> Result<Report> {
+        let mut faults = Faults::default();
+        let settings = self.common.check(&mut faults);
+        let tolerance = self.clock_tolerance_ms.as_deref();
+        let tolerance = faults.number("--clock-tolerance-ms", tolerance, TOLERANCE_MS);
+        let delay = faults.number("--delay-ms", self.delay_ms.as_deref(), TOLERANCE_MS);
+        let Some(address) = faults.need("--platform", settings.platform) else {
+            return Err(faults.into_error());
+        };
+        faults.finish()?;
+        let default = VerifySettings::default();
+        let mut verifier = Verifier::new(VerifySettings {
+            clock_tolerance_ms: tolerance.unwrap_or(default.clock_tolerance_ms),
+            delay_ms: delay.unwrap_or(default.delay_ms),
+            ..default
+        });
+        let platform = Platform::new(&address.to_string());
+        let extent = read_account(&platform, |record| {
+            let (offset, at_ms, text) = (record.offset, record.at_ms, &*record.body);
+            verifier.read(&StreamRecord { offset, at_ms, text });
+        })?;
+        Ok(report(extent, &verifier.finish()))
+    }
+}
+
+/// Tells the verdict.
+fn report(extent: Extent, verdict: &Verdict) -> Report {
+    let Extent { records, start, end } = extent;
+    let is_verified = verdict.is_clean() && records > 0;
+    let entries: u64 = verdict.incarnations.iter().map(|it| it.entries).sum();
+    let count = verdict.findings.len() as u64 + verdict.omitted;
+    let result = match (records, count) {
+        (0, _) => "not verified: the log has no account".to_owned(),
+        (_, 0) => "verified, no faults".to_owned(),
+        _ => format!("not verified, {count} faults"),
+    };
+    let mut lines = vec![format!(
+        "{result}; read {records} records from offset {start} on with {entries} entries \
+         of {} incarnations",
+        verdict.incarnations.len()
+    )];
+    lines.extend(verdict.findings.iter().map(describe_finding));
+    lines.extend(verdict.incarnations.iter().flat_map(describe_incarnation));
+    let json = json!({
+        "is_verified": is_verified,
+        "records": records,
+        "start": start,
+        "end": end,
+        "findings": verdict.findings.iter().map(finding_json).collect::<Vec<_>>(),
+        "omitted_findings": verdict.omitted,
+        "incarnations": verdict.incarnations,
+    });
+    let exit = if is_verified { Exit::Done } else { Exit::NotVerified };
+    Report::new(exit, json, lines.join("\n"))
+}
+
+/// Describes a fault with its place.
+fn describe_finding(finding: &Finding) -> String {
+    let account = finding.account.as_ref();
+    let account =
+        account.map(|(instance, run)| format!(", {instance}/{run}", run = run.0));
+    let entry = finding.sequence.map(|sequence| format!(", entry {sequence}"));
+    format!(
+        "fault at offset {}{}{}: {}",
+        finding.offset,
+        account.unwrap_or_default(),
+        entry.unwrap_or_default(),
+        finding.fault
+    )
+}
+
+/// Returns a fault with its place for programs.
+fn finding_json(finding: &Finding) -> Value {
+    json!({
+        "offset": finding.offset,
+        "instance": finding.account.as_ref().map(|(instance, _)| instance),
+        "incarnation": finding.account.as_ref().map(|(_, incarnation)| incarnation),
+        "sequence": finding.sequence,
+        "message": finding.fault.to_string(),
+    })
+}
+
+/// Describes the account of an incarnation.
+fn describe_incarnation(summary: &IncarnationSummary) -> Vec<String> {
+    let end = if summary.closed { "closed" } else { "not closed" };
+    let mut lines = vec![format!(
+        "{}/{}: {} entries in {} batches, {end}, head {}",
+        summary.instance,
+        summary.incarnation.0,
+        summary.entries,
+        summary.batches,
+        summary.head
+    )];
+    let starts = &summary.starts;
+    let reasons = starts.by_reason.iter();
+    let reasons = reasons
+        .map(|(reason, n)| format!("{} {n}", json!(reason).as_str().unwrap_or_default()));
+    let unchecked = (starts.unchecked > 0)
+        .then(|| format!("{} not checked, admitted in a gap", starts.unchecked));
+    let reasons: Vec<String> = reasons.chain(unchecked).collect();
+    if !reasons.is_empty() {
+        lines.push(format!("  starts: {}", reasons.join(", ")));
+    }
+    lines.extend(summary.customers.iter().map(|(customer, totals)| {
+        format!(
+            "  {customer}: {} tasks admitted, {} starts, {} submissions complete, {} \
+             otherwise, {} refused",
+            totals.admitted_tasks,
+            totals.starts,
+            totals.complete,
+            totals.otherwise,
+            totals.refused
+        )
+    }));
+    lines.extend(summary.gaps.iter().map(describe_gap));
+    lines
+}
+
+/// Describes entries that are missing or came late.
+fn describe_gap(gap: &GapReport) -> String {
+    let cause = json!(gap.cause);
+    let last = gap.last_sequence.map_or("the end".to_owned(), |last| last.to_string());
+    format!(
+        "  gap: {}, entries {} to {last}",
+        cause.as_str().unwrap_or_default(),
+        gap.first_sequence
+    )
+}
--- a/crates/bamboocart-cli/src/report.rs
+++ b/crates/bamboocart-cli/src/report.rs
@@ -19,7 +19,7 @@
     7 failed; \
     8 cancelled; \
     9 outcome unknown, may have run; \
-    10 the account was not verified";
+    10 the account has faults, or the log has no account";
 
 /// The result of a command.
 #[derive(Debug)]
@@ -55,7 +55,7 @@
     Cancelled = 8,
     /// The submission may have run.
     Unknown = 9,
-    /// The account was fetched but not verified.
+    /// The account has faults, or there is none.
     NotVerified = 10,
 }
 
--- /dev/null
+++ b/crates/bamboocart-cli/tests/cli_account.rs
@@ -0,0 +1,148 @@
+//! Tests of the account's commands against a stand-in for the platform.
+
+mod fake;
+
+use bamboocart_core::account::{
+    AnswerKind, Chain, Claim, Fact, FinishResult, StartReason, Subject, TaskRange,
+};
+use bamboocart_core::id::{Attempt, ConfigVersion, Incarnation, SubmissionId, TaskIndex};
+use bamboocart_core::time::Timestamp;
+use serde_json::json;
+use uuid::Uuid;
+use yare::parameterized;
+
+use self::fake::{Platform, platform, run, run_text};
+
+/// The submissions of the account, one in each record; the stand-in turns a page after
+/// two records.
+const SUBMISSIONS: u64 = 5;
+
+/// Returns the id of a submission.
+fn id(number: u64) -> SubmissionId {
+    SubmissionId::CallerKey(Uuid::from_u64_pair(0x0194_F3A0_0000_7000, number | 1 << 63))
+}
+
+/// The life of one request from admission to answer.
+fn served(number: u64) -> [Fact; 4] {
+    let subject = || Subject {
+        submission: id(number),
+        customer: if number.is_multiple_of(2) { "even".into() } else { "odd".into() },
+        kind: "bay-check".into(),
+        config: ConfigVersion(1),
+    };
+    let (task, attempt) = (TaskIndex(0), Attempt(1));
+    let claim = Claim {
+        queue: "yard".into(),
+        rank: 0,
+        weight: 1,
+        cost_us: 1_000,
+        arrival: number,
+    };
+    [
+        Fact::Admitted {
+            subject: subject(),
+            tasks: TaskRange { first: task, count: 1 },
+            claim,
+        },
+        Fact::Started {
+            subject: subject(),
+            task,
+            attempt,
+            target: "m-1".into(),
+            reason: StartReason::Order,
+        },
+        Fact::Finished {
+            subject: subject(),
+            task,
+            attempt,
+            result: FinishResult::Complete,
+        },
+        Fact::Answered { subject: subject(), answer: AnswerKind::Complete },
+    ]
+}
+
+/// Returns the records of a closed account.
+fn account() -> Vec<String> {
+    let mut chain = Chain::new("entry-1".into(), Incarnation(0));
+    let mut records = Vec::new();
+    for number in 0..SUBMISSIONS {
+        let now = Timestamp::from_ms(number);
+        served(number).into_iter().for_each(|fact| chain.record(now, fact));
+        if number == SUBMISSIONS - 1 {
+            chain.close(now);
+        }
+        while let Some(batch) = chain.next_batch(now) {
+            records.push(batch.text.to_string());
+            chain.appended(batch.number);
+        }
+    }
+    records
+}
+
+/// A change to the records, the exit code and the number of faults.
+struct Case {
+    change: fn(&mut Vec<String>),
+    exit: i32,
+    faults: bool,
+}
+
+// Each case guards against an account that was altered passing verification, or an
+// honest one failing because it is read in pages.
+#[parameterized(
+    unaltered = { Case { change: |_| {}, exit: 0, faults: false } },
+    repeated = { Case { change: |log| log.push(log[4].clone()), exit: 0, faults: false } },
+    empty = { Case { change: |log| log.clear(), exit: 10, faults: false } },
+    removed = { Case { change: |log| drop(log.remove(2)), exit: 10, faults: true } },
+    reordered = { Case { change: |log| log.swap(1, 2), exit: 10, faults: true } },
+    altered = { Case {
+        change: |log| log[3] = log[3].replace("odd", "add"), exit: 10, faults: true } },
+    garbage = { Case { change: |log| log.push("x".into()), exit: 10, faults: true } },
+)]
+fn altered_account_is_not_verified(case: Case) {
+    let mut log = account();
+    (case.change)(&mut log);
+    let (address, _) = platform(Platform { log, ..Platform::default() });
+    let (exit, result) = run(&["account", "verify", "--platform", &address], &[]);
+    assert_eq!(exit, case.exit, "{result:#}");
+    assert_eq!(result["is_verified"], case.exit == 0);
+    assert_eq!(result["findings"] != json!([]), case.faults, "{result:#}");
+}
+
+// Guards against a verdict without the figures that a customer asks for.
+#[test]
+fn text_names_instances_customers_and_faults() {
+    let mut log = account();
+    let (address, _) = platform(Platform { log: log.clone(), ..Platform::default() });
+    let (_, text) = run_text(&["account", "verify", "--platform", &address], &[]);
+    assert!(text.starts_with("verified, no faults; read 5 records"), "{text}");
+    assert!(text.contains("entry-1/0: 20 entries in 5 batches, closed, head "), "{text}");
+    assert!(text.contains("starts: order 5"), "{text}");
+    assert!(text.contains("odd: 2 tasks admitted, 2 starts, 2 submissions complete"));
+    log.remove(2);
+    let (address, _) = platform(Platform { log, ..Platform::default() });
+    let (_, text) = run_text(&["account", "verify", "--platform", &address], &[]);
+    assert!(text.starts_with("not verified, "), "{text}");
+    assert!(text.contains("fault at offset 2, entry-1/0"), "{text}");
+}
+
+// Guards against entries that are lost between pages or shown in spite of a filter.
+#[test]
+fn entries_are_shown_newest_last_and_filtered() {
+    let log = account();
+    let (address, _) = platform(Platform { log, ..Platform::default() });
+    let show = |args: &[&str]| {
+        let base = ["account", "show", "--platform", &address];
+        run(&[&base[..], args].concat(), &[]).1
+    };
+    let count = |args: &[&str]| show(args)["entries"].as_array().unwrap().len();
+    assert_eq!(count(&[]), 20);
+    assert_eq!(count(&["--customer", "odd"]), 8);
+    assert_eq!(count(&["--submission", &id(3).to_string()]), 4);
+    let last = show(&["--last", "1"]);
+    assert_eq!(
+        (&last["matching"], &last["entries"][0]["sequence"]),
+        (&json!(20), &json!(20))
+    );
+    let (_, text) = run_text(&["account", "show", "--platform", &address], &[]);
+    assert!(text.contains("at m-1, reason order"), "{text}");
+}
--- a/crates/bamboocart-core/src/account/batch.rs
+++ b/crates/bamboocart-core/src/account/batch.rs
@@ -9,6 +9,7 @@
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use snafu::Snafu;
 
+use super::entry::Entry;
 use crate::id::{Incarnation, InstanceName};
 use crate::time::Timestamp;
 
@@ -70,6 +71,34 @@
 #[snafu(display("not a hash; use 64 lower-case hexadecimal digits"))]
 pub struct ParseHeadError;
 
+/// The content of a batch, which is readable without being verified.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct OpenBatch {
+    /// The instance.
+    pub instance: InstanceName,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The number of the batch in the incarnation, from 1.
+    pub number: u64,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+impl FromStr for OpenBatch {
+    type Err = serde_json::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let batch: SealedBatch = serde_json::from_str(text)?;
+        let entries = batch.entries.iter().map(|text| serde_json::from_str(text.get()));
+        Ok(Self {
+            entries: entries.collect::<Result<_, _>>()?,
+            instance: batch.instance,
+            incarnation: batch.incarnation,
+            number: batch.batch,
+        })
+    }
+}
+
 /// A batch as it stands in the log.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/bamboocart-core/src/account/mod.rs
+++ b/crates/bamboocart-core/src/account/mod.rs
@@ -15,7 +15,7 @@
 mod verify;
 
 pub use self::batch::{
-    Head, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_ENTRY_BYTES, ParseHeadError,
+    Head, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_ENTRY_BYTES, OpenBatch, ParseHeadError,
 };
 pub use self::chain::{Batch, Chain, MAX_BUFFER_BYTES, MAX_BUFFERED_ENTRIES};
 pub use self::entry::{
@@ -25,7 +25,7 @@
 pub use self::summary::{
     CustomerTotals, GapCause, GapReport, IncarnationSummary, StartTotals, Verdict,
 };
-pub use self::verify::{StreamRecord, VerifySettings, verify};
+pub use self::verify::{StreamRecord, Verifier, VerifySettings, verify};
 
 /// The log stream that holds the account.
 pub const ACCOUNT_STREAM: &str = "account";
--- a/crates/bamboocart-core/src/account/verify.rs
+++ b/crates/bamboocart-core/src/account/verify.rs
@@ -47,14 +47,7 @@
     records: impl IntoIterator<Item = StreamRecord<'a>>,
     settings: VerifySettings,
 ) -> Verdict {
-    let mut verifier = Verifier {
-        settings,
-        verdict: Verdict::default(),
-        start: None,
-        last: None,
-        accounts: BTreeMap::new(),
-        starters: HashMap::new(),
-    };
+    let mut verifier = Verifier::new(settings);
     for record in records {
         verifier.read(&record);
     }
@@ -64,8 +57,10 @@
 /// An incarnation of an instance.
 type AccountKey = (InstanceName, Incarnation);
 
-/// The state of verification.
-struct Verifier {
+/// A verification that takes the records one by one, so that a long stream can be read
+/// in pages.
+#[derive(Debug)]
+pub struct Verifier {
     /// The tolerances.
     settings: VerifySettings,
     /// The findings so far.
@@ -81,8 +76,20 @@
 }
 
 impl Verifier {
-    /// Checks one record.
-    fn read(&mut self, record: &StreamRecord<'_>) {
+    /// Creates a verification that has seen no record.
+    pub fn new(settings: VerifySettings) -> Self {
+        Self {
+            settings,
+            verdict: Verdict::default(),
+            start: None,
+            last: None,
+            accounts: BTreeMap::new(),
+            starters: HashMap::new(),
+        }
+    }
+
+    /// Checks one record; records must come in the order of their offsets.
+    pub fn read(&mut self, record: &StreamRecord<'_>) {
         self.check_position(record);
         let batch: SealedBatch = match serde_json::from_str(record.text) {
             Ok(batch) => batch,
@@ -179,8 +186,8 @@
         self.verdict.findings.push(Finding { offset, account, sequence, fault });
     }
 
-    /// Adds the summaries.
-    fn finish(mut self) -> Verdict {
+    /// Adds the summaries and returns the result.
+    pub fn finish(mut self) -> Verdict {
         let mut later: Option<(InstanceName, Incarnation)> = None;
         let mut summaries = Vec::new();
         for (key, account) in std::mem::take(&mut self.accounts).into_iter().rev() {
@@ -240,6 +247,7 @@
 type Faults = Vec<(Option<u64>, Fault)>;
 
 /// The account of one incarnation.
+#[derive(Debug)]
 struct Account {
     /// The start of the process.
     incarnation: Incarnation,
