Open the stand-ins' connections one at a time

Of several connections that opened at once, some were accepted and not served until another one ended. tiny_http 0.12 counts a pool thread as idle until it has woken up, so in a burst it queues connections behind threads that are already taken; with connections that stay open they wait for seconds.

The relay now opens each connection to its server in turn and waits for the answer to a probe before it carries bytes and lets the next one in. The platform gets the same relay, because its long polls hold threads as well.

--- a/crates/bamboocart-standin/src/target/gate.rs
+++ b/crates/bamboocart-standin/src/gate.rs
@@ -1,7 +1,12 @@
-//! The connections of a target, with the faults that happen below HTTP.
+//! The connections of a server, with the faults that happen below HTTP.
 //!
-//! A relay in front of the target's HTTP server is needed because `tiny_http` neither
-//! bounds its connections nor gives access to them. All relays share one thread.
+//! A relay in front of each HTTP server is needed because `tiny_http` neither bounds its
+//! connections nor gives access to them. All relays share one thread.
+//!
+//! The relay also opens connections to the server one at a time and waits until each is
+//! served. `tiny_http` 0.12 counts a pool thread as idle until it has woken up, so of
+//! several connections that open at once some are queued behind connections that stay
+//! open, and are served only when one of those ends.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
@@ -14,7 +19,8 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Mutex, Semaphore, watch};
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use crate::http;
@@ -22,7 +28,13 @@
 /// The bytes that a relay reads at a time.
 const BUFFER_BYTES: usize = 16 * 1024;
 
-/// The pause between attempts to listen again on the port of a target.
+/// The time in which the server has to begin to serve a new connection.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The end of the head of an HTTP message.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// The pause between attempts to listen again on the port of a server.
 const LISTEN_PAUSE: Duration = Duration::from_millis(20);
 
 /// The thread that runs all relays, ended when it is dropped.
@@ -43,6 +55,25 @@
     state: watch::Sender<State>,
 }
 
+/// The server behind a gate.
+#[derive(Debug, Copy, Clone)]
+pub struct Inner {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The number of connections beyond which new ones are closed at once.
+    pub connections_max: u32,
+}
+
+/// The way to the server behind a gate.
+struct Entrance {
+    /// Where the server listens.
+    inner: SocketAddr,
+    /// Held by the connection that is being opened.
+    turn: Mutex<()>,
+    /// The connections that may be open.
+    slots: Arc<Semaphore>,
+}
+
 /// The state of a gate.
 #[derive(Debug, Copy, Clone, Default)]
 struct State {
@@ -67,14 +98,18 @@
         Ok(Self { handle, stop, thread: Some(thread) })
     }
 
-    /// Opens a gate in front of `inner` that carries at most `connections_max` connections.
-    pub fn open(&self, inner: SocketAddr, connections_max: u32) -> io::Result<Gate> {
-        let listener = http::listen(0)?;
+    /// Opens a gate on a loopback port, 0 for any, in front of a server.
+    pub fn open(&self, port: u16, inner: Inner) -> io::Result<Gate> {
+        let listener = http::listen(port)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (state, watched) = watch::channel(State::default());
-        let slots = Arc::new(Semaphore::new(connections_max as usize));
-        self.handle.spawn(serve(listener, inner, watched, slots));
+        let entrance = Arc::new(Entrance {
+            inner: inner.address,
+            turn: Mutex::new(()),
+            slots: Arc::new(Semaphore::new(inner.connections_max as usize)),
+        });
+        self.handle.spawn(serve(listener, entrance, watched));
         Ok(Gate { address, state })
     }
 }
@@ -115,6 +150,25 @@
     }
 }
 
+impl Entrance {
+    /// Opens a connection to the server and waits until the server serves it.
+    async fn open(&self) -> io::Result<TcpStream> {
+        let _turn = self.turn.lock().await;
+        let open = async {
+            let mut stream = TcpStream::connect(self.inner).await?;
+            stream.set_nodelay(true)?;
+            let probe = format!("GET {} HTTP/1.1\r\nhost: gate\r\n\r\n", http::PROBE);
+            stream.write_all(probe.as_bytes()).await?;
+            let mut head = Vec::new();
+            while !head.ends_with(HEAD_END) {
+                head.push(stream.read_u8().await?);
+            }
+            Ok(stream)
+        };
+        time::timeout(OPEN_TIMEOUT, open).await?
+    }
+}
+
 /// Runs the relays until the stop.
 fn run(runtime: &Runtime, stopped: &CancellationToken) {
     runtime.block_on(stopped.cancelled());
@@ -123,9 +177,8 @@
 /// Accepts connections of one gate until the gate is dropped.
 async fn serve(
     listener: StdListener,
-    inner: SocketAddr,
+    entrance: Arc<Entrance>,
     mut state: watch::Receiver<State>,
-    slots: Arc<Semaphore>,
 ) -> io::Result<()> {
     let port = listener.local_addr()?.port();
     let mut listener = Some(TcpListener::from_std(listener)?);
@@ -145,7 +198,7 @@
                 changed = state.changed() => changed,
                 accepted = open.accept() => {
                     let relay = accepted.map(|(outer, _)| (outer, state.clone()));
-                    admit(relay?, inner, &slots);
+                    admit(relay?, &entrance);
                     Ok(())
                 }
             },
@@ -157,18 +210,16 @@
 }
 
 /// Relays a new connection, or closes it if there are too many.
-fn admit(
-    (outer, state): (TcpStream, watch::Receiver<State>),
-    inner: SocketAddr,
-    slots: &Arc<Semaphore>,
-) {
-    let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
+fn admit((outer, state): (TcpStream, watch::Receiver<State>), entrance: &Arc<Entrance>) {
+    let Ok(slot) = Arc::clone(&entrance.slots).try_acquire_owned() else {
         reset(&outer);
         return;
     };
+    let entrance = Arc::clone(entrance);
     tokio::spawn(async move {
         let _slot = slot;
-        relay(outer, inner, state).await
+        let relayed = relay(outer, &entrance, state).await;
+        relayed.inspect_err(|error| log::debug!("a connection ended: {error}"))
     });
 }
 
@@ -179,7 +230,7 @@
         TcpListener::from_std(listener)
     });
     if listener.is_err() {
-        tokio::time::sleep(LISTEN_PAUSE).await;
+        time::sleep(LISTEN_PAUSE).await;
     }
     listener.ok()
 }
@@ -187,12 +238,11 @@
 /// Carries one connection until both sides have closed it or the target is dead.
 async fn relay(
     mut outer: TcpStream,
-    inner: SocketAddr,
+    entrance: &Entrance,
     mut state: watch::Receiver<State>,
 ) -> io::Result<()> {
     let epoch = state.borrow().epoch;
-    let mut inner = TcpStream::connect(inner).await?;
-    inner.set_nodelay(true)?;
+    let mut inner = entrance.open().await?;
     let (up_state, down_state) = (state.clone(), state.clone());
     let (outer_read, outer_write) = outer.split();
     let (inner_read, inner_write) = inner.split();
--- a/crates/bamboocart-standin/src/http.rs
+++ b/crates/bamboocart-standin/src/http.rs
@@ -17,6 +17,9 @@
 /// The longest body that is read; the rest is cut off.
 const BODY_BYTES_MAX: u64 = 8 * 1024 * 1024;
 
+/// The path of a call without a body that every server answers itself, without content.
+pub const PROBE: &str = "/probe";
+
 /// The connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -73,7 +76,11 @@
         let source = Arc::clone(&self.server);
         let receiver = thread::spawn(move || {
             while let Ok(request) = source.recv() {
-                handle(Call { request });
+                let call = Call { request };
+                match call.request.url() {
+                    PROBE => call.answer_empty(),
+                    _ => handle(call),
+                }
             }
         });
         let (server, address) = (self.server, self.address);
@@ -92,6 +99,7 @@
 
 /// Why a server did not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The port cannot be used.
     #[snafu(display("could not listen on loopback port {port}: {source}; use port 0"))]
@@ -164,6 +172,16 @@
             Ok(header) => response.with_header(header),
             Err(()) => response,
         };
+        self.respond(response);
+    }
+
+    /// Answers without content.
+    fn answer_empty(self) {
+        self.respond(Response::empty(204));
+    }
+
+    /// Sends a response.
+    fn respond(self, response: Response<impl Read>) {
         if let Err(error) = self.request.respond(response) {
             log::debug!("could not answer a call: {error}");
         }
--- a/crates/bamboocart-standin/src/platform/server.rs
+++ b/crates/bamboocart-standin/src/platform/server.rs
@@ -9,10 +9,12 @@
 use bamboocart_core::id::InstanceName;
 use bamboocart_platform::{Appended, InstanceEntry};
 use bpaf::Bpaf;
+use snafu::ResultExt;
 use tiny_http::Method;
 
 use crate::clock;
-use crate::http::{Call, HttpServer, Result};
+use crate::gate::{Gate, GateKeeper, Inner};
+use crate::http::{Call, HttpServer, ListenSnafu, Result};
 
 use super::counters::Counters;
 use super::faults::{FaultBody, Faults, Verdict};
@@ -23,6 +25,9 @@
 /// The largest number of calls in progress; more are answered with 503.
 const CALLS_MAX: usize = 1_024;
 
+/// The largest number of connections; more are closed at once.
+const CONNECTIONS_MAX: u32 = 2_048;
+
 /// The header in which a caller names its failure domain.
 const DOMAIN_HEADER: &str = "x-failure-domain";
 
@@ -48,8 +53,12 @@
 
 /// A running platform, stopped when it is dropped.
 pub struct PlatformServer {
-    /// The HTTP server.
-    server: HttpServer,
+    /// The connections.
+    gate: Gate,
+    /// The HTTP server behind the gate.
+    _server: HttpServer,
+    /// The thread that runs the relays.
+    _gates: GateKeeper,
 }
 
 impl PlatformServer {
@@ -64,13 +73,18 @@
             counters: Counters::default(),
             calls: AtomicUsize::new(0),
         });
-        let server = HttpServer::start(settings.port, move |call| accept(&state, call))?;
-        Ok(Self { server })
+        let server = HttpServer::start(0, move |call| accept(&state, call))?;
+        let (address, connections_max) = (server.address(), CONNECTIONS_MAX);
+        let port = settings.port;
+        let gates = GateKeeper::start().context(ListenSnafu { port })?;
+        let gate = gates.open(port, Inner { address, connections_max });
+        let gate = gate.context(ListenSnafu { port })?;
+        Ok(Self { gate, _server: server, _gates: gates })
     }
 
     /// Returns where the platform listens.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.gate.address()
     }
 }
 
--- a/crates/bamboocart-standin/src/target/fleet.rs
+++ b/crates/bamboocart-standin/src/target/fleet.rs
@@ -10,12 +10,12 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::clock;
+use crate::gate::{GateKeeper, Inner};
 use crate::history::HistoryPage;
 use crate::http::{self, BoundServer, HttpServer};
 
 use super::control::{self, TargetRow};
 use super::faults::FaultBody;
-use super::gate::GateKeeper;
 use super::journal::Journal;
 use super::member::{Shared, Target};
 use super::registrar::Registrar;
@@ -147,7 +147,9 @@
     index: u32,
 ) -> Result<(Arc<Target>, HttpServer)> {
     let server = BoundServer::bind(0).context(HttpSnafu)?;
-    let gate = gates.open(server.address(), settings.connections).context(GateSnafu)?;
+    let inner =
+        Inner { address: server.address(), connections_max: settings.connections };
+    let gate = gates.open(0, inner).context(GateSnafu)?;
     let entry = entry(settings, shape, index, gate.address());
     let run_times = run_times(settings, index);
     let shared = Arc::clone(shared);
--- a/crates/bamboocart-standin/src/target/member.rs
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -12,12 +12,12 @@
 use tiny_http::Method;
 
 use crate::clock;
+use crate::gate::Gate;
 use crate::history::{RunId, What};
 use crate::http::Call;
 
 use super::control::TargetRow;
 use super::faults::{FaultBody, Leaving, Switches};
-use super::gate::Gate;
 use super::journal::Journal;
 use super::leases::{Grant, Leases};
 use super::registrar::{Registrar, Update};
--- a/crates/bamboocart-standin/src/target/mod.rs
+++ b/crates/bamboocart-standin/src/target/mod.rs
@@ -3,7 +3,6 @@
 mod control;
 mod faults;
 mod fleet;
-mod gate;
 mod journal;
 mod leases;
 mod member;
--- a/crates/bamboocart-standin/tests/platform.rs
+++ b/crates/bamboocart-standin/tests/platform.rs
@@ -164,3 +164,26 @@
     faults(address, json!({ "cut": [] }));
     assert!(list("marka"));
 }
+
+/// Guards against a call that waits for the long polls of other callers to end.
+#[test]
+fn long_polls_hold_up_no_call() {
+    const READERS: usize = 24;
+    let platform = platform(&["--append-ms", "0"]);
+    let address = platform.address();
+    let path = "/streams/a/records?from=0&wait_ms=8000";
+    let reads = || call("GET", address, "/counters", &Value::Null).1["reads"].clone();
+    let together = std::sync::Barrier::new(READERS);
+    let started = Instant::now();
+    let read = || {
+        together.wait();
+        read(address, path).records.len()
+    };
+    std::thread::scope(|scope| {
+        let readers: Vec<_> = (0..READERS).map(|_| scope.spawn(read)).collect();
+        wait_for("the reads", || reads() == READERS);
+        assert!(started.elapsed().as_millis() < 8_000, "took {:?}", started.elapsed());
+        append(address, "a", "1").unwrap();
+        assert!(readers.into_iter().all(|reader| reader.join().unwrap() == 1));
+    });
+}
--- a/crates/bamboocart-standin/tests/targets.rs
+++ b/crates/bamboocart-standin/tests/targets.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::Barrier;
 use std::thread;
 
 use bamboocart_standin::history::What;
@@ -122,3 +123,28 @@
     let usage = call("GET", worker, "/usage", &Value::Null).1;
     assert_eq!((&usage["busy"], &usage["leased"]), (&json!(0), &json!(1)));
 }
+
+/// Guards against connections that are accepted and never served when many open at once.
+#[test]
+fn simultaneous_connections_are_all_served() {
+    const CONNECTIONS: usize = 48;
+    let fleet = minions(&["--count", "1"]);
+    let minion = address(&fleet, 0);
+    let together = Barrier::new(CONNECTIONS);
+    let answered = Barrier::new(CONNECTIONS);
+    thread::scope(|scope| {
+        for _ in 0..CONNECTIONS {
+            scope.spawn(|| {
+                let agent: ureq::Agent = ureq::Agent::config_builder()
+                    .timeout_global(Some(std::time::Duration::from_secs(5)))
+                    .build()
+                    .into();
+                together.wait();
+                let answer = agent.get(format!("http://{minion}/live")).call();
+                let answer = answer.and_then(|mut a| a.body_mut().read_to_string());
+                answered.wait();
+                answer.expect("an answer while the other connections stay open");
+            });
+        }
+    });
+}
