End silent connections with their callers; relay the control interface

A connection that had been silenced stayed open towards the server after its caller had left, because its end was not passed on, and so it counted against the target's bound for good. The relay now ends it with the caller.

A failed call of a test now states its error.

--- a/crates/bamboocart-standin/src/gate.rs
+++ b/crates/bamboocart-standin/src/gate.rs
@@ -10,6 +10,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::pin;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -239,22 +240,14 @@
 async fn relay(
     mut outer: TcpStream,
     entrance: &Entrance,
-    mut state: watch::Receiver<State>,
+    state: watch::Receiver<State>,
 ) -> io::Result<()> {
+    let mut dead = state.clone();
     let epoch = state.borrow().epoch;
     let mut inner = entrance.open().await?;
-    let (up_state, down_state) = (state.clone(), state.clone());
-    let (outer_read, outer_write) = outer.split();
-    let (inner_read, inner_write) = inner.split();
-    let both = async {
-        tokio::join!(
-            pump(outer_read, inner_write, up_state, epoch),
-            pump(inner_read, outer_write, down_state, epoch),
-        )
-    };
     let dead = tokio::select! {
-        _ = both => false,
-        changed = state.wait_for(|state| state.dead) => changed.is_ok(),
+        () = carry(&mut outer, &mut inner, &state, epoch) => false,
+        changed = dead.wait_for(|state| state.dead) => changed.is_ok(),
     };
     if dead {
         reset(&outer);
@@ -262,23 +255,53 @@
     Ok(())
 }
 
+/// Carries both directions of a connection until its end.
+async fn carry(
+    outer: &mut TcpStream,
+    inner: &mut TcpStream,
+    state: &watch::Receiver<State>,
+    epoch: u64,
+) {
+    let (outer_read, outer_write) = outer.split();
+    let (inner_read, inner_write) = inner.split();
+    let mut up = pin!(pump(outer_read, inner_write, state.clone(), epoch));
+    let mut down = pin!(pump(inner_read, outer_write, state.clone(), epoch));
+    tokio::select! {
+        // The end of a silent connection is not passed on to the server, which would
+        // keep its side open.
+        ended = &mut up => match ended {
+            Ok(End::Passed) => drop(down.await),
+            Ok(End::Swallowed) | Err(_) => {}
+        },
+        _ = &mut down => drop(up.await),
+    }
+}
+
+/// How one direction of a connection ended.
+enum End {
+    /// The receiver was told.
+    Passed,
+    /// The connection was silent.
+    Swallowed,
+}
+
 /// Carries one direction of a connection until its end.
 async fn pump(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     mut state: watch::Receiver<State>,
     epoch: u64,
-) -> io::Result<()> {
+) -> io::Result<End> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await?;
         let passing = state.wait_for(|state| !state.frozen || state.epoch > epoch).await;
         match passing.map(|state| state.epoch > epoch) {
-            Err(_) => return Ok(()),
+            Err(_) => return Ok(End::Swallowed),
             // A device that lost the connection's state passes on neither data nor its end.
-            Ok(true) if count == 0 => return Ok(()),
+            Ok(true) if count == 0 => return Ok(End::Swallowed),
             Ok(true) => {}
-            Ok(false) if count == 0 => return to.shutdown().await,
+            Ok(false) if count == 0 => return to.shutdown().await.map(|()| End::Passed),
             Ok(false) => to.write_all(&buffer[..count]).await?,
         }
     }
--- a/crates/bamboocart-standin/src/target/fleet.rs
+++ b/crates/bamboocart-standin/src/target/fleet.rs
@@ -10,7 +10,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::clock;
-use crate::gate::{GateKeeper, Inner};
+use crate::gate::{Gate, GateKeeper, Inner};
 use crate::history::HistoryPage;
 use crate::http::{self, BoundServer, HttpServer};
 
@@ -26,6 +26,9 @@
 /// The result of starting a fleet.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// The largest number of connections to the control interface.
+const CONTROL_CONNECTIONS_MAX: u32 = 64;
+
 /// The time that registration at the platform may take before the fleet reports ready.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -35,10 +38,10 @@
 /// A running fleet, stopped when it is dropped.
 pub struct Fleet {
     /// The control interface.
-    control: HttpServer,
+    control: Gate,
     /// The members.
     members: Arc<Members>,
-    /// The HTTP servers of the targets.
+    /// The HTTP servers of the targets and of the control interface.
     _servers: Vec<HttpServer>,
     /// The thread that runs the relays.
     _gates: GateKeeper,
@@ -71,8 +74,11 @@
         let members = Arc::new(Members { targets, shared });
         let served = Arc::clone(&members);
         let serve = move |call| control::serve(&served, call);
-        let control =
-            HttpServer::start(settings.control_port, serve).context(HttpSnafu)?;
+        let server = HttpServer::start(0, serve).context(HttpSnafu)?;
+        let (address, connections_max) = (server.address(), CONTROL_CONNECTIONS_MAX);
+        let inner = Inner { address, connections_max };
+        let control = gates.open(settings.control_port, inner).context(GateSnafu)?;
+        servers.push(server);
         members.targets.iter().for_each(|target| target.register());
         if !members.shared.registrar.sync(REGISTRATION_TIMEOUT) {
             log::warn!("the platform did not take the registrations yet");
--- a/crates/bamboocart-standin/tests/common/mod.rs
+++ b/crates/bamboocart-standin/tests/common/mod.rs
@@ -21,27 +21,27 @@
 
 /// Sends a call that has to be answered.
 pub fn call(method: &str, address: SocketAddr, path: &str, body: &Value) -> Answer {
-    try_call(method, address, path, body, PATIENCE).expect("an answer")
+    try_call(method, address, path, body, PATIENCE).unwrap()
 }
 
 /// Sends a call that must not be answered, and returns whether it was not.
 pub fn unanswered(method: &str, address: SocketAddr, path: &str, body: &Value) -> bool {
-    try_call(method, address, path, body, UNANSWERED).is_none()
+    try_call(method, address, path, body, UNANSWERED).is_err()
 }
 
-/// Sends a call and returns nothing if there is no answer in time.
+/// Sends a call and fails if there is no answer in time.
 fn try_call(
     method: &str,
     address: SocketAddr,
     path: &str,
     body: &Value,
     timeout: Duration,
-) -> Option<Answer> {
+) -> attohttpc::Result<Answer> {
     let method = method.parse().unwrap();
     let url = format!("http://{address}{path}");
     let request = attohttpc::RequestBuilder::new(method, url).timeout(timeout);
-    let response = request.json(body).unwrap().send().ok()?;
-    Some((response.status().as_u16(), response.json().ok()?))
+    let response = request.json(body).unwrap().send()?;
+    Ok((response.status().as_u16(), response.json()?))
 }
 
 /// Waits until a condition holds.
--- a/crates/bamboocart-standin/tests/load.rs
+++ b/crates/bamboocart-standin/tests/load.rs
@@ -10,6 +10,7 @@
 use std::thread;
 
 use bamboocart_core::id::{Incarnation, SubmissionId, Ticket};
+use bamboocart_standin::gate::{Gate, GateKeeper, Inner};
 use bamboocart_standin::history::{Purpose, SendRecord};
 use bamboocart_standin::http::{Call, HttpServer};
 use bamboocart_standin::load::{self, Summary};
@@ -44,12 +45,13 @@
 }
 
 impl Instance {
-    /// Starts an instance in front of a target.
+    /// Starts an instance in front of a target, behind a gate that is opened for it.
     fn start(
+        gates: &GateKeeper,
         behaviour: Behaviour,
         target: SocketAddr,
         answers: &Arc<Mutex<Vec<(String, Value)>>>,
-    ) -> HttpServer {
+    ) -> (Gate, HttpServer) {
         let answers = Arc::clone(answers);
         let tickets = AtomicU64::new(0);
         let instance = Arc::new(Self { behaviour, target, answers, tickets });
@@ -57,7 +59,9 @@
             let instance = Arc::clone(&instance);
             thread::spawn(move || instance.serve(call));
         };
-        HttpServer::start(0, serve).unwrap()
+        let server = HttpServer::start(0, serve).unwrap();
+        let inner = Inner { address: server.address(), connections_max: 1_024 };
+        (gates.open(0, inner).unwrap(), server)
     }
 
     /// Issues tickets.
@@ -161,10 +165,11 @@
 fn run(name: &str, behaviour: Behaviour, flags: &[&str]) -> Run {
     let fleet: Fleet = minions(&["--count", "1", "--slots", "64"]);
     let answers = Arc::default();
-    let start = || Instance::start(behaviour, address(&fleet, 0), &answers);
+    let gates = GateKeeper::start().unwrap();
+    let start = || Instance::start(&gates, behaviour, address(&fleet, 0), &answers);
     let instances = [start(), start()];
     let history = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let addresses = instances.iter().map(|i| format!("--instance={}", i.address()));
+    let addresses = instances.iter().map(|i| format!("--instance={}", i.0.address()));
     let mut all = vec![format!("--history={}", history.display())];
     all.extend(addresses);
     all.extend(flags.iter().map(|flag| flag.to_string()));
--- a/crates/bamboocart-standin/tests/target_faults.rs
+++ b/crates/bamboocart-standin/tests/target_faults.rs
@@ -112,6 +112,18 @@
     assert!(answers(&client(), target));
 }
 
+/// Guards against silent connections that count as open after their callers have left.
+#[test]
+fn silent_connections_end_with_their_callers() {
+    let fleet = minions(&["--count", "1", "--connections", "1"]);
+    let target = address(&fleet, 0);
+    let old = client();
+    assert!(answers(&old, target));
+    faults(&fleet, json!({ "silent": true }));
+    drop(old);
+    wait_for("a free connection", || answers(&client(), target));
+}
+
 /// Guards against more connections than the target's bound.
 #[test]
 fn connections_are_bounded() {
