--- a/crates/bamboocart-standin/src/load/mod.rs
+++ b/crates/bamboocart-standin/src/load/mod.rs
@@ -1,5 +1,6 @@
 //! An open-loop load generator that measures responses against the ideal.
 
+mod caller;
 mod client;
 mod flight;
 mod plan;
@@ -8,6 +9,7 @@
 mod settings;
 mod summary;
 mod tickets;
+mod wave;
 
 pub use self::plan::{Plan, Planned};
 pub use self::run::{Error, Result, run};
--- a/crates/bamboocart-standin/src/target/member.rs
+++ b/crates/bamboocart-standin/src/target/member.rs
@@ -6,8 +6,8 @@
 
 use bamboocart_core::config::Role;
 use bamboocart_core::id::{Incarnation, SubmissionId, TaskIndex};
-use bamboocart_platform::{InstanceEntry, ListState};
-use bamboocart_wire::api::{LeaseAnswer, LeaseBody, RunAnswer, RunBody, TargetStatus};
+use bamboocart_platform::InstanceEntry;
+use bamboocart_wire::api::{LeaseBody, RunAnswer, RunBody, TargetStatus};
 use serde::Serialize;
 use tiny_http::Method;
 
@@ -17,10 +17,10 @@
 use crate::http::Call;
 
 use super::control::TargetRow;
-use super::faults::{FaultBody, Leaving, Switches};
+use super::faults::{Leaving, Switches};
 use super::journal::Journal;
-use super::leases::{Grant, Leases};
-use super::registrar::{Registrar, Update};
+use super::leases::Leases;
+use super::registrar::Registrar;
 use super::run_time::{self, RunTimes};
 use super::timer::Timer;
 use super::usage::{Usage, UsageBody};
@@ -30,13 +30,13 @@
     /// The target itself, for actions that outlast a call.
     this: Weak<Self>,
     /// What is fixed, with the address and state at the start.
-    entry: InstanceEntry,
+    pub(super) entry: InstanceEntry,
     /// The lag of the usage report.
     usage_lag_ms: u64,
     /// The connections.
-    gate: Gate,
+    pub(super) gate: Gate,
     /// What all targets of the process share.
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     /// What changes.
     state: Mutex<State>,
 }
@@ -52,21 +52,21 @@
 }
 
 /// What changes in a target.
-struct State {
+pub(super) struct State {
     /// The run of the target's process.
-    incarnation: Incarnation,
+    pub(super) incarnation: Incarnation,
     /// The tasks that are running.
-    running: HashMap<u64, Running>,
+    pub(super) running: HashMap<u64, Running>,
     /// The number of the next run.
     next_run: u64,
     /// The run times.
     run_times: RunTimes,
     /// The fault switches.
-    switches: Switches,
+    pub(super) switches: Switches,
     /// Whether the target is dead.
-    dead: bool,
+    pub(super) dead: bool,
     /// The leases, used by workers only.
-    leases: Leases,
+    pub(super) leases: Leases,
     /// The usage, reported by workers only.
     usage: Usage,
     /// The number of starts.
@@ -76,13 +76,13 @@
 }
 
 /// A task that is running.
-struct Running {
+pub(super) struct Running {
     /// What runs.
     run: RunId,
     /// The lease that it runs under, on a worker.
-    lease: Option<u64>,
+    pub(super) lease: Option<u64>,
     /// The call that waits for the result.
-    call: Call,
+    pub(super) call: Call,
     /// The result.
     result: String,
 }
@@ -135,27 +135,6 @@
         })
     }
 
-    /// Registers the target at the platform in its present state.
-    pub fn register(&self) {
-        let state = self.lock();
-        let list_state = match state.switches.leaving {
-            Some(_) => ListState::Leaving,
-            None => ListState::Live,
-        };
-        let entry = InstanceEntry {
-            state: list_state,
-            incarnation: state.incarnation,
-            ..self.entry.clone()
-        };
-        drop(state);
-        self.shared.registrar.send(Update::Put(Box::new(entry)));
-    }
-
-    /// Removes the target from the platform's list.
-    pub fn unregister(&self) {
-        self.shared.registrar.send(Update::Remove(self.entry.name.clone()));
-    }
-
     /// Serves a call.
     pub fn serve(&self, mut call: Call) {
         let (method, path) = call.route();
@@ -187,26 +166,6 @@
         }
     }
 
-    /// Sets fault switches.
-    pub fn set_faults(&self, body: &FaultBody) {
-        let was_leaving = self.lock().switches.leaving.is_some();
-        self.lock().switches.set(body);
-        body.refuse.into_iter().for_each(|refuse| self.gate.refuse(refuse));
-        body.freeze.into_iter().for_each(|freeze| self.gate.freeze(freeze));
-        if body.silent == Some(true) {
-            self.gate.silence();
-        }
-        if body.leaving.is_some() && !was_leaving {
-            self.shared.journal.record(&self.entry.name, What::Leaving, None);
-            self.register();
-        }
-        match body.die {
-            Some(true) => self.die(),
-            Some(false) => self.restart(),
-            None => {}
-        }
-    }
-
     /// Describes the target for the control interface.
     pub fn row(&self) -> TargetRow {
         let state = self.lock();
@@ -313,7 +272,11 @@
     }
 
     /// Stops all tasks that meet a condition and returns their number.
-    fn stop_where(&self, code: &str, condition: impl Fn(&Running) -> bool) -> usize {
+    pub(super) fn stop_where(
+        &self,
+        code: &str,
+        condition: impl Fn(&Running) -> bool,
+    ) -> usize {
         let mut state = self.lock();
         let stopped: Vec<Running> = state
             .running
@@ -341,97 +304,6 @@
         }
     }
 
-    /// Grants a lease.
-    fn grant(&self, call: Call, body: &LeaseBody) {
-        let now = clock::now();
-        let mut state = self.lock();
-        let leaving = state.switches.leaving == Some(Leaving::Reject);
-        let grant = match leaving {
-            true => None,
-            false => state.leases.grant(
-                now,
-                self.entry.slots,
-                &body.holder,
-                body.slots,
-                body.ttl_ms,
-            ),
-        };
-        self.sample(&mut state);
-        drop(state);
-        match grant {
-            Some(grant) => self.answer_grant(call, grant),
-            None => {
-                let code = if leaving { "leaving" } else { "busy" };
-                self.answer(call, 503, serde_json::json!({ "code": code }));
-            }
-        }
-    }
-
-    /// Renews a lease.
-    fn renew(&self, call: Call, id: &str) {
-        let id = id.parse().unwrap_or_default();
-        let grant = self.lock().leases.renew(clock::now(), id);
-        match grant {
-            Some(grant) => self.answer_grant(call, grant),
-            None => self.answer(call, 404, serde_json::json!({ "code": "lease" })),
-        }
-    }
-
-    /// Ends a lease for its holder and stops the tasks under it.
-    fn return_lease(&self, call: Call, id: &str) {
-        let id = id.parse().unwrap_or_default();
-        let status = if self.lock().leases.end(id) { 200 } else { 404 };
-        self.stop_where("lease", |running| running.lease == Some(id));
-        self.answer(call, status, serde_json::json!({}));
-    }
-
-    /// Answers with a lease and watches for its lapse.
-    fn answer_grant(&self, call: Call, grant: Grant) {
-        let now = clock::now();
-        let left = Duration::from_micros(grant.expires.us_since(now));
-        self.later(left, Self::end_lapsed);
-        let body = LeaseAnswer {
-            lease: grant.lease,
-            token: grant.token,
-            slots: grant.slots,
-            expires_in_ms: grant.expires.ms_since(now),
-        };
-        self.answer(call, 200, body);
-    }
-
-    /// Ends the leases that have lapsed and stops the tasks under them.
-    fn end_lapsed(&self) {
-        let lapsed = self.lock().leases.take_lapsed(clock::now());
-        for id in lapsed {
-            self.stop_where("lease", |running| running.lease == Some(id));
-        }
-    }
-
-    /// Dies with all tasks and connections.
-    fn die(&self) {
-        self.gate.set_dead(true);
-        let mut state = self.lock();
-        state.dead = true;
-        state.leases = Leases::default();
-        let lost = std::mem::take(&mut state.running);
-        drop(state);
-        self.shared.journal.record(&self.entry.name, What::Died, None);
-        lost.into_values().for_each(|running| running.call.withhold());
-        self.unregister();
-    }
-
-    /// Comes back under a new incarnation.
-    fn restart(&self) {
-        let mut state = self.lock();
-        state.dead = false;
-        state.switches = Switches::default();
-        state.incarnation = Incarnation(clock::now().as_us());
-        drop(state);
-        self.shared.journal.record(&self.entry.name, What::Restarted, None);
-        self.gate.set_dead(false);
-        self.register();
-    }
-
     /// Answers a send of a task, unless its answer is to be dropped.
     fn answer_run(&self, call: Call, status: u16, body: RunAnswer) {
         let dropped = self.lock().switches.drop_answer;
@@ -442,7 +314,12 @@
     }
 
     /// Answers a call after the delay that is set.
-    fn answer(&self, call: Call, status: u16, body: impl Serialize + Send + 'static) {
+    pub(super) fn answer(
+        &self,
+        call: Call,
+        status: u16,
+        body: impl Serialize + Send + 'static,
+    ) {
         let delay_ms = self.lock().switches.delay_ms;
         match delay_ms {
             0 => call.answer(status, &body),
@@ -453,7 +330,11 @@
     }
 
     /// Does something after a delay, if the target still exists then.
-    fn later(&self, delay: Duration, action: impl FnOnce(&Self) + Send + 'static) {
+    pub(super) fn later(
+        &self,
+        delay: Duration,
+        action: impl FnOnce(&Self) + Send + 'static,
+    ) {
         let this = self.this.clone();
         self.shared.timer.after(delay, move || {
             if let Some(target) = this.upgrade() {
@@ -463,7 +344,7 @@
     }
 
     /// Adds a sample to the usage report of a worker.
-    fn sample(&self, state: &mut State) {
+    pub(super) fn sample(&self, state: &mut State) {
         if self.entry.role != Role::Worker {
             return;
         }
@@ -477,7 +358,7 @@
     }
 
     /// Locks the state.
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
 }
--- a/crates/bamboocart-standin/src/target/mod.rs
+++ b/crates/bamboocart-standin/src/target/mod.rs
@@ -4,7 +4,9 @@
 mod faults;
 mod fleet;
 mod journal;
+mod lease_calls;
 mod leases;
+mod life;
 mod member;
 mod registrar;
 mod run_time;
@@ -16,7 +18,7 @@
 pub use self::faults::{FaultBody, Leaving};
 pub use self::fleet::Fleet;
 pub use self::leases::{Grant, Leases};
-pub use self::run_time::RunTimes;
+pub use self::run_time::{PayloadHints, RunTimes};
 pub use self::settings::{
     FleetSettings, MinionSettings, WorkerSettings, minion_settings, worker_settings,
 };
