Repeat a refusal also while its owner drains

Cause: the table of an instance that finishes its work before a handover did not look up refusals. A query for a refused id was answered "never-seen", with the advice to send it, although the refusal stood and was repeated after the handover.

Ruled out: a lost refusal (the successor took it over and repeated it).

Change: the draining registry returns refusals as the serving one does.

Before: of a refused id, a query in the last 3 s before the handover was answered "never-seen".

--- a/crates/bamboocart-core/src/engine/stage.rs
+++ b/crates/bamboocart-core/src/engine/stage.rs
@@ -59,7 +59,8 @@
     pub fn refusal(&self, id: &SubmissionId) -> Option<Refusal> {
         match self {
             Self::Serving(registry) => registry.refusal(id),
-            Self::Draining(_) | Self::HandedOver(_) | Self::Moving => None,
+            Self::Draining(registry) => registry.refusal(id),
+            Self::HandedOver(_) | Self::Moving => None,
         }
     }
 
--- a/crates/bamboocart-core/src/ownership/handover.rs
+++ b/crates/bamboocart-core/src/ownership/handover.rs
@@ -13,7 +13,7 @@
 use super::registry::{ContentDigest, Marks, Offer, Registry, Rights, SubmissionKey};
 use super::{Issuer, Owner};
 use crate::id::SubmissionId;
-use crate::outcome::{Outcome, UnknownCode};
+use crate::outcome::{Outcome, Refusal, UnknownCode};
 use crate::time::Timestamp;
 
 /// The size of the entries in one part, below the 1 MiB bound of a message so that its
@@ -111,6 +111,11 @@
         self.0.find(id)
     }
 
+    /// Returns the refusal of a submission that was refused on arrival.
+    pub fn refusal(&self, id: &SubmissionId) -> Option<Refusal> {
+        self.0.refusal(id)
+    }
+
     /// Returns the state of a submission.
     pub fn get(&self, key: SubmissionKey) -> Option<&S> {
         self.0.get(key)
