--- a/crates/bamboocart-dispatcher/tests/handover.rs
+++ b/crates/bamboocart-dispatcher/tests/handover.rs
@@ -84,10 +84,28 @@
     submit_all(owner, Purpose::Resubmit);
     submit_all(cluster.instances[1].address, Purpose::Resubmit);
     judge(&cluster, &callers, &[0, 1, 2]);
+    // Unfinished work makes the instance finish before it hands over.
+    let last = Work::new(callers.tickets(owner, 1).remove(0), "release-order", &[6_000]);
+    let last = last.with_deadline(8_000);
+    let finishing = {
+        let callers = callers.clone();
+        spawn(move || {
+            callers.submit(owner, &last, Purpose::Submit);
+        })
+    };
+    wait_until("the use of the only slot", RECOVERY, || busy() == 1);
     cluster.instances[0].drain();
     let draining = || cluster.instances[0].status()["stage"] == "draining";
     wait_until("the start of the stop", RECOVERY, draining);
     submit_all(owner, Purpose::Resubmit);
+    let asked = works[0].id.clone().expect("the work has an id");
+    wait_until("the end of the instance", DRAINED, || {
+        let state = callers.query(owner, &asked);
+        let refused = state.iter().all(|state| state.outcome == OutcomeName::Refused);
+        assert!(refused, "{state:?}");
+        state.is_none()
+    });
+    finishing.join().unwrap();
     cluster.instances[0].wait_for_end(DRAINED);
     submit_all(cluster.instances[1].address, Purpose::Resubmit);
     submit_all(cluster.instances[2].address, Purpose::Resubmit);
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -227,7 +227,8 @@
             for &other in others {
                 let other = &self.instances[other].name;
                 if !live.contains(&other.as_str()) {
-                    return Err(format!("{name} does not see {other}"));
+                    let peers = &status["peers"];
+                    return Err(format!("{name} does not see {other}: {peers}"));
                 }
             }
             let usable = rows(status, "targets")
--- a/crates/bamboocart-dispatcher/tests/support/forward.rs
+++ b/crates/bamboocart-dispatcher/tests/support/forward.rs
@@ -98,8 +98,14 @@
             while let Ok((stream, from)) = listener.accept().await {
                 let (book, switches) = (book.clone(), switches.clone());
                 tokio::spawn(async move {
-                    let known = opener.or_else(|| find_opener(&book, from, address));
-                    let Some(from) = known else { return };
+                    let known = match opener {
+                        Some(opener) => Some(opener),
+                        None => find_opener(book.clone(), from, address).await,
+                    };
+                    let Some(from) = known else {
+                        eprintln!("a connection from {from} is none of an instance");
+                        return;
+                    };
                     let backend = book.lock().unwrap().backends.get(&to).copied();
                     let Some(backend) = backend else { return reset(&stream) };
                     let route = route(from, to);
@@ -165,11 +171,19 @@
 }
 
 /// Returns the instance that opened a connection.
-fn find_opener(book: &Mutex<Book>, from: SocketAddr, to: SocketAddr) -> Option<Node> {
-    let processes = book.lock().unwrap().processes.clone();
-    let ids: Vec<u32> = processes.keys().copied().collect();
-    let process = sockets::opener(&ids, from, to)?;
-    processes.get(&process).map(|&index| Node::Instance(index))
+async fn find_opener(
+    book: Arc<Mutex<Book>>,
+    from: SocketAddr,
+    to: SocketAddr,
+) -> Option<Node> {
+    let find = move || {
+        let processes = book.lock().unwrap().processes.clone();
+        let ids: Vec<u32> = processes.keys().copied().collect();
+        let process = sockets::opener(&ids, from, to)?;
+        processes.get(&process).map(|&index| Node::Instance(index))
+    };
+    // The search reads files, which must not hold up the other connections.
+    tokio::task::spawn_blocking(find).await.ok()?
 }
 
 /// Carries one connection until its end.
