--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -2,13 +2,12 @@
 
 use crate::engine::answer::Verdict;
 use crate::engine::record::{Asker, Record};
-use crate::engine::stage::Tenure;
 use crate::engine::{Effect, Engine, NewSubmission};
-use crate::id::SubmissionId;
+use crate::id::{InstanceName, SubmissionId};
 use crate::membership::{Member, PeerInfo, choose_successor};
 use crate::message::{Ask, Message};
 use crate::outcome::{FailureCode, Outcome, Refusal, RefusalCode, UnknownCode};
-use crate::ownership::{Owner, Part};
+use crate::ownership::{Owner, Part, Stage};
 use crate::time::Timestamp;
 
 /// The time that a stopping instance waits for its submissions, which is longer than the
@@ -24,6 +23,9 @@
 /// The time that last answers have to leave.
 const LINGER_MS: u64 = 300;
 
+/// The time that the end of the account has to reach the log.
+const CLOSE_MS: u64 = 5_000;
+
 /// The submissions that wait for the end of the handover; more are refused.
 const PARKED: usize = 10_000;
 
@@ -67,6 +69,11 @@
         /// When the instance stops.
         until: Timestamp,
     },
+    /// The end of the account is on its way to the log.
+    Closing {
+        /// When the instance stops without a confirmation.
+        until: Timestamp,
+    },
     /// The instance may stop.
     Done,
 }
@@ -103,10 +110,7 @@
     pub(super) fn drain_round(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         match self.stop.step {
             Step::LameDuck { until } if now >= until => {
-                self.tenure = match std::mem::replace(&mut self.tenure, Tenure::Moving) {
-                    Tenure::Serving(registry) => Tenure::Draining(registry.drain()),
-                    other => other,
-                };
+                self.tenure = std::mem::take(&mut self.tenure).drain();
                 let until = now.plus_ms(FINISH_MS);
                 self.stop.step = Step::Finishing { until };
             }
@@ -118,6 +122,11 @@
             }
             Step::Lingering { until } if now >= until && self.forwards() == 0 => {
                 self.return_leases(now, effects);
+                self.ledger.close(now);
+                let until = now.plus_ms(CLOSE_MS);
+                self.stop.step = Step::Closing { until };
+            }
+            Step::Closing { until } if self.ledger.is_finished() || now >= until => {
                 self.stop.step = Step::Done;
                 effects.push(Effect::Drained);
             }
@@ -128,7 +137,8 @@
     /// Keeps a submission back until the successor can take it.
     ///
     /// Only one that the registry does not know is kept back, since the registry answers
-    /// the others.
+    /// the others. While the registry is on its way, the successor does not know its
+    /// rights yet and would answer "unknown".
     pub(super) fn park(
         &mut self,
         asker: &Asker,
@@ -137,7 +147,9 @@
     ) -> bool {
         let full = self.stop.parked.len() >= PARKED;
         let known = self.tenure.find(id).is_some() || self.tenure.refusal(id).is_some();
-        if !matches!(self.stop.step, Step::Finishing { .. }) || full || known {
+        let waiting =
+            matches!(self.stop.step, Step::Finishing { .. } | Step::HandingOver { .. });
+        if !waiting || full || known {
             return false;
         }
         self.stop.parked.push((asker.clone(), submission.clone()));
@@ -166,7 +178,7 @@
     /// Returns the peer that takes over from this instance.
     fn successor(&self, now: Timestamp) -> Option<PeerInfo> {
         let stopping = |name: &_| {
-            let member = Member::Instance(crate::id::InstanceName::clone(name));
+            let member = Member::Instance(InstanceName::clone(name));
             let peer = self.membership.peers.get(name);
             peer.is_some_and(|peer| {
                 let incarnation = peer.info.incarnation;
@@ -179,6 +191,31 @@
         successor.map(|peer| peer.info.clone())
     }
 
+    /// Reports whether an owner is to take over from this instance and may not have yet.
+    pub(super) fn is_handing_over_to(&self, owner: &Owner) -> bool {
+        let successor = match &self.tenure {
+            Stage::HandedOver(handed) => handed.successor() == owner,
+            _ => false,
+        };
+        successor && matches!(self.stop.step, Step::HandingOver { .. })
+    }
+
+    /// Tells a peer who answers for the submissions of this instance now, and reports
+    /// whether anybody does.
+    ///
+    /// The peer then gives its forwards to the successor, so none of them needs a second
+    /// hop from here.
+    pub(super) fn tell_successor(
+        &self,
+        peer: &InstanceName,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Stage::HandedOver(handed) = &self.tenure else { return false };
+        let (from, to) = (handed.from().clone(), handed.successor().clone());
+        self.tell(peer, Message::Succession { from, to }, effects);
+        true
+    }
+
     /// Gives up the right to start anything and sends the registry to a successor.
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let successor = self.successor(now);
@@ -188,14 +225,9 @@
             return;
         };
         let owner = Owner::new(info.name, info.incarnation);
-        self.tenure = match std::mem::replace(&mut self.tenure, Tenure::Moving) {
-            Tenure::Draining(draining) => {
-                let handed = draining
-                    .hand_over(owner.clone(), &self.issuer, |_, r| last_outcome(r));
-                Tenure::HandedOver(handed)
-            }
-            other => other,
-        };
+        let tenure = std::mem::take(&mut self.tenure);
+        self.tenure =
+            tenure.hand_over(owner.clone(), &self.issuer, |_, r| last_outcome(r));
         self.successions.learn(self.me.clone(), owner);
         self.stop.step = Step::HandingOver {
             resend_at: now.plus_ms(RESEND_MS),
@@ -215,8 +247,8 @@
             let warning = "the successor did not acknowledge the handover; its ids are \
                            answered as unknown";
             effects.push(Effect::Warn(warning.into()));
-            self.release_parked(now, effects);
             self.linger(now);
+            self.release_parked(now, effects);
         } else if now >= resend_at {
             let resend_at = now.plus_ms(RESEND_MS);
             self.stop.step = Step::HandingOver { resend_at, until };
@@ -226,7 +258,7 @@
 
     /// Sends the parts of the handover.
     fn send_parts(&self, effects: &mut Vec<Effect>) {
-        let Tenure::HandedOver(handed) = &self.tenure else { return };
+        let Stage::HandedOver(handed) = &self.tenure else { return };
         let to = &handed.successor().instance;
         for part in handed.parts() {
             self.tell(to, Message::HandOver(Box::new(part.clone())), effects);
@@ -241,7 +273,7 @@
         part: Part,
         effects: &mut Vec<Effect>,
     ) {
-        let Tenure::Serving(registry) = &mut self.tenure else { return };
+        let Stage::Serving(registry) = &mut self.tenure else { return };
         let taken = Message::HandOverTaken { from: part.from.clone() };
         match self.assembly.accept(part, registry.rights()) {
             Ok(None) => {}
@@ -278,7 +310,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let expected = match &self.tenure {
-            Tenure::HandedOver(handed) => {
+            Stage::HandedOver(handed) => {
                 handed.from() == owner && handed.successor() == by
             }
             _ => false,
@@ -287,8 +319,8 @@
             return;
         }
         let now = self.round_at;
-        self.release_parked(now, effects);
         self.linger(now);
+        self.release_parked(now, effects);
     }
 
     /// Forwards the submissions that were kept back.
--- a/crates/bamboocart-core/src/engine/event.rs
+++ b/crates/bamboocart-core/src/engine/event.rs
@@ -76,8 +76,13 @@
         version: ConfigVersion,
         /// Its objects.
         set: Arc<ConfigSet>,
-        /// When it was published.
-        since: Timestamp,
+        /// When it was published, or `None` if that was too long ago to be known.
+        since: Option<Timestamp>,
+    },
+    /// An operator asked for the configuration in force.
+    Config {
+        /// Who waits for it.
+        waiter: WaiterId,
     },
     /// Records of the stream of claims were read.
     ClaimsRead(ClaimPage),
@@ -95,6 +100,13 @@
         /// Whether the peer certainly did not take the message.
         certain: bool,
     },
+    /// An append to the account has ended.
+    AccountAppended {
+        /// The number of the batch.
+        number: u64,
+        /// Whether the log has confirmed it.
+        confirmed: bool,
+    },
     /// A message is to be sent to a peer.
     TellPeer {
         /// The peer.
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod answer;
 mod claim;
+mod configure;
 mod dispatch;
 mod drain;
 mod effect;
@@ -11,10 +12,10 @@
 mod fleet;
 mod group;
 mod hedge;
+mod ledger;
 mod names;
 mod peers;
 mod record;
-mod stage;
 mod status;
 mod submit;
 
@@ -25,14 +26,16 @@
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
+use crate::account::Chain;
 use crate::config::ConfigSet;
 use crate::estimate::Estimator;
 use crate::id::{
-    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, TargetName,
+    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, StopPlanName,
+    TargetName,
 };
 use crate::membership::{Membership, PeerInfo, StopSchedule};
 use crate::ownership::{
-    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Successions,
+    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Stage, Successions,
 };
 use crate::placement::Policy;
 use crate::quota::QuotaTable;
@@ -44,15 +47,15 @@
 pub use self::event::{
     ClaimPage, Event, LeaseGrant, NewSubmission, ProbeAnswer, TaskSpec, WaiterId,
 };
-pub use self::status::{GroupStatus, PeerStatus, Stage, Status, TargetStatus};
+pub use self::status::{GroupStatus, InstanceState, PeerStatus, Status, TargetStatus};
 
 use self::drain::Stop;
 use self::fleet::Target;
 use self::group::Group;
+use self::ledger::Ledger;
 use self::names::{CustomerKey, Interner, KindKey};
 use self::peers::{Pending, PendingKey};
-use self::record::AttemptState;
-use self::stage::Tenure;
+use self::record::{AttemptState, Record};
 
 /// The time between two rounds of periodic work.
 const ROUND_MS: u64 = 100;
@@ -101,10 +104,12 @@
     config: Arc<ConfigSet>,
     /// The version of the configuration in force.
     config_version: ConfigVersion,
+    /// Since when each stop plan is in force; none if it began too long ago to matter.
+    plans_since: BTreeMap<StopPlanName, Timestamp>,
     /// The turns of the stop plans in force.
     stops: StopSchedule,
     /// The submissions that this instance owns.
-    tenure: Tenure,
+    tenure: Stage<Record>,
     /// Issues tickets.
     issuer: Issuer,
     /// The claims on caller keys.
@@ -155,12 +160,20 @@
     linked: Vec<Arc<str>>,
     /// How far a planned stop has come.
     stop: Stop,
+    /// Whether the instance was announced as ready.
+    ready: bool,
+    /// When the instance started.
+    started_at: Timestamp,
+    /// Since when every peer that the list names was heard.
+    acquainted_at: Option<Timestamp>,
     /// Whether the stream of claims was read once.
     claims_seen: bool,
     /// When the seeds were greeted last.
     greeted_at: Timestamp,
     /// When a configuration was asked for last.
     fetched_at: Timestamp,
+    /// The account.
+    ledger: Ledger,
     /// The source of random choices.
     rng: SmallRng,
     /// When periodic work was done last.
@@ -180,7 +193,8 @@
             address: setup.peer_address.clone(),
         };
         Self {
-            tenure: Tenure::Serving(Registry::new(me.clone(), setup.limits)),
+            tenure: Stage::Serving(Registry::new(me.clone(), setup.limits)),
+            ledger: Ledger::new(Chain::new(me.instance.clone(), me.incarnation)),
             issuer: Issuer::new(setup.domain.clone(), me.clone()),
             claimer: Claimer::new(me.clone()),
             assembly: Assembly::new(me.clone()),
@@ -190,6 +204,7 @@
             setup,
             config: Arc::default(),
             config_version: ConfigVersion::default(),
+            plans_since: BTreeMap::new(),
             stops: StopSchedule::default(),
             claims: ClaimTable::default(),
             successions: Successions::default(),
@@ -212,6 +227,9 @@
             credits: BTreeMap::new(),
             linked: vec![],
             stop: Stop::default(),
+            ready: false,
+            started_at: now,
+            acquainted_at: None,
             claims_seen: false,
             greeted_at: Timestamp::default(),
             fetched_at: Timestamp::default(),
@@ -245,7 +263,12 @@
             Event::Listed(list) => self.listed(now, list, effects),
             Event::Probed(answer) => self.probed(now, &answer, effects),
             Event::ConfigAccepted { version, set, since } => {
-                self.config_accepted(now, version, set, since, effects);
+                self.config_published(now, version, set, since, effects);
+            }
+            Event::Config { waiter } => {
+                let (version, text) = (self.config_version, self.config.to_json());
+                let reply = Reply::Config { version, text };
+                effects.push(Effect::Answer { waiter, reply });
             }
             Event::ClaimsRead(page) => self.claims_read(&page, effects),
             Event::PeerMessage { from, message } => {
@@ -254,6 +277,9 @@
             Event::PeerUndelivered { correlation, certain } => {
                 self.peer_undelivered(now, correlation, certain, effects);
             }
+            Event::AccountAppended { number, confirmed } => {
+                self.account_appended(now, number, confirmed, effects);
+            }
             Event::TellPeer { to, message } => self.tell(&to, *message, effects),
             Event::Drain => self.drain(now, effects),
             Event::Tick => self.tick(now, effects),
@@ -270,32 +296,6 @@
         &self.config
     }
 
-    /// Takes a newer configuration into force; an older one is ignored.
-    ///
-    /// `since` is when the publication was appended to the log.
-    fn config_accepted(
-        &mut self,
-        now: Timestamp,
-        version: ConfigVersion,
-        set: Arc<ConfigSet>,
-        since: Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        if version <= self.config_version {
-            return;
-        }
-        self.config = set;
-        self.config_version = version;
-        self.stops = StopSchedule::new(&self.config.stop_plan, |_| since);
-        self.quotas.configure(&self.config.quota, now);
-        self.configure_kinds();
-        self.configure_groups();
-        self.fleet_changed = true;
-        self.sync_targets(now);
-        effects.push(Effect::ConfigInForce { version });
-        self.dispatch_all(now, effects);
-    }
-
     /// Does what is due by time.
     fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         self.expire_deadlines(now, effects);
@@ -311,12 +311,14 @@
     /// Does the periodic work that needs no exact time.
     fn round(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         self.peers_round(now, effects);
+        self.announce_ready(now, effects);
         self.apply_stops(now, effects);
         self.sync_targets(now);
         self.renew_leases(now, effects);
         self.probe_targets(now, effects);
         self.end_backoffs(now);
         self.claim(now, effects);
+        self.append_account(now, effects);
         self.drain_round(now, effects);
     }
 }
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -44,6 +44,10 @@
                 self.submit_owned(now, arrived, effects);
             }
             Resolved::Other(owner) => {
+                if self.is_handing_over_to(&owner) && self.park(&asker, &id, &submission)
+                {
+                    return;
+                }
                 let ask = Ask::Submit(Box::new(submission));
                 self.forward(now, asker, &owner, ask, effects);
             }
@@ -57,9 +61,8 @@
     /// Returns who owns an id.
     pub(super) fn resolve(&self, id: &SubmissionId) -> Resolved {
         let live = |name: &_| self.membership.peers.live_incarnation(name);
-        let none = ownership::Rights::default();
         let view = View {
-            rights: self.tenure.rights().unwrap_or(&none),
+            rights: self.tenure.rights(),
             issuer: &self.issuer,
             claims: &self.claims,
             successions: &self.successions,
@@ -90,6 +93,7 @@
                 self.offer(now, arrived, Ok(plan), effects);
             }
             Err(refusal) => {
+                self.note_refused(now, None, &submission, refusal);
                 let outcome = Outcome::Refused(refusal);
                 let verdict = Verdict { id: None, outcome, attempts: 0 };
                 self.reply(&asker, verdict, submission.want_tickets, effects);
@@ -125,29 +129,43 @@
         let overloaded = Refusal { code: RefusalCode::Overloaded, retry_after_ms: None };
         let draining = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
         let refused = |refusal| Verdict::refused(id.clone(), refusal);
+        let mut fresh = false;
         let verdict = match self.tenure.offer(&id, &owner, digest, now) {
-            Some(Offer::New(vacancy)) => match plan {
+            Offer::New(vacancy) => match plan {
                 Ok(plan) => {
                     let record = record(&id, submission, &plan, now, asker);
                     let key = vacancy.admit(record);
                     self.accepted(now, key, plan, effects);
                     return;
                 }
-                Err(refusal) => refused(vacancy.refuse(refusal)),
+                Err(refusal) => {
+                    fresh = true;
+                    refused(vacancy.refuse(refusal))
+                }
             },
-            Some(Offer::Known(key)) => {
+            Offer::Known(key) => {
                 self.join(key, asker, want, effects);
                 return;
             }
-            Some(Offer::Refused(refusal)) => refused(refusal),
-            Some(Offer::Reused) => {
+            Offer::Refused(refusal) => refused(refusal),
+            Offer::Reused => {
                 refused(Refusal { code: RefusalCode::IdReused, retry_after_ms: None })
             }
-            Some(Offer::Forgotten) => Verdict::unknown(id, UnknownCode::Forgotten),
-            Some(Offer::Full(arrival)) => refused(arrival.refuse(overloaded)),
-            Some(Offer::Draining(arrival)) => refused(arrival.refuse(draining)),
-            Some(Offer::NotOwned) | None => Verdict::unknown(id, UnknownCode::OwnerGone),
+            Offer::Forgotten => Verdict::unknown(id, UnknownCode::Forgotten),
+            Offer::Early => Verdict::unknown(id, UnknownCode::ClockAhead),
+            Offer::Full(arrival) => {
+                fresh = true;
+                refused(arrival.refuse(overloaded))
+            }
+            Offer::Draining(arrival) => {
+                fresh = true;
+                refused(arrival.refuse(draining))
+            }
+            Offer::NotOwned => Verdict::unknown(id, UnknownCode::OwnerGone),
         };
+        if let (true, Outcome::Refused(refusal)) = (fresh, &verdict.outcome) {
+            self.note_refused(now, verdict.id.clone(), &submission, *refusal);
+        }
         self.reply(&asker, verdict, want, effects);
     }
 
@@ -162,6 +180,7 @@
         let Some(record) = self.tenure.get(key) else { return };
         let (count, deadline) = (record.tasks.len(), record.deadline);
         self.deadlines.insert((deadline, key));
+        self.note_admitted(now, key, &plan);
         // The plan has checked the quota with the same arguments.
         if let Some(customer) = self.customers.name(plan.customer).cloned() {
             let _ = self.quotas.admit(&customer, count as u32, now);
@@ -232,6 +251,7 @@
         attempts: 0,
         in_flight: 0,
         started: false,
+        config_version: plan.config_version,
         arrived: now,
         deadline: plan.deadline,
         longest_us: 0,
