--- a/crates/bamboocart-standin/src/load/recorder.rs
+++ b/crates/bamboocart-standin/src/load/recorder.rs
@@ -20,6 +20,12 @@
 /// The factor of the integers that stand for ratios in a histogram.
 const RATIO_UNIT: f64 = 1_000.0;
 
+/// The name under which calls and submissions without an answer are counted.
+const UNANSWERED: &str = "unanswered";
+
+/// The name under which submissions with a complete answer are counted.
+const COMPLETE: &str = "complete";
+
 /// Takes the records of a run.
 pub struct Recorder {
     /// The history file.
@@ -55,6 +61,8 @@
     complete: bool,
     /// Whether the first complete answer was within the deadline.
     in_time: bool,
+    /// The outcome and code of the last answer to a call that submitted.
+    end: Option<String>,
 }
 
 impl Recorder {
@@ -92,6 +100,11 @@
         let attempts: u64 =
             self.submissions.values().map(|s| u64::from(s.attempts)).sum();
         let in_time = complete.clone().filter(|s| s.in_time).count() as u64;
+        let mut ends = BTreeMap::new();
+        for submission in self.submissions.values() {
+            let end = submission.end.as_deref().unwrap_or(UNANSWERED);
+            *ends.entry(end.to_owned()).or_default() += 1;
+        }
         let elapsed_s = elapsed.as_secs_f64();
         Ok(Summary {
             elapsed_s,
@@ -105,6 +118,7 @@
             attempts,
             attempts_per_needed_start: attempts as f64 / needed.max(1) as f64,
             codes: self.codes,
+            ends,
             kinds: self.kinds.into_iter().map(|(k, s)| (k, s.summary())).collect(),
         })
     }
@@ -126,6 +140,9 @@
         let submission = self.submissions.entry(record.mark.clone()).or_default();
         submission.tasks = record.tasks;
         let Some(answer) = &record.answer else { return };
+        if record.purpose != Purpose::Cancel {
+            submission.end = Some(code(record).unwrap_or_else(|| COMPLETE.to_owned()));
+        }
         submission.attempts = submission.attempts.max(answer.attempts);
         if answer.outcome != OutcomeName::Complete || submission.complete {
             return;
@@ -187,7 +204,7 @@
         OutcomeName::Unknown => Some("unknown"),
     };
     let text = match &record.answer {
-        None => "unanswered".to_owned(),
+        None => UNANSWERED.to_owned(),
         Some(answer) => format!("{}/{}", name(answer)?, answer.code),
     };
     match record.purpose {
--- a/crates/bamboocart-standin/src/load/summary.rs
+++ b/crates/bamboocart-standin/src/load/summary.rs
@@ -31,6 +31,9 @@
     pub attempts_per_needed_start: f64,
     /// The number of answers that are not complete, by outcome and code.
     pub codes: BTreeMap<String, u64>,
+    /// The number of submissions by the outcome and code of their last answer.
+    #[serde(default)]
+    pub ends: BTreeMap<String, u64>,
     /// The response times by request kind.
     pub kinds: BTreeMap<KindName, KindSummary>,
 }
@@ -104,7 +107,10 @@
             self.attempts, self.needed_starts, self.attempts_per_needed_start
         )?;
         for (code, count) in &self.codes {
-            writeln!(f, "{code}: {count}")?;
+            writeln!(f, "calls with the answer {code}: {count}")?;
+        }
+        for (end, count) in &self.ends {
+            writeln!(f, "submissions that ended as {end}: {count}")?;
         }
         Ok(())
     }
--- a/crates/bamboocart-standin/tests/load.rs
+++ b/crates/bamboocart-standin/tests/load.rs
@@ -210,6 +210,17 @@
     assert!(row.response_over_ideal.p50 > 0.0);
 }
 
+/// Guards against measurements that are cut off at the initial range of a histogram, which
+/// ends at 2 ms and at twice the ideal.
+#[test]
+fn long_responses_are_measured() {
+    let flags = ["--rate=200", "--count=5", "--kind=bay-check=1@50", "--spread=0"];
+    let run = run("long.jsonl", Behaviour::Correct, &flags);
+    let row = run.summary.kinds.values().next().unwrap();
+    assert!(row.response_ms.p50 >= 50.0, "{row:?}");
+    assert_eq!(run.summary.ends, [("complete".to_owned(), 5)].into());
+}
+
 /// Guards against a check that passes faulty instances.
 #[test]
 fn faulty_instances_fail_the_check() {
@@ -256,6 +267,7 @@
     let purposes = run.sends.iter().map(|send| send.purpose);
     assert_eq!(purposes.filter(|purpose| *purpose == Purpose::Resubmit).count(), 2);
     assert_eq!((run.summary.calls, run.summary.codes["unanswered"]), (4, 4));
+    assert_eq!(run.summary.ends, [("unanswered".to_owned(), 2)].into());
     let mut ids: Vec<_> = run.sends.iter().map(|send| send.asked.clone()).collect();
     ids.sort();
     ids.dedup();
