Bound the systems that tests run at the same time

Cause: with ten systems at once and other builds running, a system did not reach full service within the stated limit on recovery (load average 41). Conclusion: limits on recovery measure the system and not the machine.

--- a/crates/bamboocart-dispatcher/tests/handover.rs
+++ b/crates/bamboocart-dispatcher/tests/handover.rs
@@ -95,7 +95,7 @@
     };
     wait_until("the use of the only slot", RECOVERY, || busy() == 1);
     cluster.instances[0].drain();
-    let draining = || cluster.instances[0].status()["stage"] == "draining";
+    let draining = || cluster.instances[0].status()["state"] == "draining";
     wait_until("the start of the stop", RECOVERY, draining);
     submit_all(owner, Purpose::Resubmit);
     let asked = works[0].id.clone().expect("the work has an id");
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -17,6 +17,7 @@
 use super::config::register;
 use super::forward::{Mode, Net, Node};
 use super::http::call;
+use super::permit::Permit;
 use super::process::Instance;
 use super::{POLL, RECOVERY, base_config, publish, wait_until};
 
@@ -68,6 +69,8 @@
     settings: ClusterSettings,
     /// The addresses of the forwarders to and from each instance.
     doors: Vec<Doors>,
+    /// Given back after everything else has ended.
+    _permit: Permit,
 }
 
 /// The forwarders of one instance.
@@ -82,6 +85,7 @@
 impl Cluster {
     /// Starts a system and waits until every instance serves and knows the others.
     pub fn start(settings: ClusterSettings) -> Self {
+        let permit = Permit::wait();
         let platform = PlatformServer::start(&platform::Settings {
             port: 0,
             retention_ms: settings.retention_ms,
@@ -109,6 +113,7 @@
             net,
             settings,
             doors: vec![],
+            _permit: permit,
         };
         for domain in cluster.settings.instances.clone() {
             cluster.add_instance(domain);
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod http;
 mod judge;
 mod load;
+mod permit;
 mod process;
 mod sockets;
 mod storm;
