Answer every open request before a stopping process ends

Cause: the HTTP server returned as soon as the engine was drained, so that the runtime dropped connections with open requests, and the kernel reset those in the backlog. The engine ended at the same moment. A drained engine also waited for forwards of new callers to end, which under steady load of callers without readiness may take any time.

Ruled out: the handover; the calls that failed had been accepted by the closing process.

A second signal still ends the process at once.

--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -112,7 +112,7 @@
             Step::HandingOver { resend_at, until } => {
                 self.hand_over_again(now, (resend_at, until), effects);
             }
-            Step::Lingering { until } if now >= until && self.forwards() == 0 => {
+            Step::Lingering { until } if now >= until => {
                 self.return_leases(now, effects);
                 self.stop.step = Step::Done;
                 effects.push(Effect::Drained);
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -332,12 +332,6 @@
         }
     }
 
-    /// Returns the number of forwards that wait for an answer.
-    pub(super) fn forwards(&self) -> usize {
-        let forward = |pending: &&Pending| matches!(pending.about, About::Forward { .. });
-        self.pending.values().filter(forward).count()
-    }
-
     /// Tells a peer that is newly live about the handovers that it may have missed.
     fn tell_successions(&self, peer: &InstanceName, effects: &mut Vec<Effect>) {
         for (from, to) in self.successions.latest(TOLD_SUCCESSIONS) {
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -112,8 +112,10 @@
     waiters: Arc<Waiters>,
     /// Starts spans.
     tracer: Tracer,
-    /// Ends the process.
+    /// Ends the process after the open requests.
     stop: CancellationToken,
+    /// Ends the process at once.
+    halt: CancellationToken,
 }
 
 /// Runs an instance until it is told to stop.
@@ -135,14 +137,15 @@
         waiters: Arc::default(),
         tracer: Tracer::new(settings.output.trace_per_10k),
         stop: CancellationToken::new(),
+        halt: CancellationToken::new(),
         settings,
     };
     let outputs = parts.start_outputs(peer_listener)?;
     let engine = Engine::new(parts.setup(peer_address), clock.now());
-    let engine_stop = parts.stop.clone();
+    let (stop, halt) = (parts.stop.clone(), parts.halt.clone());
     let engine_thread = thread::Builder::new()
         .name("engine".into())
-        .spawn(move || driver::run(engine, clock, &event_queue, outputs, &engine_stop))
+        .spawn(move || driver::run(engine, clock, &event_queue, outputs, (&stop, &halt)))
         .context(StartSnafu)?;
     parts.start_inputs();
     parts.watch_signals()?;
@@ -152,7 +155,9 @@
         .enable_all()
         .build()
         .context(StartSnafu)?;
-    let served = runtime.block_on(server::serve(listener, context, parts.stop.clone()));
+    let serving = server::serve(listener, context, parts.stop.clone(), &parts.halt);
+    let served = runtime.block_on(serving);
+    parts.halt.cancel();
     if engine_thread.join().is_err() {
         log::error!("the engine has panicked; report this fault");
     }
@@ -225,12 +230,14 @@
     fn watch_signals(&self) -> Result<()> {
         let mut signals = Signals::new([SIGTERM, SIGINT]).context(StartSnafu)?;
         let (events, stop) = (self.events.clone(), self.stop.clone());
+        let halt = self.halt.clone();
         thread::spawn(move || {
             let mut pending = signals.forever();
             if pending.next().is_some() && events.send(Event::Drain).is_err() {
                 stop.cancel();
             }
             if pending.next().is_some() {
+                halt.cancel();
                 stop.cancel();
             }
         });
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -39,17 +39,19 @@
     pub ready: Arc<AtomicBool>,
 }
 
-/// Runs the engine until it is drained, and then cancels `stop`.
+/// Runs the engine until `halt` is cancelled, and cancels `stop` when it is drained.
+///
+/// A drained engine goes on, because the last requests still come in.
 pub fn run(
     mut engine: Engine,
     clock: Clock,
     events: &Receiver<Event>,
     outputs: Outputs,
-    stop: &CancellationToken,
+    (stop, halt): (&CancellationToken, &CancellationToken),
 ) {
     let mut effects = Vec::new();
     let mut last_tick = clock.now();
-    while !stop.is_cancelled() {
+    while !halt.is_cancelled() {
         let event = match events.recv_timeout(Duration::from_millis(TICK_MS)) {
             Ok(event) => event,
             Err(RecvTimeoutError::Timeout) => Event::Tick,
