Exit with code 2 for settings that cannot be read

Cause: the command line parser ends the process with code 1 for unreadable flags, while settings that contradict each other end it with 2.

Change: the failure is returned to main, which prints it and exits with 2.

Conclusion: code 2 stands for wrong settings of any kind.

--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -16,14 +16,26 @@
 
 use std::process::ExitCode;
 
+use bpaf::ParseFailure;
+
 use crate::settings::Settings;
 
 /// The exit code for settings that cannot be used.
 const USAGE: u8 = 2;
 
+/// The width of help texts.
+const MESSAGE_COLUMNS: usize = 100;
+
 /// Starts an instance and runs it until it is told to stop.
 fn main() -> ExitCode {
-    let settings = Settings::from_args();
+    let settings = match Settings::from_args() {
+        Ok(settings) => settings,
+        Err(failure) => {
+            failure.print_message(MESSAGE_COLUMNS);
+            let usage = matches!(failure, ParseFailure::Stderr(_));
+            return if usage { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
+        }
+    };
     let faults = settings.faults();
     if !faults.is_empty() {
         faults.iter().for_each(|fault| eprintln!("error: {fault}"));
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -4,7 +4,7 @@
 
 use bamboocart_core::placement::Policy;
 use bamboocart_telemetry::logs::LogFormat;
-use bpaf::Bpaf;
+use bpaf::{Args, Bpaf, ParseFailure};
 use log::LevelFilter;
 
 /// Runs one entry instance of bamboocart.
@@ -174,9 +174,9 @@
 }
 
 impl Settings {
-    /// Reads the settings, or ends the process with a message that tells what is wrong.
-    pub fn from_args() -> Self {
-        parser().run()
+    /// Reads the settings, or returns a message for help or about what is wrong.
+    pub fn from_args() -> Result<Self, ParseFailure> {
+        parser().run_inner(Args::current_args())
     }
 
     /// Returns everything that is wrong with the settings as a whole.
