Test planned stops by histories of concurrent runs

The fixture gets callers that follow readiness or not, and SIGTERM. The forwarders look up who opened a connection in another thread: with 38,000 sockets on the machine each look-up took 0.2 s, in which nothing was forwarded, and clusters did not start in 14 s.

stops.rs replaces all instances under load, repeats the answers of the stopped ones, runs their unused tickets and caller keys twice at the same time, stops members by a plan, stops the last instance, and publishes during a stop.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/stops.rs
@@ -0,0 +1,334 @@
+//! Planned stops: an instance that stops interrupts no request, and its successor answers
+//! for what it had.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bamboocart_core::config::StopPlan;
+use bamboocart_core::id::SubmissionId;
+use bamboocart_standin::history::{Purpose, SendRecord};
+use bamboocart_wire::api::OutcomeName;
+use serde_json::{Value, json};
+use support::{
+    Callers, Cluster, ClusterSettings, Instance, Order, RECOVERY, agent, base_config,
+    call, now, publish, seed, submit, try_call, wait_until,
+};
+use uuid::Uuid;
+
+/// The time in which an instance stops after its lame-duck time under short requests.
+const STOP: Duration = Duration::from_secs(10);
+
+/// The answers of stopped instances that are asked for again.
+const REPEATED: usize = 300;
+
+/// The tickets of stopped instances that are used for the first time.
+const UNUSED: usize = 60;
+
+/// Fails unless a call was answered complete.
+fn assert_complete(record: &SendRecord) {
+    let answer = record.answer.as_ref();
+    let complete = answer.is_some_and(|it| it.outcome == OutcomeName::Complete);
+    let code = answer.map(|it| (&it.code, &it.owner));
+    let SendRecord { mark, asked, instance, error, .. } = record;
+    assert!(complete, "{mark} as {asked:?} at {instance}: {code:?} {error:?}");
+}
+
+/// Waits until every instance is ready and knows the owner of every caller key.
+fn wait_for_keys(cluster: &Cluster) {
+    let agent = agent();
+    let mut number = 0;
+    wait_until("the owners of caller keys", RECOVERY, || {
+        cluster.addresses().into_iter().all(|address| {
+            is_ready(address)
+                && (0..64).all(|_| {
+                    number += 1;
+                    let key = SubmissionId::CallerKey(Uuid::now_v7());
+                    let order = Order::new(format!("key-{number}"), 1, Some(key));
+                    let answer = submit(&agent, address, &order).answer;
+                    answer.is_some_and(|it| it.outcome == OutcomeName::Complete)
+                })
+        })
+    });
+}
+
+/// Guards against a stop that interrupts requests or forgets submissions: every instance
+/// is replaced under load. Callers behind a balancer get only complete answers, and the
+/// others fail only at a closed port. Afterwards answers are repeated, and tickets and
+/// caller keys of the stopped instances run once.
+#[test]
+fn rolling_replacement() {
+    let seed = seed(7);
+    let mut cluster = Cluster::start(ClusterSettings {
+        flags: vec!["--lame-duck-ms", "1000"],
+        ..ClusterSettings::default()
+    });
+    wait_for_keys(&cluster);
+    let groups = [true, false]
+        .map(|balanced| Callers::start(8, balanced, seed, cluster.addresses()));
+    let first: Vec<u64> = cluster.instances.iter().map(|it| it.incarnation).collect();
+    for index in 0..cluster.instances.len() {
+        cluster.instances[index].terminate();
+        cluster.instances[index].wait_for_end(STOP);
+        cluster.restart(index);
+        let [balanced, unbalanced] = &groups;
+        balanced.set_running(cluster.addresses());
+        cluster.wait_for_service();
+        wait_until("readiness", RECOVERY, || {
+            cluster.addresses().into_iter().all(is_ready)
+        });
+        unbalanced.set_running(cluster.addresses());
+    }
+    let [(balanced, mut tickets), (unbalanced, more)] = groups.map(Callers::stop);
+    tickets.extend(more);
+    eprintln!(
+        "seed {seed}: {} balanced calls, {} others",
+        balanced.len(),
+        unbalanced.len()
+    );
+    balanced.iter().for_each(assert_complete);
+    let closed = |it: &&SendRecord| {
+        it.error.as_ref().is_some_and(|error| error.contains("Connection refused"))
+    };
+    unbalanced.iter().filter(|it| !closed(it)).for_each(assert_complete);
+
+    let of_stopped = |id: &SubmissionId| match id {
+        SubmissionId::Ticket(ticket) => first.contains(&ticket.incarnation.0),
+        SubmissionId::CallerKey(_) => true,
+    };
+    let mut sends: Vec<SendRecord> = balanced.into_iter().chain(unbalanced).collect();
+    let again = repeat(&cluster, sends.iter().rev().filter(|it| it.answer.is_some()));
+    let unused = tickets.into_iter().filter(of_stopped).take(UNUSED);
+    let fresh: Vec<SubmissionId> = unused.collect();
+    assert!(!fresh.is_empty(), "no ticket of a stopped instance is left");
+    let keys = (0..UNUSED).map(|_| SubmissionId::CallerKey(Uuid::now_v7()));
+    let late = run_twice(&cluster, fresh.into_iter().chain(keys));
+    late.iter().for_each(assert_complete);
+    sends.extend(again);
+    sends.extend(late);
+    cluster.check_history(sends);
+}
+
+/// Sends answered submissions again to any instance and expects the same answers.
+fn repeat<'a>(
+    cluster: &Cluster,
+    answered: impl Iterator<Item = &'a SendRecord>,
+) -> Vec<SendRecord> {
+    let (agent, addresses) = (agent(), cluster.addresses());
+    let again = answered.take(REPEATED).enumerate().map(|(index, first)| {
+        let answer = first.answer.as_ref().expect("only answered ones are repeated");
+        let order = Order {
+            id: answer.submission.clone(),
+            purpose: Purpose::Resubmit,
+            ..Order::new(&first.mark, first.ideal_us / 1_000, None)
+        };
+        let record = submit(&agent, addresses[index % addresses.len()], &order);
+        let repeated = record.answer.as_ref().map(|answer| &answer.results);
+        assert_eq!(repeated, Some(&answer.results), "{first:#?} {record:#?}");
+        record
+    });
+    again.collect()
+}
+
+/// Submits under each id at two instances at the same time.
+fn run_twice(
+    cluster: &Cluster,
+    ids: impl Iterator<Item = SubmissionId>,
+) -> Vec<SendRecord> {
+    let addresses = cluster.addresses();
+    let both = |(index, id): (usize, SubmissionId)| {
+        let order = Order::new(format!("late-{index}"), 5, Some(id));
+        let at = |offset: usize| addresses[(index + offset) % addresses.len()];
+        let other = Order { purpose: Purpose::Resubmit, ..order.clone() };
+        std::thread::scope(|scope| {
+            let second = scope.spawn(|| submit(&agent(), at(1), &other));
+            [submit(&agent(), at(0), &order), second.join().unwrap()]
+        })
+    };
+    ids.enumerate().flat_map(both).collect()
+}
+
+/// Guards against tickets of a stopping instance that get no answer because a peer has
+/// forwarded them: while the owner finishes long requests, its tickets and caller keys
+/// come in through a peer.
+#[test]
+fn forwarded_during_stop() {
+    let mut cluster = Cluster::start(ClusterSettings {
+        flags: vec!["--lame-duck-ms", "200"],
+        ..ClusterSettings::default()
+    });
+    wait_for_keys(&cluster);
+    let (owner, peer) = (cluster.instances[0].address, cluster.instances[1].address);
+    let (_, issued) = call("POST", owner, "/v1/tickets", &json!({ "count": 40 }));
+    let tickets: Vec<SubmissionId> =
+        serde_json::from_value(issued["tickets"].clone()).unwrap();
+    let sends = std::thread::scope(|scope| {
+        let long =
+            scope.spawn(|| submit(&agent(), owner, &Order::new("long", 1_500, None)));
+        wait_until("the start of the long request", RECOVERY, || {
+            cluster.instances[0].status()["sends"] != 0
+        });
+        cluster.instances[0].terminate();
+        let keys = (0..40).map(|_| SubmissionId::CallerKey(Uuid::now_v7()));
+        let ids = tickets.into_iter().zip(keys).flat_map(|(ticket, key)| [ticket, key]);
+        let calls = ids.enumerate().map(|(index, id)| {
+            // The stop takes about two seconds, over which the calls are spread.
+            std::thread::sleep(Duration::from_millis(30));
+            let order = Order::new(format!("during-{index}"), 5, Some(id));
+            scope.spawn(move || submit(&agent(), peer, &order))
+        });
+        let calls: Vec<_> = calls.collect();
+        let calls = calls.into_iter().chain([long]);
+        calls.map(|it| it.join().unwrap()).collect::<Vec<_>>()
+    });
+    cluster.instances[0].wait_for_end(STOP);
+    sends.iter().for_each(assert_complete);
+    cluster.check_history(sends);
+}
+
+/// Guards against a stop without a peer that loses requests or lies about them: what was
+/// admitted is finished, and everything later is refused as not run.
+#[test]
+fn stop_of_the_last_instance() {
+    let mut cluster = Cluster::start(ClusterSettings {
+        instances: vec!["marka"],
+        flags: vec!["--lame-duck-ms", "200"],
+        ..ClusterSettings::default()
+    });
+    let address = cluster.instances[0].address;
+    let (_, issued) = call("POST", address, "/v1/tickets", &json!({ "count": 1 }));
+    let ticket: SubmissionId =
+        serde_json::from_value(issued["tickets"][0].clone()).unwrap();
+    let sends = std::thread::scope(|scope| {
+        let long =
+            scope.spawn(|| submit(&agent(), address, &Order::new("long", 1_500, None)));
+        wait_until("the start of the long request", RECOVERY, || {
+            cluster.instances[0].status()["sends"] != 0
+        });
+        cluster.instances[0].terminate();
+        let mut probes = 0;
+        wait_until("the end of admission", RECOVERY, || {
+            probes += 1;
+            let order = Order::new(format!("probe-{probes}"), 1, None);
+            let answer = submit(&agent(), address, &order).answer;
+            answer.is_some_and(|answer| answer.code == "draining")
+        });
+        let late = [("late-1", Some(ticket)), ("late-2", None)].map(|(mark, id)| {
+            scope.spawn(move || submit(&agent(), address, &Order::new(mark, 1, id)))
+        });
+        let late = late.map(|it| it.join().unwrap());
+        for record in &late {
+            let answer = record.answer.as_ref().expect("a refusal is an answer");
+            assert_eq!(answer.code, "draining", "{record:#?}");
+        }
+        let long = long.join().unwrap();
+        assert_complete(&long);
+        late.into_iter().chain([long]).collect::<Vec<_>>()
+    });
+    cluster.instances[0].wait_for_end(STOP);
+    cluster.check_history(sends);
+}
+
+/// Guards against a stopping instance that calls itself ready again when a configuration
+/// comes into force.
+#[test]
+fn publication_during_stop() {
+    let cluster = Cluster::start(ClusterSettings {
+        instances: vec!["marka", "marka"],
+        flags: vec!["--lame-duck-ms", "60000"],
+        ..ClusterSettings::default()
+    });
+    let stopping = &cluster.instances[0];
+    let ready = || call("GET", stopping.address, "/ready", &Value::Null).0;
+    stopping.terminate();
+    wait_until("the end of readiness", RECOVERY, || ready() == 503);
+    let before = stopping.status()["config_version"].clone();
+    publish(cluster.platform.address(), &base_config());
+    let in_force = || stopping.status()["config_version"] != before;
+    wait_until("the publication", Duration::from_secs(9), in_force);
+    assert_eq!(ready(), 503);
+}
+
+/// Guards against a stop plan that stops members out of order or too early, or interrupts
+/// requests: two targets and then two instances stop one after the other under load.
+#[test]
+fn stop_plan_in_order() {
+    const DRAIN_MS: u64 = 2_500;
+    let mut cluster = Cluster::start(ClusterSettings {
+        instances: vec!["marka", "sahab", "qastal"],
+        flags: vec!["--lame-duck-ms", "500"],
+        ..ClusterSettings::default()
+    });
+    wait_for_keys(&cluster);
+    let callers = Callers::start(16, true, seed(11), cluster.addresses());
+    let names: Vec<_> =
+        cluster.minions.members().rows().into_iter().map(|it| it.name).collect();
+    let mut set = base_config();
+    let plan = StopPlan {
+        targets: names[..2].iter().map(|it| it.as_str().into()).collect(),
+        instances: vec!["i-2".into(), "i-0".into()],
+        drain_ms: DRAIN_MS,
+        at_once: 1,
+        after: vec![],
+    };
+    set.stop_plan.insert("night".into(), plan);
+    let begun = now();
+    publish(cluster.platform.address(), &set);
+    let mut ends = vec![];
+    for index in [2, 0] {
+        let [first, second] = [2, 0].map(|it: usize| cluster.instances[it].address);
+        cluster.instances[index].wait_for_end(RECOVERY);
+        ends.push(now());
+        if index == 2 {
+            assert!(is_ready(second), "{second} stopped together with {first}");
+        }
+    }
+    let stopped: Vec<SocketAddr> = vec![cluster.instances[1].address];
+    callers.set_running(stopped);
+    let (sends, _) = callers.stop();
+    sends.iter().for_each(assert_complete);
+    let evidence = cluster.evidence(vec![]);
+    let last_start = |name: &str| {
+        let starts = evidence
+            .events
+            .iter()
+            .filter(|it| it.target.as_str() == name && it.run.is_some());
+        starts.map(|it| it.at_us.ms_since(begun)).max().unwrap_or(0)
+    };
+    let lasts: Vec<u64> = names[..2].iter().map(|it| last_start(it.as_str())).collect();
+    let ends: Vec<u64> = ends.iter().map(|it| it.ms_since(begun)).collect();
+    eprintln!("last events {lasts:?} ms, ends {ends:?} ms after the publication");
+    // Each member may begin to leave at its turn and is idle at most 5 s later.
+    for (place, &at) in lasts.iter().chain(&ends).enumerate() {
+        let turn_ms = place as u64 * DRAIN_MS;
+        // A target may happen to be idle for a moment before its turn.
+        let used_until = turn_ms.saturating_sub(1_000);
+        assert!(
+            (used_until..turn_ms + 5_000).contains(&at),
+            "{place}: {lasts:?} {ends:?}"
+        );
+    }
+    cluster.check_history(sends);
+}
+
+/// Reports whether an instance is ready.
+fn is_ready(address: SocketAddr) -> bool {
+    let answer = try_call("GET", address, "/ready", &Value::Null, Duration::from_secs(2));
+    answer.is_some_and(|(status, _)| status == 200)
+}
+
+/// Guards against a second signal that is ignored: it ends the process at once.
+#[test]
+fn second_signal_ends_at_once() {
+    let mut cluster = Cluster::start(ClusterSettings {
+        instances: vec!["marka"],
+        flags: vec!["--lame-duck-ms", "60000"],
+        ..ClusterSettings::default()
+    });
+    let address = cluster.instances[0].address;
+    cluster.instances[0].terminate();
+    wait_until("the end of readiness", RECOVERY, || !is_ready(address));
+    cluster.instances[0].terminate();
+    Instance::wait_for_end(&mut cluster.instances[0], Duration::from_secs(2));
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/support/callers.rs
@@ -0,0 +1,217 @@
+//! Callers that submit one request after another, with or without a load balancer.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bamboocart_core::id::{SubmissionId, TaskIndex};
+use bamboocart_core::time::Timestamp;
+use bamboocart_standin::history::{Purpose, SendRecord, task_mark};
+use bamboocart_wire::api::{AnswerBody, RequestBody};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use uuid::Uuid;
+
+use super::http::try_call;
+
+/// The pause between two looks of the balancer at the readiness of the instances.
+const READY_EVERY: Duration = Duration::from_millis(100);
+
+/// The time that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// The tickets that callers keep.
+const TICKETS: usize = 256;
+
+/// The longest run time of a request.
+const RUN_MS: u64 = 120;
+
+/// The request kind, which may not be repeated.
+const KIND: &str = "release-order";
+
+/// A number for marks that no other group of callers in this process uses.
+static GROUPS: AtomicU64 = AtomicU64::new(0);
+
+/// A group of callers.
+pub struct Callers {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<Vec<SendRecord>>>,
+    balancer: JoinHandle<()>,
+}
+
+/// What the callers of a group share.
+struct Shared {
+    stop: AtomicBool,
+    /// The instances whose processes run.
+    running: RwLock<Vec<SocketAddr>>,
+    /// The instances that were ready when the balancer asked last.
+    ready: RwLock<Vec<SocketAddr>>,
+    /// Tickets that have not been used.
+    tickets: Mutex<VecDeque<SubmissionId>>,
+    /// Whether callers only use instances that are ready.
+    balanced: bool,
+    group: u64,
+}
+
+impl Callers {
+    /// Starts callers; `balanced` ones only use instances that are ready.
+    pub fn start(
+        count: u64,
+        balanced: bool,
+        seed: u64,
+        instances: Vec<SocketAddr>,
+    ) -> Self {
+        let shared = Arc::new(Shared {
+            stop: AtomicBool::new(false),
+            running: RwLock::new(instances.clone()),
+            ready: RwLock::new(instances),
+            tickets: Mutex::default(),
+            balanced,
+            group: GROUPS.fetch_add(1, Ordering::Relaxed),
+        });
+        let thread = |index| {
+            let shared = shared.clone();
+            std::thread::spawn(move || call_until_stop(&shared, index, seed))
+        };
+        let threads = (0..count).map(thread).collect();
+        let watched = shared.clone();
+        let balancer = std::thread::spawn(move || watch_readiness(&watched));
+        Self { shared, threads, balancer }
+    }
+
+    /// Replaces the instances whose processes run.
+    pub fn set_running(&self, instances: Vec<SocketAddr>) {
+        *self.shared.running.write().unwrap() = instances;
+    }
+
+    /// Ends the calls and returns their records and the tickets that were never used.
+    pub fn stop(self) -> (Vec<SendRecord>, Vec<SubmissionId>) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        let records = self.threads.into_iter().flat_map(|it| it.join().unwrap());
+        let records = records.collect();
+        self.balancer.join().unwrap();
+        let tickets = std::mem::take(&mut *self.shared.tickets.lock().unwrap());
+        (records, tickets.into())
+    }
+}
+
+/// Asks the instances for their readiness, as a load balancer does.
+fn watch_readiness(shared: &Shared) {
+    while !shared.stop.load(Ordering::Relaxed) {
+        let running = shared.running.read().unwrap().clone();
+        let is_ready = |address: &SocketAddr| {
+            let answer = try_call("GET", *address, "/ready", &Value::Null, READY_EVERY);
+            answer.is_some_and(|(status, _)| status == 200)
+        };
+        *shared.ready.write().unwrap() = running.into_iter().filter(is_ready).collect();
+        std::thread::sleep(READY_EVERY);
+    }
+}
+
+/// Submits requests with a ticket, with a caller key and without an id in turn.
+fn call_until_stop(shared: &Shared, index: u64, seed: u64) -> Vec<SendRecord> {
+    let mut rng = SmallRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(index));
+    let agent = agent();
+    let mut records = vec![];
+    while !shared.stop.load(Ordering::Relaxed) {
+        let list = if shared.balanced { &shared.ready } else { &shared.running };
+        let candidates = list.read().unwrap().clone();
+        if candidates.is_empty() {
+            std::thread::sleep(READY_EVERY);
+            continue;
+        }
+        let instance = candidates[rng.random_range(0..candidates.len())];
+        let id = match rng.random_range(0..3) {
+            0 => shared.tickets.lock().unwrap().pop_front(),
+            1 => Some(SubmissionId::CallerKey(Uuid::now_v7())),
+            _ => None,
+        };
+        let mark = format!("g{}-{index}-{}", shared.group, records.len());
+        let run_ms = rng.random_range(1..=RUN_MS);
+        let order = Order { mark, run_ms, id, purpose: Purpose::Submit };
+        let mut record = submit(&agent, instance, &order);
+        if let Some(answer) = &mut record.answer {
+            let mut tickets = shared.tickets.lock().unwrap();
+            let room = TICKETS.saturating_sub(tickets.len());
+            tickets.extend(std::mem::take(&mut answer.tickets).into_iter().take(room));
+        }
+        records.push(record);
+    }
+    records
+}
+
+/// A request to make.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The text that marks the task.
+    pub mark: String,
+    /// The run time.
+    pub run_ms: u64,
+    /// The id, if it has one.
+    pub id: Option<SubmissionId>,
+    /// What the call is for.
+    pub purpose: Purpose,
+}
+
+impl Order {
+    /// Creates the first call for a request.
+    pub fn new(mark: impl Into<String>, run_ms: u64, id: Option<SubmissionId>) -> Self {
+        Self { mark: mark.into(), run_ms, id, purpose: Purpose::Submit }
+    }
+}
+
+/// Creates a client that keeps connections open, as callers do.
+pub fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder();
+    config.timeout_global(Some(PATIENCE)).http_status_as_error(false).build().into()
+}
+
+/// Submits a request and records the call.
+pub fn submit(agent: &ureq::Agent, instance: SocketAddr, order: &Order) -> SendRecord {
+    let mark = task_mark(&order.mark, TaskIndex(0));
+    let payload = serde_json::json!({ "run_ms": order.run_ms, "mark": mark }).to_string();
+    let body = RequestBody {
+        submission: order.id.clone(),
+        customer: "float-storage".into(),
+        kind: KIND.into(),
+        deadline_ms: None,
+        payload: payload.into(),
+        want_tickets: 2,
+    };
+    let sent_us = now();
+    let url = format!("http://{instance}/v1/requests");
+    let answer = agent.post(url).send_json(&body);
+    let answer =
+        answer.and_then(|mut answer| answer.body_mut().read_json::<AnswerBody>());
+    let (answer, error) = match answer {
+        Ok(answer) => (Some(answer), None),
+        Err(error) => (None, Some(error.to_string())),
+    };
+    SendRecord {
+        mark: order.mark.clone(),
+        asked: order.id.clone(),
+        purpose: order.purpose,
+        customer: body.customer,
+        kind: body.kind,
+        job: false,
+        tasks: 1,
+        instance,
+        due_us: sent_us,
+        sent_us,
+        ended_us: now(),
+        ideal_us: order.run_ms * 1_000,
+        deadline_ms: None,
+        answer,
+        error,
+    }
+}
+
+/// Returns the system's time.
+pub fn now() -> Timestamp {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    Timestamp::from_us(u64::try_from(since_epoch.as_micros()).unwrap())
+}
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -7,6 +7,7 @@
 use bamboocart_core::config::{ConfigSet, Role};
 use bamboocart_core::id::Incarnation;
 use bamboocart_platform::{InstanceEntry, ListState};
+use bamboocart_standin::history::{Evidence, Policy, SendRecord, check};
 use bamboocart_standin::platform::{self, PlatformServer};
 use bamboocart_standin::target::{
     Fleet, MinionSettings, WorkerSettings, minion_settings, worker_settings,
@@ -278,6 +279,24 @@
         self.instances.iter().map(|instance| instance.address).collect()
     }
 
+    /// Returns what the targets have recorded, with the calls of callers.
+    pub fn evidence(&self, sends: Vec<SendRecord>) -> Evidence {
+        let mut evidence = Evidence { sends, ..Evidence::default() };
+        for fleet in [&self.minions, &self.workers] {
+            let page = fleet.members().history(0, usize::MAX);
+            evidence.dropped += page.dropped;
+            evidence.events.extend(page.events);
+        }
+        evidence
+    }
+
+    /// Fails the test if a recorded history of non-repeatable requests breaks a rule.
+    pub fn check_history(&self, sends: Vec<SendRecord>) {
+        let evidence = self.evidence(sends);
+        let violations = check(&evidence, &Policy::default());
+        assert!(violations.is_empty(), "{violations:#?}");
+    }
+
     /// Marks an instance as leaving in the platform's list.
     pub fn list_as_leaving(&self, index: usize) {
         let instance = &self.instances[index];
--- a/crates/bamboocart-dispatcher/tests/support/forward.rs
+++ b/crates/bamboocart-dispatcher/tests/support/forward.rs
@@ -98,7 +98,10 @@
             while let Ok((stream, from)) = listener.accept().await {
                 let (book, switches) = (book.clone(), switches.clone());
                 tokio::spawn(async move {
-                    let known = opener.or_else(|| find_opener(&book, from, address));
+                    let known = match opener {
+                        Some(opener) => Some(opener),
+                        None => look_up_opener(&book, from, address).await,
+                    };
                     let Some(from) = known else { return };
                     let backend = book.lock().unwrap().backends.get(&to).copied();
                     let Some(backend) = backend else { return reset(&stream) };
@@ -164,6 +167,19 @@
     if order(a) <= order(b) { (a, b) } else { (b, a) }
 }
 
+/// Finds out in another thread which instance has opened a connection.
+///
+/// With ten thousands of sockets on the machine this takes a tenth of a second, in which
+/// the thread of the forwarders would carry nothing.
+async fn look_up_opener(
+    book: &Arc<Mutex<Book>>,
+    from: SocketAddr,
+    to: SocketAddr,
+) -> Option<Node> {
+    let book = book.clone();
+    tokio::task::spawn_blocking(move || find_opener(&book, from, to)).await.ok()?
+}
+
 /// Returns the instance that opened a connection.
 fn find_opener(book: &Mutex<Book>, from: SocketAddr, to: SocketAddr) -> Option<Node> {
     let processes = book.lock().unwrap().processes.clone();
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -5,6 +5,7 @@
 // Each test program uses a part of the fixture.
 #![allow(dead_code, unused_imports)]
 
+mod callers;
 mod cluster;
 mod config;
 mod forward;
@@ -14,6 +15,7 @@
 
 use std::time::{Duration, Instant};
 
+pub use self::callers::{Callers, Order, agent, now, submit};
 pub use self::cluster::{Cluster, ClusterSettings};
 pub use self::config::{base_config, publish};
 pub use self::forward::{Mode, Net, Node};
--- a/crates/bamboocart-dispatcher/tests/support/process.rs
+++ b/crates/bamboocart-dispatcher/tests/support/process.rs
@@ -90,6 +90,11 @@
         assert_eq!(call("POST", self.address, "/v1/drain", &json!({})).0, 202);
     }
 
+    /// Asks the process to end, as the platform does before it replaces an instance.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
     /// Stops the process until [`resume`](Self::resume), as a pause of its machine does.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
