Test the bounds and bad input from outside

Each bound of the flags and the routes that callers can reach is hit on purpose; malformed, truncated, slow and oversized bytes and garbage on both ports leave the instance serving.

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/limits.rs
@@ -0,0 +1,386 @@
+//! Bounds and bad input: each bound answers as documented, and a bad caller harms only
+//! itself.
+
+mod support;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use bamboocart_core::id::SubmissionId;
+use bamboocart_standin::history::SendRecord;
+use serde_json::{Value, json};
+use support::{
+    Cluster, ClusterSettings, Order, RECOVERY, agent, base_config, call, submit,
+    try_call, wait_until,
+};
+use yare::parameterized;
+
+/// The time in which headers and bodies have to arrive, with a margin.
+const READ_LIMIT: Duration = Duration::from_secs(18);
+
+/// Starts one instance with flags.
+fn start(flags: &[&'static str]) -> Cluster {
+    Cluster::start(ClusterSettings {
+        instances: vec!["marka"],
+        minions: vec!["--count", "1", "--slots", "2"],
+        flags: flags.to_vec(),
+        ..ClusterSettings::default()
+    })
+}
+
+/// Returns the body of a request.
+fn request(payload: &str) -> Value {
+    json!({ "customer": "float-storage", "kind": "bay-check", "payload": payload })
+}
+
+/// Returns the body of a job.
+fn job(tasks: usize) -> Value {
+    let tasks = vec![json!({ "payload": "{\"run_ms\":1}" }); tasks];
+    json!({
+        "customer": "float-storage",
+        "kind": "bay-check",
+        "deadline_ms": 60_000,
+        "tasks": tasks,
+    })
+}
+
+/// Fails unless an instance still runs a request.
+fn assert_serves(address: SocketAddr) {
+    let (status, answer) =
+        call("POST", address, "/v1/requests", &request("{\"run_ms\":1}"));
+    assert_eq!(status, 200, "{answer}");
+}
+
+/// A call at a bound and its answer.
+struct Bound {
+    path: &'static str,
+    body: Value,
+    status: u16,
+    code: &'static str,
+}
+
+/// Guards against a bound that is not enforced or is answered otherwise than documented.
+/// The instance serves the next caller in each case.
+#[parameterized(
+    body_at_the_limit = { Bound {
+        path: "/v1/requests",
+        body: request(&"x".repeat(3_900)),
+        status: 200,
+        code: "complete",
+    } },
+    body_over_the_limit = { Bound {
+        path: "/v1/requests",
+        body: request(&"x".repeat(4_100)),
+        status: 413,
+        code: "too-large",
+    } },
+    no_tasks = { Bound { path: "/v1/jobs", body: job(0), status: 400, code: "malformed" } },
+    one_task_too_many = { Bound {
+        path: "/v1/jobs",
+        body: job(241),
+        status: 413,
+        code: "too-large",
+    } },
+    more_tasks_than_the_queue = { Bound {
+        path: "/v1/jobs",
+        body: job(20),
+        status: 503,
+        code: "overloaded",
+    } },
+    unknown_field = { Bound {
+        path: "/v1/requests",
+        body: json!({ "customer": "float-storage", "sort": 1 }),
+        status: 400,
+        code: "malformed",
+    } },
+    unknown_kind = { Bound {
+        path: "/v1/requests",
+        body: json!({ "customer": "float-storage", "kind": "none", "payload": "" }),
+        status: 422,
+        code: "unknown-kind",
+    } },
+    unknown_customer = { Bound {
+        path: "/v1/requests",
+        body: json!({ "customer": "none", "kind": "bay-check", "payload": "" }),
+        status: 422,
+        code: "unknown-customer",
+    } },
+)]
+fn bounds_of_one_call(case: Bound) {
+    let cluster = start(&["--max-body-bytes", "4096", "--queue-tasks", "16"]);
+    let address = cluster.instances[0].address;
+    let (status, answer) = call("POST", address, case.path, &case.body);
+    assert_eq!((status, answer["code"].as_str()), (case.status, Some(case.code)));
+    if status != 200 {
+        assert!(answer["message"].as_str().unwrap().starts_with("not run"), "{answer}");
+    }
+    assert_serves(address);
+}
+
+/// Guards against jobs and lists of cancellations without a bound where bodies are not
+/// the limit.
+#[test]
+fn bounds_of_lists() {
+    let cluster = start(&[]);
+    let address = cluster.instances[0].address;
+    let ids = |count: usize| {
+        let id = || SubmissionId::CallerKey(uuid::Uuid::now_v7()).to_string();
+        json!({ "submissions": (0..count).map(|_| id()).collect::<Vec<_>>() })
+    };
+    let cases = [
+        ("/v1/jobs", job(240), 200),
+        ("/v1/jobs", job(241), 400),
+        ("/v1/cancellations", ids(10_000), 200),
+        ("/v1/cancellations", ids(10_001), 400),
+    ];
+    for (path, body, expected) in cases {
+        let (status, answer) = call("POST", address, path, &body);
+        assert_eq!(status, expected, "{path}: {}", answer["message"]);
+    }
+    let (_, issued) = call("POST", address, "/v1/tickets", &json!({ "count": 5_000 }));
+    assert_eq!(issued["tickets"].as_array().map(Vec::len), Some(1_024));
+    assert_serves(address);
+}
+
+/// Guards against a queue or a registry that takes more than its bound, and against
+/// refusals there that are not true: two slots are busy, two tasks wait, and the rest is
+/// refused.
+#[parameterized(
+    queue = { &["--queue-tasks", "2"] },
+    registry = { &["--open-submissions", "4", "--remembered-submissions", "1000"] },
+)]
+fn full_tables(flags: &[&'static str]) {
+    let cluster = start(flags);
+    let address = cluster.instances[0].address;
+    let sends: Vec<SendRecord> = std::thread::scope(|scope| {
+        let call = |number: usize| {
+            let order = Order::new(format!("full-{number}"), 400, None);
+            scope.spawn(move || submit(&agent(), address, &order))
+        };
+        let calls: Vec<_> = (0..12).map(call).collect();
+        calls.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    let codes = sends.iter().map(|it| it.answer.as_ref().map(|it| it.code.as_str()));
+    let mut codes: Vec<_> = codes.collect();
+    codes.sort_unstable();
+    let expected = [vec![Some("complete"); 4], vec![Some("overloaded"); 8]].concat();
+    assert_eq!(codes, expected);
+    cluster.check_history(sends);
+    assert_serves(address);
+}
+
+/// Guards against connections without a bound, and against a bound that is not given
+/// back: further callers wait in the backlog until others close.
+#[test]
+fn bound_of_connections() {
+    let cluster = start(&["--max-connections", "4"]);
+    let address = cluster.instances[0].address;
+    // Connections that the fixture has used may take a moment to be closed.
+    wait_until("free connections", RECOVERY, || {
+        try_call("GET", address, "/live", &Value::Null, Duration::from_secs(1)).is_some()
+    });
+    let held: Vec<TcpStream> =
+        (0..4).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let live =
+        || try_call("GET", address, "/live", &Value::Null, Duration::from_millis(500));
+    assert!(live().is_none(), "a fifth connection was served");
+    drop(held);
+    wait_until("a free connection", RECOVERY, || live().is_some());
+    assert_serves(address);
+}
+
+/// Guards against silent callers that hold connections for ever: they are closed after
+/// the header timeout, and the next caller is served.
+#[test]
+fn silent_callers_are_closed() {
+    let cluster = start(&["--max-connections", "4"]);
+    let address = cluster.instances[0].address;
+    let _held: Vec<TcpStream> =
+        (0..4).map(|_| TcpStream::connect(address).unwrap()).collect();
+    wait_until("the end of silent connections", READ_LIMIT, || {
+        try_call("GET", address, "/live", &Value::Null, Duration::from_secs(1)).is_some()
+    });
+    assert_serves(address);
+}
+
+/// Bytes that a caller sends on one connection.
+struct Raw {
+    bytes: Vec<u8>,
+    /// Whether the bytes are sent one at a time, slower than any timeout allows.
+    slow: bool,
+    /// How the answer begins, or nothing if the connection is closed.
+    answer: &'static str,
+}
+
+impl Raw {
+    /// Creates bytes that are sent at once.
+    fn new(bytes: impl Into<Vec<u8>>, answer: &'static str) -> Self {
+        Self { bytes: bytes.into(), slow: false, answer }
+    }
+}
+
+/// Guards against input that stops the instance or holds a connection longer than the
+/// documented timeouts.
+#[parameterized(
+    garbage = { Raw::new([0, 159, 146, 150, 255, 10, 13, 10], "HTTP/1.1 400") },
+    binary_preface = { Raw::new("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "") },
+    bad_json = { Raw::new(
+        "POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n{\"custom\"",
+        "HTTP/1.1 400",
+    ) },
+    not_utf8 = { Raw::new(
+        b"POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n\xff\xfe".to_vec(),
+        "HTTP/1.1 400",
+    ) },
+    truncated_body = { Raw::new(
+        "POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: 900\r\n\r\n{",
+        "HTTP/1.1 400",
+    ) },
+    huge_headers = { Raw::new(
+        format!("GET /live HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(64 << 10)),
+        "HTTP/1.1 431",
+    ) },
+    bad_id = { Raw::new(
+        "GET /v1/submissions/t.x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 400",
+    ) },
+    slow_headers = { Raw {
+        slow: true,
+        ..Raw::new("GET /live HTTP/1.1\r\nhost: marka\r\nx: 0123456789\r\n\r\n", "")
+    } },
+    slow_body = { Raw {
+        slow: true,
+        ..Raw::new(
+            "POST /v1/requests HTTP/1.1\r\ncontent-length: 9000\r\n\r\n{\"customer\":",
+            "HTTP/1.1 400",
+        )
+    } },
+)]
+fn bad_bytes(case: Raw) {
+    let cluster = start(&["--max-connections", "4"]);
+    let address = cluster.instances[0].address;
+    let mut stream = TcpStream::connect(address).unwrap();
+    let start = Instant::now();
+    send(&mut stream, &case);
+    let answer = read_to_end(&mut stream);
+    assert!(answer.starts_with(case.answer), "{answer}");
+    assert!(start.elapsed() < READ_LIMIT, "{:?}", start.elapsed());
+    assert_serves(address);
+}
+
+/// Sends bytes; slow ones stop when the instance has closed the connection.
+fn send(stream: &mut TcpStream, case: &Raw) {
+    if !case.slow {
+        // The instance may close before it has read everything.
+        let _ = stream.write_all(&case.bytes);
+        return;
+    }
+    let head = case.bytes.windows(4).position(|it| it == b"\r\n\r\n");
+    let is_body = head.is_some_and(|at| at + 4 < case.bytes.len());
+    let fast = head.filter(|_| is_body).map_or(0, |at| at + 4);
+    stream.write_all(&case.bytes[..fast]).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    for byte in &case.bytes[fast..] {
+        let mut buffer = [0];
+        match stream.peek(&mut buffer) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            _ => return,
+        }
+        if stream.write_all(&[*byte]).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads until the instance closes the connection or a timeout of its has passed.
+fn read_to_end(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(READ_LIMIT)).unwrap();
+    let mut bytes = vec![];
+    let result = stream.read_to_end(&mut bytes);
+    let open = result.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+    assert!(!open, "the connection is still open");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Guards against garbage on the port for links that stops an instance, cuts its links or
+/// is taken for a message.
+#[test]
+fn garbage_on_links() {
+    let cluster = Cluster::start(ClusterSettings::default());
+    let port = cluster.instances[0].link_listener;
+    let garbage: [&[u8]; 5] = [
+        b"",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff",
+        &[0xa5; 100_000],
+    ];
+    let streams = garbage.iter().cycle().take(50).map(|bytes| {
+        let mut stream = TcpStream::connect(port).unwrap();
+        let _ = stream.write_all(bytes);
+        stream
+    });
+    let held: Vec<TcpStream> = streams.collect();
+    support::hold(support::PEER_DEAD);
+    cluster.wait_for_service();
+    for instance in &cluster.instances {
+        assert_serves(instance.address);
+        let peers = instance.status()["peers"].clone();
+        assert_eq!(peers.as_array().map(Vec::len), Some(2), "{peers}");
+    }
+    drop(held);
+}
+
+/// Guards against settings whose faults are reported one by one or with another code.
+#[test]
+fn wrong_settings() {
+    let output = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
+        .args(["--name", "a.b", "--failure-domain", ""])
+        .args(["--listen", "127.0.0.1:0", "--peer-listen", "0.0.0.0:0"])
+        .args(["--platform", "127.0.0.1:0", "--send-threads", "0"])
+        .args(["--max-connections", "0", "--queue-tasks", "0"])
+        .args(["--open-submissions", "9", "--remembered-submissions", "9"])
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    let flags = [
+        "--name",
+        "--failure-domain",
+        "--peer-listen",
+        "--platform",
+        "--send-threads",
+        "--max-connections",
+        "--queue-tasks",
+        "--remembered-submissions",
+    ];
+    for flag in flags {
+        let reports = text.lines().filter(|it| it.starts_with(&format!("error: {flag}")));
+        assert_eq!(reports.count(), 1, "{flag}: {text}");
+    }
+    let unreadable = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
+        .args(["--name", "a", "--listen", "nowhere"])
+        .output()
+        .unwrap();
+    assert_eq!(unreadable.status.code(), Some(2), "{unreadable:?}");
+}
+
+/// Guards against a quota that is not enforced or is answered otherwise than documented.
+#[test]
+fn exhausted_quota() {
+    let mut set = base_config();
+    let quota = set.quota.values_mut().next().unwrap();
+    (quota.starts_per_s, quota.burst) = (1, 1);
+    let cluster = Cluster::start(ClusterSettings {
+        instances: vec!["marka"],
+        config: Some(set),
+        ..ClusterSettings::default()
+    });
+    let address = cluster.instances[0].address;
+    assert_serves(address);
+    let (status, answer) = call("POST", address, "/v1/requests", &request(""));
+    assert_eq!((status, answer["code"].as_str()), (429, Some("quota-exhausted")));
+    assert!(answer["retry_after_ms"].as_u64().is_some_and(|ms| ms <= 1_000), "{answer}");
+}
