--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -120,7 +120,7 @@
             Step::HandingOver { resend_at, until } => {
                 self.hand_over_again(now, (resend_at, until), effects);
             }
-            Step::Lingering { until } if now >= until && self.forwards() == 0 => {
+            Step::Lingering { until } if now >= until => {
                 self.return_leases(now, effects);
                 self.ledger.close(now);
                 let until = now.plus_ms(CLOSE_MS);
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -339,12 +339,6 @@
         }
     }
 
-    /// Returns the number of forwards that wait for an answer.
-    pub(super) fn forwards(&self) -> usize {
-        let forward = |pending: &&Pending| matches!(pending.about, About::Forward { .. });
-        self.pending.values().filter(forward).count()
-    }
-
     /// Returns the number that a message carries, by which its answer finds back.
     ///
     /// Keys repeat in each run of an instance. Peers send late answers to an earlier run
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -5,6 +5,7 @@
 // Each test program uses a part of the fixture.
 #![allow(dead_code, unused_imports)]
 
+mod balanced;
 mod callers;
 mod cluster;
 mod config;
@@ -19,6 +20,7 @@
 
 use std::time::{Duration, Instant};
 
+pub use self::balanced::{BalancedCallers, Order, agent, now, submit};
 pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
 pub use self::config::{base_config, publish, register};
