Trace a forwarded request through every hop, with its id in spans and logs

Cause: nothing checked that the spans of entry, owner and target form one trace, spans did not name the submission, and log lines that concern a submission named it as `submission` or not at all.

Change: spans of all hops and log lines about a submission carry request_id. Lost answers of targets are logged at info, sends that did not happen and answers to callers at debug.

--- a/crates/bamboocart-dispatcher/src/peers.rs
+++ b/crates/bamboocart-dispatcher/src/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
-use bamboocart_core::engine::Event;
+use bamboocart_core::engine::{Event, Reply};
 use bamboocart_core::message::{Ask, Message};
 use bamboocart_core::ownership::Owner;
 use bamboocart_peer::{
@@ -72,7 +72,7 @@
         let bytes = match encode(message) {
             Ok(bytes) => bytes,
             Err(error) => {
-                log::error!("{error}");
+                log::error!(request_id = request_id(message); "{error}");
                 return not_sent;
             }
         };
@@ -85,7 +85,7 @@
             }
             (Ok(_), None) => None,
             (Err(error), _) => {
-                note_unsent(&error);
+                note_unsent(message, &error);
                 not_sent
             }
         }
@@ -103,8 +103,23 @@
 }
 
 /// Logs that a message is not sent.
-fn note_unsent(error: &SendError) {
-    log::debug!("{error}");
+fn note_unsent(message: &Message, error: &SendError) {
+    log::debug!(request_id = request_id(message); "{error}");
+}
+
+/// Returns the id of the submission that a message concerns, or a dash.
+fn request_id(message: &Message) -> String {
+    let id = match message {
+        Message::Forward { ask: Ask::Submit(submission), .. } => submission.id.as_ref(),
+        Message::Forward { ask: Ask::Query(id) | Ask::Cancel(id), .. } => Some(id),
+        Message::Answer { reply, .. } => match reply.as_ref() {
+            Reply::Outcome { submission, .. } => submission.as_ref(),
+            _ => None,
+        },
+        Message::Offer { task, .. } => Some(&task.submission),
+        _ => None,
+    };
+    id.map_or_else(|| "-".to_owned(), ToString::to_string)
 }
 
 /// Passes the messages of peers on to the engine.
@@ -125,8 +140,9 @@
             &mut message
         {
             let parent = submission.traceparent.take();
+            let context = (submission.id.as_ref(), parent.as_deref());
             submission.traceparent =
-                spans.begin(&item.from.instance, *correlation, parent.as_deref());
+                spans.begin(&item.from.instance, *correlation, context);
         }
         let from = Owner::new(item.from.instance.clone(), item.from.incarnation);
         if events.send(Event::PeerMessage { from, message }).is_err() {
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -7,6 +7,7 @@
 use bamboocart_core::engine::{Event, NewSubmission, Reply, TaskSpec, WaiterId};
 use bamboocart_core::id::SubmissionId;
 use bamboocart_core::outcome::RefusalCode;
+use bamboocart_telemetry::logs::REQUEST_ID;
 use bamboocart_telemetry::metrics::MetricsPage;
 use bamboocart_telemetry::trace::{TRACEPARENT, Tracer, traceparent_of};
 use bamboocart_wire::api::{
@@ -16,6 +17,7 @@
 use bamboocart_wire::status::ConfigBody;
 use bytes::Bytes;
 use crossbeam::channel::Sender;
+use fastrace::Span;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -92,6 +94,7 @@
 async fn submit_request(context: &Context, request: Request<Incoming>) -> Result<Answer> {
     let span = context.tracer.hop("entry", traceparent(&request));
     let body: RequestBody = read_json(context, request).await?;
+    name_span(&span, body.submission.as_ref());
     let submission = NewSubmission {
         id: body.submission,
         customer: body.customer,
@@ -109,6 +112,7 @@
 async fn submit_job(context: &Context, request: Request<Incoming>) -> Result<Answer> {
     let span = context.tracer.hop("entry", traceparent(&request));
     let body: JobBody = read_json(context, request).await?;
+    name_span(&span, body.submission.as_ref());
     if body.tasks.is_empty() || body.tasks.len() > MAX_TASKS {
         let detail = format!("a job has 1 to {MAX_TASKS} tasks");
         return Err(refusal(RefusalCode::Malformed, &detail));
@@ -226,6 +230,9 @@
                 tickets,
             };
             let (status, body) = AnswerBody::new(outcome, context);
+            if let Some(id) = &body.submission {
+                log::debug!(request_id:% = id; "answered {} with {status}", body.code);
+            }
             with_retry_after(json(status, &body), body.retry_after_ms)
         }
     }
@@ -277,6 +284,11 @@
     Box::new(json(status, &body))
 }
 
+/// Adds the caller's id of a submission to its span.
+fn name_span(span: &Span, id: Option<&SubmissionId>) {
+    span.add_properties(|| id.map(|id| (REQUEST_ID, id.to_string())));
+}
+
 /// Returns the trace that a request belongs to.
 fn traceparent(request: &Request<Incoming>) -> Option<&str> {
     request.headers().get(TRACEPARENT)?.to_str().ok()
--- a/crates/bamboocart-dispatcher/src/sender.rs
+++ b/crates/bamboocart-dispatcher/src/sender.rs
@@ -11,6 +11,7 @@
 };
 use bamboocart_core::id::{SubmissionId, TaskIndex};
 use bamboocart_core::target::{SendReport, TurnAway};
+use bamboocart_telemetry::logs::REQUEST_ID;
 use bamboocart_telemetry::trace::{TRACEPARENT, Tracer, traceparent_of};
 use bamboocart_wire::api::{
     LeaseAnswer, LeaseBody, LeaseProof, RunAnswer, RunBody, TargetStatus,
@@ -173,6 +174,7 @@
     let agent = if order.idempotent { &pools.pooled } else { &pools.fresh };
     let timeout = Duration::from_millis(order.deadline_ms + ANSWER_GRACE_MS);
     let span = pools.tracer.hop("target", order.traceparent.as_deref());
+    let span = span.with_property(|| (REQUEST_ID, order.submission.to_string()));
     let mut request = agent
         .post(format!("http://{}/run", order.address))
         .config()
@@ -193,15 +195,30 @@
     };
     let mut response = match request.send_json(&body) {
         Ok(response) => response,
-        Err(error) if never_sent(&error) => return SendReport::NotSent,
-        Err(_) => return SendReport::Lost,
+        Err(error) if never_sent(&error) => {
+            log::debug!(
+                request_id:% = body.submission;
+                "task {} was not sent to {}: {error}", body.task.0, order.address
+            );
+            return SendReport::NotSent;
+        }
+        Err(error) => return lost(&body, &order.address, &error),
     };
     match response.body_mut().read_json::<RunAnswer>() {
         Ok(answer) => report(&body, answer),
-        Err(_) => SendReport::Lost,
+        Err(error) => lost(&body, &order.address, &error),
     }
 }
 
+/// Logs that the answer of a target did not arrive, so that the task may have run.
+fn lost(body: &RunBody, address: &str, error: &ureq::Error) -> SendReport {
+    log::info!(
+        request_id:% = body.submission;
+        "no answer of {address} for task {}, which may have run: {error}", body.task.0
+    );
+    SendReport::Lost
+}
+
 /// Turns a target's answer into a report, unless it answers something else.
 fn report(body: &RunBody, answer: RunAnswer) -> SendReport {
     let expected = (&body.submission, body.task, body.attempt);
@@ -328,7 +345,7 @@
         Ok(response) => response.status() != StatusCode::NOT_FOUND,
         Err(error) => {
             log::debug!(
-                submission:% = submission; "could not stop task {}: {error}", task.0
+                request_id:% = submission; "could not stop task {}: {error}", task.0
             );
             true
         }
--- a/crates/bamboocart-dispatcher/src/spans.rs
+++ b/crates/bamboocart-dispatcher/src/spans.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use bamboocart_core::id::InstanceName;
+use bamboocart_core::id::{InstanceName, SubmissionId};
+use bamboocart_telemetry::logs::REQUEST_ID;
 use bamboocart_telemetry::trace::{Tracer, traceparent_of};
 use fastrace::Span;
 
@@ -30,13 +31,14 @@
         &self,
         peer: &InstanceName,
         correlation: u64,
-        parent: Option<&str>,
+        (id, parent): (Option<&SubmissionId>, Option<&str>),
     ) -> Option<Arc<str>> {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         if open.len() >= OPEN_SPANS {
             return parent.map(Arc::from);
         }
         let span = self.tracer.hop("owner", parent);
+        let span = span.with_properties(|| id.map(|id| (REQUEST_ID, id.to_string())));
         let header = traceparent_of(&span);
         open.insert((peer.clone(), correlation), span);
         header.map(Arc::from)
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -32,7 +32,7 @@
     pub minions: Vec<&'static str>,
     /// Flags of the workers, which are spread over all failure domains.
     pub workers: Vec<&'static str>,
-    /// Further flags of each dispatcher.
+    /// Further flags of each dispatcher; `{name}` stands for its name.
     pub flags: Vec<&'static str>,
     /// The time that the platform keeps records.
     pub retention_ms: u64,
@@ -142,7 +142,7 @@
     fn launch(&self, index: usize, name: &str, domain: &str) -> Instance {
         let Doors { links, platform } = self.doors[index];
         let flags: Vec<String> =
-            self.settings.flags.iter().map(|&flag| flag.into()).collect();
+            self.settings.flags.iter().map(|flag| flag.replace("{name}", name)).collect();
         let instance = Instance::start(name, domain, links, platform, &flags);
         let (node, process) = (Node::Instance(index), instance.process());
         self.net.set_backend(node, instance.link_listener, Some(process));
