Log routine claims and handovers as information

Cause: instances that start together claim the same ranges, and each loser and each reader logged a warning that said no action was needed. Change: such events are notes; warnings remain for what operators act on.

--- a/crates/bamboocart-core/src/engine/claim.rs
+++ b/crates/bamboocart-core/src/engine/claim.rs
@@ -1,7 +1,7 @@
 //! Claims on caller keys.
 
 use crate::engine::{ClaimPage, Effect, Engine};
-use crate::ownership::{ClaimRecord, Owner};
+use crate::ownership::{ClaimRecord, FaultReason, Owner};
 use crate::time::Timestamp;
 
 /// The log stream of claims.
@@ -22,7 +22,11 @@
             })
             .collect();
         for fault in self.claims.read(page.start, &records) {
-            effects.push(Effect::Warn(fault.to_string()));
+            // Instances that start together claim the same ranges, and the first one wins.
+            effects.push(match fault.reason {
+                FaultReason::Overlap { .. } => Effect::Note(fault.to_string()),
+                _ => Effect::Warn(fault.to_string()),
+            });
         }
         self.claims_seen = true;
     }
--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -280,8 +280,8 @@
             Ok(Some(complete)) => {
                 let predecessor = complete.from().clone();
                 match registry.adopt(complete, now, restore) {
-                    Ok(count) => effects.push(Effect::Warn(format!(
-                        "took over {count} submissions of {predecessor}; no action needed"
+                    Ok(count) => effects.push(Effect::Note(format!(
+                        "took over {count} submissions of {predecessor}"
                     ))),
                     Err(error) => effects.push(Effect::Warn(error.to_string())),
                 }
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -78,8 +78,10 @@
         /// Its version.
         version: ConfigVersion,
     },
-    /// Something that operators should know.
+    /// Something that operators should act on.
     Warn(String),
+    /// Something that happens in normal operation.
+    Note(String),
     /// A submission ended.
     Observed(Observation),
     /// The instance no longer admits submissions and readiness ends.
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -127,6 +127,7 @@
             log::info!("configuration {version} is in force");
         }
         Effect::Warn(text) => log::warn!("{text}"),
+        Effect::Note(text) => log::info!("{text}"),
         Effect::Observed(observation) => observe(&observation),
         Effect::Leaving => {
             outputs.ready.store(false, Ordering::Release);
