Say in the help texts what a newcomer needs

Cause: the help of the dispatcher showed neither defaults of some flags nor its exit codes, a wrong log level named no valid one, and wrong flags and wrong settings ended with different codes. Flags of the command line lacked units.

Change: usage line with the flags that are needed, defaults, units, exit codes (0, 1 for usage and settings, 2 for an instance that could not start or serve) and what N/A means. The test of traces takes a ticket of another instance, because under load one instance can hold the claims of all caller keys, so that nothing is forwarded (seen once in four runs at a load average of 16 on 10 processors).

--- a/crates/bamboocart-cli/src/commands/submit.rs
+++ b/crates/bamboocart-cli/src/commands/submit.rs
@@ -40,16 +40,17 @@
 /// Settings of a submission
 #[derive(Debug, Clone, Bpaf)]
 pub struct Submission {
-    /// Customer
+    /// Customer that the submission is for, one with a quota in the configuration
     #[bpaf(long, env("BAMBOOCART_CUSTOMER"), argument("NAME"))]
     customer: Option<String>,
-    /// Request kind
+    /// Request kind of the configuration
     #[bpaf(long, env("BAMBOOCART_KIND"), argument("NAME"))]
     kind: Option<String>,
-    /// Time until the answer is needed (default that of the request kind)
+    /// Time in milliseconds until the answer is needed (default that of the request kind)
     #[bpaf(long, env("BAMBOOCART_DEADLINE_MS"), argument("MS"))]
     deadline_ms: Option<String>,
-    /// Ticket or UUID of version 7 (default a new UUID)
+    /// Id to submit under, a ticket or a UUID of version 7 (default a new UUID); an id
+    /// that was used before returns its first answer
     #[bpaf(long, env("BAMBOOCART_SUBMISSION"), argument("ID"))]
     submission: Option<String>,
 }
--- a/crates/bamboocart-cli/src/report.rs
+++ b/crates/bamboocart-cli/src/report.rs
@@ -19,7 +19,9 @@
     7 failed; \
     8 cancelled; \
     9 outcome unknown, may have run; \
-    10 the account has faults, or the log has no account";
+    10 the account has faults, or the log has no account. \
+    The environment variable beside a flag sets it too, and the flag takes precedence; \
+    N/A means that the variable is not set.";
 
 /// The result of a command.
 #[derive(Debug)]
--- a/crates/bamboocart-cli/src/settings.rs
+++ b/crates/bamboocart-cli/src/settings.rs
@@ -17,13 +17,13 @@
 /// Settings of every command
 #[derive(Debug, Clone, Bpaf)]
 pub struct Common {
-    /// Address of the platform
+    /// Address of the platform, for commands that use the log or the instance list
     #[bpaf(long, env("BAMBOOCART_PLATFORM"), argument("IP:PORT"))]
     platform: Option<String>,
-    /// Address of an instance
+    /// Address of an instance, for commands that call one
     #[bpaf(long, env("BAMBOOCART_INSTANCE"), argument("IP:PORT"))]
     instance: Option<String>,
-    /// Time that a call to an instance may take (default 30000)
+    /// Time in milliseconds that a call to an instance may take (default 30000)
     #[bpaf(long, env("BAMBOOCART_TIMEOUT_MS"), argument("MS"))]
     timeout_ms: Option<String>,
     /// Least urgent messages to log: error, warn, info or debug (default warn)
--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -18,8 +18,11 @@
 
 use crate::settings::Settings;
 
-/// The exit code for settings that cannot be used.
-const USAGE: u8 = 2;
+/// The exit code for settings that cannot be used, as for flags that cannot be parsed.
+const USAGE: u8 = 1;
+
+/// The exit code for an instance that could not start or serve.
+const FAILURE: u8 = 2;
 
 /// Starts an instance and runs it until it is told to stop.
 fn main() -> ExitCode {
@@ -33,7 +36,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
-            ExitCode::FAILURE
+            ExitCode::from(FAILURE)
         }
     }
 }
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -8,10 +8,13 @@
 use log::LevelFilter;
 
 /// Runs one entry instance of bamboocart.
+///
+/// Prints one JSON line with its addresses when it listens. SIGTERM begins a planned
+/// stop, in which the instance finishes its work; a second SIGTERM ends it at once.
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, generate(parser), version)]
+#[bpaf(options, generate(parser), version, usage(USAGE), footer(FOOTER))]
 pub struct Settings {
-    /// Name of this instance, unique among all instances
+    /// Name of this instance, unique among all instances; letters, digits, '-' and '_'
     #[bpaf(long, env("BAMBOOCART_NAME"), argument("NAME"))]
     pub name: String,
     /// Failure domain that this instance is in
@@ -23,10 +26,11 @@
     /// IP and port for links between instances; port 0 takes a free one
     #[bpaf(long, env("BAMBOOCART_PEER_LISTEN"), argument("IP:PORT"))]
     pub peer_listen: SocketAddr,
-    /// IP and port for links under which peers reach this instance, if not the above
+    /// IP and port under which peers reach this instance, if not the --peer-listen one
     #[bpaf(long, env("BAMBOOCART_PEER_ADDRESS"), argument("IP:PORT"))]
     pub peer_address: Option<SocketAddr>,
-    /// IP and port for links of a peer to greet at the start; may be given several times
+    /// IP and port for links of a peer to greet at the start, in case the platform's list
+    /// is not available; may be given several times
     #[bpaf(long, argument("IP:PORT"))]
     pub seed: Vec<SocketAddr>,
     /// IP and port of the platform
@@ -40,7 +44,7 @@
     pub output: Output,
 }
 
-/// Bounds of an instance.
+/// Bounds; what is beyond a bound is refused as "not run" and harms nothing else
 #[derive(Debug, Clone, Bpaf)]
 pub struct Limits {
     /// Largest number of sends to targets at the same time
@@ -88,7 +92,7 @@
         display_fallback
     )]
     pub open_submissions: usize,
-    /// Largest number of remembered submissions, more than the open ones
+    /// Largest number of remembered submissions, open ones included
     #[bpaf(
         long,
         env("BAMBOOCART_REMEMBERED_SUBMISSIONS"),
@@ -106,7 +110,8 @@
         display_fallback
     )]
     pub remember_ms: u64,
-    /// Time in milliseconds between the end of readiness and of admission at a stop
+    /// Time in milliseconds at a planned stop from the end of readiness to the end of
+    /// admission, in which the load balancer notices
     #[bpaf(
         long,
         env("BAMBOOCART_LAME_DUCK_MS"),
@@ -117,10 +122,11 @@
     pub lame_duck_ms: u64,
 }
 
-/// Policies of an instance, which can be switched off for measurements.
+/// Policies, which are switched off only for measurements
 #[derive(Debug, Clone, Bpaf)]
 pub struct Policies {
-    /// Placement: earliest-finish, random, shortest-queue or two-choices
+    /// Placement: earliest-finish, random, shortest-queue or two-choices (default
+    /// earliest-finish)
     #[bpaf(
         long,
         env("BAMBOOCART_PLACEMENT"),
@@ -139,19 +145,20 @@
     pub no_hedges: bool,
 }
 
-/// What an instance tells about itself.
+/// Logs and traces
 #[derive(Debug, Clone, Bpaf)]
 pub struct Output {
-    /// Least important level that is logged: error, warn, info, debug or trace
+    /// Least important level that is logged: error, warn, info, debug or trace (default
+    /// info)
     #[bpaf(
         long,
         env("BAMBOOCART_LOG_LEVEL"),
-        argument("LEVEL"),
-        fallback(LevelFilter::Info),
-        display_fallback
+        argument::<String>("LEVEL"),
+        parse(parse_level),
+        fallback(LevelFilter::Info)
     )]
     pub log_level: LevelFilter,
-    /// Form of log lines on standard error: text or json
+    /// Form of log lines on standard error: text or json (default text)
     #[bpaf(
         long,
         env("BAMBOOCART_LOG_FORMAT"),
@@ -162,7 +169,7 @@
     /// File that spans are written to as OTLP-JSON lines
     #[bpaf(long, env("BAMBOOCART_TRACE_FILE"), argument("PATH"))]
     pub trace_file: Option<String>,
-    /// Share of new traces that is recorded, of 10,000
+    /// Traces that are recorded out of 10,000 that callers did not start themselves
     #[bpaf(
         long,
         env("BAMBOOCART_TRACE_PER_10K"),
@@ -173,6 +180,18 @@
     pub trace_per_10k: u16,
 }
 
+/// The usage line, with the flags that are always needed.
+const USAGE: &str = "Usage: bamboocart-dispatcher --name=NAME --failure-domain=NAME \
+    --listen=IP:PORT --peer-listen=IP:PORT --platform=IP:PORT [OPTION]...";
+
+/// The end of the help text.
+const FOOTER: &str = "Exit codes: \
+    0 stopped as asked; \
+    1 wrong usage or settings; \
+    2 could not start or serve. \
+    The environment variable beside a flag sets it too, and the flag takes precedence; \
+    N/A means that the variable is not set.";
+
 impl Settings {
     /// Reads the settings, or ends the process with a message that tells what is wrong.
     pub fn from_args() -> Self {
@@ -218,6 +237,12 @@
     }
 }
 
+/// Parses the name of a log level.
+fn parse_level(text: String) -> Result<LevelFilter, String> {
+    let unknown = "use error, warn, info, debug or trace".to_owned();
+    text.parse().map_err(|_| unknown)
+}
+
 /// Reports whether a name can be part of a ticket.
 fn is_name(text: &str) -> bool {
     let valid = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
--- a/crates/bamboocart-dispatcher/tests/traces.rs
+++ b/crates/bamboocart-dispatcher/tests/traces.rs
@@ -5,8 +5,8 @@
 use std::fs;
 
 use bamboocart_cli::run;
-use serde_json::Value;
-use support::{Cluster, ClusterSettings, RECOVERY, wait_until};
+use serde_json::{Value, json};
+use support::{Cluster, ClusterSettings, RECOVERY, call, wait_until};
 
 /// The directory of the spans.
 const SPANS: &str = env!("CARGO_TARGET_TMPDIR");
@@ -66,27 +66,26 @@
     let flags =
         vec!["--trace-file", concat!(env!("CARGO_TARGET_TMPDIR"), "/spans-{name}")];
     let cluster = Cluster::start(ClusterSettings { flags, ..Default::default() });
-    cluster.wait_for_claims();
     let entry = cluster.instances[0].address.to_string();
-    let mut forwarded = None;
-    wait_until("a request whose owner is another instance", RECOVERY, || {
-        let report = run(&[
-            "submit",
-            "--instance",
-            &entry,
-            "--customer",
-            "float-storage",
-            "--kind",
-            "release-order",
-            "--payload",
-            r#"{"run_ms":1}"#,
-        ]);
-        let json = report.unwrap().json;
-        let is_forwarded = json["code"] == "complete" && json["owner"] != "i-0";
-        forwarded = is_forwarded.then_some(json);
-        forwarded.is_some()
-    });
-    let answer = forwarded.unwrap();
+    // The owner of a ticket is the instance that issued it, and others forward.
+    let (_, body) =
+        call("POST", cluster.instances[1].address, "/v1/tickets", &json!({ "count": 1 }));
+    let ticket = body["tickets"][0].as_str().unwrap();
+    let report = run(&[
+        "submit",
+        "--instance",
+        &entry,
+        "--customer",
+        "float-storage",
+        "--kind",
+        "release-order",
+        "--payload",
+        r#"{"run_ms":1}"#,
+        "--submission",
+        ticket,
+    ]);
+    let answer = report.unwrap().json;
+    assert_eq!((&answer["code"], &answer["owner"]), (&json!("complete"), &json!("i-1")));
     let trace = answer["trace_id"].as_str().unwrap();
     let all = || names.iter().flat_map(|name| hops(name, trace)).collect::<Vec<_>>();
     wait_until("the spans of the trace", RECOVERY, || all().len() >= 3);
@@ -94,10 +93,7 @@
     let find = |name: &str| all.iter().find(|hop| hop.name == name).unwrap().clone();
     let (entry, owner, target) = (find("entry"), find("owner"), find("target"));
     assert_eq!(all.len(), 3, "{all:?}");
-    assert_eq!(
-        (&*entry.instance, &*owner.instance),
-        ("i-0", answer["owner"].as_str().unwrap())
-    );
+    assert_eq!((&*entry.instance, &*owner.instance), ("i-0", "i-1"));
     assert_eq!((&owner.parent, &target.parent), (&entry.span, &owner.span));
     assert!(all.iter().all(|hop| hop.request_id == answer["submission"]), "{all:?}");
 }
