Set the gauges of an instance's state when its metrics are read

Cause: of the metrics that are described, only the measures of answers were ever set, so an operator could not watch queues, peers, targets, the version in force or dropped log lines.

Change: GET /metrics asks the engine for its state, at most 1 s, and sets the gauges from it; with a slow engine the page comes without fresh gauges. New gauges: open submissions, running sends, slots, free slots, ejected targets and a stale instance list.

--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -121,7 +121,7 @@
 
 /// Runs an instance until it is told to stop.
 pub fn run(settings: Settings) -> Result<()> {
-    set_up_output(&settings)?;
+    let lines = set_up_output(&settings)?;
     let metrics = MetricsPage::install()?;
     let listener = listen(settings.listen)?;
     let peer_listener = listen(settings.peer_listen)?;
@@ -150,7 +150,7 @@
     parts.start_inputs();
     parts.watch_signals()?;
     println!("{}", parts.describe(address, peer_address));
-    let context = Arc::new(parts.context(metrics));
+    let context = Arc::new(parts.context(metrics, lines));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -270,9 +270,14 @@
     }
 
     /// Returns what the routes need.
-    fn context(&self, metrics: MetricsPage) -> Context {
+    fn context(
+        &self,
+        metrics: MetricsPage,
+        lines: Vec<(&'static str, LineSink)>,
+    ) -> Context {
         Context {
             metrics,
+            lines,
             tracer: self.tracer,
             ready: self.ready.clone(),
             events: self.events.clone(),
@@ -298,19 +303,21 @@
     }
 }
 
-/// Sets up logs and traces.
-fn set_up_output(settings: &Settings) -> Result<()> {
+/// Sets up logs and traces, and returns the outputs by name.
+fn set_up_output(settings: &Settings) -> Result<Vec<(&'static str, LineSink)>> {
     let output = &settings.output;
     let sink = LineSink::start(std::io::stderr()).context(StartSnafu)?;
     let log_settings = LogSettings { level: output.log_level, format: output.log_format };
+    let mut lines = vec![("logs", sink.clone())];
     logs::install(log_settings, sink)?;
     if let Some(path) = &output.trace_file {
         let file = File::options().create(true).append(true).open(path);
         let file = file.context(TraceFileSnafu { path })?;
         let sink = LineSink::start(file).context(StartSnafu)?;
+        lines.push(("traces", sink.clone()));
         OtlpLines::new(sink, "bamboocart-dispatcher", &settings.name).install();
     }
-    Ok(())
+    Ok(lines)
 }
 
 /// Listens on an address.
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/gauges.rs
@@ -0,0 +1,60 @@
+//! The gauges that follow from the state of the instance, set when the page is read.
+
+use bamboocart_core::engine::{GroupStatus, Status};
+use bamboocart_core::membership::PeerState;
+use bamboocart_telemetry::lines::LineSink;
+use bamboocart_telemetry::metrics::{
+    CONFIG_VERSION, DROPPED_ANSWERS, EJECTED_TARGETS, FREE_SLOTS, LINES_DROPPED,
+    LIST_STALE, OPEN_SUBMISSIONS, PEERS, QUEUED_TASKS, RUNNING_SENDS, SLOTS, TARGETS,
+};
+use metrics::{counter, gauge};
+
+/// The label for the target group.
+const GROUP: &str = "group";
+
+/// The label for a state.
+const STATE: &str = "state";
+
+/// The states of peers with their names; all are set, so that none keeps an old value.
+const PEER_STATES: [(PeerState, &str); 5] = [
+    (PeerState::Learned, "learned"),
+    (PeerState::Live, "live"),
+    (PeerState::Suspect, "suspect"),
+    (PeerState::Dead, "dead"),
+    (PeerState::Returning, "returning"),
+];
+
+/// Sets the gauges of an instance's state.
+pub fn set_state(status: &Status) {
+    gauge!(CONFIG_VERSION).set(status.config_version.0 as f64);
+    gauge!(OPEN_SUBMISSIONS).set(status.open_submissions as f64);
+    gauge!(RUNNING_SENDS).set(status.running as f64);
+    gauge!(LIST_STALE).set(u8::from(status.list_is_stale));
+    counter!(DROPPED_ANSWERS).absolute(status.late_answers);
+    for (state, name) in PEER_STATES {
+        let count = status.peers.iter().filter(|peer| peer.state == state).count();
+        gauge!(PEERS, STATE => name).set(count as f64);
+    }
+    status.groups.iter().for_each(|group| set_group(status, group));
+}
+
+/// Sets the gauges of a target group.
+fn set_group(status: &Status, group: &GroupStatus) {
+    let name = group.name.to_string();
+    gauge!(QUEUED_TASKS, GROUP => name.clone()).set(group.queued as f64);
+    gauge!(SLOTS, GROUP => name.clone()).set(group.slots);
+    gauge!(FREE_SLOTS, GROUP => name.clone()).set(group.free_slots);
+    gauge!(EJECTED_TARGETS, GROUP => name.clone()).set(group.ejected as f64);
+    for (retired, state) in [(false, "used"), (true, "retired")] {
+        let of_group = status.targets.iter().filter(|target| target.group == group.name);
+        let count = of_group.filter(|target| target.retired == retired).count();
+        gauge!(TARGETS, GROUP => name.clone(), STATE => state).set(count as f64);
+    }
+}
+
+/// Sets the gauges of lines that were dropped, by output.
+pub fn set_lines(outputs: &[(&'static str, LineSink)]) {
+    for (output, sink) in outputs {
+        gauge!(LINES_DROPPED, "output" => *output).set(sink.dropped() as f64);
+    }
+}
--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod driver;
 mod follower;
+mod gauges;
 mod lister;
 mod peers;
 mod routes;
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -7,6 +7,7 @@
 use bamboocart_core::engine::{Event, NewSubmission, Reply, TaskSpec, WaiterId};
 use bamboocart_core::id::SubmissionId;
 use bamboocart_core::outcome::RefusalCode;
+use bamboocart_telemetry::lines::LineSink;
 use bamboocart_telemetry::logs::REQUEST_ID;
 use bamboocart_telemetry::metrics::MetricsPage;
 use bamboocart_telemetry::trace::{TRACEPARENT, Tracer, traceparent_of};
@@ -25,11 +26,15 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::gauges;
 use crate::waiters::Waiters;
 
 /// The time in which the body of a request must have arrived.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
+/// The time in which the engine must have told its state for the page of metrics.
+const GAUGE_TIMEOUT_MS: u64 = 1_000;
+
 /// The largest number of tickets in one answer.
 const MAX_TICKETS: u16 = 1_024;
 
@@ -43,6 +48,8 @@
 pub struct Context {
     /// The page of metrics.
     pub metrics: MetricsPage,
+    /// The outputs for lines, by name.
+    pub lines: Vec<(&'static str, LineSink)>,
     /// Starts the spans of requests.
     pub tracer: Tracer,
     /// Whether the instance admits submissions.
@@ -82,7 +89,7 @@
             ask(context, |waiter| Event::Config { waiter }).await
         }
         (&Method::POST, "/v1/drain", _) => drain(context),
-        (&Method::GET, "/metrics", _) => Ok(text(200, context.metrics.render())),
+        (&Method::GET, "/metrics", _) => Ok(metrics(context).await),
         (&Method::GET, "/live", _) => Ok(json(200, &serde_json::json!({"live": true}))),
         (&Method::GET, "/ready", _) => Ok(ready(context)),
         _ => Ok(json(404, &serde_json::json!({"code": "no-such-path"}))),
@@ -183,6 +190,20 @@
     }
 }
 
+/// Handles `GET /metrics`; a slow engine keeps its gauges from being set, not the page.
+async fn metrics(context: &Context) -> Answer {
+    let (waiter, reply) = context.waiters.add();
+    if context.events.try_send(Event::Status { waiter }).is_err() {
+        context.waiters.remove(waiter);
+    } else if let Ok(Ok(Reply::Status(status))) =
+        tokio::time::timeout(Duration::from_millis(GAUGE_TIMEOUT_MS), reply).await
+    {
+        gauges::set_state(&status);
+    }
+    gauges::set_lines(&context.lines);
+    text(200, context.metrics.render())
+}
+
 /// Handles `GET /ready`.
 fn ready(context: &Context) -> Answer {
     let ready = context.ready.load(Ordering::Acquire);
--- a/crates/bamboocart-dispatcher/tests/operators.rs
+++ b/crates/bamboocart-dispatcher/tests/operators.rs
@@ -64,3 +64,26 @@
     let status = bamboocart(&["status", "--instance", &instance]);
     assert!(status.text.contains(": starting, version 0"), "{}", status.text);
 }
+
+/// Guards against a metric that is described and never set, which an alert would wait for
+/// in vain.
+#[test]
+fn page_of_metrics_tells_the_state() {
+    let cluster = Cluster::start(ClusterSettings::default());
+    let url = format!("http://{}/metrics", cluster.instances[0].address);
+    let page = ureq::get(url).call().unwrap().body_mut().read_to_string().unwrap();
+    for line in [
+        "bamboocart_config_version 1",
+        "bamboocart_peers{state=\"live\"} 2",
+        "bamboocart_peers{state=\"dead\"} 0",
+        "bamboocart_queued_tasks{group=\"minions\"} 0",
+        "bamboocart_free_slots{group=\"minions\"} ",
+        "bamboocart_targets{group=\"workers\",state=\"used\"} ",
+        "bamboocart_open_submissions 0",
+        "bamboocart_list_stale 0",
+        "bamboocart_dropped_answers_total 0",
+        "bamboocart_lines_dropped{output=\"logs\"} 0",
+    ] {
+        assert!(page.contains(&format!("\n{line}")), "{line} is not in {page}");
+    }
+}
--- a/crates/bamboocart-telemetry/src/metrics.rs
+++ b/crates/bamboocart-telemetry/src/metrics.rs
@@ -56,7 +56,7 @@
     Histogram Seconds RESPONSE_SECONDS = "bamboocart_response_seconds",
         "Time from arrival to answer, by request kind and customer.";
     Counter Count ANSWERS = "bamboocart_answers_total",
-        "Answers, by request kind, customer, outcome and code.";
+        "Answers, by request kind, customer and outcome.";
     Counter Count STARTS = "bamboocart_starts_total",
         "Task starts, by target group and scheduling reason.";
     Histogram Seconds QUEUE_WAIT_SECONDS = "bamboocart_queue_wait_seconds",
@@ -97,6 +97,18 @@
         "Account entries that wait for the log.";
     Counter Count ACCOUNT_DROPPED = "bamboocart_account_dropped_total",
         "Account entries that were dropped and replaced by a gap.";
+    Gauge Count OPEN_SUBMISSIONS = "bamboocart_open_submissions",
+        "Submissions without an answer.";
+    Gauge Count RUNNING_SENDS = "bamboocart_running_sends",
+        "Sends to targets that have not ended.";
+    Gauge Count SLOTS = "bamboocart_slots",
+        "Slots that this instance may use, by target group.";
+    Gauge Count FREE_SLOTS = "bamboocart_free_slots",
+        "Slots that are free, by target group.";
+    Gauge Count EJECTED_TARGETS = "bamboocart_ejected_targets",
+        "Targets that are ejected, by target group.";
+    Gauge Count LIST_STALE = "bamboocart_list_stale",
+        "Whether the platform's instance list is out of date, 1 or 0.";
     Gauge Count LINES_DROPPED = "bamboocart_lines_dropped",
         "Log and trace lines that were dropped, by output.";
 }
