Probe busy targets too while the list is stale

Cause: the answer to a send counted as news on whether the target is leaving, so that a busy target was never probed. A target that announces that it is leaving and still accepts starts says nothing of it in a result; while the list stood still, it was given work for as long as it was busy.

Ruled out: a list that does not count as stale (idle targets were probed), and a lost probe answer (turned-away starts ended the work in time).

Change: the answer to a send shows that a target is not silent, and no longer replaces a probe.

--- a/crates/bamboocart-core/src/engine/ended.rs
+++ b/crates/bamboocart-core/src/engine/ended.rs
@@ -74,7 +74,7 @@
         let Some(target) = self.targets.get(key) else { return };
         let info = target.info.clone();
         if !matches!(report, SendReport::NotSent | SendReport::Lost) {
-            self.membership.targets.answered(&info.name, now);
+            self.membership.targets.ran(&info.name);
         }
         self.learn_run_time(now, key, state, report);
         self.learn_health(now, key, state, report);
--- a/crates/bamboocart-core/src/membership/targets.rs
+++ b/crates/bamboocart-core/src/membership/targets.rs
@@ -178,7 +178,17 @@
         left
     }
 
-    /// Notes that a target answered anything.
+    /// Notes that a target answered a send, which shows that it is not silent.
+    ///
+    /// The answer does not replace a probe: a target that announces that it is leaving may
+    /// still accept starts, and a result does not tell.
+    pub fn ran(&mut self, name: &TargetName) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.asked_at = None;
+        }
+    }
+
+    /// Notes that a target answered whether it is leaving.
     pub fn answered(&mut self, name: &TargetName, now: Timestamp) {
         if let Some(target) = self.targets.get_mut(name) {
             target.answered_at = Some(now);
@@ -200,9 +210,8 @@
 
     /// Returns the targets to probe now and notes that they are probed.
     ///
-    /// `asked` selects the targets that are worth a probe. A target that answered a send
-    /// within [`PROBE_EVERY_MS`] is not probed, because that answer would have said that
-    /// it is leaving.
+    /// `asked` selects the targets that are worth a probe. A target that answered within
+    /// [`PROBE_EVERY_MS`] whether it is leaving is not probed.
     pub(super) fn due_probes(
         &mut self,
         now: Timestamp,
