--- a/crates/bamboocart-cli/src/commands/cancel.rs
+++ b/crates/bamboocart-cli/src/commands/cancel.rs
@@ -43,7 +43,10 @@
             match instance.cancel(id) {
                 Ok(answer) => {
                     exit = exit.max(exit_of(answer.outcome));
-                    lines.push(format!("{id}: {}; {}", answer.code, answer.message));
+                    let parts = [&*answer.code, &*answer.message];
+                    let parts = parts.into_iter().filter(|part| !part.is_empty());
+                    let parts: Vec<&str> = parts.collect();
+                    lines.push(format!("{id}: {}", parts.join("; ")));
                     answers.push(json!(answer));
                 }
                 Err(error) => {
--- a/crates/bamboocart-cli/src/commands/publish.rs
+++ b/crates/bamboocart-cli/src/commands/publish.rs
@@ -106,7 +106,10 @@
             return Report::new(Exit::Faulty, json, reason.clone());
         }
     };
-    let text = format!("version {version} was accepted on the log");
+    let text = match fate {
+        Fate::Accepted(_) => format!("version {version} was accepted on the log"),
+        _ => format!("version {version} on the log has this set already"),
+    };
     let Some(platform) = waiter else {
         let json = json!({ "publication": id, "config_version": version });
         return Report::done(json, text);
