--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -120,7 +120,7 @@
             Step::HandingOver { resend_at, until } => {
                 self.hand_over_again(now, (resend_at, until), effects);
             }
-            Step::Lingering { until } if now >= until && self.forwards() == 0 => {
+            Step::Lingering { until } if now >= until => {
                 self.return_leases(now, effects);
                 self.ledger.close(now);
                 let until = now.plus_ms(CLOSE_MS);
@@ -280,8 +280,8 @@
             Ok(Some(complete)) => {
                 let predecessor = complete.from().clone();
                 match registry.adopt(complete, now, restore) {
-                    Ok(count) => effects.push(Effect::Warn(format!(
-                        "took over {count} submissions of {predecessor}; no action needed"
+                    Ok(count) => effects.push(Effect::Note(format!(
+                        "took over {count} submissions of {predecessor}"
                     ))),
                     Err(error) => effects.push(Effect::Warn(error.to_string())),
                 }
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -7,6 +7,7 @@
 use bamboocart_core::config::{ConfigSet, Role};
 use bamboocart_core::id::Incarnation;
 use bamboocart_platform::{InstanceEntry, ListState};
+use bamboocart_standin::history::{Evidence, Policy, SendRecord, check};
 use bamboocart_standin::platform::{self, PlatformServer};
 use bamboocart_standin::target::{
     Fleet, MinionSettings, WorkerSettings, minion_settings, worker_settings,
@@ -17,6 +18,7 @@
 use super::config::register;
 use super::forward::{Mode, Net, Node};
 use super::http::call;
+use super::permit::Permit;
 use super::process::Instance;
 use super::{POLL, RECOVERY, base_config, publish, wait_until};
 
@@ -68,6 +70,8 @@
     settings: ClusterSettings,
     /// The addresses of the forwarders to and from each instance.
     doors: Vec<Doors>,
+    /// Given back after everything else has ended.
+    _permit: Permit,
 }
 
 /// The forwarders of one instance.
@@ -82,6 +86,7 @@
 impl Cluster {
     /// Starts a system and waits until every instance serves and knows the others.
     pub fn start(settings: ClusterSettings) -> Self {
+        let permit = Permit::wait();
         let platform = PlatformServer::start(&platform::Settings {
             port: 0,
             retention_ms: settings.retention_ms,
@@ -109,6 +114,7 @@
             net,
             settings,
             doors: vec![],
+            _permit: permit,
         };
         for domain in cluster.settings.instances.clone() {
             cluster.add_instance(domain);
@@ -227,7 +233,8 @@
             for &other in others {
                 let other = &self.instances[other].name;
                 if !live.contains(&other.as_str()) {
-                    return Err(format!("{name} does not see {other}"));
+                    let peers = &status["peers"];
+                    return Err(format!("{name} does not see {other}: {peers}"));
                 }
             }
             let usable = rows(status, "targets")
@@ -284,6 +291,24 @@
         self.instances.iter().map(|instance| instance.address).collect()
     }
 
+    /// Returns what the targets have recorded, with the calls of callers.
+    pub fn evidence(&self, sends: Vec<SendRecord>) -> Evidence {
+        let mut evidence = Evidence { sends, ..Evidence::default() };
+        for fleet in [&self.minions, &self.workers] {
+            let page = fleet.members().history(0, usize::MAX);
+            evidence.dropped += page.dropped;
+            evidence.events.extend(page.events);
+        }
+        evidence
+    }
+
+    /// Fails the test if a recorded history of non-repeatable requests breaks a rule.
+    pub fn check_history(&self, sends: Vec<SendRecord>) {
+        let evidence = self.evidence(sends);
+        let violations = check(&evidence, &Policy::default());
+        assert!(violations.is_empty(), "{violations:#?}");
+    }
+
     /// Marks an instance as leaving in the platform's list.
     pub fn list_as_leaving(&self, index: usize) {
         let instance = &self.instances[index];
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -5,6 +5,7 @@
 // Each test program uses a part of the fixture.
 #![allow(dead_code, unused_imports)]
 
+mod balanced;
 mod callers;
 mod cluster;
 mod config;
@@ -12,12 +13,14 @@
 mod http;
 mod judge;
 mod load;
+mod permit;
 mod process;
 mod sockets;
 mod storm;
 
 use std::time::{Duration, Instant};
 
+pub use self::balanced::{BalancedCallers, Order, agent, now, submit};
 pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
 pub use self::config::{base_config, publish, register};
--- a/crates/bamboocart-standin/src/target/gate.rs
+++ b/crates/bamboocart-standin/src/gate.rs
@@ -1,10 +1,11 @@
-//! The connections of a target, with the faults that happen below HTTP.
+//! The connections of a server, with the faults that happen below HTTP.
 //!
-//! A relay in front of the target's HTTP server is needed because `tiny_http` neither
-//! bounds its connections nor gives access to them. All relays share one thread.
+//! A relay in front of each target's HTTP server bounds its connections and can refuse,
+//! freeze or silence them, which the server cannot. All relays share one thread.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::pin;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -22,7 +23,7 @@
 /// The bytes that a relay reads at a time.
 const BUFFER_BYTES: usize = 16 * 1024;
 
-/// The pause between attempts to listen again on the port of a target.
+/// The pause between attempts to listen again on the port of a server.
 const LISTEN_PAUSE: Duration = Duration::from_millis(20);
 
 /// The thread that runs all relays, ended when it is dropped.
@@ -43,6 +44,23 @@
     state: watch::Sender<State>,
 }
 
+/// The server behind a gate.
+#[derive(Debug, Copy, Clone)]
+pub struct Inner {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The number of connections beyond which new ones are closed at once.
+    pub connections_max: u32,
+}
+
+/// The way to the server behind a gate.
+struct Entrance {
+    /// Where the server listens.
+    inner: SocketAddr,
+    /// The connections that may be open.
+    slots: Arc<Semaphore>,
+}
+
 /// The state of a gate.
 #[derive(Debug, Copy, Clone, Default)]
 struct State {
@@ -67,14 +85,17 @@
         Ok(Self { handle, stop, thread: Some(thread) })
     }
 
-    /// Opens a gate in front of `inner` that carries at most `connections_max` connections.
-    pub fn open(&self, inner: SocketAddr, connections_max: u32) -> io::Result<Gate> {
-        let listener = http::listen(0)?;
+    /// Opens a gate on a loopback port, 0 for any, in front of a server.
+    pub fn open(&self, port: u16, inner: Inner) -> io::Result<Gate> {
+        let listener = http::listen(port)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (state, watched) = watch::channel(State::default());
-        let slots = Arc::new(Semaphore::new(connections_max as usize));
-        self.handle.spawn(serve(listener, inner, watched, slots));
+        let entrance = Arc::new(Entrance {
+            inner: inner.address,
+            slots: Arc::new(Semaphore::new(inner.connections_max as usize)),
+        });
+        self.handle.spawn(serve(listener, entrance, watched));
         Ok(Gate { address, state })
     }
 }
@@ -115,6 +136,15 @@
     }
 }
 
+impl Entrance {
+    /// Opens a connection to the server.
+    async fn open(&self) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(self.inner).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
 /// Runs the relays until the stop.
 fn run(runtime: &Runtime, stopped: &CancellationToken) {
     runtime.block_on(stopped.cancelled());
@@ -123,9 +153,8 @@
 /// Accepts connections of one gate until the gate is dropped.
 async fn serve(
     listener: StdListener,
-    inner: SocketAddr,
+    entrance: Arc<Entrance>,
     mut state: watch::Receiver<State>,
-    slots: Arc<Semaphore>,
 ) -> io::Result<()> {
     let port = listener.local_addr()?.port();
     let mut listener = Some(TcpListener::from_std(listener)?);
@@ -145,7 +174,7 @@
                 changed = state.changed() => changed,
                 accepted = open.accept() => {
                     let relay = accepted.map(|(outer, _)| (outer, state.clone()));
-                    admit(relay?, inner, &slots);
+                    admit(relay?, &entrance);
                     Ok(())
                 }
             },
@@ -157,18 +186,16 @@
 }
 
 /// Relays a new connection, or closes it if there are too many.
-fn admit(
-    (outer, state): (TcpStream, watch::Receiver<State>),
-    inner: SocketAddr,
-    slots: &Arc<Semaphore>,
-) {
-    let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
+fn admit((outer, state): (TcpStream, watch::Receiver<State>), entrance: &Arc<Entrance>) {
+    let Ok(slot) = Arc::clone(&entrance.slots).try_acquire_owned() else {
         reset(&outer);
         return;
     };
+    let entrance = Arc::clone(entrance);
     tokio::spawn(async move {
         let _slot = slot;
-        relay(outer, inner, state).await
+        let relayed = relay(outer, &entrance, state).await;
+        relayed.inspect_err(|error| log::debug!("a connection ended: {error}"))
     });
 }
 
@@ -187,24 +214,15 @@
 /// Carries one connection until both sides have closed it or the target is dead.
 async fn relay(
     mut outer: TcpStream,
-    inner: SocketAddr,
-    mut state: watch::Receiver<State>,
+    entrance: &Entrance,
+    state: watch::Receiver<State>,
 ) -> io::Result<()> {
+    let mut dead = state.clone();
     let epoch = state.borrow().epoch;
-    let mut inner = TcpStream::connect(inner).await?;
-    inner.set_nodelay(true)?;
-    let (up_state, down_state) = (state.clone(), state.clone());
-    let (outer_read, outer_write) = outer.split();
-    let (inner_read, inner_write) = inner.split();
-    let both = async {
-        tokio::join!(
-            pump(outer_read, inner_write, up_state, epoch),
-            pump(inner_read, outer_write, down_state, epoch),
-        )
-    };
+    let mut inner = entrance.open().await?;
     let dead = tokio::select! {
-        _ = both => false,
-        changed = state.wait_for(|state| state.dead) => changed.is_ok(),
+        () = carry(&mut outer, &mut inner, &state, epoch) => false,
+        changed = dead.wait_for(|state| state.dead) => changed.is_ok(),
     };
     if dead {
         reset(&outer);
@@ -212,23 +230,53 @@
     Ok(())
 }
 
+/// Carries both directions of a connection until its end.
+async fn carry(
+    outer: &mut TcpStream,
+    inner: &mut TcpStream,
+    state: &watch::Receiver<State>,
+    epoch: u64,
+) {
+    let (outer_read, outer_write) = outer.split();
+    let (inner_read, inner_write) = inner.split();
+    let mut up = pin!(pump(outer_read, inner_write, state.clone(), epoch));
+    let mut down = pin!(pump(inner_read, outer_write, state.clone(), epoch));
+    tokio::select! {
+        // The end of a silent connection is not passed on to the server, which would
+        // keep its side open.
+        ended = &mut up => match ended {
+            Ok(End::Passed) => drop(down.await),
+            Ok(End::Swallowed) | Err(_) => {}
+        },
+        _ = &mut down => drop(up.await),
+    }
+}
+
+/// How one direction of a connection ended.
+enum End {
+    /// The receiver was told.
+    Passed,
+    /// The connection was silent.
+    Swallowed,
+}
+
 /// Carries one direction of a connection until its end.
 async fn pump(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     mut state: watch::Receiver<State>,
     epoch: u64,
-) -> io::Result<()> {
+) -> io::Result<End> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await?;
         let passing = state.wait_for(|state| !state.frozen || state.epoch > epoch).await;
         match passing.map(|state| state.epoch > epoch) {
-            Err(_) => return Ok(()),
+            Err(_) => return Ok(End::Swallowed),
             // A device that lost the connection's state passes on neither data nor its end.
-            Ok(true) if count == 0 => return Ok(()),
+            Ok(true) if count == 0 => return Ok(End::Swallowed),
             Ok(true) => {}
-            Ok(false) if count == 0 => return to.shutdown().await,
+            Ok(false) if count == 0 => return to.shutdown().await.map(|()| End::Passed),
             Ok(false) => to.write_all(&buffer[..count]).await?,
         }
     }
