Tick when something is due instead of every 20 ms

Cause: an idle instance woke up 50 times a second, for deadlines that it did not have. Change: the driver waits until the engine's next due time, at most 100 ms.

--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -291,6 +291,15 @@
         }
     }
 
+    /// Returns when the next `Tick` has something to do, besides the periodic work.
+    pub fn next_due(&self) -> Option<Timestamp> {
+        let expiries = self.groups.values().filter_map(|group| group.queue.next_expiry());
+        let deadline = self.deadlines.first().map(|&(at, _)| at);
+        let pending = self.pending_until.first().map(|&(at, _)| at);
+        let hedge = self.hedges_due.first().map(|&(at, _)| at);
+        expiries.chain(deadline).chain(pending).chain(hedge).min()
+    }
+
     /// Returns the version of the configuration in force.
     pub fn config_version(&self) -> ConfigVersion {
         self.config_version
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -8,6 +8,7 @@
     Effect, Engine, Event, LeaseOrder, Observation, SendOrder,
 };
 use bamboocart_core::target::SendReport;
+use bamboocart_core::time::US_PER_MS;
 use bamboocart_telemetry::metrics::{AnswerCost, record_answer};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio_util::sync::CancellationToken;
@@ -18,9 +19,12 @@
 use crate::sender::Outbound;
 use crate::waiters::Waiters;
 
-/// The longest time between two ticks.
+/// The time between two ticks while events arrive.
 const TICK_MS: u64 = 20;
 
+/// The longest time without a tick, for the engine's periodic work.
+const IDLE_TICK_MS: u64 = 100;
+
 /// The messages that a submission needs at least: one to a target and its answer count
 /// as one exchange for each task.
 const EXCHANGES_PER_TASK: u64 = 1;
@@ -56,7 +60,7 @@
     let mut effects = Vec::new();
     let mut last_tick = clock.now();
     while !halt.is_cancelled() {
-        let event = match events.recv_timeout(Duration::from_millis(TICK_MS)) {
+        let event = match events.recv_timeout(idle_time(&engine, clock)) {
             Ok(event) => event,
             Err(RecvTimeoutError::Timeout) => Event::Tick,
             Err(RecvTimeoutError::Disconnected) => break,
@@ -72,6 +76,13 @@
     outputs.peers.stop();
 }
 
+/// Returns how long the engine can wait for an event.
+fn idle_time(engine: &Engine, clock: Clock) -> Duration {
+    let idle_us = IDLE_TICK_MS * US_PER_MS;
+    let until_due = engine.next_due().map(|at| at.us_since(clock.now()));
+    Duration::from_micros(until_due.map_or(idle_us, |us| us.min(idle_us)))
+}
+
 /// Carries out effects, among them those that follow from effects that failed at once.
 fn carry_out(
     engine: &mut Engine,
