Drop requests that end too late from the ideal schedule

Cause: the ideal schedule started requests that could not end in time on the slot they got, so under overload its slots did useless work. Change: such a request takes no slot.

--- a/crates/bamboocart-standin/src/measure/ideal.rs
+++ b/crates/bamboocart-standin/src/measure/ideal.rs
@@ -31,8 +31,8 @@
 /// Schedules recorded requests on one shared set of slots without any delay.
 ///
 /// A request starts at once on the fastest free slot. While all slots are taken, requests
-/// wait by rank and then by arrival. A request that can no longer end in time, even on the
-/// fastest slot, is dropped. The result has the order of the arguments; `arrivals` must be
+/// wait by rank and then by arrival. A request that would not end in time on the slot that
+/// it gets is dropped and takes no slot. The result has the order of the arguments; `arrivals` must be
 /// ordered by time.
 pub fn schedule(arrivals: &[Arrival], slots: &[Slots]) -> Vec<Ended> {
     let mut classes = slots.to_vec();
@@ -87,13 +87,13 @@
             let arrival = arrivals[index];
             let end_on =
                 |slots: &Slots| now_us + (arrival.run_us as f64 / slots.speed) as u64;
-            if end_on(&self.classes[0]) > arrival.deadline_us {
+            let end_us = end_on(&self.classes[class]);
+            if end_us > arrival.deadline_us {
                 continue;
             }
-            let end_us = end_on(&self.classes[class]);
             self.free[class] -= 1;
             self.running.push(Reverse((end_us, class)));
-            self.ended[index] = Some(end_us).filter(|&end| end <= arrival.deadline_us);
+            self.ended[index] = Some(end_us);
         }
     }
 }
--- a/crates/bamboocart-standin/tests/measure.rs
+++ b/crates/bamboocart-standin/tests/measure.rs
@@ -33,7 +33,7 @@
         speeds: &[1.0],
         ended: &[Some(100), Some(300), Some(200)],
     } },
-    hopeless_request_takes_no_slot = { Case {
+    late_request_takes_no_slot = { Case {
         arrivals: &[(0, 600, 1), (1, 600, 1), (2, 300, 1)],
         speeds: &[1.0],
         ended: &[Some(600), None, Some(900)],
