--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -21,11 +21,8 @@
 
 use crate::settings::Settings;
 
-/// The exit code for settings that cannot be used, as for flags that cannot be parsed.
-const USAGE: u8 = 1;
-
-/// The exit code for an instance that could not start or serve.
-const FAILURE: u8 = 2;
+/// The exit code for flags that cannot be parsed and settings that cannot be used.
+const USAGE: u8 = 2;
 
 /// The width of help texts.
 const MESSAGE_COLUMNS: usize = 100;
@@ -49,7 +46,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
-            ExitCode::from(FAILURE)
+            ExitCode::FAILURE
         }
     }
 }
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -187,8 +187,8 @@
 /// The end of the help text.
 const FOOTER: &str = "Exit codes: \
     0 stopped as asked; \
-    1 wrong usage or settings; \
-    2 could not start or serve. \
+    1 could not start or serve; \
+    2 wrong usage or settings. \
     The environment variable beside a flag sets it too, and the flag takes precedence; \
     N/A means that the variable is not set.";
 
