Probe targets that answer sends while the list is stale

Cause: a target that had answered a send within 2 s was not probed, on the assumption that the answer would have said that it is leaving. A target that says so in GET /live only and goes on to accept tasks was therefore used for as long as it was busy and the list stale.

Ruled out: the detection of a stale list; idle targets were probed.

Change: every used target is probed every 2 s, the one that was probed the longest time ago first, within the same bound of 10 a second. The core test counted the busy target among those that are not probed; it now expects it to be probed, within the same gaps and bound.

--- a/crates/bamboocart-core/src/membership/targets.rs
+++ b/crates/bamboocart-core/src/membership/targets.rs
@@ -14,8 +14,8 @@
 /// The time between two probes of one target.
 pub const PROBE_EVERY_MS: u64 = 2_000;
 
-/// The probes that one instance sends each second; targets that gave no answer for the
-/// longest time come first.
+/// The probes that one instance sends each second; targets that were not probed for the
+/// longest time come first. Up to 50 targets are probed within 5 s.
 pub const PROBES_PER_S: usize = 10;
 
 /// The silence of a target that was asked, after which it counts as not answering.
@@ -200,9 +200,8 @@
 
     /// Returns the targets to probe now and notes that they are probed.
     ///
-    /// `asked` selects the targets that are worth a probe. A target that answered a send
-    /// within [`PROBE_EVERY_MS`] is not probed, because that answer would have said that
-    /// it is leaving.
+    /// `asked` selects the targets that are worth a probe. Those that answer sends are
+    /// probed as well, because a leaving target may go on to accept tasks.
     pub(super) fn due_probes(
         &mut self,
         now: Timestamp,
@@ -216,12 +215,9 @@
             .targets
             .values_mut()
             .filter(|target| target.is_serving() && target.probe_at <= now)
-            .filter(|target| {
-                target.answered_at.is_none_or(|at| now.ms_since(at) >= PROBE_EVERY_MS)
-            })
             .filter(|target| asked(&target.info))
             .collect();
-        due.sort_by_key(|target| target.answered_at.max(Some(target.probe_at)));
+        due.sort_by_key(|target| target.probe_at);
         due.truncate(PROBES_PER_S.saturating_sub(self.probes.1));
         self.probes.1 += due.len();
         due.into_iter()
--- a/crates/bamboocart-core/tests/membership.rs
+++ b/crates/bamboocart-core/tests/membership.rs
@@ -395,7 +395,8 @@
             membership.targets.answered(&info.name, at(ms));
         }
     }
-    assert_eq!(probed.len(), 38);
+    // All but the one that is not asked for, and also the one that answers sends.
+    assert_eq!(probed.len(), 39);
     assert!(each_second.values().all(|&count| count <= PROBES_PER_S));
 }
 
