Start tasks only while they will probably end in time

Cause: an entry could start until its deadline less the first percentile of the kind's run time. Under overload entries wait until that moment, so targets ran tasks that ended after the deadline: sends wasted, callers told 'still running'. Ruled out: retries and hedges; nearly all of the answers that were not complete were unknown/still-running, one per started task. Change: the margin is the learned 95th percentile of the run time, at most half of the time left and at least the fastest run; the check on arrival uses the same margin. Kinds with longer runs of the same priority are refused earlier.

The tests of admission name the new field; the existing cases keep their strictness.

--- a/crates/bamboocart-core/src/admission.rs
+++ b/crates/bamboocart-core/src/admission.rs
@@ -18,6 +18,16 @@
 /// The longest wait that is advised when the instance is overloaded.
 pub const LONGEST_OVERLOAD_RETRY_MS: u64 = 5_000;
 
+/// Returns the time before the deadline at which a task must start.
+///
+/// It is the time within which 95% of runs end. Under overload tasks wait until the last
+/// moment, so a margin that only the fastest runs meet would fill the targets with runs
+/// that end too late. At most half of the time may go to the margin, since a deadline that
+/// is short for the request kind leaves no better choice than to try.
+pub fn start_margin_us(time_left_us: u64, p95_us: u64, fastest_us: Option<u64>) -> u64 {
+    p95_us.min(time_left_us / 2).max(fastest_us.unwrap_or(0))
+}
+
 /// What the checks need to know of a submission and of the instance.
 #[derive(Debug, Copy, Clone)]
 pub struct Context {
@@ -39,6 +49,8 @@
     pub time_left_us: u64,
     /// The run time that almost no task of the request kind undercuts, if it is known.
     pub fastest_us: Option<u64>,
+    /// The time before the deadline at which a task must start to end in time probably.
+    pub margin_us: u64,
     /// The expected run time of the tasks that are queued ahead.
     pub work_ahead_us: u64,
     /// The slots of the usable targets, which is the work done per unit of time.
@@ -105,8 +117,7 @@
     let work_before_us =
         context.work_ahead_us.saturating_add(context.own_work_us - last_task_us);
     let start_us = work_before_us / slots;
-    let latest_start_us =
-        context.time_left_us.saturating_sub(context.fastest_us.unwrap_or(0));
+    let latest_start_us = context.time_left_us.saturating_sub(context.margin_us);
     if start_us <= latest_start_us {
         return Ok(());
     }
--- a/crates/bamboocart-core/src/engine/admit.rs
+++ b/crates/bamboocart-core/src/engine/admit.rs
@@ -62,6 +62,9 @@
         let default_ms = kind.map_or(0, |kind| kind.deadline_ms);
         let time_left_ms = submission.deadline_ms.unwrap_or(default_ms);
         let fastest_us = self.estimator.fastest_us(kind_key);
+        let time_left_us = time_left_ms.saturating_mul(US_PER_MS);
+        let p95_us = self.estimator.learned_p95_us(kind_key).unwrap_or(0);
+        let margin_us = admission::start_margin_us(time_left_us, p95_us, fastest_us);
         let tasks = submission.tasks.len() as u32;
         let group = group_name.as_ref().and_then(|name| self.groups.get(name));
         let slots = group_name.as_ref().map_or(0, |name| self.usable_slots(name));
@@ -73,8 +76,9 @@
             can_run: target_group.is_some_and(|group| fits(submission, group)),
             tasks,
             own_work_us: costs_us.iter().map(|&us| u64::from(us)).sum(),
-            time_left_us: time_left_ms.saturating_mul(US_PER_MS),
+            time_left_us,
             fastest_us,
+            margin_us,
             work_ahead_us: group.map_or(0, |group| group.queue.work_ahead_us(rank)),
             slots,
             queue_room: group.map_or(0, |group| group.queue.room()),
@@ -82,7 +86,7 @@
             quota: self.quotas.check(&submission.customer, tasks, now),
         })?;
         let deadline = now.plus_ms(time_left_ms);
-        let start_by_us = deadline.as_us().saturating_sub(fastest_us.unwrap_or(0));
+        let start_by_us = deadline.as_us().saturating_sub(margin_us);
         Ok(Plan {
             customer,
             kind: kind_key,
--- a/crates/bamboocart-core/src/estimate.rs
+++ b/crates/bamboocart-core/src/estimate.rs
@@ -124,8 +124,13 @@
     /// Until enough runs have ended it is the longest declared time.
     pub fn p95_us(&self, kind: K) -> Option<u64> {
         let row = self.kinds.get(&kind)?;
-        let learned = row.learned_quantile(95).map(|(_, above_us)| above_us);
-        Some(learned.unwrap_or(row.declared_us.1))
+        Some(self.learned_p95_us(kind).unwrap_or(row.declared_us.1))
+    }
+
+    /// Returns the same once enough runs have ended.
+    pub fn learned_p95_us(&self, kind: K) -> Option<u64> {
+        let (_, above_us) = self.kinds.get(&kind)?.learned_quantile(95)?;
+        Some(above_us)
     }
 
     /// Returns the time that almost no run of a request kind undercuts, once it is known.
--- a/crates/bamboocart-core/tests/admission.rs
+++ b/crates/bamboocart-core/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Tests of the checks on arrival.
 
-use bamboocart_core::admission::{Context, check};
+use bamboocart_core::admission::{Context, check, start_margin_us};
 use bamboocart_core::outcome::{Refusal, RefusalCode};
 use bamboocart_core::quota::QuotaError;
 use yare::parameterized;
@@ -16,6 +16,7 @@
     own_work_us: 1_000_000,
     time_left_us: 200_000,
     fastest_us: Some(50_000),
+    margin_us: 50_000,
     work_ahead_us: 600_000,
     slots: 10,
     queue_room: 10,
@@ -68,12 +69,16 @@
         Context { work_ahead_us: 1_200_000, ..PASSES },
         refused(RefusalCode::DeadlineUnreachable, Some(60)),
     },
+    starts_too_late_for_a_probable_run = {
+        Context { margin_us: 60_000, ..PASSES },
+        refused(RefusalCode::DeadlineUnreachable, Some(50)),
+    },
     too_large_for_its_deadline = {
         Context { own_work_us: 4_000_000, ..PASSES },
         refused(RefusalCode::DeadlineUnreachable, None),
     },
     unknown_fastest_run_refuses_nothing = {
-        Context { fastest_us: None, work_ahead_us: 1_100_000, ..PASSES }, Ok(()),
+        Context { fastest_us: None, margin_us: 0, work_ahead_us: 1_100_000, ..PASSES }, Ok(()),
     },
     quota_exhausted = {
         Context { quota: Err(QuotaError::Rate { retry_after_ms: 7 }), ..PASSES },
@@ -87,3 +92,15 @@
 fn checks(context: Context, expected: Result<(), Refusal>) {
     assert_eq!(check(&context), expected);
 }
+
+/// Guards against targets that are filled with runs which end after their deadline, and
+/// against refusals of every request whose deadline is short for its kind.
+#[parameterized(
+    probable_run = { 3_000, 900, Some(50), 900 },
+    at_most_half_of_the_time = { 1_000, 900, Some(50), 500 },
+    never_below_the_fastest_run = { 1_000, 900, Some(700), 700 },
+    nothing_learned = { 3_000, 0, None, 0 },
+)]
+fn margin(time_left_us: u64, p95_us: u64, fastest_us: Option<u64>, expected_us: u64) {
+    assert_eq!(start_margin_us(time_left_us, p95_us, fastest_us), expected_us);
+}
