--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -8,6 +8,7 @@
 mod gauges;
 mod lister;
 mod peers;
+mod resolver;
 mod routes;
 mod sender;
 mod server;
--- a/crates/bamboocart-dispatcher/tests/leaving.rs
+++ b/crates/bamboocart-dispatcher/tests/leaving.rs
@@ -10,8 +10,8 @@
 use bamboocart_standin::history::What;
 use serde_json::{Value, json};
 use support::{
-    Callers, Cluster, ClusterSettings, Mode, Node, RECOVERY, base_config, call, hold,
-    now, publish, seed, wait_until,
+    BalancedCallers, Cluster, ClusterSettings, Mode, Node, RECOVERY, base_config, call,
+    hold, now, publish, seed, wait_until,
 };
 use yare::parameterized;
 
@@ -57,7 +57,7 @@
     });
     let rows = cluster.minions.members().rows();
     let name = rows[LEAVER].name.to_string();
-    let callers = Callers::start(20, true, seed(3), cluster.addresses());
+    let callers = BalancedCallers::start(20, true, seed(3), cluster.addresses());
     wait_until("work on the target", RECOVERY, || {
         cluster.minions.members().rows()[LEAVER].starts > 20
     });
@@ -147,7 +147,7 @@
         ..ClusterSettings::default()
     });
     let rows = cluster.minions.members().rows();
-    let callers = Callers::start(24, true, seed(5), cluster.addresses());
+    let callers = BalancedCallers::start(24, true, seed(5), cluster.addresses());
     let platform = cluster.platform.address();
     let gone = rows.iter().skip(1).chain(&[]).map(|it| it.name.to_string());
     let workers = cluster.workers.members().rows();
@@ -180,7 +180,7 @@
         minions: vec!["--count", "4", "--slots", "4"],
         ..ClusterSettings::default()
     });
-    let callers = Callers::start(20, true, seed(9), cluster.addresses());
+    let callers = BalancedCallers::start(20, true, seed(9), cluster.addresses());
     let cut = |mode| {
         (0..2).for_each(|it| cluster.net.set(Node::Instance(it), Node::Platform, mode));
     };
