--- a/crates/bamboocart-dispatcher/tests/leaving.rs
+++ b/crates/bamboocart-dispatcher/tests/leaving.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use support::{
     BalancedCallers, Cluster, ClusterSettings, Mode, Node, RECOVERY, base_config, call,
-    hold, now, publish, seed, wait_until,
+    hold, now, publish, seed, wait_for_keys, wait_until,
 };
 use yare::parameterized;
 
@@ -57,6 +57,7 @@
     });
     let rows = cluster.minions.members().rows();
     let name = rows[LEAVER].name.to_string();
+    wait_for_keys(&cluster);
     let callers = BalancedCallers::start(20, true, seed(3), cluster.addresses());
     wait_until("work on the target", RECOVERY, || {
         cluster.minions.members().rows()[LEAVER].starts > 20
@@ -147,6 +148,7 @@
         ..ClusterSettings::default()
     });
     let rows = cluster.minions.members().rows();
+    wait_for_keys(&cluster);
     let callers = BalancedCallers::start(24, true, seed(5), cluster.addresses());
     let platform = cluster.platform.address();
     let gone = rows.iter().skip(1).chain(&[]).map(|it| it.name.to_string());
@@ -180,6 +182,7 @@
         minions: vec!["--count", "4", "--slots", "4"],
         ..ClusterSettings::default()
     });
+    wait_for_keys(&cluster);
     let callers = BalancedCallers::start(20, true, seed(9), cluster.addresses());
     let cut = |mode| {
         (0..2).for_each(|it| cluster.net.set(Node::Instance(it), Node::Platform, mode));
--- a/crates/bamboocart-dispatcher/tests/stops.rs
+++ b/crates/bamboocart-dispatcher/tests/stops.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use support::{
     BalancedCallers, Cluster, ClusterSettings, Instance, Order, RECOVERY, agent,
-    base_config, call, now, publish, seed, submit, try_call, wait_until,
+    base_config, call, is_ready, now, publish, seed, submit, wait_for_keys, wait_until,
 };
 use uuid::Uuid;
 
@@ -35,24 +35,6 @@
     assert!(complete, "{mark} as {asked:?} at {instance}: {code:?} {error:?}");
 }
 
-/// Waits until every instance is ready and knows the owner of every caller key.
-fn wait_for_keys(cluster: &Cluster) {
-    let agent = agent();
-    let mut number = 0;
-    wait_until("the owners of caller keys", RECOVERY, || {
-        cluster.addresses().into_iter().all(|address| {
-            is_ready(address)
-                && (0..64).all(|_| {
-                    number += 1;
-                    let key = SubmissionId::CallerKey(Uuid::now_v7());
-                    let order = Order::new(format!("key-{number}"), 1, Some(key));
-                    let answer = submit(&agent, address, &order).answer;
-                    answer.is_some_and(|it| it.outcome == OutcomeName::Complete)
-                })
-        })
-    });
-}
-
 /// Guards against a stop that interrupts requests or forgets submissions: every instance
 /// is replaced under load. Callers behind a balancer get only complete answers, and the
 /// others fail only at a closed port. Afterwards answers are repeated, and tickets and
@@ -312,12 +294,6 @@
     cluster.check_history(sends);
 }
 
-/// Reports whether an instance is ready.
-fn is_ready(address: SocketAddr) -> bool {
-    let answer = try_call("GET", address, "/ready", &Value::Null, Duration::from_secs(2));
-    answer.is_some_and(|(status, _)| status == 200)
-}
-
 /// Guards against a second signal that is ignored: it ends the process at once.
 #[test]
 fn second_signal_ends_at_once() {
--- a/crates/bamboocart-dispatcher/tests/support/balanced.rs
+++ b/crates/bamboocart-dispatcher/tests/support/balanced.rs
@@ -10,13 +10,15 @@
 use bamboocart_core::id::{SubmissionId, TaskIndex};
 use bamboocart_core::time::Timestamp;
 use bamboocart_standin::history::{Purpose, SendRecord, task_mark};
-use bamboocart_wire::api::{AnswerBody, RequestBody};
+use bamboocart_wire::api::{AnswerBody, OutcomeName, RequestBody};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
 use uuid::Uuid;
 
+use super::cluster::Cluster;
 use super::http::try_call;
+use super::{RECOVERY, wait_until};
 
 /// The pause between two looks of the balancer at the readiness of the instances.
 const READY_EVERY: Duration = Duration::from_millis(100);
@@ -164,6 +166,30 @@
     }
 }
 
+/// Reports whether an instance is ready.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let answer = try_call("GET", address, "/ready", &Value::Null, Duration::from_secs(2));
+    answer.is_some_and(|(status, _)| status == 200)
+}
+
+/// Waits until every instance is ready and knows the owner of every caller key.
+pub fn wait_for_keys(cluster: &Cluster) {
+    let agent = agent();
+    let mut number = 0;
+    wait_until("the owners of caller keys", RECOVERY, || {
+        cluster.addresses().into_iter().all(|address| {
+            is_ready(address)
+                && (0..64).all(|_| {
+                    number += 1;
+                    let key = SubmissionId::CallerKey(Uuid::now_v7());
+                    let order = Order::new(format!("key-{number}"), 1, Some(key));
+                    let answer = submit(&agent, address, &order).answer;
+                    answer.is_some_and(|it| it.outcome == OutcomeName::Complete)
+                })
+        })
+    });
+}
+
 /// Creates a client that keeps connections open, as callers do.
 pub fn agent() -> ureq::Agent {
     let config = ureq::Agent::config_builder();
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -250,7 +250,7 @@
         }
     }
 
-    /// Waits until every range of caller keys is claimed for the present time.
+    /// Waits until the stream of claims holds a record.
     pub fn wait_for_claims(&self) {
         let claimed = || {
             let path = "/streams/claims/records?from=0";
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -20,7 +20,9 @@
 
 use std::time::{Duration, Instant};
 
-pub use self::balanced::{BalancedCallers, Order, agent, now, submit};
+pub use self::balanced::{
+    BalancedCallers, Order, agent, is_ready, now, submit, wait_for_keys,
+};
 pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
 pub use self::config::{base_config, publish, register};
