Verify the account in every judged failure run

Change: the verdict on a recorded run also reads the stream of the account and fails on every finding; gaps are none.

--- a/crates/bamboocart-dispatcher/tests/support/judge.rs
+++ b/crates/bamboocart-dispatcher/tests/support/judge.rs
@@ -3,7 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use bamboocart_core::account::{
+    ACCOUNT_STREAM, Finding, StreamRecord, VerifySettings, verify,
+};
 use bamboocart_core::id::SubmissionId;
+use bamboocart_platform::Platform;
 use bamboocart_standin::history::{Evidence, Policy, Purpose, SendRecord, What, check};
 use bamboocart_wire::api::{AnswerBody, OutcomeName, ResultBody};
 
@@ -48,6 +52,7 @@
     violations.extend(partial_answers(&sends));
     violations.extend(starts_after_not_run(&evidence));
     violations.extend(differing_outcomes(cluster, owners, &sends, &states));
+    violations.extend(account_findings(cluster));
     assert!(violations.is_empty(), "violations:\n{}", violations.join("\n"));
     Summary::of(&evidence)
 }
@@ -95,6 +100,35 @@
     evidence
 }
 
+/// Verifies the account that the run left on the log.
+///
+/// Gaps are no findings: a killed instance takes its last entries with it.
+fn account_findings(cluster: &Cluster) -> Vec<String> {
+    let platform = Platform::new(&cluster.platform.address().to_string());
+    let mut records = vec![];
+    let mut next = 0;
+    loop {
+        let page = platform.read(ACCOUNT_STREAM, next, 0).expect("the log can be read");
+        next = page.records.last().map_or(page.end, |record| record.offset + 1);
+        records.extend(page.records);
+        if next >= page.end {
+            break;
+        }
+    }
+    let stream = records.iter().map(|record| StreamRecord {
+        offset: record.offset,
+        at_ms: record.at_ms,
+        text: &record.body,
+    });
+    let verdict = verify(stream, VerifySettings::default());
+    assert!(!verdict.incarnations.is_empty(), "the run left no account");
+    let describe = |finding: &Finding| {
+        let Finding { offset, account, sequence, fault } = finding;
+        format!("account record {offset}, {account:?}, entry {sequence:?}: {fault}")
+    };
+    verdict.findings.iter().take(5).map(describe).collect()
+}
+
 /// Asks every live instance for the state of every submission, until none is running.
 fn final_states(
     cluster: &Cluster,
