Split what peers do for each other by concept

Change: forward.rs has the messages that wait for an answer, lend.rs the tasks that instances run for each other, peers.rs the rest. No behaviour changes.

--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -10,9 +10,11 @@
 mod ended;
 mod event;
 mod fleet;
+mod forward;
 mod group;
 mod hedge;
 mod ledger;
+mod lend;
 mod names;
 mod peers;
 mod record;
@@ -51,10 +53,11 @@
 
 use self::drain::Stop;
 use self::fleet::Target;
+use self::forward::{Pending, PendingKey};
 use self::group::Group;
 use self::ledger::Ledger;
 use self::names::{CustomerKey, Interner, KindKey};
-use self::peers::{Pending, PendingKey};
+
 use self::record::{AttemptState, Record};
 
 /// The time between two rounds of periodic work.
