End the process when its engine ends

Cause: after a panic of the engine the HTTP server would have gone on without it, and the instance would have looked alive. Change: the engine's thread cancels both tokens when it ends in any way. Conclusion: not provoked by a test; a planned stop cancels the same tokens.

--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -151,7 +151,12 @@
     let (stop, halt) = (parts.stop.clone(), parts.halt.clone());
     let engine_thread = thread::Builder::new()
         .name("engine".into())
-        .spawn(move || driver::run(engine, clock, &event_queue, outputs, (&stop, &halt)))
+        .spawn(move || {
+            // Without its engine the process must end, also when the engine panics, so
+            // that it is replaced.
+            let _ends = [stop.clone().drop_guard(), halt.clone().drop_guard()];
+            driver::run(engine, clock, &event_queue, outputs, (&stop, &halt));
+        })
         .context(StartSnafu)?;
     parts.start_inputs();
     parts.watch_signals()?;
