--- a/crates/bamboocart-dispatcher/tests/operators.rs
+++ b/crates/bamboocart-dispatcher/tests/operators.rs
@@ -4,7 +4,7 @@
 
 use bamboocart_cli::{Exit, Report, run};
 use serde_json::json;
-use support::{Cluster, ClusterSettings, RECOVERY, wait_until};
+use support::{Cluster, ClusterSettings, RECOVERY, wait_for_keys, wait_until};
 
 /// Runs a command whose arguments can be parsed.
 fn bamboocart(args: &[&str]) -> Report {
@@ -17,6 +17,8 @@
 fn command_line_reads_what_instances_write() {
     let mut cluster = Cluster::start(ClusterSettings::default());
     let platform = cluster.platform.address().to_string();
+    // `submit` makes a caller key, which is answered as unknown until its range is claimed.
+    wait_for_keys(&cluster);
     let instance = cluster.instances[0].address.to_string();
 
     let status = bamboocart(&["status", "--platform", &platform]);
