Remove needless copies and dead names in the engine

Cause: a page of claims was copied before it was read, the trace header of a submission was allocated anew, a key was bound twice, a constant of 1 was a factor, and an unused value was named to be dropped. Change: each is gone. No behaviour changes.

--- a/crates/bamboocart-core/src/engine/claim.rs
+++ b/crates/bamboocart-core/src/engine/claim.rs
@@ -10,10 +10,8 @@
 impl Engine {
     /// Takes in records of the stream of claims.
     pub(super) fn claims_read(&mut self, page: &ClaimPage, effects: &mut Vec<Effect>) {
-        let record =
-            |(offset, at_ms, body): &(u64, u64, String)| (*offset, *at_ms, body.clone());
-        let owned: Vec<_> = page.records.iter().map(record).collect();
-        let records: Vec<ClaimRecord> = owned
+        let records: Vec<ClaimRecord> = page
+            .records
             .iter()
             .map(|(offset, at_ms, body)| ClaimRecord {
                 offset: *offset,
--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::ledger::start_reason;
 use crate::engine::record::{
-    AttemptState, Origin, QueuedTask, Record, RunPlace, SubmissionKey, Task, TaskState,
+    AttemptState, Origin, QueuedTask, Record, RunPlace, Task, TaskState,
 };
 use crate::engine::{Effect, Engine, KindKey, SendOrder};
 use crate::id::{Attempt, GroupName, TaskIndex};
@@ -208,8 +208,6 @@
 
 /// Returns the request kind and the task of a queue entry.
 fn find_task(tenure: &Stage<Record>, queued: QueuedTask) -> Option<(KindKey, &Task)> {
-    let QueuedTask { submission, task } = queued;
-    let submission: SubmissionKey = submission;
-    let record = tenure.get(submission)?;
-    Some((record.kind, record.tasks.get(usize::from(task))?))
+    let record = tenure.get(queued.submission)?;
+    Some((record.kind, record.tasks.get(usize::from(queued.task))?))
 }
--- a/crates/bamboocart-core/src/engine/ended.rs
+++ b/crates/bamboocart-core/src/engine/ended.rs
@@ -135,9 +135,7 @@
             SendReport::TurnedAway(_) => None,
         };
         match end {
-            Some(end) if !self.setup.eject => {
-                let _ = end;
-            }
+            Some(_) if !self.setup.eject => {}
             Some(end) if state.probe => health.record_probe(key, end, now, rng),
             Some(end) => health.record(key, end, now, rng),
             None => {}
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -1,7 +1,5 @@
 //! Submissions on their way in.
 
-use std::sync::Arc;
-
 use crate::engine::admit::Plan;
 use crate::engine::answer::Verdict;
 use crate::engine::record::{Asker, QueuedTask, Record, SubmissionKey, Task};
@@ -257,7 +255,7 @@
         longest_us: 0,
         waiters: vec![(asker, submission.want_tickets)],
         outcome: None,
-        traceparent: submission.traceparent.map(|text| Arc::from(&*text)),
+        traceparent: submission.traceparent,
     }
 }
 
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -25,10 +25,6 @@
 /// The longest time without a tick, for the engine's periodic work.
 const IDLE_TICK_MS: u64 = 100;
 
-/// The messages that a submission needs at least: one to a target and its answer count
-/// as one exchange for each task.
-const EXCHANGES_PER_TASK: u64 = 1;
-
 /// What the driver hands work to.
 pub struct Outputs {
     /// The callers that wait.
@@ -183,8 +179,9 @@
     let cost = AnswerCost {
         response_us: observation.response_us,
         ideal_us: observation.ideal_us,
-        messages_sent: u64::from(observation.sends) * EXCHANGES_PER_TASK,
-        messages_needed: u64::from(observation.tasks) * EXCHANGES_PER_TASK,
+        // A send and its answer count as one exchange; each task needs one.
+        messages_sent: u64::from(observation.sends),
+        messages_needed: u64::from(observation.tasks),
     };
     record_answer(kind.as_str(), customer.as_str(), cost);
 }
