--- a/crates/bamboocart-cli/tests/cli_commands.rs
+++ b/crates/bamboocart-cli/tests/cli_commands.rs
@@ -2,6 +2,8 @@
 
 mod fake;
 
+use std::process::Command;
+
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -178,3 +180,16 @@
         assert!(script.contains("bpaf-complete"), "{script}");
     }
 }
+
+// Guards against a panic when the reader of the output, such as `head`, has ended.
+#[parameterized(
+    help = { &["submit", "--help"] },
+    completion = { &["completion", "bash"] },
+)]
+fn closed_output_ends_the_command(args: &[&str]) {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let program = Command::new(env!("CARGO_BIN_EXE_bamboocart"));
+    let output = { program }.args(args).stdout(writer).output().unwrap();
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+}
