--- a/crates/bamboocart-core/src/queue.rs
+++ b/crates/bamboocart-core/src/queue/mod.rs
@@ -5,20 +5,24 @@
 //! so a recorded sequence can be replayed: `pick(|key| key == recorded)` repeats a
 //! recorded start and returns the reason that the record should state.
 
+mod entry;
+mod floor;
+mod level;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::Hash;
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use snafu::Snafu;
 
+use self::entry::{Entry, EntryKey, Position, Removal};
+pub use self::floor::FLOOR_WINDOW_STARTS;
+use self::level::Level;
 use crate::time::Timestamp;
 
 /// The result of adding an entry.
 pub type Result<T, E = QueueError> = std::result::Result<T, E>;
 
-/// The number of starts over which a floor is counted.
-pub const FLOOR_WINDOW_STARTS: u32 = 100;
-
 /// The number of entries of one customer that a pick looks at before it goes on.
 ///
 /// It bounds the time of a pick when the head of a customer's entries does not fit.
@@ -27,17 +31,6 @@
 /// The number of entries of one priority that a pick looks at before it goes on.
 pub const RANK_LOOKAHEAD: usize = 256;
 
-/// The virtual time that one microsecond costs a customer of weight 1.
-///
-/// The factor keeps the fraction when the cost is divided by the weight. At 10,000 starts
-/// of 100 ms each second, a `u64` of virtual time lasts for two years.
-const VIRTUAL_UNITS_PER_US: u64 = 256;
-
-new_key_type! {
-    /// The key of an entry in the arena of its queue.
-    struct EntryKey;
-}
-
 /// A bounded queue of the tasks that wait for the targets of one group.
 ///
 /// `K` identifies an entry and `C` a customer; both are small and cheap to copy. A push
@@ -150,7 +143,7 @@
     /// priority if its entries fit and all floors together are at most 100 percent.
     pub fn set_floor(&mut self, rank: u8, percent: u8) {
         let level = self.levels.entry(rank).or_default();
-        level.floor.percent = u32::from(percent.min(100));
+        level.floor.set_percent(percent);
     }
 
     /// Returns the number of entries.
@@ -360,282 +353,3 @@
         }
     }
 }
-
-/// A queued task.
-#[derive(Debug, Copy, Clone)]
-struct Entry<K, C> {
-    key: K,
-    customer: C,
-    rank: u8,
-    cost_us: u32,
-    start_by: Timestamp,
-    arrival: u64,
-    position: Position,
-}
-
-/// Where an entry is linked.
-#[derive(Debug, Copy, Clone)]
-enum Position {
-    /// In the list of its customer.
-    Flow { previous: Option<EntryKey>, next: Option<EntryKey> },
-    /// Among the requeued entries, with the start tag of its first start.
-    Requeued { start_tag: u64 },
-}
-
-/// Why an entry is removed.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-enum Removal {
-    /// It starts and is charged to its customer.
-    Start,
-    /// It does not start.
-    Cancel,
-}
-
-/// The entries of one rank.
-#[derive(Debug, Clone)]
-struct Level<C> {
-    /// The largest start tag that was served.
-    virtual_time: u64,
-    /// The customers, including those that have nothing waiting.
-    flows: BTreeMap<C, Flow>,
-    /// The start tag and the arrival of the first entry of each waiting customer.
-    waiting: BTreeSet<(u64, u64, C)>,
-    /// The start tag and the arrival of each requeued entry.
-    requeued: BTreeSet<(u64, u64, EntryKey)>,
-    /// The expected run time of all entries.
-    work_us: u64,
-    floor: Floor,
-}
-
-impl<C> Default for Level<C> {
-    fn default() -> Self {
-        Self {
-            virtual_time: 0,
-            flows: BTreeMap::new(),
-            waiting: BTreeSet::new(),
-            requeued: BTreeSet::new(),
-            work_us: 0,
-            floor: Floor::default(),
-        }
-    }
-}
-
-/// The entries of one customer in one rank, in order of arrival.
-#[derive(Debug, Clone)]
-struct Flow {
-    ends: Option<(EntryKey, EntryKey)>,
-    /// The start tag of the next start.
-    start_tag: u64,
-    weight: u32,
-}
-
-impl<C: Copy + Ord> Level<C> {
-    /// Returns whether any entry waits.
-    fn is_waiting(&self) -> bool {
-        !self.waiting.is_empty() || !self.requeued.is_empty()
-    }
-
-    /// Returns how many starts may still pass before the floor is missed, if it is due.
-    fn due_slack(&self) -> Option<u32> {
-        self.floor.due_slack().filter(|_| self.is_waiting())
-    }
-
-    /// Links a new entry behind those of its customer.
-    fn append<K: Copy>(
-        &mut self,
-        entries: &mut SlotMap<EntryKey, Entry<K, C>>,
-        slot: EntryKey,
-        weight: u32,
-    ) {
-        let Entry { customer, cost_us, arrival, .. } = entries[slot];
-        self.work_us += u64::from(cost_us);
-        let idle = Flow { ends: None, start_tag: self.virtual_time, weight };
-        let flow = self.flows.entry(customer).or_insert(idle);
-        flow.weight = weight;
-        let Some((head, tail)) = flow.ends else {
-            flow.ends = Some((slot, slot));
-            flow.start_tag = flow.start_tag.max(self.virtual_time);
-            self.waiting.insert((flow.start_tag, arrival, customer));
-            return;
-        };
-        flow.ends = Some((head, slot));
-        set_next(entries, Some(tail), Some(slot));
-        set_previous(entries, Some(slot), Some(tail));
-    }
-
-    /// Unlinks an entry and returns its start tag.
-    fn remove<K: Copy>(
-        &mut self,
-        entries: &mut SlotMap<EntryKey, Entry<K, C>>,
-        slot: EntryKey,
-        removal: Removal,
-    ) -> u64 {
-        let entry = entries[slot];
-        self.work_us -= u64::from(entry.cost_us);
-        let start_tag = match entry.position {
-            Position::Requeued { start_tag } => {
-                self.requeued.remove(&(start_tag, entry.arrival, slot));
-                start_tag
-            }
-            Position::Flow { previous, next } => {
-                self.unlink(entries, &entry, (previous, next), removal)
-            }
-        };
-        // Shares count only while entries wait. Every start tag that was served is at
-        // most the virtual time, so the next customers start equal and after requeued
-        // entries.
-        if !self.is_waiting() {
-            self.flows.clear();
-        }
-        start_tag
-    }
-
-    /// Takes an entry out of its customer's list and charges the customer for a start.
-    fn unlink<K: Copy>(
-        &mut self,
-        entries: &mut SlotMap<EntryKey, Entry<K, C>>,
-        entry: &Entry<K, C>,
-        (previous, next): (Option<EntryKey>, Option<EntryKey>),
-        removal: Removal,
-    ) -> u64 {
-        let Some(flow) = self.flows.get_mut(&entry.customer) else {
-            return self.virtual_time;
-        };
-        let start_tag = flow.start_tag;
-        if let Some((head, tail)) = flow.ends {
-            self.waiting.remove(&(start_tag, entries[head].arrival, entry.customer));
-            let head = if previous.is_none() { next } else { Some(head) };
-            let tail = if next.is_none() { previous } else { Some(tail) };
-            flow.ends = head.zip(tail);
-        }
-        set_next(entries, previous, next);
-        set_previous(entries, next, previous);
-        if removal == Removal::Start {
-            flow.start_tag = start_tag.saturating_add(flow.charge(entry.cost_us));
-            self.virtual_time = self.virtual_time.max(start_tag);
-        }
-        if let Some((head, _)) = flow.ends {
-            let arrival = entries[head].arrival;
-            self.waiting.insert((flow.start_tag, arrival, entry.customer));
-        }
-        start_tag
-    }
-
-    /// Finds the first entry that fits and notes whether one before it did not.
-    fn find<K: Copy>(
-        &self,
-        entries: &SlotMap<EntryKey, Entry<K, C>>,
-        fits: &mut impl FnMut(K) -> bool,
-        passed_over: &mut bool,
-    ) -> Option<EntryKey> {
-        let mut looked = 0;
-        for (first, lookahead) in self.candidates() {
-            let mut next = Some(first);
-            for _ in 0..lookahead {
-                let Some(slot) = next else { break };
-                let entry = &entries[slot];
-                if fits(entry.key) {
-                    return Some(slot);
-                }
-                *passed_over = true;
-                looked += 1;
-                if looked >= RANK_LOOKAHEAD {
-                    return None;
-                }
-                next = match entry.position {
-                    Position::Flow { next, .. } => next,
-                    Position::Requeued { .. } => None,
-                };
-            }
-        }
-        None
-    }
-
-    /// Returns the requeued entries and the first entry of each customer in order, each
-    /// with the number of entries to look at from there.
-    fn candidates(&self) -> impl Iterator<Item = (EntryKey, usize)> {
-        let mut requeued = self.requeued.iter().peekable();
-        let mut waiting = self.waiting.iter().peekable();
-        std::iter::from_fn(move || {
-            let requeued_first = match (requeued.peek(), waiting.peek()) {
-                (Some(a), Some(b)) => (a.0, a.1) < (b.0, b.1),
-                (Some(_), None) => true,
-                (None, _) => false,
-            };
-            if requeued_first {
-                return requeued.next().map(|&(_, _, slot)| (slot, 1));
-            }
-            let &(_, _, customer) = waiting.next()?;
-            let (head, _) = self.flows[&customer].ends?;
-            Some((head, CUSTOMER_LOOKAHEAD))
-        })
-    }
-}
-
-impl Flow {
-    /// Returns the virtual time that a start costs; it is never free.
-    fn charge(&self, cost_us: u32) -> u64 {
-        let units = u64::from(cost_us) * VIRTUAL_UNITS_PER_US;
-        (units / u64::from(self.weight)).max(1)
-    }
-}
-
-/// Sets the successor of an entry in its customer's list.
-fn set_next<K, C>(
-    entries: &mut SlotMap<EntryKey, Entry<K, C>>,
-    slot: Option<EntryKey>,
-    value: Option<EntryKey>,
-) {
-    let entry = slot.and_then(|slot| entries.get_mut(slot));
-    if let Some(Entry { position: Position::Flow { next, .. }, .. }) = entry {
-        *next = value;
-    }
-}
-
-/// Sets the predecessor of an entry in its customer's list.
-fn set_previous<K, C>(
-    entries: &mut SlotMap<EntryKey, Entry<K, C>>,
-    slot: Option<EntryKey>,
-    value: Option<EntryKey>,
-) {
-    let entry = slot.and_then(|slot| entries.get_mut(slot));
-    if let Some(Entry { position: Position::Flow { previous, .. }, .. }) = entry {
-        *previous = value;
-    }
-}
-
-/// The share of starts that is reserved for a priority.
-#[derive(Debug, Clone, Default)]
-struct Floor {
-    percent: u32,
-    /// The starts of the window so far.
-    starts: u32,
-    /// Those of them that went to the priority.
-    own_starts: u32,
-}
-
-impl Floor {
-    /// Returns how many starts may still pass before the floor is missed, if it is due.
-    ///
-    /// The reserved starts are spread over the window: the k-th is due from start
-    /// `100 (k - 1) / percent` and late after start `100 k / percent`.
-    fn due_slack(&self) -> Option<u32> {
-        if self.own_starts >= self.percent {
-            return None;
-        }
-        let due_from = FLOOR_WINDOW_STARTS * self.own_starts / self.percent;
-        let late_after =
-            (FLOOR_WINDOW_STARTS * (self.own_starts + 1)).div_ceil(self.percent);
-        (self.starts >= due_from).then(|| late_after.saturating_sub(self.starts))
-    }
-
-    /// Counts a start under contention.
-    fn count(&mut self, own: bool) {
-        self.starts += 1;
-        self.own_starts += u32::from(own);
-        if self.starts >= FLOOR_WINDOW_STARTS {
-            self.starts = 0;
-            self.own_starts = 0;
-        }
-    }
-}
