Test that the set in force outlasts the record of its publication

Cause: nothing covered the expiry of records of the log. Change: tests over processes with records kept for 8 s, without publications and with one each 0.4 s. After each expiry a new instance that reaches no peer starts, and all instances are replaced one by one. The version that each run of an instance reports is read throughout. Ruled out: that the set comes from peers (the links of the new instance are reset until it has the version).

--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/retention.rs
@@ -0,0 +1,133 @@
+//! The configuration in force outlasts the record of its publication.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bamboocart_core::config::CONFIG_STREAM;
+use bamboocart_platform::Platform;
+use support::{
+    Cluster, ClusterSettings, Mode, Node, VersionWatch, hold, publish_on,
+    wait_for_at_least, wait_for_version, wait_until, weights,
+};
+use yare::parameterized;
+
+/// The time that the log keeps records. Snapshots are due after half of it, and a reader
+/// looks whether one is due at least every two seconds.
+const RETENTION_MS: u64 = 8_000;
+
+/// The time in which a record has expired, with the margin of a read.
+const EXPIRED: Duration = Duration::from_millis(RETENTION_MS + 2_000);
+
+/// Starts a system whose log keeps records for a short time.
+fn start() -> Cluster {
+    Cluster::start(ClusterSettings {
+        retention_ms: RETENTION_MS,
+        seeds: true,
+        ..ClusterSettings::default()
+    })
+}
+
+/// Waits until the log has dropped the record of a version.
+fn wait_for_expiry(platform: &Platform, version: u64) {
+    wait_until("the expiry of the record", EXPIRED, || {
+        platform.read(CONFIG_STREAM, 0, 0).is_ok_and(|page| page.start >= version)
+    });
+}
+
+/// Sets the mode between an instance and all others.
+fn set_peers(cluster: &Cluster, index: usize, mode: Mode) {
+    let others = (0..=cluster.instances.len()).filter(|&other| other != index);
+    others
+        .for_each(|it| cluster.net.set(Node::Instance(index), Node::Instance(it), mode));
+}
+
+/// Starts an instance that reaches the log and no peer, and waits until it has a version.
+fn start_apart(cluster: &mut Cluster, version: u64) {
+    let index = cluster.instances.len();
+    set_peers(cluster, index, Mode::Reset);
+    cluster.add_instance("sahab");
+    wait_for_at_least(&cluster.instances[index], version);
+    set_peers(cluster, index, Mode::Pass);
+}
+
+/// Replaces instances one after the other, each when the one before has a version.
+fn replace_all(cluster: &mut Cluster, watch: &VersionWatch, version: impl Fn() -> u64) {
+    for index in 0..cluster.instances.len() {
+        let version = version();
+        cluster.restart(index);
+        watch.follow(cluster);
+        wait_for_at_least(&cluster.instances[index], version);
+    }
+}
+
+/// An operator who publishes until told to stop.
+struct Publisher {
+    stop: Arc<AtomicBool>,
+    /// The version of the last publication.
+    version: Arc<AtomicU64>,
+    thread: JoinHandle<u32>,
+}
+
+impl Publisher {
+    /// Begins to publish on top of a version, if there is a pause between publications.
+    fn start(platform: Platform, base: u64, pause: Option<Duration>) -> Self {
+        let (stop, version) =
+            (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(base)));
+        let (stopped, last) = (stop.clone(), version.clone());
+        let thread = std::thread::spawn(move || {
+            let mut weight = 1;
+            while let (false, Some(pause)) = (stopped.load(Ordering::Relaxed), pause) {
+                weight += 1;
+                let base = last.load(Ordering::Relaxed);
+                last.store(publish_on(&platform, base, weight), Ordering::Relaxed);
+                hold(pause);
+            }
+            weight
+        });
+        Self { stop, version, thread }
+    }
+
+    /// Returns the version of the last publication.
+    fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    /// Ends the publications and returns the last version and its weight.
+    fn end(self) -> (u64, u32) {
+        self.stop.store(true, Ordering::Relaxed);
+        let weight = self.thread.join().unwrap();
+        (self.version.load(Ordering::Relaxed), weight)
+    }
+}
+
+/// Guards against a set that is lost with the record of its publication: no snapshot is
+/// written, or only while nothing is published, or only by instances that have read the
+/// publication itself. After each round all instances are new.
+#[parameterized(
+    nothing_published = { None },
+    published_throughout = { Some(Duration::from_millis(400)) },
+)]
+fn snapshots_outlast_publications(pause: Option<Duration>) {
+    let mut cluster = start();
+    let platform = Platform::new(&cluster.platform.address().to_string());
+    let watch = VersionWatch::start(&cluster);
+    let publisher = Publisher::start(platform.clone(), 1, pause);
+    for round in 0..2 {
+        wait_for_expiry(&platform, publisher.version());
+        let version = publisher.version();
+        start_apart(&mut cluster, version);
+        watch.follow(&cluster);
+        println!("round {round}: version {version} was read from the log alone");
+        replace_all(&mut cluster, &watch, || publisher.version());
+    }
+    let (version, weight) = publisher.end();
+    wait_for_version(&cluster, version);
+    assert!(weights(&cluster).iter().all(|&it| it == Some(weight.into())), "{weight}");
+    let last = publish_on(&platform, version, weight + 1);
+    wait_for_version(&cluster, last);
+    println!("{:?}", watch.end());
+}
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -36,6 +36,8 @@
     pub workers: Vec<&'static str>,
     /// Further flags of each dispatcher; `{name}` stands for its name.
     pub flags: Vec<&'static str>,
+    /// Whether each dispatcher greets the links of those that were started before it.
+    pub seeds: bool,
     /// The time that the platform keeps records.
     pub retention_ms: u64,
     /// The first configuration, if one is published.
@@ -49,6 +51,7 @@
             minions: vec!["--count", "6"],
             workers: vec!["--count", "3"],
             flags: vec![],
+            seeds: false,
             retention_ms: 3_600_000,
             config: Some(base_config()),
         }
@@ -147,8 +150,12 @@
     /// Starts a process and registers it.
     fn launch(&self, index: usize, name: &str, domain: &str) -> Instance {
         let Doors { links, platform } = self.doors[index];
-        let flags: Vec<String> =
+        let mut flags: Vec<String> =
             self.settings.flags.iter().map(|flag| flag.replace("{name}", name)).collect();
+        let seeds = self.doors.iter().enumerate().filter(|(other, _)| *other != index);
+        for (_, doors) in seeds.filter(|_| self.settings.seeds) {
+            flags.extend(["--seed".into(), doors.links.to_string()]);
+        }
         let instance = Instance::start(name, domain, links, platform, &flags);
         let (node, process) = (Node::Instance(index), instance.process());
         self.net.set_backend(node, instance.link_listener, Some(process));
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -17,6 +17,7 @@
 mod process;
 mod sockets;
 mod storm;
+mod versions;
 
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,10 @@
 pub use self::load::{Load, RunningLoad, spawn};
 pub use self::process::Instance;
 pub use self::storm::{Fault, Storm};
+pub use self::versions::{
+    IN_FORCE, VersionWatch, publication, publish_on, version_of, wait_for_at_least,
+    wait_for_version, weights,
+};
 
 /// The pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
