Go on with publications after all records of the log have expired

Cause: when all instances were replaced while none could read the log, and all records expired meanwhile, the new instances had the set from their peers but no record from which to judge the next publication. The log accepted no publication any more. Ruled out: taking the peers' version for the state of the log, since a publication that nobody has read could have expired after it. Change: an instance passes on how far it, or a peer, has read the log together with the set. Conclusion: what still stops the stream are records that every instance missed before they expired.

--- a/crates/bamboocart-core/src/config/fold.rs
+++ b/crates/bamboocart-core/src/config/fold.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::record::{ConfigRecord, Publication, PublicationId, RecordFault, Snapshot};
-use super::{ConfigSet, Fault, check_set};
+use super::{ConfigSet, Fault, LogPosition, check_set};
 use crate::id::ConfigVersion;
 use crate::time::Timestamp;
 
@@ -218,16 +218,39 @@
 
     /// Returns a snapshot of the records that were taken, if there is a version to keep.
     pub fn snapshot(&self) -> Option<Snapshot> {
+        let known = self.state.as_ref()?.log_version.as_ref()?;
+        Some(self.position()?.with_set((*known.set).clone()))
+    }
+
+    /// Returns how far the log was read, if there is a version to keep.
+    pub fn position(&self) -> Option<LogPosition> {
         let state = self.state.as_ref()?;
-        let known = state.log_version.as_ref()?;
-        Some(Snapshot {
-            version: known.version,
-            set: (*known.set).clone(),
+        Some(LogPosition {
+            version: state.log_version.as_ref()?.version,
             covers_until: self.next.checked_sub(1)?,
             recent: state.recent.iter().copied().collect(),
         })
     }
 
+    /// Takes a snapshot that a peer has sent, and returns whether records can be judged
+    /// from it.
+    ///
+    /// It replaces the snapshots of the log when all of them have expired. The records
+    /// from [`Fold::next_offset`] on are to be read again. A snapshot is due at once then,
+    /// because the log holds none that a further reader could start from.
+    pub fn restore(&mut self, snapshot: Snapshot) -> bool {
+        let is_past = snapshot.version.0 <= snapshot.covers_until + 1;
+        let is_usable = is_past && check_set(&snapshot.set).is_ok();
+        if self.state.is_some() || !is_usable {
+            return false;
+        }
+        let is_restored = matches!(self.snapshot_read(snapshot), Folded::Rewind { .. });
+        if is_restored {
+            self.basis_at = Some(Timestamp::default());
+        }
+        is_restored
+    }
+
     /// Judges a publication.
     fn publish(&mut self, offset: u64, record: Publication) -> Folded {
         let Publication { publication, base, set } = record;
--- a/crates/bamboocart-core/src/config/mod.rs
+++ b/crates/bamboocart-core/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod fault;
 mod fold;
 mod object;
+mod position;
 mod reader;
 mod record;
 mod rules;
@@ -19,6 +20,7 @@
 pub use self::object::{
     ConfigSet, Priority, Quota, RequestKind, Resend, Role, Service, StopPlan, TargetGroup,
 };
+pub use self::position::LogPosition;
 pub use self::record::{
     CONFIG_STREAM, ConfigRecord, MAX_RECORD_BYTES, Publication, PublicationId,
     RecordFault, Snapshot,
--- a/crates/bamboocart-core/src/engine/configure.rs
+++ b/crates/bamboocart-core/src/engine/configure.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::config::{ConfigSet, check_set};
+use crate::config::{ConfigSet, LogPosition, check_set};
 use crate::engine::{Effect, Engine};
 use crate::id::{ConfigVersion, InstanceName, StopPlanName};
 use crate::membership::StopSchedule;
@@ -35,19 +35,30 @@
         }
     }
 
+    /// Takes in how far the log was read.
+    ///
+    /// Peers get the latest position, so that one that has read nothing of the log can
+    /// judge its next record when all earlier ones have expired.
+    pub(super) fn log_read(&mut self, position: LogPosition) {
+        let known = self.log_position.as_ref().map(|known| known.covers_until);
+        if known < Some(position.covers_until) {
+            self.log_position = Some(position);
+        }
+    }
+
     /// Takes in a configuration that a peer has in force.
     pub(super) fn config_from_peer(
         &mut self,
         now: Timestamp,
-        version: ConfigVersion,
-        text: &Bytes,
-        plans_since: Vec<(StopPlanName, Timestamp)>,
+        (version, text): (ConfigVersion, Bytes),
+        plans_since: BTreeMap<StopPlanName, Timestamp>,
+        position: Option<LogPosition>,
         effects: &mut Vec<Effect>,
     ) {
         if version <= self.config_version {
             return;
         }
-        let set = match serde_json::from_slice::<ConfigSet>(text) {
+        let set = match serde_json::from_slice::<ConfigSet>(&text) {
             Ok(set) => set,
             Err(error) => {
                 let warning =
@@ -58,8 +69,12 @@
         };
         match check_set(&set) {
             Ok(()) => {
-                let begun = plans_since.into_iter().collect();
-                self.put_in_force(now, version, Arc::new(set), begun, effects);
+                if let Some(position) = position.filter(|it| it.version == version) {
+                    self.log_read(position.clone());
+                    let snapshot = position.with_set(set.clone());
+                    effects.push(Effect::SnapshotHeard(Box::new(snapshot)));
+                }
+                self.put_in_force(now, version, Arc::new(set), plans_since, effects);
             }
             Err(faults) => effects.push(Effect::Warn(format!(
                 "configuration {version} of a peer has {} faults; ignored",
@@ -74,10 +89,12 @@
             return;
         }
         let plans = self.plans_since.iter();
+        let position = self.log_position.as_ref();
         let message = Message::ConfigSet {
             version: self.config_version,
             text: Bytes::from(self.config.to_json()),
             plans_since: plans.map(|(name, at)| (name.clone(), *at)).collect(),
+            position: position.filter(|it| it.version == self.config_version).cloned(),
         };
         self.tell(to, message, effects);
     }
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::config::Snapshot;
 use crate::engine::{LeaseGrant, Status, WaiterId};
 use crate::id::{
     Attempt, ConfigVersion, CustomerName, Incarnation, InstanceName, KindName,
@@ -75,6 +76,8 @@
     },
     /// The balancer may send submissions.
     Ready,
+    /// A peer has sent what the reader of the log can go on from, if it has to.
+    SnapshotHeard(Box<Snapshot>),
     /// A configuration is in force.
     ConfigInForce {
         /// Its version.
--- a/crates/bamboocart-core/src/engine/event.rs
+++ b/crates/bamboocart-core/src/engine/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::config::ConfigSet;
+use crate::config::{ConfigSet, LogPosition};
 use crate::id::{
     ConfigVersion, CustomerName, Incarnation, InstanceName, KindName, SubmissionId,
     TargetName,
@@ -86,6 +86,8 @@
         /// When it was published, or `None` if that was too long ago to be known.
         since: Option<Timestamp>,
     },
+    /// The stream of configurations was read further.
+    ConfigRead(LogPosition),
     /// An operator asked for the configuration in force.
     Config {
         /// Who waits for it.
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -29,7 +29,7 @@
 use slotmap::SlotMap;
 
 use crate::account::Chain;
-use crate::config::ConfigSet;
+use crate::config::{ConfigSet, LogPosition};
 use crate::estimate::Estimator;
 use crate::id::{
     ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, StopPlanName,
@@ -107,6 +107,8 @@
     config: Arc<ConfigSet>,
     /// The version of the configuration in force.
     config_version: ConfigVersion,
+    /// How far this instance or a peer has read the stream of configurations.
+    log_position: Option<LogPosition>,
     /// Since when each stop plan is in force; none if it began too long ago to matter.
     plans_since: BTreeMap<StopPlanName, Timestamp>,
     /// The turns of the stop plans in force.
@@ -207,6 +209,7 @@
             setup,
             config: Arc::default(),
             config_version: ConfigVersion::default(),
+            log_position: None,
             plans_since: BTreeMap::new(),
             stops: StopSchedule::default(),
             claims: ClaimTable::default(),
@@ -273,6 +276,7 @@
             Event::ConfigAccepted { version, set, since } => {
                 self.config_published(now, version, set, since, effects);
             }
+            Event::ConfigRead(position) => self.log_read(position),
             Event::Config { waiter } => {
                 let (version, text) = (self.config_version, self.config.to_json());
                 let reply = Reply::Config { version, text };
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -57,8 +57,10 @@
             Message::ConfigFetch => {
                 self.share_config(&from.instance, effects);
             }
-            Message::ConfigSet { version, text, plans_since } => {
-                self.config_from_peer(now, version, &text, plans_since, effects);
+            Message::ConfigSet { version, text, plans_since, position } => {
+                let begun = plans_since.into_iter().collect();
+                let set = (version, text);
+                self.config_from_peer(now, set, begun, position, effects);
             }
             Message::HandOver(part) => self.handed_over(now, from, *part, effects),
             Message::HandOverTaken { from: owner } => {
--- a/crates/bamboocart-core/src/message.rs
+++ b/crates/bamboocart-core/src/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::config::LogPosition;
 use crate::engine::{NewSubmission, Reply};
 use crate::id::{
     Attempt, ConfigVersion, GroupName, KindName, StopPlanName, SubmissionId, TaskIndex,
@@ -62,6 +63,8 @@
         text: Bytes,
         /// Since when each stop plan is in force.
         plans_since: Vec<(StopPlanName, Timestamp)>,
+        /// How far the log was read with this version in force, if that is known.
+        position: Option<LogPosition>,
     },
     /// A part of a stopping instance's registry.
     HandOver(Box<Part>),
--- a/crates/bamboocart-core/tests/config_fold.rs
+++ b/crates/bamboocart-core/tests/config_fold.rs
@@ -180,6 +180,28 @@
     assert!(due(700));
 }
 
+// Guards against a log that accepts nothing any more after all of its records have
+// expired, and against a peer's snapshot hiding a publication that has expired unread.
+// The peer has read the records before offset 2.
+#[parameterized(
+    all_expired = { 2, true },
+    next_record_readable = { 1, true },
+    a_record_was_missed = { 3, false },
+    nothing_expired = { 0, false },
+)]
+fn peers_restore_what_has_expired(start: u64, is_restored: bool) {
+    let log = [publish(1, 0, 1), publish(2, 1, 2)];
+    let snapshot = fold_from(0, &log).0.snapshot().unwrap();
+    let mut fold = Fold::new();
+    fold.begin(start);
+    assert_eq!(fold.restore(snapshot), is_restored);
+    let due = fold.snapshot_due(Timestamp::from_ms(RETENTION_MS), RETENTION_MS, 0);
+    assert_eq!(due.is_some(), is_restored);
+    let offset = fold.next_offset();
+    fold.take(offset, Timestamp::from_ms(3), &publish(3, 2, 3));
+    assert_eq!(fold.version(), ConfigVersion(if is_restored { offset + 1 } else { 0 }));
+}
+
 // Guards against a peer lowering the version in force or passing on a faulty set.
 #[test]
 fn peers_only_raise_the_version() {
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -23,6 +23,7 @@
 
 use crate::clock::Clock;
 use crate::driver::{self, Outputs};
+use crate::heard::HeardSnapshot;
 use crate::peers::PeerGate;
 use crate::routes::Context;
 use crate::settings::Settings;
@@ -113,6 +114,8 @@
     ready: Arc<AtomicBool>,
     /// Tells the reader of the instance list to read all of it.
     reread_list: Arc<AtomicBool>,
+    /// Holds a peer's snapshot for the reader of the log.
+    heard: HeardSnapshot,
     /// The callers that wait.
     waiters: Arc<Waiters>,
     /// Starts spans.
@@ -140,6 +143,7 @@
         platform: Platform::new(&settings.platform.to_string()),
         ready: Arc::default(),
         reread_list: Arc::default(),
+        heard: HeardSnapshot::default(),
         waiters: Arc::default(),
         tracer: Tracer::new(settings.output.trace_per_10k),
         stop: CancellationToken::new(),
@@ -203,6 +207,7 @@
             peers: self.start_links(peer_listener)?,
             ready: self.ready.clone(),
             reread_list: self.reread_list.clone(),
+            heard: self.heard.clone(),
         })
     }
 
@@ -235,8 +240,9 @@
         let (platform, events) = (self.platform.clone(), self.events.clone());
         let stop = self.stop.clone();
         let jitter_ms = self.incarnation.0 % SNAPSHOT_JITTER_MS;
+        let heard = self.heard.clone();
         thread::spawn(move || {
-            follower::follow_config(&platform, &events, jitter_ms, &stop);
+            follower::follow_config(&platform, &events, &heard, jitter_ms, &stop);
         });
         let (platform, events) = (self.platform.clone(), self.events.clone());
         let stop = self.stop.clone();
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -15,6 +15,7 @@
 
 use crate::appender::{AccountBatch, Append};
 use crate::clock::Clock;
+use crate::heard::HeardSnapshot;
 use crate::peers::PeerGate;
 use crate::sender::Outbound;
 use crate::waiters::Waiters;
@@ -39,6 +40,8 @@
     pub peers: PeerGate,
     /// Tells the reader of the instance list to read all of it.
     pub reread_list: Arc<AtomicBool>,
+    /// Holds a peer's snapshot for the reader of the log.
+    pub heard: HeardSnapshot,
     /// Whether the instance admits submissions, for the balancer.
     pub ready: Arc<AtomicBool>,
 }
@@ -133,6 +136,7 @@
             }
         }
         Effect::Ready => outputs.ready.store(true, Ordering::Release),
+        Effect::SnapshotHeard(snapshot) => outputs.heard.put(*snapshot),
         Effect::ConfigInForce { version } => {
             log::info!("configuration {version} is in force");
         }
--- a/crates/bamboocart-dispatcher/src/follower.rs
+++ b/crates/bamboocart-dispatcher/src/follower.rs
@@ -9,6 +9,8 @@
 use crossbeam::channel::Sender;
 use tokio_util::sync::CancellationToken;
 
+use crate::heard::HeardSnapshot;
+
 /// The stream of claims.
 pub const CLAIM_STREAM: &str = "claims";
 
@@ -52,6 +54,7 @@
 pub fn follow_config(
     platform: &Platform,
     events: &Sender<Event>,
+    heard: &HeardSnapshot,
     jitter_ms: u64,
     stop: &CancellationToken,
 ) {
@@ -61,6 +64,10 @@
             Timestamp::from_ms(page.records.last().map_or(0, |record| record.at_ms));
         let retention_ms = page.retention_ms;
         fold.begin(page.start);
+        if restore(&mut fold, heard) {
+            return Some(fold.next_offset());
+        }
+        let has_news = !page.records.is_empty();
         for record in page.records {
             let at = Timestamp::from_ms(record.at_ms);
             let folded = fold.take(record.offset, at, &record.body);
@@ -75,11 +82,33 @@
                 break;
             }
         }
+        if let Some(position) = fold.position().filter(|_| has_news) {
+            events.send(Event::ConfigRead(position)).ok()?;
+        }
         append_snapshot(platform, &fold, now.max(system_now()), retention_ms, jitter_ms);
         Some(fold.next_offset())
     });
 }
 
+/// Goes on from a peer's snapshot if the log holds none that can be used.
+fn restore(fold: &mut Fold, heard: &HeardSnapshot) -> bool {
+    if fold.is_decidable() {
+        return false;
+    }
+    let Some(snapshot) = heard.take() else { return false };
+    let (version, covers_until) = (snapshot.version, snapshot.covers_until);
+    let is_restored = fold.restore(snapshot);
+    match is_restored {
+        true => log::info!(
+            "the log is read on after record {covers_until} from a peer's version {version}"
+        ),
+        false => log::warn!(
+            "records after {covers_until} have expired unread; a snapshot is needed"
+        ),
+    }
+    is_restored
+}
+
 /// Tells the engine which configuration is in force.
 fn tell_in_force(
     fold: &Fold,
--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod follower;
 mod gauges;
+mod heard;
 mod lister;
 mod peers;
 mod resolver;
--- a/crates/bamboocart-dispatcher/tests/retention.rs
+++ b/crates/bamboocart-dispatcher/tests/retention.rs
@@ -131,3 +131,37 @@
     wait_for_version(&cluster, last);
     println!("{:?}", watch.end());
 }
+
+/// Guards against a set that is lost, or a log that accepts no publication any more, when
+/// all instances are replaced while none can read the log: each has the set from its
+/// peers alone. In the longer outage every record expires meanwhile.
+#[parameterized(
+    for_a_short_time = { false },
+    until_all_records_have_expired = { true },
+)]
+fn peers_keep_the_set_while_the_log_is_down(expire: bool) {
+    let mut cluster = start();
+    let platform = Platform::new(&cluster.platform.address().to_string());
+    let watch = VersionWatch::start(&cluster);
+    let version = publish_on(&platform, 1, 2);
+    wait_for_version(&cluster, version);
+    set_log(&cluster, Mode::Reset);
+    replace_all(&mut cluster, &watch, || version);
+    if expire {
+        let is_empty = || platform.read(CONFIG_STREAM, 0, 0).unwrap().records.is_empty();
+        wait_until("the expiry of all records", EXPIRED, is_empty);
+        replace_all(&mut cluster, &watch, || version);
+    }
+    assert!(weights(&cluster).iter().all(|&it| it == Some(2)));
+    set_log(&cluster, Mode::Pass);
+    let last = publish_on(&platform, version, 3);
+    wait_for_version(&cluster, last);
+    start_apart(&mut cluster, last);
+    println!("{:?}", watch.end());
+}
+
+/// Sets the mode between all instances and the platform.
+fn set_log(cluster: &Cluster, mode: Mode) {
+    let instances = (0..cluster.instances.len()).map(Node::Instance);
+    instances.for_each(|instance| cluster.net.set(instance, Node::Platform, mode));
+}
