Call targets from tasks on a few threads

Cause: each open send blocked a thread of its own. The sender threads took 75 to 95 % of the processor time of a start, and at 4,000 requests/s one instance did not keep up. Repeated stops slept in the same threads, and stops and lease renewals waited behind sends.

Change: calls run as tasks of a runtime with at most four threads, by the client of `hyper`, which the server uses already. Connections for non-idempotent tasks are still dropped after 1 s without use. Only sends count for the bound; stops, probes and lease calls no longer wait for it. A send is known to be open from the moment the engine asks for it, so that a stop needs no allowance for sends that a thread has just taken.

The new test of the bound fails without the permit (12 tasks at a time, 2 allowed). The tests of targets, answers, leases, cancellation and jobs pass.

--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -26,10 +26,11 @@
 use crate::heard::HeardSnapshot;
 use crate::peers::PeerGate;
 use crate::routes::Context;
+use crate::sender::Senders;
 use crate::settings::Settings;
 use crate::spans::OwnerSpans;
 use crate::waiters::Waiters;
-use crate::{appender, follower, lister, sender, server};
+use crate::{appender, follower, lister, server};
 
 /// The result of running an instance.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -37,9 +38,6 @@
 /// The bound on events that wait for the engine.
 const EVENT_QUEUE: usize = 65_536;
 
-/// The bound on sends that wait for a thread.
-const SEND_QUEUE: usize = 16_384;
-
 /// The bound on records that wait to be appended.
 const APPEND_QUEUE: usize = 256;
 
@@ -183,14 +181,13 @@
 impl Parts {
     /// Starts what carries out the engine's effects.
     fn start_outputs(&self, peer_listener: TcpListener) -> Result<Outputs> {
-        let (outbound, outbound_queue) = bounded(SEND_QUEUE);
         let holder = format!("{}/{}", self.settings.name, self.incarnation.0);
-        sender::start(
+        let senders = Senders::start(
             self.settings.limits.send_threads,
             CONNECTIONS_PER_TARGET,
             (&holder, self.tracer),
-            &outbound_queue,
-            &self.events,
+            self.events.clone(),
+            self.halt.clone(),
         )
         .context(StartSnafu)?;
         let (appends, append_queue) = bounded(APPEND_QUEUE);
@@ -202,7 +199,7 @@
         Ok(Outputs {
             account,
             waiters: self.waiters.clone(),
-            outbound,
+            senders,
             appends,
             peers: self.start_links(peer_listener)?,
             ready: self.ready.clone(),
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -17,7 +17,7 @@
 use crate::clock::Clock;
 use crate::heard::HeardSnapshot;
 use crate::peers::PeerGate;
-use crate::sender::Outbound;
+use crate::sender::{Outbound, Senders};
 use crate::waiters::Waiters;
 
 /// The time between two ticks while events arrive.
@@ -30,8 +30,8 @@
 pub struct Outputs {
     /// The callers that wait.
     pub waiters: Arc<Waiters>,
-    /// The threads that talk to targets.
-    pub outbound: Sender<Outbound>,
+    /// The calls to targets.
+    pub senders: Senders,
     /// The thread that appends to the log.
     pub appends: Sender<Append>,
     /// The thread that appends to the account.
@@ -109,11 +109,11 @@
 ) -> Option<Event> {
     match effect {
         Effect::Answer { waiter, reply } => outputs.waiters.reply(waiter, reply),
-        Effect::Send(order) => return hand_over(outputs, Outbound::Send(order)),
-        Effect::Lease(order) => return hand_over(outputs, Outbound::Lease(order)),
-        Effect::Probe(order) => return hand_over(outputs, Outbound::Probe(order)),
+        Effect::Send(order) => return begin(outputs, Outbound::Send(order)),
+        Effect::Lease(order) => return begin(outputs, Outbound::Lease(order)),
+        Effect::Probe(order) => return begin(outputs, Outbound::Probe(order)),
         Effect::Stop { address, submission, task } => {
-            return hand_over(outputs, Outbound::Stop { address, submission, task });
+            return begin(outputs, Outbound::Stop { address, submission, task });
         }
         Effect::Peer { address, correlation, message } => {
             return outputs.peers.send(&address, correlation, &message);
@@ -155,9 +155,9 @@
     None
 }
 
-/// Hands work to the sender threads and returns what follows if their queue is full.
-fn hand_over(outputs: &Outputs, work: Outbound) -> Option<Event> {
-    match outputs.outbound.try_send(work).err()?.into_inner() {
+/// Begins a call and returns what follows if too many are waiting.
+fn begin(outputs: &Outputs, call: Outbound) -> Option<Event> {
+    match outputs.senders.begin(call)? {
         Outbound::Send(SendOrder { attempt, .. }) => {
             Some(Event::SendFinished { attempt, report: SendReport::NotSent })
         }
--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -9,7 +9,6 @@
 mod heard;
 mod lister;
 mod peers;
-mod resolver;
 mod routes;
 mod sender;
 mod server;
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/sender/run.rs
@@ -0,0 +1,99 @@
+//! Sends of tasks to targets.
+
+use std::time::Duration;
+
+use bamboocart_core::engine::{LeaseGrant, SendOrder};
+use bamboocart_core::target::{SendReport, TurnAway};
+use bamboocart_telemetry::logs::REQUEST_ID;
+use bamboocart_telemetry::trace::{TRACEPARENT, traceparent_of};
+use bamboocart_wire::api::{LeaseProof, RunAnswer, RunBody};
+use hyper::header::HeaderValue;
+
+use super::Calls;
+use super::client::{CallError, Result, read, with_json};
+
+/// The time beyond the deadline for which the answer of a started task is awaited.
+const ANSWER_GRACE_MS: u64 = 2_000;
+
+/// The header that lets a target recognise a task that it was sent before.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Sends a task and waits for its end.
+pub async fn send(calls: &Calls, order: SendOrder) -> SendReport {
+    let address = order.address.clone();
+    let body = RunBody {
+        submission: order.submission,
+        task: order.task,
+        attempt: order.number,
+        kind: order.kind,
+        payload: order.payload,
+        deadline_ms: order.deadline_ms,
+        lease: order.lease.map(proof),
+    };
+    let parent = order.traceparent.as_deref();
+    let task = body.task.0;
+    match exchange(calls, &address, &body, (order.idempotent, parent)).await {
+        Ok(answer) => report(&body, answer),
+        Err(error) if error.is_never_sent() => {
+            log::debug!(
+                request_id:% = body.submission;
+                "task {task} was not sent to {address}: {error}"
+            );
+            SendReport::NotSent
+        }
+        Err(error) => {
+            log::info!(
+                request_id:% = body.submission;
+                "no answer of {address} for task {task}, which may have run: {error}"
+            );
+            SendReport::Lost
+        }
+    }
+}
+
+/// Sends a task and reads the answer.
+async fn exchange(
+    calls: &Calls,
+    address: &str,
+    body: &RunBody,
+    (idempotent, parent): (bool, Option<&str>),
+) -> Result<RunAnswer, CallError> {
+    let pool = if idempotent { &calls.pooled } else { &calls.fresh };
+    let span = calls.tracer.hop("target", parent);
+    let span = span.with_property(|| (REQUEST_ID, body.submission.to_string()));
+    let mut request = with_json(format!("http://{address}/run"), body)?;
+    let headers = request.headers_mut();
+    let key = format!("{}/{}", body.submission, body.task.0);
+    if let Ok(key) = HeaderValue::from_maybe_shared(key) {
+        headers.insert(IDEMPOTENCY_KEY, key);
+    }
+    let parent = traceparent_of(&span).map(HeaderValue::from_maybe_shared);
+    if let Some(Ok(parent)) = parent {
+        headers.insert(TRACEPARENT, parent);
+    }
+    let limit = Duration::from_millis(body.deadline_ms + ANSWER_GRACE_MS);
+    read(&pool.call(request, limit).await?)
+}
+
+/// Turns a target's answer into a report, unless it answers something else.
+fn report(body: &RunBody, answer: RunAnswer) -> SendReport {
+    let expected = (&body.submission, body.task, body.attempt);
+    let code = answer.code.as_deref();
+    match (answer.started, answer.result) {
+        _ if (&answer.submission, answer.task, answer.attempt) != expected => {
+            SendReport::Lost
+        }
+        (true, Some(result)) => SendReport::Result(result),
+        (true, None) => SendReport::TaskFailed,
+        (false, _) if code == Some("leaving") => {
+            SendReport::TurnedAway(TurnAway::Leaving)
+        }
+        (false, _) if code == Some("lease") => SendReport::TurnedAway(TurnAway::Lease),
+        (false, _) => SendReport::TurnedAway(TurnAway::Busy),
+    }
+}
+
+/// Returns what a worker checks before it starts a task.
+fn proof(grant: LeaseGrant) -> LeaseProof {
+    LeaseProof { lease: grant.lease, token: grant.token }
+}
--- a/crates/bamboocart-dispatcher/tests/support/process.rs
+++ b/crates/bamboocart-dispatcher/tests/support/process.rs
@@ -47,7 +47,7 @@
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
             .args(["--peer-address", &peer_address.to_string()])
             .args(["--platform", &platform.to_string()])
-            .args(["--send-threads", "96", "--log-level", "warn"])
+            .args(["--log-level", "warn"])
             .args(flags)
             .stdout(Stdio::piped())
             .spawn()
