Set every metric that is described, and count refused answers

Cause: 15 of the 33 described metrics were never set, so an alert on them waited in vain. `bamboocart_answers_total` counted admitted submissions only, so the documented alert on `refused` could not fire, and it had no code.

Change: the engine reports starts, ended hedges, ejections, delays of publications and all answers that it decides as observations, and in-flight tasks by customer, registry size, leases, claims and the buffer of the account in its status. The dispatcher records them, and counts calls to the log, messages and cut connections where they end. No description is removed. Labels come from the configuration, from fixed lists, or are `unknown`. New fields of the status may be missing, since the command line also reads older instances (`status_lists_every_instance` failed without that).

Test: `metrics every_metric_has_a_sample` scrapes an instance after a short run, provokes what needs a rare event, and found 15 metrics without a sample on the code before. No metric is excepted.

--- a/crates/bamboocart-core/src/account/entry.rs
+++ b/crates/bamboocart-core/src/account/entry.rs
@@ -156,6 +156,20 @@
     Hedge,
 }
 
+impl StartReason {
+    /// Returns the name that the account states.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Order => "order",
+            Self::Floor => "floor",
+            Self::Fit => "fit",
+            Self::Requeued => "requeued",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
 /// How a send ended.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/bamboocart-core/src/engine/admit.rs
+++ b/crates/bamboocart-core/src/engine/admit.rs
@@ -4,7 +4,7 @@
 use crate::config::{RequestKind, TargetGroup};
 use crate::engine::names::{CustomerKey, KindKey};
 use crate::engine::{Engine, NewSubmission};
-use crate::id::{ConfigVersion, GroupName};
+use crate::id::{ConfigVersion, GroupName, PriorityName};
 use crate::outcome::Refusal;
 use crate::retry::SendRules;
 use crate::time::{Timestamp, US_PER_MS};
@@ -18,6 +18,8 @@
     pub kind: KindKey,
     /// The target group.
     pub group: GroupName,
+    /// The priority.
+    pub priority: PriorityName,
     /// Which further sends are allowed.
     pub rules: SendRules,
     /// The rank of the priority.
@@ -93,6 +95,7 @@
             customer,
             kind: kind_key,
             group: group_name.unwrap_or_else(|| "".into()),
+            priority: kind.map_or_else(|| "".into(), |kind| kind.priority.clone()),
             rules: kind.map_or(NO_RULES, |kind| rules(kind, submission.job)),
             rank,
             weight: quota.map_or(1, |quota| quota.weight),
--- a/crates/bamboocart-core/src/engine/answer.rs
+++ b/crates/bamboocart-core/src/engine/answer.rs
@@ -2,7 +2,9 @@
 
 use crate::engine::record::{Asker, Record, SubmissionKey, Task, TaskState};
 use crate::engine::submit::unknown_code;
-use crate::engine::{Effect, Engine, Observation, Reply};
+use crate::engine::{
+    AnswerCost, Answered, Effect, Engine, NewSubmission, Observation, Reply,
+};
 use crate::id::{SubmissionId, TaskIndex};
 use crate::message::{Ask, Message};
 use crate::outcome::{
@@ -150,6 +152,13 @@
                     outcome: Outcome::Unknown(UnknownCode::StillRunning),
                     attempts: record.attempts,
                 };
+                let (customer, kind) = (record.customer, record.kind);
+                effects.push(Effect::Observed(Observation::Answered(Answered {
+                    customer: self.customers.name(customer).cloned(),
+                    kind: self.kinds.name(kind).cloned(),
+                    outcome: verdict.outcome.clone(),
+                    cost: None,
+                })));
                 for (asker, want) in waiters {
                     self.reply(&asker, verdict.clone(), want, effects);
                 }
@@ -200,21 +209,45 @@
         self.tenure.close(key, now);
         if let Some(name) = self.customers.name(customer) {
             self.quotas.finish(name, tasks);
-            effects.push(Effect::Observed(Observation {
-                customer: name.clone(),
-                kind: self.kinds.name(kind).cloned().unwrap_or_else(|| "".into()),
-                outcome: verdict.outcome.name(),
+            let cost = AnswerCost {
                 response_us: now.us_since(arrived),
                 ideal_us: longest_us,
                 sends: verdict.attempts,
                 tasks,
-            }));
+            };
+            let complete = matches!(verdict.outcome, Outcome::Complete(_));
+            effects.push(Effect::Observed(Observation::Answered(Answered {
+                customer: Some(name.clone()),
+                kind: self.kinds.name(kind).cloned(),
+                outcome: verdict.outcome.without_results(),
+                cost: complete.then_some(cost),
+            })));
         }
         for (asker, want) in waiters {
             self.reply(&asker, verdict.clone(), want, effects);
         }
     }
 
+    /// Reports an answer to a submission that was not admitted here.
+    ///
+    /// Names that no configuration had are left out, so that callers cannot add to the
+    /// names that are reported.
+    pub(super) fn observe_answer(
+        &self,
+        submission: &NewSubmission,
+        outcome: &Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let customer = self.customers.find(&submission.customer);
+        let kind = self.kinds.find(&submission.kind);
+        effects.push(Effect::Observed(Observation::Answered(Answered {
+            customer: customer.map(|_| submission.customer.clone()),
+            kind: kind.map(|_| submission.kind.clone()),
+            outcome: outcome.without_results(),
+            cost: None,
+        })));
+    }
+
     /// Sends a reply to someone who waits.
     pub(super) fn reply(
         &mut self,
--- a/crates/bamboocart-core/src/engine/configure.rs
+++ b/crates/bamboocart-core/src/engine/configure.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use crate::config::{ConfigSet, check_set};
-use crate::engine::{Effect, Engine};
+use crate::engine::{Effect, Engine, Observation};
 use crate::id::{ConfigVersion, InstanceName, StopPlanName};
 use crate::membership::StopSchedule;
 use crate::message::Message;
@@ -33,6 +33,21 @@
             let begun = self.plans_since(&set, since.unwrap_or(LONG_AGO));
             self.put_in_force(now, version, set, begun, effects);
         }
+        if version == self.config_version {
+            self.observe_delay(since, effects);
+        }
+    }
+
+    /// Reports how long the configuration in force took, once its append is known.
+    ///
+    /// A publication from before the start of this instance says nothing about delays.
+    fn observe_delay(&mut self, since: Option<Timestamp>, effects: &mut Vec<Effect>) {
+        let Some(since) = since.filter(|&since| since >= self.started_at) else { return };
+        if let Some(in_force_at) = self.delay_from.take() {
+            let delay_us = in_force_at.us_since(since);
+            let observation = Observation::ConfigDelayed { delay_us };
+            effects.push(Effect::Observed(observation));
+        }
     }
 
     /// Takes in a configuration that a peer has in force.
@@ -114,6 +129,7 @@
         self.config = set;
         self.note_policy(now, self.config_version, version);
         self.config_version = version;
+        self.delay_from = Some(now);
         self.plans_since = plans_since;
         let begun = |name: &StopPlanName| self.plans_since.get(name).copied();
         self.stops = StopSchedule::new(&self.config.stop_plan, |name| {
--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -1,10 +1,13 @@
 //! Tasks on their way to targets.
 
+use crate::account::StartReason;
 use crate::engine::ledger::start_reason;
 use crate::engine::record::{
     AttemptState, Origin, QueuedTask, Record, RunPlace, Task, TaskState,
 };
-use crate::engine::{Effect, Engine, KindKey, SendOrder};
+use crate::engine::{
+    Effect, Engine, KindKey, Observation, SendOrder, Started, StartedAfter,
+};
 use crate::id::{Attempt, GroupName, TaskIndex};
 use crate::ownership::Stage;
 use crate::queue::Pick;
@@ -106,7 +109,9 @@
         effects: &mut Vec<Effect>,
     ) {
         let place = RunPlace::Target(target);
-        let Some(attempt) = self.start(now, name, &next, place, probe) else { return };
+        let Some(attempt) = self.start(now, name, &next, (place, probe), effects) else {
+            return;
+        };
         self.order_send(now, attempt, effects);
     }
 
@@ -116,11 +121,12 @@
         now: Timestamp,
         name: &GroupName,
         next: &NextTask,
-        run_place: RunPlace,
-        probe: bool,
+        (run_place, probe): (RunPlace, bool),
+        effects: &mut Vec<Effect>,
     ) -> Option<AttemptKey> {
         let record = self.tenure.get_mut(next.key.submission)?;
         let (kind, submission) = (record.kind, record.id.clone());
+        let (priority, arrived) = (record.priority.clone(), record.arrived);
         let task = record.tasks.get_mut(usize::from(next.key.task))?;
         if task.sends == Attempt::default() {
             self.retries.earn();
@@ -133,6 +139,10 @@
         let declared_us = task.spec.declared_ms.map(|ms| ms.saturating_mul(US_PER_MS));
         let number = task.sends;
         let reason = start_reason(next.reason, task.ran_before);
+        let after = match task.waits_after.take() {
+            None => StartedAfter::Admission { priority, wait_us: now.us_since(arrived) },
+            Some(report) => StartedAfter::Send { report },
+        };
         let attempt = self.attempts.insert(AttemptState {
             origin: Origin::Own { task: next.key, declared_us },
             place: run_place,
@@ -140,16 +150,31 @@
             kind,
             sent: now,
             probe,
+            hedge: false,
             number,
             submission,
             task: TaskIndex(next.key.task),
         });
         task.state = TaskState::Sent { first: attempt, second: None };
         self.note_started(now, next.key, (number, run_place), reason);
+        self.observe_start(name, kind, (reason, after), effects);
         self.schedule_hedge(now, next.key.submission, attempt);
         Some(attempt)
     }
 
+    /// Reports the start of a task.
+    pub(super) fn observe_start(
+        &self,
+        group: &GroupName,
+        kind: KindKey,
+        (reason, after): (StartReason, StartedAfter),
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(kind) = self.kinds.name(kind).cloned() else { return };
+        let started = Started { group: group.clone(), kind, reason, after };
+        effects.push(Effect::Observed(Observation::Started(started)));
+    }
+
     /// Orders the send of an attempt at a target of this instance.
     pub(super) fn order_send(
         &mut self,
--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -337,6 +337,7 @@
         let refusal = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
         for (asker, submission) in std::mem::take(&mut self.stop.parked) {
             let outcome = Outcome::Refused(refusal);
+            self.observe_answer(&submission, &outcome, effects);
             let verdict = Verdict { id: submission.id, outcome, attempts: 0 };
             self.reply(&asker, verdict, 0, effects);
         }
--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::account::StartReason;
 use crate::engine::{LeaseGrant, Status, WaiterId};
 use crate::id::{
-    Attempt, ConfigVersion, CustomerName, Incarnation, InstanceName, KindName,
-    SubmissionId, TargetName, TaskIndex,
+    Attempt, ConfigVersion, CustomerName, GroupName, Incarnation, InstanceName, KindName,
+    PriorityName, SubmissionId, TargetName, TaskIndex,
 };
 use crate::message::Message;
 use crate::outcome::Outcome;
@@ -84,7 +85,7 @@
     Warn(String),
     /// Something that happens in normal operation.
     Note(String),
-    /// A submission ended.
+    /// Something was measured.
     Observed(Observation),
     /// The instance no longer admits submissions and readiness ends.
     Leaving,
@@ -174,15 +175,48 @@
     pub address: Arc<str>,
 }
 
-/// What is measured of a submission that ended.
+/// Something that is measured.
 #[derive(Debug, Clone)]
-pub struct Observation {
-    /// The customer.
-    pub customer: CustomerName,
-    /// The request kind.
-    pub kind: KindName,
-    /// The name of the outcome.
-    pub outcome: &'static str,
+pub enum Observation {
+    /// A submission was answered.
+    Answered(Answered),
+    /// A task was sent to a target or offered to a peer.
+    Started(Started),
+    /// A hedge ended.
+    Hedged {
+        /// The request kind.
+        kind: KindName,
+        /// Whether the submission took the hedge's result.
+        won: bool,
+    },
+    /// A target was ejected.
+    Ejected {
+        /// The target group.
+        group: GroupName,
+    },
+    /// A publication that was appended while the instance ran came into force.
+    ConfigDelayed {
+        /// The time since the append, by the clocks of the log and of the instance.
+        delay_us: u64,
+    },
+}
+
+/// An answer that this instance has decided.
+#[derive(Debug, Clone)]
+pub struct Answered {
+    /// The customer, unless no configuration had it.
+    pub customer: Option<CustomerName>,
+    /// The request kind, unless no configuration had it.
+    pub kind: Option<KindName>,
+    /// The outcome, without results.
+    pub outcome: Outcome,
+    /// What a complete answer took.
+    pub cost: Option<AnswerCost>,
+}
+
+/// What a complete answer took.
+#[derive(Debug, Copy, Clone)]
+pub struct AnswerCost {
     /// The time from arrival to answer.
     pub response_us: u64,
     /// The run time of the longest task, which no scheduler can undercut.
@@ -192,3 +226,35 @@
     /// The tasks, which is the number of sends needed.
     pub tasks: u32,
 }
+
+/// The start of a task.
+#[derive(Debug, Clone)]
+pub struct Started {
+    /// The target group.
+    pub group: GroupName,
+    /// The request kind.
+    pub kind: KindName,
+    /// Why the task was next.
+    pub reason: StartReason,
+    /// What it follows.
+    pub after: StartedAfter,
+}
+
+/// What the start of a task follows.
+#[derive(Debug, Clone)]
+pub enum StartedAfter {
+    /// The admission of its submission.
+    Admission {
+        /// The priority.
+        priority: PriorityName,
+        /// The time since then.
+        wait_us: u64,
+    },
+    /// The end of an earlier send.
+    Send {
+        /// The name of the report on that send.
+        report: &'static str,
+    },
+    /// Nothing; it is the hedge of a send that has not ended.
+    Straggler,
+}
--- a/crates/bamboocart-core/src/engine/ended.rs
+++ b/crates/bamboocart-core/src/engine/ended.rs
@@ -1,7 +1,7 @@
 //! Sends that have ended.
 
 use crate::engine::record::{AttemptState, Origin, QueuedTask, RunPlace, TaskState};
-use crate::engine::{Effect, Engine};
+use crate::engine::{Effect, Engine, Observation};
 use crate::estimate::RunEnd;
 use crate::health::{Standing, StartEnd};
 use crate::membership::Leaving;
@@ -42,12 +42,18 @@
             RunPlace::Peer(_) => None,
         };
         if let Some(target) = target {
-            self.note_target(now, target, &state, &report);
+            self.note_target(now, target, &state, &report, effects);
         }
         let group = state.group.clone();
         match state.origin {
             Origin::Own { task, .. } => {
                 let stopped = self.is_stopped(task, attempt);
+                let won = !stopped && matches!(report, SendReport::Result(_));
+                if state.hedge
+                    && let Some(kind) = self.kinds.name(state.kind).cloned()
+                {
+                    effects.push(Effect::Observed(Observation::Hedged { kind, won }));
+                }
                 self.note_finished(now, task, (&state, stopped), &report);
                 let ended = Ended { attempt, task, target, run_us };
                 self.task_ended(now, &ended, report, effects);
@@ -67,6 +73,7 @@
         key: TargetKey,
         state: &AttemptState,
         report: &SendReport,
+        effects: &mut Vec<Effect>,
     ) {
         if let Some(group) = self.groups.get_mut(&state.group) {
             group.placement.release(key);
@@ -77,7 +84,7 @@
             self.membership.targets.ran(&info.name);
         }
         self.learn_run_time(now, key, state, report);
-        self.learn_health(now, key, state, report);
+        self.learn_health(now, key, state, report, effects);
         match report {
             SendReport::TurnedAway(TurnAway::Leaving) => {
                 let source = Leaving::OwnAnswer;
@@ -124,9 +131,11 @@
         key: TargetKey,
         state: &AttemptState,
         report: &SendReport,
+        effects: &mut Vec<Effect>,
     ) {
         let Some(group) = self.groups.get_mut(&state.group) else { return };
         let (health, rng) = (&mut group.health, &mut self.rng);
+        let ejections = health.ejections();
         let end = match report {
             SendReport::Result(_) => Some(StartEnd::Succeeded),
             SendReport::TaskFailed | SendReport::Lost | SendReport::NotSent => {
@@ -145,6 +154,10 @@
         {
             health.turned_away(key, now, rng);
         }
+        if health.ejections() > ejections {
+            let group = state.group.clone();
+            effects.push(Effect::Observed(Observation::Ejected { group }));
+        }
         self.apply_standing(&state.group, key);
     }
 
@@ -195,9 +208,11 @@
                 }
             }
             (_, Some(first), _) => task.state = TaskState::Sent { first, second: None },
-            (NextSend::Elsewhere, None, _) => self.put_back(ended, false),
-            (NextSend::Budgeted, None, _) if self.retries.take() => {
-                self.put_back(ended, true);
+            (NextSend::Elsewhere, None, report) => {
+                self.put_back(ended, (false, report.name()));
+            }
+            (NextSend::Budgeted, None, ref report) if self.retries.take() => {
+                self.put_back(ended, (true, report.name()));
             }
             (_, None, SendReport::Lost) if record.rules.job => {
                 let outcome = Outcome::Failed(FailureCode::TaskLost);
@@ -222,7 +237,7 @@
     }
 
     /// Puts a task back into the queue at its old place.
-    fn put_back(&mut self, ended: &Ended, may_have_run: bool) {
+    fn put_back(&mut self, ended: &Ended, (may_have_run, report): (bool, &'static str)) {
         let Some(record) = self.tenure.get_mut(ended.task.submission) else { return };
         let group = record.group.clone();
         let Some(task) = record.tasks.get_mut(usize::from(ended.task.task)) else {
@@ -230,6 +245,7 @@
         };
         task.state = TaskState::Queued;
         task.ran_before |= may_have_run;
+        task.waits_after = Some(report);
         if let Some(target) = ended.target {
             task.avoid(target);
         }
--- a/crates/bamboocart-core/src/engine/fleet.rs
+++ b/crates/bamboocart-core/src/engine/fleet.rs
@@ -331,6 +331,12 @@
         }
     }
 
+    /// Returns the number of leases that have not lapsed.
+    pub(super) fn leases_held(&self, now: Timestamp) -> usize {
+        let leases = self.targets.values().filter_map(|target| target.lease);
+        leases.filter(|held| now < held.until).count()
+    }
+
     /// Returns the slots of the targets of a group that this instance uses.
     pub(super) fn own_slots(&self, group: &GroupName) -> u32 {
         let members = self.targets.values().filter(|target| target.group == *group);
--- a/crates/bamboocart-core/src/engine/forward.rs
+++ b/crates/bamboocart-core/src/engine/forward.rs
@@ -247,9 +247,13 @@
             Ask::Submit(submission) => (submission.id.clone(), submission.want_tickets),
             Ask::Query(id) | Ask::Cancel(id) => (Some(id.clone()), 0),
         };
+        let outcome = Outcome::Unknown(code);
+        if let Ask::Submit(submission) = ask {
+            self.observe_answer(submission, &outcome, effects);
+        }
         let reply = Reply::Outcome {
             submission,
-            outcome: Outcome::Unknown(code),
+            outcome,
             config_version: self.config_version,
             owner: self.me.instance.clone(),
             attempts: 0,
--- a/crates/bamboocart-core/src/engine/hedge.rs
+++ b/crates/bamboocart-core/src/engine/hedge.rs
@@ -2,7 +2,7 @@
 
 use crate::account::StartReason;
 use crate::engine::record::{AttemptState, Origin, RunPlace, SubmissionKey, TaskState};
-use crate::engine::{Effect, Engine};
+use crate::engine::{Effect, Engine, StartedAfter};
 use crate::id::Attempt;
 use crate::retry::hedge_after_us;
 use crate::target::AttemptKey;
@@ -50,7 +50,7 @@
         let Some(state) = self.attempts.get(first) else { return };
         let Origin::Own { task: queued, declared_us } = state.origin else { return };
         let RunPlace::Target(slow) = state.place else { return };
-        let name = state.group.clone();
+        let (name, kind) = (state.group.clone(), state.kind);
         let Some(group) = self.groups.get(&name) else { return };
         if !group.queue.is_empty() {
             return;
@@ -71,12 +71,15 @@
             place: RunPlace::Target(target),
             sent: now,
             probe: false,
+            hedge: true,
             number: task.sends,
             ..state.clone()
         });
         task.state = TaskState::Sent { first, second: Some(second) };
         let send = (number, RunPlace::Target(target));
         self.note_started(now, queued, send, StartReason::Hedge);
+        let start = (StartReason::Hedge, StartedAfter::Straggler);
+        self.observe_start(&name, kind, start, effects);
         self.order_send(now, second, effects);
     }
 }
--- a/crates/bamboocart-core/src/engine/ledger.rs
+++ b/crates/bamboocart-core/src/engine/ledger.rs
@@ -57,6 +57,16 @@
         self.chain.is_finished()
     }
 
+    /// Returns the entries that are not known to be in the log.
+    pub fn buffered(&self) -> usize {
+        self.chain.buffered()
+    }
+
+    /// Returns the entries that were dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.chain.dropped()
+    }
+
     /// Orders the append of the next batch if one is due.
     fn append(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let due = now >= self.next_at || self.chain.buffered() >= BATCH_ENTRIES;
--- a/crates/bamboocart-core/src/engine/lend.rs
+++ b/crates/bamboocart-core/src/engine/lend.rs
@@ -50,7 +50,9 @@
         let about = About::Offer(AttemptKey::null());
         let pending = self.add_pending(Pending { peer: owner, until, about });
         let place = RunPlace::Peer(pending);
-        let Some(attempt) = self.start(now, name, &next, place, false) else { return };
+        let Some(attempt) = self.start(now, name, &next, (place, false), effects) else {
+            return;
+        };
         if let Some(pending) = self.pending.get_mut(pending) {
             pending.about = About::Offer(attempt);
         }
@@ -117,6 +119,7 @@
             kind,
             sent: now,
             probe: false,
+            hedge: false,
             number: task.number,
             submission: task.submission.clone(),
             task: task.task,
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -45,11 +45,16 @@
 use crate::target::{AttemptKey, TargetKey};
 use crate::time::Timestamp;
 
-pub use self::effect::{Effect, LeaseOrder, Observation, ProbeOrder, Reply, SendOrder};
+pub use self::effect::{
+    AnswerCost, Answered, Effect, LeaseOrder, Observation, ProbeOrder, Reply, SendOrder,
+    Started, StartedAfter,
+};
 pub use self::event::{
     ClaimPage, Event, LeaseGrant, NewSubmission, ProbeAnswer, TaskSpec, WaiterId,
 };
-pub use self::status::{GroupStatus, InstanceState, PeerStatus, Status, TargetStatus};
+pub use self::status::{
+    CustomerStatus, GroupStatus, InstanceState, PeerStatus, Status, TargetStatus,
+};
 
 use self::drain::Stop;
 use self::fleet::Target;
@@ -105,6 +110,8 @@
     me: Owner,
     /// The configuration in force.
     config: Arc<ConfigSet>,
+    /// When it came into force, until its delay is reported.
+    delay_from: Option<Timestamp>,
     /// The version of the configuration in force.
     config_version: ConfigVersion,
     /// Since when each stop plan is in force; none if it began too long ago to matter.
@@ -206,6 +213,7 @@
             me,
             setup,
             config: Arc::default(),
+            delay_from: None,
             config_version: ConfigVersion::default(),
             plans_since: BTreeMap::new(),
             stops: StopSchedule::default(),
--- a/crates/bamboocart-core/src/engine/names.rs
+++ b/crates/bamboocart-core/src/engine/names.rs
@@ -46,6 +46,11 @@
         self.keys.get(name).copied()
     }
 
+    /// Returns all names.
+    pub fn names(&self) -> impl Iterator<Item = &N> {
+        self.names.values()
+    }
+
     /// Returns the name of a key.
     pub fn name(&self, key: K) -> Option<&N> {
         self.names.get(key)
--- a/crates/bamboocart-core/src/engine/record.rs
+++ b/crates/bamboocart-core/src/engine/record.rs
@@ -7,7 +7,9 @@
 use crate::config::Resend;
 use crate::engine::names::{CustomerKey, KindKey};
 use crate::engine::{TaskSpec, WaiterId};
-use crate::id::{Attempt, ConfigVersion, GroupName, SubmissionId, TaskIndex};
+use crate::id::{
+    Attempt, ConfigVersion, GroupName, PriorityName, SubmissionId, TaskIndex,
+};
 use crate::outcome::Outcome;
 use crate::ownership::Owner;
 use crate::queue::Place;
@@ -51,6 +53,8 @@
     pub kind: KindKey,
     /// The target group that runs it.
     pub group: GroupName,
+    /// The priority.
+    pub priority: PriorityName,
     /// Which further sends are allowed.
     pub rules: SendRules,
     /// The tasks; empty for a submission that was taken over with its answer.
@@ -92,6 +96,8 @@
     pub tried: Vec<TargetKey>,
     /// Whether it waits again although it may have run.
     pub ran_before: bool,
+    /// The name of the report on the send after which it waits again.
+    pub waits_after: Option<&'static str>,
     /// The place that it had in the queue when it was taken out.
     pub place: Option<Place<CustomerKey>>,
 }
@@ -110,6 +116,7 @@
             customer: CustomerKey::default(),
             kind: KindKey::default(),
             group: "".into(),
+            priority: "".into(),
             rules,
             tasks: vec![],
             unfinished: 0,
@@ -136,7 +143,15 @@
     /// Creates a task that waits for a slot.
     pub fn queued(spec: TaskSpec) -> Self {
         let (state, sends) = (TaskState::Queued, Attempt::default());
-        Self { spec, state, sends, tried: vec![], ran_before: false, place: None }
+        Self {
+            spec,
+            state,
+            sends,
+            tried: vec![],
+            ran_before: false,
+            waits_after: None,
+            place: None,
+        }
     }
 
     /// Notes that a target did not start the task.
@@ -199,6 +214,8 @@
     pub sent: Timestamp,
     /// Whether the send probes a target.
     pub probe: bool,
+    /// Whether the send is a hedge.
+    pub hedge: bool,
     /// The number of the send among those of its task.
     pub number: Attempt,
     /// The submission.
--- a/crates/bamboocart-core/src/engine/status.rs
+++ b/crates/bamboocart-core/src/engine/status.rs
@@ -4,13 +4,17 @@
 
 use crate::engine::Engine;
 use crate::id::{
-    ConfigVersion, DomainName, GroupName, Incarnation, InstanceName, TargetName,
+    ConfigVersion, CustomerName, DomainName, GroupName, Incarnation, InstanceName,
+    TargetName,
 };
 use crate::membership::PeerState;
 use crate::ownership::Stage;
 use crate::time::Timestamp;
 
 /// The state of an instance, which is also the body of `GET /v1/status`.
+///
+/// Fields that an older instance does not have count as 0 or empty, so that the command
+/// line reads the status of old and new instances while they are replaced.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Status {
     /// The instance.
@@ -41,6 +45,24 @@
     pub list_is_stale: bool,
     /// The answers that were late or crossed and dropped.
     pub late_answers: u64,
+    /// The customers that the process has known.
+    #[serde(default)]
+    pub customers: Vec<CustomerStatus>,
+    /// The submissions in the registry, answered and refused ones included.
+    #[serde(default)]
+    pub registry_submissions: usize,
+    /// The leases that the instance holds on workers.
+    #[serde(default)]
+    pub leases_held: usize,
+    /// The time until the first of its claims on caller keys ends; 0 without a claim.
+    #[serde(default)]
+    pub claim_ahead_ms: u64,
+    /// The entries of the account that are not known to be in the log.
+    #[serde(default)]
+    pub account_buffered: usize,
+    /// The entries of the account that were dropped.
+    #[serde(default)]
+    pub account_dropped: u64,
 }
 
 /// How far an instance is in its life.
@@ -89,6 +111,15 @@
     pub ejected: usize,
 }
 
+/// What a customer has on the instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CustomerStatus {
+    /// The customer.
+    pub name: CustomerName,
+    /// The tasks that are admitted and unfinished.
+    pub in_flight: u32,
+}
+
 /// The state of a target.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TargetStatus {
@@ -128,6 +159,12 @@
             open_submissions: self.tenure.open(),
             list_is_stale: self.membership.is_stale(now),
             late_answers: self.late_answers,
+            customers: self.customer_statuses(),
+            registry_submissions: self.tenure.len(),
+            leases_held: self.leases_held(now),
+            claim_ahead_ms: self.claim_ahead_ms(now),
+            account_buffered: self.ledger.buffered(),
+            account_dropped: self.ledger.dropped(),
         }
     }
 
@@ -144,6 +181,21 @@
         self.membership.peers.iter().map(describe).collect()
     }
 
+    /// Describes the customers, with those that the configuration no longer has.
+    fn customer_statuses(&self) -> Vec<CustomerStatus> {
+        let describe = |name: &CustomerName| CustomerStatus {
+            name: name.clone(),
+            in_flight: self.quotas.in_flight(name),
+        };
+        self.customers.names().map(describe).collect()
+    }
+
+    /// Returns the time until the first of this instance's claims ends.
+    fn claim_ahead_ms(&self, now: Timestamp) -> u64 {
+        let until_ms = self.claims.held_until_ms(&self.me);
+        until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now.as_ms()))
+    }
+
     /// Describes the target groups.
     fn group_statuses(&self) -> Vec<GroupStatus> {
         let describe = |(name, group): (&GroupName, &crate::engine::Group)| GroupStatus {
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -51,6 +51,7 @@
             }
             unresolved => {
                 let verdict = Verdict::unknown(id, unknown_code(&unresolved));
+                self.observe_answer(&submission, &verdict.outcome, effects);
                 self.reply(&asker, verdict, submission.want_tickets, effects);
             }
         }
@@ -93,6 +94,7 @@
             Err(refusal) => {
                 self.note_refused(now, None, &submission, refusal);
                 let outcome = Outcome::Refused(refusal);
+                self.observe_answer(&submission, &outcome, effects);
                 let verdict = Verdict { id: None, outcome, attempts: 0 };
                 self.reply(&asker, verdict, submission.want_tickets, effects);
             }
@@ -127,7 +129,7 @@
         let overloaded = Refusal { code: RefusalCode::Overloaded, retry_after_ms: None };
         let draining = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
         let refused = |refusal| Verdict::refused(id.clone(), refusal);
-        let mut fresh = false;
+        let (mut fresh, mut repeated) = (false, false);
         let verdict = match self.tenure.offer(&id, &owner, digest, now) {
             Offer::New(vacancy) => match plan {
                 Ok(plan) => {
@@ -145,7 +147,10 @@
                 self.join(key, asker, want, effects);
                 return;
             }
-            Offer::Refused(refusal) => refused(refusal),
+            Offer::Refused(refusal) => {
+                repeated = true;
+                refused(refusal)
+            }
             Offer::Reused => {
                 refused(Refusal { code: RefusalCode::IdReused, retry_after_ms: None })
             }
@@ -164,6 +169,9 @@
         if let (true, Outcome::Refused(refusal)) = (fresh, &verdict.outcome) {
             self.note_refused(now, verdict.id.clone(), &submission, *refusal);
         }
+        if !repeated {
+            self.observe_answer(&submission, &verdict.outcome, effects);
+        }
         self.reply(&asker, verdict, want, effects);
     }
 
@@ -243,6 +251,7 @@
         customer: plan.customer,
         kind: plan.kind,
         group: plan.group.clone(),
+        priority: plan.priority.clone(),
         rules: plan.rules,
         unfinished: tasks.len(),
         tasks,
--- a/crates/bamboocart-core/src/health.rs
+++ b/crates/bamboocart-core/src/health.rs
@@ -57,6 +57,8 @@
     open_ratios: f64,
     /// The ends of the backoffs.
     due: BTreeSet<(Timestamp, TargetKey)>,
+    /// The ejections so far, with those that follow a failed probe.
+    ejections: u64,
 }
 
 /// Whether a target gets starts.
@@ -137,6 +139,11 @@
         self.ejected
     }
 
+    /// Returns the ejections so far, with those that follow a failed probe.
+    pub fn ejections(&self) -> u64 {
+        self.ejections
+    }
+
     /// Notes that a task was sent to a target on probation.
     ///
     /// Its end is reported by [`Self::record_probe`], [`Self::turned_away`] or
@@ -266,6 +273,7 @@
         };
         let doublings = member.ejections;
         member.ejections = doublings.saturating_add(1);
+        self.ejections += 1;
         let wait_us = backoff_us(EJECT_BACKOFF_MS, MAX_EJECT_BACKOFF_MS, doublings, rng);
         self.set_standing(target, Standing::Ejected { until: now.plus_us(wait_us) });
     }
--- a/crates/bamboocart-core/src/outcome.rs
+++ b/crates/bamboocart-core/src/outcome.rs
@@ -34,6 +34,14 @@
             Self::Unknown(_) => "unknown",
         }
     }
+
+    /// Returns the outcome without the results of its tasks.
+    pub fn without_results(&self) -> Self {
+        match self {
+            Self::Complete(_) => Self::Complete(vec![]),
+            other => other.clone(),
+        }
+    }
 }
 
 /// The result of one task.
--- a/crates/bamboocart-core/src/ownership/claims.rs
+++ b/crates/bamboocart-core/src/ownership/claims.rs
@@ -262,6 +262,12 @@
         }
     }
 
+    /// Returns the end of the first of an owner's last claims to end, if it has any.
+    pub fn held_until_ms(&self, owner: &Owner) -> Option<u64> {
+        let last = KeyRange::all().map(|range| self.last(range));
+        last.filter(|(holder, _)| *holder == Some(owner)).map(|(_, end)| end).min()
+    }
+
     /// Returns the holder and the end of the last claim of a range.
     ///
     /// The end is the earliest start of a claim that every reader accepts. There is no
--- a/crates/bamboocart-core/src/ownership/handover.rs
+++ b/crates/bamboocart-core/src/ownership/handover.rs
@@ -92,6 +92,16 @@
         self.0.open()
     }
 
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Reports whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Looks at a submission that arrives; a new one can only be refused.
     pub fn offer(
         &mut self,
--- a/crates/bamboocart-core/src/ownership/stage.rs
+++ b/crates/bamboocart-core/src/ownership/stage.rs
@@ -76,6 +76,20 @@
         }
     }
 
+    /// Returns the number of entries, refusals and answers included.
+    pub fn len(&self) -> usize {
+        match self {
+            Self::Serving(registry) => registry.len(),
+            Self::Draining(draining) => draining.len(),
+            Self::HandedOver(_) | Self::Stopped => 0,
+        }
+    }
+
+    /// Reports whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Looks at a submission that arrives under the right of `owner`, as resolved.
     pub fn offer(
         &mut self,
--- a/crates/bamboocart-core/src/target.rs
+++ b/crates/bamboocart-core/src/target.rs
@@ -26,6 +26,21 @@
     Lost,
 }
 
+impl SendReport {
+    /// Returns the stable name of the report.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Result(_) => "result",
+            Self::TaskFailed => "task-failed",
+            Self::TurnedAway(TurnAway::Busy) => "busy",
+            Self::TurnedAway(TurnAway::Leaving) => "leaving",
+            Self::TurnedAway(TurnAway::Lease) => "lease",
+            Self::NotSent => "not-sent",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// Why a target turned a task away.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub enum TurnAway {
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -28,7 +28,7 @@
 use crate::settings::Settings;
 use crate::spans::OwnerSpans;
 use crate::waiters::Waiters;
-use crate::{appender, follower, lister, sender, server};
+use crate::{appender, follower, lister, observe, sender, server};
 
 /// The result of running an instance.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -127,6 +127,7 @@
 pub fn run(settings: Settings) -> Result<()> {
     let lines = set_up_output(&settings)?;
     let metrics = MetricsPage::install()?;
+    observe::register();
     let listener = listen(settings.listen)?;
     let peer_listener = listen(settings.peer_listen)?;
     let address = listener.local_addr().context(StartSnafu)?;
--- a/crates/bamboocart-dispatcher/src/appender.rs
+++ b/crates/bamboocart-dispatcher/src/appender.rs
@@ -7,6 +7,8 @@
 use bamboocart_platform::Platform;
 use crossbeam::channel::{Receiver, Sender};
 
+use crate::observe::{LogCall, count_log_call};
+
 /// A record to append.
 #[derive(Debug)]
 pub struct Append {
@@ -22,7 +24,9 @@
 /// took effect and orders it again if it is still needed.
 pub fn run(platform: &Platform, records: &Receiver<Append>) {
     for record in records {
-        if let Err(error) = platform.append(record.stream, &record.body) {
+        let result = platform.append(record.stream, &record.body);
+        count_log_call(LogCall::Append, result.is_ok());
+        if let Err(error) = result {
             log::warn!("{error}");
         }
     }
@@ -47,6 +51,7 @@
     for AccountBatch { number, text } in batches {
         let result = platform.append(ACCOUNT_STREAM, &text);
         let confirmed = result.is_ok();
+        count_log_call(LogCall::Append, confirmed);
         match result {
             Err(error) if !failing => {
                 log::warn!("batch {number} of the account: {error}")
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/driver.rs
@@ -4,17 +4,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bamboocart_core::engine::{
-    Effect, Engine, Event, LeaseOrder, Observation, SendOrder,
-};
+use bamboocart_core::engine::{Effect, Engine, Event, LeaseOrder, Reply, SendOrder};
 use bamboocart_core::target::SendReport;
 use bamboocart_core::time::US_PER_MS;
-use bamboocart_telemetry::metrics::{AnswerCost, record_answer};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio_util::sync::CancellationToken;
 
 use crate::appender::{AccountBatch, Append};
 use crate::clock::Clock;
+use crate::observe;
 use crate::peers::PeerGate;
 use crate::sender::Outbound;
 use crate::waiters::Waiters;
@@ -105,7 +103,13 @@
     stop: &CancellationToken,
 ) -> Option<Event> {
     match effect {
-        Effect::Answer { waiter, reply } => outputs.waiters.reply(waiter, reply),
+        Effect::Answer { waiter, reply } => {
+            // The page of metrics asks for the status before it is written.
+            if matches!(reply, Reply::Status(_)) {
+                observe::set_cuts(&outputs.peers.cut_counts());
+            }
+            outputs.waiters.reply(waiter, reply);
+        }
         Effect::Send(order) => return hand_over(outputs, Outbound::Send(order)),
         Effect::Lease(order) => return hand_over(outputs, Outbound::Lease(order)),
         Effect::Probe(order) => return hand_over(outputs, Outbound::Probe(order)),
@@ -138,7 +142,7 @@
         }
         Effect::Warn(text) => log::warn!("{text}"),
         Effect::Note(text) => log::info!("{text}"),
-        Effect::Observed(observation) => observe(&observation),
+        Effect::Observed(observation) => observe::record(&observation),
         Effect::Leaving => {
             outputs.ready.store(false, Ordering::Release);
             log::info!("draining");
@@ -163,25 +167,3 @@
         Outbound::Stop { .. } | Outbound::Probe(_) => None,
     }
 }
-
-/// Records the measures of a submission that ended.
-fn observe(observation: &Observation) {
-    let Observation { kind, customer, outcome, .. } = observation;
-    let labels = [
-        ("kind", kind.to_string()),
-        ("customer", customer.to_string()),
-        ("outcome", (*outcome).to_owned()),
-    ];
-    metrics::counter!(bamboocart_telemetry::metrics::ANSWERS, &labels).increment(1);
-    if *outcome != "complete" {
-        return;
-    }
-    let cost = AnswerCost {
-        response_us: observation.response_us,
-        ideal_us: observation.ideal_us,
-        // A send and its answer count as one exchange; each task needs one.
-        messages_sent: u64::from(observation.sends),
-        messages_needed: u64::from(observation.tasks),
-    };
-    record_answer(kind.as_str(), customer.as_str(), cost);
-}
--- a/crates/bamboocart-dispatcher/src/follower.rs
+++ b/crates/bamboocart-dispatcher/src/follower.rs
@@ -9,6 +9,8 @@
 use crossbeam::channel::Sender;
 use tokio_util::sync::CancellationToken;
 
+use crate::observe::{LogCall, count_log_call};
+
 /// The stream of claims.
 pub const CLAIM_STREAM: &str = "claims";
 
@@ -30,7 +32,9 @@
     let mut next = 0;
     let mut failing = false;
     while !stop.is_cancelled() {
-        match platform.read(stream, next, WAIT_MS) {
+        let result = platform.read(stream, next, WAIT_MS);
+        count_log_call(LogCall::Read, result.is_ok());
+        match result {
             Ok(page) => {
                 failing = false;
                 match take(page) {
@@ -103,7 +107,9 @@
     let jitter_ms = jitter_ms.min(retention_ms / 8);
     let Some(snapshot) = fold.snapshot_due(now, retention_ms, jitter_ms) else { return };
     let body = ConfigRecord::Snapshot(snapshot).to_body();
-    if let Err(error) = platform.append(CONFIG_STREAM, &body) {
+    let result = platform.append(CONFIG_STREAM, &body);
+    count_log_call(LogCall::Append, result.is_ok());
+    if let Err(error) = result {
         log::warn!("no snapshot of the configuration: {error}");
     }
 }
--- a/crates/bamboocart-dispatcher/src/gauges.rs
+++ b/crates/bamboocart-dispatcher/src/gauges.rs
@@ -4,8 +4,10 @@
 use bamboocart_core::membership::PeerState;
 use bamboocart_telemetry::lines::LineSink;
 use bamboocart_telemetry::metrics::{
-    CONFIG_VERSION, DROPPED_ANSWERS, EJECTED_TARGETS, FREE_SLOTS, LINES_DROPPED,
-    LIST_STALE, OPEN_SUBMISSIONS, PEERS, QUEUED_TASKS, RUNNING_SENDS, SLOTS, TARGETS,
+    ACCOUNT_BUFFERED, ACCOUNT_DROPPED, CLAIM_AHEAD_SECONDS, CONFIG_VERSION, CUSTOMER,
+    DROPPED_ANSWERS, EJECTED_TARGETS, EJECTIONS, FREE_SLOTS, IN_FLIGHT_TASKS,
+    LEASES_HELD, LINES_DROPPED, LIST_STALE, OPEN_SUBMISSIONS, PEERS, QUEUED_TASKS,
+    REGISTRY_SUBMISSIONS, RUNNING_SENDS, SLOTS, TARGETS,
 };
 use metrics::{counter, gauge};
 
@@ -15,6 +17,9 @@
 /// The label for a state.
 const STATE: &str = "state";
 
+/// The milliseconds of a second.
+const MS_PER_SECOND: f64 = 1e3;
+
 /// The states of peers with their names; all are set, so that none keeps an old value.
 const PEER_STATES: [(PeerState, &str); 5] = [
     (PeerState::Learned, "learned"),
@@ -31,6 +36,15 @@
     gauge!(RUNNING_SENDS).set(status.running as f64);
     gauge!(LIST_STALE).set(u8::from(status.list_is_stale));
     counter!(DROPPED_ANSWERS).absolute(status.late_answers);
+    gauge!(REGISTRY_SUBMISSIONS).set(status.registry_submissions as f64);
+    gauge!(LEASES_HELD).set(status.leases_held as f64);
+    gauge!(CLAIM_AHEAD_SECONDS).set(status.claim_ahead_ms as f64 / MS_PER_SECOND);
+    gauge!(ACCOUNT_BUFFERED).set(status.account_buffered as f64);
+    counter!(ACCOUNT_DROPPED).absolute(status.account_dropped);
+    for customer in &status.customers {
+        gauge!(IN_FLIGHT_TASKS, CUSTOMER => customer.name.to_string())
+            .set(customer.in_flight);
+    }
     for (state, name) in PEER_STATES {
         let count = status.peers.iter().filter(|peer| peer.state == state).count();
         gauge!(PEERS, STATE => name).set(count as f64);
@@ -45,6 +59,8 @@
     gauge!(SLOTS, GROUP => name.clone()).set(group.slots);
     gauge!(FREE_SLOTS, GROUP => name.clone()).set(group.free_slots);
     gauge!(EJECTED_TARGETS, GROUP => name.clone()).set(group.ejected as f64);
+    // The engine reports each ejection; this makes the counter begin at 0.
+    counter!(EJECTIONS, GROUP => name.clone()).increment(0);
     for (retired, state) in [(false, "used"), (true, "retired")] {
         let of_group = status.targets.iter().filter(|target| target.group == group.name);
         let count = of_group.filter(|target| target.retired == retired).count();
--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -7,6 +7,7 @@
 mod follower;
 mod gauges;
 mod lister;
+mod observe;
 mod peers;
 mod resolver;
 mod routes;
--- a/crates/bamboocart-dispatcher/src/peers.rs
+++ b/crates/bamboocart-dispatcher/src/peers.rs
@@ -9,11 +9,12 @@
 use bamboocart_core::message::{Ask, Message};
 use bamboocart_core::ownership::Owner;
 use bamboocart_peer::{
-    Delivery, Inbound, Links, MessageId, Report, SendError, SendPriority,
+    CutCounts, Delivery, Inbound, Links, MessageId, Report, SendError, SendPriority,
 };
 use bamboocart_wire::message::{decode, encode};
 use crossbeam::channel::{Receiver, Sender};
 
+use crate::observe::{self, LinkEnd};
 use crate::spans::OwnerSpans;
 
 /// The links, with what is needed to tell the engine what became of its messages.
@@ -86,11 +87,17 @@
             (Ok(_), None) => None,
             (Err(error), _) => {
                 note_unsent(message, &error);
+                observe::count_link_message(LinkEnd::NotSent);
                 not_sent
             }
         }
     }
 
+    /// Returns how often inbound connections were cut off.
+    pub fn cut_counts(&self) -> CutCounts {
+        self.links.cut_counts()
+    }
+
     /// Ends the span of a forwarded submission that is answered.
     pub fn end_span(&self, peer: &bamboocart_core::id::InstanceName, correlation: u64) {
         self.spans.end(peer, correlation);
@@ -159,12 +166,19 @@
 ) {
     for report in reports {
         let mut tracked = tracked.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(correlation) = tracked.remove(&report.id) else { continue };
+        let correlation = tracked.remove(&report.id);
         drop(tracked);
-        let certain = match report.delivery {
-            Delivery::Acknowledged { .. } => continue,
-            Delivery::NotSent(_) => true,
-            Delivery::Unknown(_) => false,
+        let end = match report.delivery {
+            Delivery::Acknowledged { .. } => LinkEnd::Acknowledged,
+            Delivery::NotSent(_) => LinkEnd::NotSent,
+            Delivery::Unknown(_) => LinkEnd::Unknown,
+        };
+        observe::count_link_message(end);
+        let Some(correlation) = correlation else { continue };
+        let certain = match end {
+            LinkEnd::Acknowledged => continue,
+            LinkEnd::NotSent => true,
+            LinkEnd::Unknown => false,
         };
         if events.send(Event::PeerUndelivered { correlation, certain }).is_err() {
             return;
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/routes.rs
@@ -6,7 +6,7 @@
 
 use bamboocart_core::engine::{Event, NewSubmission, Reply, TaskSpec, WaiterId};
 use bamboocart_core::id::SubmissionId;
-use bamboocart_core::outcome::RefusalCode;
+use bamboocart_core::outcome::{Outcome, Refusal, RefusalCode};
 use bamboocart_telemetry::lines::LineSink;
 use bamboocart_telemetry::logs::REQUEST_ID;
 use bamboocart_telemetry::metrics::MetricsPage;
@@ -27,6 +27,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::gauges;
+use crate::observe::count_answer;
 use crate::waiters::Waiters;
 
 /// The time in which the body of a request must have arrived.
@@ -299,8 +300,10 @@
     })
 }
 
-/// Returns the answer to a request that never became a submission.
+/// Returns the answer to a request that never became a submission, and counts it.
 fn refusal(code: RefusalCode, detail: &str) -> Box<Answer> {
+    let refusal = Refusal { code, retry_after_ms: None };
+    count_answer(None, None, &Outcome::Refused(refusal));
     let (status, body) = refuse_early(code, detail);
     Box::new(json(status, &body))
 }
--- a/crates/bamboocart-telemetry/src/metrics.rs
+++ b/crates/bamboocart-telemetry/src/metrics.rs
@@ -56,21 +56,21 @@
     Histogram Seconds RESPONSE_SECONDS = "bamboocart_response_seconds",
         "Time from arrival to answer, by request kind and customer.";
     Counter Count ANSWERS = "bamboocart_answers_total",
-        "Answers, by request kind, customer and outcome.";
+        "Answers, by request kind, customer, outcome and code.";
     Counter Count STARTS = "bamboocart_starts_total",
         "Task starts, by target group and scheduling reason.";
     Histogram Seconds QUEUE_WAIT_SECONDS = "bamboocart_queue_wait_seconds",
-        "Time from admission to start, by target group and priority.";
+        "Time from admission to the first send of a task, by target group and priority.";
     Gauge Count QUEUED_TASKS = "bamboocart_queued_tasks",
         "Tasks that wait, by target group.";
     Gauge Count IN_FLIGHT_TASKS = "bamboocart_in_flight_tasks",
         "Tasks that are admitted and unfinished, by customer.";
     Gauge Count REGISTRY_SUBMISSIONS = "bamboocart_registry_submissions",
-        "Submissions in the registry.";
+        "Submissions in the registry, with the answered and refused ones.";
     Counter Count RETRIES = "bamboocart_retries_total",
-        "Sends after the first of a task, by request kind and cause.";
+        "Sends after the first of a task except hedges, by request kind and cause.";
     Counter Count HEDGES = "bamboocart_hedges_total",
-        "Hedges, by request kind and whether the hedge won.";
+        "Hedges that ended, by request kind and whether the hedge won.";
     Counter Count DROPPED_ANSWERS = "bamboocart_dropped_answers_total",
         "Late or crossed answers from targets that were dropped.";
     Gauge Count TARGETS = "bamboocart_targets",
@@ -90,11 +90,11 @@
     Histogram Seconds CONFIG_DELAY_SECONDS = "bamboocart_config_delay_seconds",
         "Time from a publication's append to its being in force here.";
     Gauge Seconds CLAIM_AHEAD_SECONDS = "bamboocart_claim_ahead_seconds",
-        "Time until this instance's claims on caller keys end.";
+        "Time until the first of this instance's claims on caller keys ends, 0 for none.";
     Counter Count LOG_CALLS = "bamboocart_log_calls_total",
         "Calls to the platform's log, by operation and result.";
     Gauge Count ACCOUNT_BUFFERED = "bamboocart_account_buffered_entries",
-        "Account entries that wait for the log.";
+        "Account entries that are not known to be in the log.";
     Counter Count ACCOUNT_DROPPED = "bamboocart_account_dropped_total",
         "Account entries that were dropped and replaced by a gap.";
     Gauge Count OPEN_SUBMISSIONS = "bamboocart_open_submissions",
--- a/crates/bamboocart-wire/src/api.rs
+++ b/crates/bamboocart-wire/src/api.rs
@@ -170,7 +170,7 @@
         let mut body = Self {
             submission: context.submission,
             outcome: OutcomeName::Complete,
-            code: "complete".into(),
+            code: answer_code(&outcome),
             message: String::new(),
             results: Vec::new(),
             config_version: context.config_version,
@@ -196,22 +196,17 @@
             }
             Outcome::Failed(code) => {
                 self.outcome = OutcomeName::Failed;
-                self.code = code_name(&code);
                 self.message = code.remedy().into();
                 502
             }
             Outcome::Refused(refusal) => {
                 self.outcome = OutcomeName::Refused;
-                self.code = code_name(&refusal.code);
                 self.message = refusal.code.remedy().into();
                 self.retry_after_ms = refusal.retry_after_ms;
                 refusal.code.http_status()
             }
             Outcome::Cancelled { started } => {
                 self.outcome = OutcomeName::Cancelled;
-                self.code =
-                    if started { "cancelled-started" } else { "cancelled-not-run" }
-                        .into();
                 self.message = match started {
                     true => "cancelled; some tasks had been started",
                     false => "cancelled; not run",
@@ -221,7 +216,6 @@
             }
             Outcome::Unknown(code) => {
                 self.outcome = OutcomeName::Unknown;
-                self.code = code_name(&code);
                 self.message = code.remedy().into();
                 504
             }
@@ -229,6 +223,18 @@
     }
 }
 
+/// Returns the stable code of an outcome.
+pub fn answer_code(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Complete(_) => "complete".into(),
+        Outcome::Failed(code) => code_name(code),
+        Outcome::Refused(refusal) => code_name(&refusal.code),
+        Outcome::Cancelled { started: true } => "cancelled-started".into(),
+        Outcome::Cancelled { started: false } => "cancelled-not-run".into(),
+        Outcome::Unknown(code) => code_name(code),
+    }
+}
+
 /// Returns the stable name of a code.
 fn code_name<T: Serialize>(code: &T) -> String {
     match serde_json::to_value(code) {
