Report all wrong settings of an instance at once

Cause: the parser of the command line stops at the first value that it cannot read and at the first that is missing. The checks of ranges ran after it, so they were not reached either.

Ruled out: the operators' command line has taken values as text before and reports all faults; it is unchanged.

Change: `flags` takes every value as text, and `settings` reads all of them in one pass. Each fault names flag, variable and remedy. `--trace-per-10k` above 10,000, which was taken as 10,000, is now a fault. An unknown flag or a flag without its value is still reported by the parser alone, since the other flags cannot be told apart then.

Test: `limits wrong_settings_unreadable` has 15 faults in flags and variables. The exit code for an unreadable address stays tested in `limits wrong_settings`, with that for an unknown flag.

--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -4,6 +4,7 @@
 mod appender;
 mod clock;
 mod driver;
+mod flags;
 mod follower;
 mod gauges;
 mod lister;
@@ -21,6 +22,7 @@
 
 use bpaf::ParseFailure;
 
+use crate::flags::Flags;
 use crate::settings::Settings;
 
 /// The exit code for flags that cannot be parsed and settings that cannot be used.
@@ -31,19 +33,21 @@
 
 /// Starts an instance and runs it until it is told to stop.
 fn main() -> ExitCode {
-    let settings = match Settings::from_args() {
-        Ok(settings) => settings,
+    let flags = match Flags::from_args() {
+        Ok(flags) => flags,
         Err(failure) => {
             failure.print_message(MESSAGE_COLUMNS);
             let usage = matches!(failure, ParseFailure::Stderr(_));
             return if usage { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
         }
     };
-    let faults = settings.faults();
-    if !faults.is_empty() {
-        faults.iter().for_each(|fault| eprintln!("error: {fault}"));
-        return ExitCode::from(USAGE);
-    }
+    let settings = match Settings::read(flags) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("error: {fault}"));
+            return ExitCode::from(USAGE);
+        }
+    };
     match app::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -1,246 +1,268 @@
 //! What an instance is told by flags and environment variables.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use bamboocart_core::placement::Policy;
 use bamboocart_telemetry::logs::LogFormat;
-use bpaf::{Args, Bpaf, ParseFailure};
+use bamboocart_telemetry::trace::SAMPLE_SCALE;
 use log::LevelFilter;
 
-/// Runs one entry instance of bamboocart.
-///
-/// Prints one JSON line with its addresses when it listens. SIGTERM begins a planned
-/// stop, in which the instance finishes its work; a second SIGTERM ends it at once.
-#[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, generate(parser), version, usage(USAGE), footer(FOOTER))]
+use crate::flags::{Flags, LimitFlags, OutputFlags, PolicyFlags};
+
+/// The form of addresses.
+const ADDRESS: &str = "an IP address and port such as 127.0.0.1:7101";
+
+/// The form of numbers.
+const NUMBER: &str = "a whole number that is not negative";
+
+/// The settings of an instance.
+#[derive(Debug, Clone)]
 pub struct Settings {
-    /// Name of this instance, unique among all instances; letters, digits, '-' and '_'
-    #[bpaf(long, env("BAMBOOCART_NAME"), argument("NAME"))]
+    /// The name of the instance.
     pub name: String,
-    /// Failure domain that this instance is in
-    #[bpaf(long, env("BAMBOOCART_FAILURE_DOMAIN"), argument("NAME"))]
+    /// The failure domain that it is in.
     pub failure_domain: String,
-    /// IP and port for callers and operators; port 0 takes a free one
-    #[bpaf(long, env("BAMBOOCART_LISTEN"), argument("IP:PORT"))]
+    /// The address for callers and operators.
     pub listen: SocketAddr,
-    /// IP and port for links between instances; port 0 takes a free one
-    #[bpaf(long, env("BAMBOOCART_PEER_LISTEN"), argument("IP:PORT"))]
+    /// The address for links between instances.
     pub peer_listen: SocketAddr,
-    /// IP and port under which peers reach this instance, if not the --peer-listen one
-    #[bpaf(long, env("BAMBOOCART_PEER_ADDRESS"), argument("IP:PORT"))]
+    /// The address under which peers reach it, if another.
     pub peer_address: Option<SocketAddr>,
-    /// IP and port for links of a peer to greet at the start, in case the platform's list
-    /// is not available; may be given several times
-    #[bpaf(long, argument("IP:PORT"))]
+    /// Links of peers to greet at the start.
     pub seed: Vec<SocketAddr>,
-    /// IP and port of the platform
-    #[bpaf(long, env("BAMBOOCART_PLATFORM"), argument("IP:PORT"))]
+    /// The address of the platform.
     pub platform: SocketAddr,
-    #[bpaf(external)]
+    /// The bounds.
     pub limits: Limits,
-    #[bpaf(external)]
+    /// The policies.
     pub policies: Policies,
-    #[bpaf(external)]
+    /// The logs and traces.
     pub output: Output,
 }
 
-/// Bounds; what is beyond a bound is refused as "not run" and harms nothing else
-#[derive(Debug, Clone, Bpaf)]
+/// The bounds of an instance.
+#[derive(Debug, Copy, Clone)]
 pub struct Limits {
-    /// Largest number of sends to targets at the same time
-    #[bpaf(
-        long,
-        env("BAMBOOCART_SEND_THREADS"),
-        argument("COUNT"),
-        fallback(512),
-        display_fallback
-    )]
+    /// The largest number of sends to targets at the same time.
     pub send_threads: usize,
-    /// Largest number of connections from callers and operators
-    #[bpaf(
-        long,
-        env("BAMBOOCART_MAX_CONNECTIONS"),
-        argument("COUNT"),
-        fallback(4096),
-        display_fallback
-    )]
+    /// The largest number of connections from callers and operators.
     pub max_connections: usize,
-    /// Largest size of a request body in bytes
-    #[bpaf(
-        long,
-        env("BAMBOOCART_MAX_BODY_BYTES"),
-        argument("BYTES"),
-        fallback(4 << 20),
-        display_fallback
-    )]
+    /// The largest size of a request body.
     pub max_body_bytes: usize,
-    /// Largest number of queued tasks of one target group
-    #[bpaf(
-        long,
-        env("BAMBOOCART_QUEUE_TASKS"),
-        argument("COUNT"),
-        fallback(200_000),
-        display_fallback
-    )]
+    /// The largest number of queued tasks of one target group.
     pub queue_tasks: usize,
-    /// Largest number of submissions without an answer
-    #[bpaf(
-        long,
-        env("BAMBOOCART_OPEN_SUBMISSIONS"),
-        argument("COUNT"),
-        fallback(75_000),
-        display_fallback
-    )]
+    /// The largest number of submissions without an answer.
     pub open_submissions: usize,
-    /// Largest number of remembered submissions, open ones included
-    #[bpaf(
-        long,
-        env("BAMBOOCART_REMEMBERED_SUBMISSIONS"),
-        argument("COUNT"),
-        fallback(100_000),
-        display_fallback
-    )]
+    /// The largest number of remembered submissions, open ones included.
     pub remembered_submissions: usize,
-    /// Time in milliseconds for which an answer is remembered
-    #[bpaf(
-        long,
-        env("BAMBOOCART_REMEMBER_MS"),
-        argument("MS"),
-        fallback(600_000),
-        display_fallback
-    )]
+    /// The time for which an answer is remembered.
     pub remember_ms: u64,
-    /// Time in milliseconds at a planned stop from the end of readiness to the end of
-    /// admission, in which the load balancer notices
-    #[bpaf(
-        long,
-        env("BAMBOOCART_LAME_DUCK_MS"),
-        argument("MS"),
-        fallback(3_000),
-        display_fallback
-    )]
+    /// The time at a planned stop from the end of readiness to the end of admission.
     pub lame_duck_ms: u64,
 }
 
-/// Policies, which are switched off only for measurements
-#[derive(Debug, Clone, Bpaf)]
+/// The policies of an instance.
+#[derive(Debug, Copy, Clone)]
 pub struct Policies {
-    /// Placement: earliest-finish, random, shortest-queue or two-choices (default
-    /// earliest-finish)
-    #[bpaf(
-        long,
-        env("BAMBOOCART_PLACEMENT"),
-        argument("POLICY"),
-        fallback(Policy::EarliestFinish)
-    )]
+    /// How targets are chosen.
     pub placement: Policy,
-    /// Do not offer tasks to peers with free slots
-    #[bpaf(long, switch)]
+    /// Whether tasks are not offered to peers.
     pub no_lending: bool,
-    /// Do not eject failing targets
-    #[bpaf(long, switch)]
+    /// Whether failing targets are not ejected.
     pub no_ejection: bool,
-    /// Do not send hedges
-    #[bpaf(long, switch)]
+    /// Whether no hedges are sent.
     pub no_hedges: bool,
 }
 
-/// Logs and traces
-#[derive(Debug, Clone, Bpaf)]
+/// The logs and traces of an instance.
+#[derive(Debug, Clone)]
 pub struct Output {
-    /// Least important level that is logged: error, warn, info, debug or trace (default
-    /// info)
-    #[bpaf(
-        long,
-        env("BAMBOOCART_LOG_LEVEL"),
-        argument::<String>("LEVEL"),
-        parse(parse_level),
-        fallback(LevelFilter::Info)
-    )]
+    /// The least important level that is logged.
     pub log_level: LevelFilter,
-    /// Form of log lines on standard error: text or json (default text)
-    #[bpaf(
-        long,
-        env("BAMBOOCART_LOG_FORMAT"),
-        argument("FORMAT"),
-        fallback(LogFormat::Text)
-    )]
+    /// The form of log lines.
     pub log_format: LogFormat,
-    /// File that spans are written to as OTLP-JSON lines
-    #[bpaf(long, env("BAMBOOCART_TRACE_FILE"), argument("PATH"))]
+    /// The file that spans are written to.
     pub trace_file: Option<String>,
-    /// Traces that are recorded out of 10,000 that callers did not start themselves
-    #[bpaf(
-        long,
-        env("BAMBOOCART_TRACE_PER_10K"),
-        argument("SHARE"),
-        fallback(100),
-        display_fallback
-    )]
+    /// The recorded share, of 10,000, of traces that callers did not start.
     pub trace_per_10k: u16,
 }
 
-/// The usage line, with the flags that are always needed.
-const USAGE: &str = "Usage: bamboocart-dispatcher --name=NAME --failure-domain=NAME \
-    --listen=IP:PORT --peer-listen=IP:PORT --platform=IP:PORT [OPTION]...";
-
-/// The end of the help text.
-const FOOTER: &str = "Exit codes: \
-    0 stopped as asked; \
-    1 could not start or serve; \
-    2 wrong usage or settings. \
-    The environment variable beside a flag sets it too, and the flag takes precedence; \
-    N/A means that the variable is not set.";
-
 impl Settings {
-    /// Reads the settings, or returns a message for help or about what is wrong.
-    pub fn from_args() -> Result<Self, ParseFailure> {
-        parser().run_inner(Args::current_args())
+    /// Reads the settings, or returns everything that is wrong with them.
+    pub fn read(flags: Flags) -> Result<Self, Vec<String>> {
+        let mut faults = Faults::default();
+        match Self::parse(flags, &mut faults) {
+            Some(settings) if faults.0.is_empty() => Ok(settings),
+            _ => Err(faults.0),
+        }
     }
 
-    /// Returns everything that is wrong with the settings as a whole.
-    pub fn faults(&self) -> Vec<String> {
-        let limits = &self.limits;
-        let checks = [
-            (
-                !is_name(&self.name),
-                "--name must have 1 to 64 letters, digits, '-' or '_', since it becomes \
-                 part of tickets",
-            ),
-            (
-                !is_name(&self.failure_domain),
-                "--failure-domain must have 1 to 64 letters, digits, '-' or '_'",
-            ),
-            (
-                self.peer_address.unwrap_or(self.peer_listen).ip().is_unspecified(),
-                "--peer-listen names no address that peers can reach; give --peer-address",
-            ),
-            (
-                self.peer_address.is_some_and(|address| address.port() == 0),
-                "--peer-address needs a port",
+    /// Reads the settings and notes every fault.
+    fn parse(flags: Flags, faults: &mut Faults) -> Option<Self> {
+        let name = faults.need("--name", flags.name);
+        let name_use = "must have 1 to 64 letters, digits, '-' or '_', since it becomes \
+                        part of tickets";
+        faults.check("--name", name.as_deref().is_none_or(is_name), name_use);
+        let failure_domain = faults.need("--failure-domain", flags.failure_domain);
+        let domain_use = "must have 1 to 64 letters, digits, '-' or '_'";
+        let is_domain = failure_domain.as_deref().is_none_or(is_name);
+        faults.check("--failure-domain", is_domain, domain_use);
+        let listen = faults.needed_address("--listen", flags.listen);
+        let peer_listen = faults.needed_address("--peer-listen", flags.peer_listen);
+        let peer_address = flags.peer_address;
+        let peer_address =
+            peer_address.map(|text| faults.parse("--peer-address", &text, ADDRESS));
+        let is_reachable = |address: SocketAddr| !address.ip().is_unspecified();
+        match (peer_address, peer_listen) {
+            (None, Some(address)) => faults.check(
+                "--peer-listen",
+                is_reachable(address),
+                "names no address that peers can reach; give --peer-address",
             ),
-            (self.platform.port() == 0, "--platform needs a port"),
-            (limits.send_threads == 0, "--send-threads must be at least 1"),
-            (limits.max_connections == 0, "--max-connections must be at least 1"),
-            (limits.queue_tasks == 0, "--queue-tasks must be at least 1"),
-            (
-                limits.open_submissions >= limits.remembered_submissions,
-                "--remembered-submissions must be larger than --open-submissions, so that \
-                 refusals can be remembered",
-            ),
-        ];
-        checks
-            .into_iter()
-            .filter(|(fault, _)| *fault)
-            .map(|(_, text)| text.into())
-            .collect()
+            (Some(Some(address)), _) => {
+                let unreachable = "names no address that peers can reach; use one of \
+                                   this machine's addresses";
+                faults.check("--peer-address", is_reachable(address), unreachable);
+                faults.check("--peer-address", address.port() != 0, "needs a port");
+            }
+            _ => {}
+        }
+        let seed = flags.seed.iter().map(|text| faults.parse("--seed", text, ADDRESS));
+        let seed: Vec<Option<SocketAddr>> = seed.collect();
+        let platform = faults.needed_address("--platform", flags.platform);
+        let has_port = platform.is_none_or(|address: SocketAddr| address.port() != 0);
+        faults.check("--platform", has_port, "needs a port");
+        let limits = Limits::parse(&flags.limits, faults);
+        let policies = Policies::parse(&flags.policies, faults);
+        let output = Output::parse(flags.output, faults);
+        Some(Self {
+            name: name?,
+            failure_domain: failure_domain?,
+            listen: listen?,
+            peer_listen: peer_listen?,
+            peer_address: peer_address.flatten(),
+            seed: seed.into_iter().flatten().collect(),
+            platform: platform?,
+            limits: limits?,
+            policies: policies?,
+            output: output?,
+        })
+    }
+}
+
+impl Limits {
+    /// Reads the bounds and notes every fault.
+    fn parse(flags: &LimitFlags, faults: &mut Faults) -> Option<Self> {
+        let send_threads = faults.parse_positive("--send-threads", &flags.send_threads);
+        let max_connections =
+            faults.parse_positive("--max-connections", &flags.max_connections);
+        let max_body_bytes =
+            faults.parse("--max-body-bytes", &flags.max_body_bytes, NUMBER);
+        let queue_tasks = faults.parse_positive("--queue-tasks", &flags.queue_tasks);
+        let open = faults.parse("--open-submissions", &flags.open_submissions, NUMBER);
+        let remembered = &flags.remembered_submissions;
+        let remembered = faults.parse("--remembered-submissions", remembered, NUMBER);
+        let remember_ms = faults.parse("--remember-ms", &flags.remember_ms, NUMBER);
+        let lame_duck_ms = faults.parse("--lame-duck-ms", &flags.lame_duck_ms, NUMBER);
+        let is_larger = open.zip(remembered).is_none_or(|(open, all)| all > open);
+        faults.check(
+            "--remembered-submissions",
+            is_larger,
+            "must be larger than --open-submissions, so that refusals can be remembered",
+        );
+        Some(Self {
+            send_threads: send_threads?,
+            max_connections: max_connections?,
+            max_body_bytes: max_body_bytes?,
+            queue_tasks: queue_tasks?,
+            open_submissions: open?,
+            remembered_submissions: remembered?,
+            remember_ms: remember_ms?,
+            lame_duck_ms: lame_duck_ms?,
+        })
+    }
+}
+
+impl Policies {
+    /// Reads the policies and notes every fault.
+    fn parse(flags: &PolicyFlags, faults: &mut Faults) -> Option<Self> {
+        let PolicyFlags { no_lending, no_ejection, no_hedges, .. } = *flags;
+        let form = "earliest-finish, random, shortest-queue or two-choices";
+        let placement = faults.parse("--placement", &flags.placement, form)?;
+        Some(Self { placement, no_lending, no_ejection, no_hedges })
     }
 }
 
-/// Parses the name of a log level.
-fn parse_level(text: String) -> Result<LevelFilter, String> {
-    let unknown = "use error, warn, info, debug or trace".to_owned();
-    text.parse().map_err(|_| unknown)
+impl Output {
+    /// Reads the settings of logs and traces and notes every fault.
+    fn parse(flags: OutputFlags, faults: &mut Faults) -> Option<Self> {
+        let levels = "error, warn, info, debug or trace";
+        let log_level = faults.parse("--log-level", &flags.log_level, levels);
+        let formats = "`text` or `json`";
+        let log_format = faults.parse("--log-format", &flags.log_format, formats);
+        let share = faults.parse("--trace-per-10k", &flags.trace_per_10k, NUMBER);
+        let is_share = share.is_none_or(|share| share <= SAMPLE_SCALE);
+        faults.check("--trace-per-10k", is_share, "must be at most 10000");
+        Some(Self {
+            log_level: log_level?,
+            log_format: log_format?,
+            trace_file: flags.trace_file,
+            trace_per_10k: share?,
+        })
+    }
+}
+
+/// The faults of settings, collected so that one run reports all of them.
+#[derive(Debug, Default)]
+struct Faults(Vec<String>);
+
+impl Faults {
+    /// Notes a fault with the flag, its variable and the remedy.
+    fn add(&mut self, flag: &str, fault: &str) {
+        // Only the repeatable flag has no variable.
+        let variable = match flag {
+            "--seed" => String::new(),
+            _ => {
+                let name = flag.trim_start_matches('-').replace('-', "_");
+                format!(" [env:BAMBOOCART_{}]", name.to_uppercase())
+            }
+        };
+        self.0.push(format!("{flag} {fault}{variable}"));
+    }
+
+    /// Notes a fault unless a setting is as it should be.
+    fn check(&mut self, flag: &str, is_good: bool, fault: &str) {
+        if !is_good {
+            self.add(flag, fault);
+        }
+    }
+
+    /// Reads a value, or notes the form that it should have.
+    fn parse<T: FromStr>(&mut self, flag: &str, text: &str, form: &str) -> Option<T> {
+        let value = text.parse().ok();
+        self.check(flag, value.is_some(), &format!("is `{text}`; use {form}"));
+        value
+    }
+
+    /// Reads a number that is not 0.
+    fn parse_positive(&mut self, flag: &str, text: &str) -> Option<usize> {
+        let value = self.parse(flag, text, NUMBER)?;
+        self.check(flag, value > 0, "must be at least 1");
+        Some(value)
+    }
+
+    /// Returns a value that has to be given.
+    fn need(&mut self, flag: &str, text: Option<String>) -> Option<String> {
+        self.check(flag, text.is_some(), "is needed and not given; set it");
+        text
+    }
+
+    /// Reads an address that has to be given.
+    fn needed_address(&mut self, flag: &str, text: Option<String>) -> Option<SocketAddr> {
+        let text = self.need(flag, text)?;
+        self.parse(flag, &text, ADDRESS)
+    }
 }
 
 /// Reports whether a name can be part of a ticket.
--- a/crates/bamboocart-dispatcher/tests/limits.rs
+++ b/crates/bamboocart-dispatcher/tests/limits.rs
@@ -360,11 +360,65 @@
         let reports = text.lines().filter(|it| it.starts_with(&format!("error: {flag}")));
         assert_eq!(reports.count(), 1, "{flag}: {text}");
     }
-    let unreadable = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
-        .args(["--name", "a", "--listen", "nowhere"])
+    for wrong in [["--listen", "nowhere"], ["--no-such-flag", "1"]] {
+        let output = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
+            .args(["--name", "a"])
+            .args(wrong)
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(2), "{output:?}");
+    }
+}
+
+/// Guards against settings of which only the first unreadable one is reported: each fault
+/// has one line with flag, variable and remedy, wherever the value comes from, and values
+/// that are readable and out of range are reported beside them.
+#[test]
+fn wrong_settings_unreadable() {
+    let output = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
+        .args(["--name", "a", "--listen", "nowhere", "--peer-listen", "127.0.0.1:x"])
+        .args(["--peer-address", "0.0.0.0:0", "--seed", "b", "--seed", "127.0.0.1:1"])
+        .args(["--platform", "localhost", "--send-threads", "0", "--remember-ms=-1"])
+        .args(["--placement", "best", "--log-format", "xml"])
+        .env("BAMBOOCART_MAX_BODY_BYTES", "4k")
+        .env("BAMBOOCART_QUEUE_TASKS", "many")
+        .env("BAMBOOCART_LOG_LEVEL", "loud")
+        .env("BAMBOOCART_TRACE_PER_10K", "10001")
         .output()
         .unwrap();
-    assert_eq!(unreadable.status.code(), Some(2), "{unreadable:?}");
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    let (address, number) = ("use an IP address and port such", "use a whole number");
+    let faults = [
+        ("--failure-domain", "is needed and not given"),
+        ("--listen", address),
+        ("--peer-listen", address),
+        ("--peer-address", "needs a port"),
+        ("--peer-address", "names no address that peers can reach"),
+        ("--seed", address),
+        ("--platform", address),
+        ("--send-threads", "must be at least 1"),
+        ("--max-body-bytes", number),
+        ("--queue-tasks", number),
+        ("--remember-ms", number),
+        ("--placement", "use earliest-finish, random, shortest-queue or two-choices"),
+        ("--log-level", "use error, warn, info, debug or trace"),
+        ("--log-format", "use `text` or `json`"),
+        ("--trace-per-10k", "must be at most 10000"),
+    ];
+    for (flag, remedy) in faults {
+        let start = format!("error: {flag} ");
+        let variable = flag.trim_start_matches('-').replace('-', "_").to_uppercase();
+        let end = match flag {
+            "--seed" => String::new(),
+            _ => format!(" [env:BAMBOOCART_{variable}]"),
+        };
+        let reports = text.lines().filter(|line| {
+            line.starts_with(&start) && line.contains(remedy) && line.ends_with(&end)
+        });
+        assert_eq!(reports.count(), 1, "{flag} {remedy}: {text}");
+    }
+    assert_eq!(text.lines().count(), faults.len(), "{text}");
 }
 
 /// Guards against a quota that is not enforced or is answered otherwise than documented.
