--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -30,7 +30,7 @@
 use crate::settings::Settings;
 use crate::spans::OwnerSpans;
 use crate::waiters::Waiters;
-use crate::{appender, follower, lister, server};
+use crate::{appender, follower, lister, observe, server};
 
 /// The result of running an instance.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -128,6 +128,7 @@
 pub fn run(settings: Settings) -> Result<()> {
     let lines = set_up_output(&settings)?;
     let metrics = MetricsPage::install()?;
+    observe::register();
     let listener = listen(settings.listen)?;
     let peer_listener = listen(settings.peer_listen)?;
     let address = listener.local_addr().context(StartSnafu)?;
