Say how many appends of a publication had no answer

Cause: when the platform lost the answer to an append, publish found its publication or appended it again and did not tell the operator. No test lost an answer between the real command and the instances. Change: the command counts the appends without an answer in its text and under "appends" in its JSON. The stand-in platform can let appends take effect late, and restrict faults of appends to one stream, since the appends of accounts used them up.

--- a/crates/bamboocart-cli/src/commands/publish.rs
+++ b/crates/bamboocart-cli/src/commands/publish.rs
@@ -72,16 +72,41 @@
         let platform = Platform::new(&address.to_string());
         let mut log = ConfigLog::new(platform.clone(), Some(id));
         let waiter = wait.then_some(&platform);
+        let mut appends = Appends::default();
         log.read_on(0)?;
         if log.fate().is_none() {
             let Some(base) = choose_base(&log, base.map(ConfigVersion), &set)? else {
                 return Ok(report(&log, id, &Fate::Earlier, &set, waiter));
             };
             let record = Publication { publication: id, base, set: set.clone() };
-            append(&platform, &mut log, &ConfigRecord::Publish(record), id)?;
+            appends = append(&platform, &mut log, &ConfigRecord::Publish(record), id)?;
         }
         let fate = log.fate().cloned().unwrap_or(Fate::Earlier);
-        Ok(report(&log, id, &fate, &set, waiter))
+        Ok(appends.added_to(report(&log, id, &fate, &set, waiter)))
+    }
+}
+
+/// How often the record was sent to the log.
+#[derive(Debug, Copy, Clone, Default)]
+struct Appends {
+    /// The appends that were tried.
+    tried: u32,
+    /// The appends without an answer, each of which may have taken effect.
+    unanswered: u32,
+}
+
+impl Appends {
+    /// Adds the counts to a report, and says what a missing answer means.
+    fn added_to(self, mut report: Report) -> Report {
+        let Self { tried, unanswered } = self;
+        if unanswered > 0 {
+            report.json["appends"] = json!({ "tried": tried, "unanswered": unanswered });
+            report.text += &format!(
+                "\n{unanswered} of {tried} appends had no answer; the publication was \
+                 found on the log, and further copies of it have no effect"
+            );
+        }
+        report
     }
 }
 
@@ -144,15 +169,18 @@
     log: &mut ConfigLog,
     record: &ConfigRecord,
     id: PublicationId,
-) -> Result<()> {
+) -> Result<Appends> {
     let body = record.to_body();
     let end = Instant::now() + Duration::from_millis(RETRY_MS);
     let mut is_appended = false;
+    let mut appends = Appends::default();
     loop {
         let mut reason = "it was not found in time".to_owned();
         if !is_appended {
             let appended = platform.append(CONFIG_STREAM, &body);
             is_appended = appended.is_ok();
+            appends.tried += 1;
+            appends.unanswered += u32::from(!is_appended);
             if let Err(error) = appended {
                 log::warn!("{error}; looking for the publication on the log");
                 reason = error.to_string();
@@ -162,7 +190,7 @@
             reason = error.to_string();
         }
         match log.fate() {
-            Some(_) => return Ok(()),
+            Some(_) => return Ok(appends),
             None if !log.fold().is_decidable() => return UndecidableSnafu.fail(),
             None if Instant::now() >= end => {
                 let publication = id.to_string();
--- a/crates/bamboocart-dispatcher/tests/support/config.rs
+++ b/crates/bamboocart-dispatcher/tests/support/config.rs
@@ -93,6 +93,11 @@
         .expect("the set passes the check")
 }
 
+/// Returns the file of a set that differs from the first one by the weight of its quota.
+pub fn config_text(weight: u32) -> String {
+    BASE.replace("weight = 1\n", &format!("weight = {weight}\n"))
+}
+
 /// Publishes a set in place of the one that the log has in force.
 ///
 /// An append without an answer counts as published, since it may have taken effect.
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -26,7 +26,7 @@
 };
 pub use self::callers::{Callers, Work};
 pub use self::cluster::{Cluster, ClusterSettings};
-pub use self::config::{base_config, publish, register};
+pub use self::config::{base_config, config_text, publish, register};
 pub use self::forward::{Mode, Net, Node};
 pub use self::http::{call, try_call};
 pub use self::judge::{Summary, account_records, evidence, judge, judge_with};
--- a/crates/bamboocart-standin/src/platform/server.rs
+++ b/crates/bamboocart-standin/src/platform/server.rs
@@ -201,10 +201,11 @@
         return Reply::error(503, "too many appends; retry later");
     };
     thread::sleep(Duration::from_micros(wait_us));
-    thread::sleep(Duration::from_millis(state.append_ms));
+    let late_ms = state.faults.take_lateness_ms(stream);
+    thread::sleep(Duration::from_millis(state.append_ms + late_ms));
     let offset = state.streams.append(stream, body);
     Counters::add(&state.counters.appends);
-    let lost = state.faults.take_dropped_answer();
+    let lost = state.faults.take_dropped_answer(stream);
     if lost {
         Counters::add(&state.counters.dropped_answers);
     }
