Decline handovers at a stopping instance and choose the next one

Cause: a stopping instance ignored the parts of a handover. Instances that stopped together and had not heard of each other's stop chose each other, sent their registries for 5 s and gave them up.

Ruled out: excluding peers that are known to stop is not enough, as the news of a stop crosses with the parts.

Change: from the start of its stop, an instance declines handovers that it has not adopted before.

A successor is announced only when it is final. Queries and cancellations wait like submissions until then. Links report the delivery of the first part for this.

--- a/crates/bamboocart-core/src/engine/answer.rs
+++ b/crates/bamboocart-core/src/engine/answer.rs
@@ -51,6 +51,9 @@
             Resolved::Other(owner) => {
                 self.forward(now, asker, &owner, Ask::Query(id), effects);
             }
+            Resolved::Gone(owner) if self.is_handing_over(&owner) => {
+                self.park(asker, Ask::Query(id), effects);
+            }
             unresolved => {
                 let verdict = Verdict::unknown(id, unknown_code(&unresolved));
                 self.reply(&asker, verdict, 0, effects);
@@ -71,6 +74,10 @@
                 self.forward(now, asker, &owner, Ask::Cancel(id), effects);
                 return;
             }
+            Resolved::Gone(owner) if self.is_handing_over(&owner) => {
+                self.park(asker, Ask::Cancel(id), effects);
+                return;
+            }
             resolved => matches!(resolved, Resolved::Mine(_)),
         };
         let open = self.tenure.find(&id).filter(|_| mine);
--- a/crates/bamboocart-core/src/engine/drain.rs
+++ b/crates/bamboocart-core/src/engine/drain.rs
@@ -1,6 +1,8 @@
 //! The planned stop of this instance.
 
-use crate::engine::answer::Verdict;
+use std::collections::BTreeSet;
+
+use crate::engine::forward::{About, Pending};
 use crate::engine::record::{Asker, Record};
 use crate::engine::{Effect, Engine, NewSubmission};
 use crate::id::{InstanceName, SubmissionId};
@@ -26,7 +28,8 @@
 /// The time that the end of the account has to reach the log.
 const CLOSE_MS: u64 = 5_000;
 
-/// The submissions that wait for the end of the handover; more are refused.
+/// The wishes that wait for the end of the handover. Beyond it, new submissions are refused
+/// while the registry is here, and everything is answered "unknown" afterwards.
 const PARKED: usize = 10_000;
 
 /// The time before its own stop in which an instance is not chosen as successor.
@@ -37,8 +40,21 @@
 pub struct Stop {
     /// The step.
     step: Step,
-    /// The submissions that wait for the successor.
-    parked: Vec<(Asker, NewSubmission)>,
+    /// The wishes that wait for the successor.
+    parked: Vec<(Asker, Ask)>,
+    /// The successors that certainly never get the right, at most the known peers.
+    passed_over: BTreeSet<Owner>,
+}
+
+/// What is known about the first part of a handover.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum Reach {
+    /// It was sent once, and the link has not reported what became of it.
+    Unreported,
+    /// Every send of it was certainly lost.
+    Lost,
+    /// The successor has it or may have it.
+    Possible,
 }
 
 /// The steps of a planned stop.
@@ -63,6 +79,9 @@
         resend_at: Timestamp,
         /// When the handover is given up.
         until: Timestamp,
+        /// Whether the successor may have the first part, without which it cannot use
+        /// any of the others.
+        reach: Reach,
     },
     /// Last answers leave.
     Lingering {
@@ -117,8 +136,13 @@
             Step::Finishing { until } if self.tenure.open() == 0 || now >= until => {
                 self.hand_over(now, effects);
             }
-            Step::HandingOver { resend_at, until } => {
-                self.hand_over_again(now, (resend_at, until), effects);
+            Step::HandingOver { until, .. } if now >= until => {
+                self.give_up_handover(now, effects);
+            }
+            Step::HandingOver { resend_at, reach, .. }
+                if now >= resend_at && reach != Reach::Unreported =>
+            {
+                self.send_parts(now, effects);
             }
             Step::Lingering { until } if now >= until => {
                 self.return_leases(now, effects);
@@ -134,26 +158,24 @@
         }
     }
 
-    /// Keeps a submission back until the successor can take it.
+    /// Reports whether a submission is kept back until the successor can take it.
     ///
-    /// Only one that the registry does not know is kept back, since the registry answers
-    /// the others. While the registry is on its way, the successor does not know its
-    /// rights yet and would answer "unknown".
-    pub(super) fn park(
-        &mut self,
-        asker: &Asker,
-        id: &SubmissionId,
-        submission: &NewSubmission,
-    ) -> bool {
-        let full = self.stop.parked.len() >= PARKED;
+    /// It is one that the registry does not know, since the registry answers the others.
+    pub(super) fn keeps_back(&self, id: &SubmissionId) -> bool {
         let known = self.tenure.find(id).is_some() || self.tenure.refusal(id).is_some();
-        let waiting =
-            matches!(self.stop.step, Step::Finishing { .. } | Step::HandingOver { .. });
-        if !waiting || full || known {
-            return false;
+        let finishing = matches!(self.stop.step, Step::Finishing { .. });
+        finishing && !known && self.stop.parked.len() < PARKED
+    }
+
+    /// Keeps a wish back until the handover ends.
+    ///
+    /// While the registry is on its way, the successor does not know its rights yet and
+    /// would answer "unknown".
+    pub(super) fn park(&mut self, asker: Asker, ask: Ask, effects: &mut Vec<Effect>) {
+        match self.stop.parked.len() < PARKED {
+            true => self.stop.parked.push((asker, ask)),
+            false => self.answer_unknown(&asker, &ask, UnknownCode::OwnerGone, effects),
         }
-        self.stop.parked.push((asker.clone(), submission.clone()));
-        true
     }
 
     /// Gives a submission without an id to a peer that admits, if there is one.
@@ -177,91 +199,172 @@
 
     /// Returns the peer that takes over from this instance.
     fn successor(&self, now: Timestamp) -> Option<PeerInfo> {
-        let stopping = |name: &_| {
-            let member = Member::Instance(InstanceName::clone(name));
-            let peer = self.membership.peers.get(name);
-            peer.is_some_and(|peer| {
+        let peers = &self.membership.peers;
+        let owner = |info: &PeerInfo| Owner::new(info.name.clone(), info.incarnation);
+        let passed_over = |name: &InstanceName| {
+            let peer = peers.get(name);
+            peer.is_some_and(|peer| self.stop.passed_over.contains(&owner(&peer.info)))
+        };
+        let stopping = |name: &InstanceName| {
+            let member = Member::Instance(name.clone());
+            peers.get(name).is_some_and(|peer| {
                 let incarnation = peer.info.incarnation;
                 self.stops.leaves_soon(&member, incarnation, now, SUCCESSOR_AHEAD_MS)
             })
         };
-        let peers = &self.membership.peers;
-        let successor = choose_successor(peers, stopping)
-            .or_else(|| choose_successor(peers, |_| false));
+        let successor = choose_successor(peers, |it| passed_over(it) || stopping(it))
+            .or_else(|| choose_successor(peers, passed_over));
         successor.map(|peer| peer.info.clone())
     }
 
-    /// Reports whether an owner is to take over from this instance and may not have yet.
-    pub(super) fn is_handing_over_to(&self, owner: &Owner) -> bool {
-        let successor = match &self.tenure {
-            Stage::HandedOver(handed) => handed.successor() == owner,
+    /// Reports whether the right to an owner's submissions is on its way to a successor.
+    pub(super) fn is_handing_over(&self, owner: &Owner) -> bool {
+        let given_up = match &self.tenure {
+            Stage::HandedOver(handed) => handed.rights().holds(owner),
             _ => false,
         };
-        successor && matches!(self.stop.step, Step::HandingOver { .. })
+        given_up && matches!(self.stop.step, Step::HandingOver { .. })
     }
 
     /// Tells a peer who answers for the submissions of this instance now, and reports
     /// whether anybody does.
     ///
     /// The peer then gives its forwards to the successor, so none of them needs a second
-    /// hop from here.
+    /// hop from here. It is told only when the successor is final, because peers keep the
+    /// first one that they hear of.
     pub(super) fn tell_successor(
         &self,
         peer: &InstanceName,
         effects: &mut Vec<Effect>,
     ) -> bool {
         let Stage::HandedOver(handed) = &self.tenure else { return false };
+        if let Step::HandingOver { .. } = self.stop.step {
+            return false;
+        }
         let (from, to) = (handed.from().clone(), handed.successor().clone());
         self.tell(peer, Message::Succession { from, to }, effects);
         true
     }
 
     /// Gives up the right to start anything and sends the registry to a successor.
+    ///
+    /// Without one, the registry stays and answers what it knows until the end.
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        let successor = self.successor(now);
-        let Some(info) = successor else {
-            self.refuse_parked(effects);
+        let Some(info) = self.successor(now) else {
             self.linger(now);
+            self.release_parked(now, effects);
             return;
         };
         let owner = Owner::new(info.name, info.incarnation);
         let tenure = std::mem::take(&mut self.tenure);
-        self.tenure =
-            tenure.hand_over(owner.clone(), &self.issuer, |_, r| last_outcome(r));
-        self.successions.learn(self.me.clone(), owner);
-        self.stop.step = Step::HandingOver {
-            resend_at: now.plus_ms(RESEND_MS),
-            until: now.plus_ms(HAND_OVER_MS),
+        self.tenure = tenure.hand_over(owner, &self.issuer, |_, r| last_outcome(r));
+        let until = now.plus_ms(HAND_OVER_MS);
+        self.stop.step = Step::HandingOver { resend_at: now, until, reach: Reach::Lost };
+        self.send_parts(now, effects);
+    }
+
+    /// Sends the parts of the handover.
+    ///
+    /// The link reports what becomes of the first one, until the successor may have it.
+    fn send_parts(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let Stage::HandedOver(handed) = &self.tenure else { return };
+        let Step::HandingOver { resend_at, until, reach } = &mut self.stop.step else {
+            return;
         };
-        self.send_parts(effects);
+        *resend_at = now.plus_ms(RESEND_MS);
+        let lost = *reach == Reach::Lost;
+        if lost {
+            *reach = Reach::Unreported;
+        }
+        let (until, to) = (*until, handed.successor().clone());
+        let parts = handed.parts().to_vec();
+        let mut tracked = lost.then(|| {
+            let about = About::HandOver;
+            let key = self.add_pending(Pending { peer: to.clone(), until, about });
+            self.correlation(key)
+        });
+        for part in parts {
+            let message = Message::HandOver(Box::new(part));
+            self.tell_tracked(&to.instance, tracked.take(), message, effects);
+        }
     }
 
-    /// Sends the parts of the handover again, or gives it up.
-    fn hand_over_again(
+    /// Gives a handover up that the successor may have taken or may still take.
+    fn give_up_handover(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let warning = "the successor did not acknowledge the handover; its ids are \
+                       answered as unknown";
+        effects.push(Effect::Warn(warning.into()));
+        self.end_handover(now, effects);
+    }
+
+    /// Ends a handover whose successor is final.
+    fn end_handover(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        if let Stage::HandedOver(handed) = &self.tenure {
+            let (from, to) = (handed.from().clone(), handed.successor().clone());
+            self.successions.learn(from, to);
+        }
+        self.linger(now);
+        self.release_parked(now, effects);
+    }
+
+    /// Takes the right back from a successor that certainly never gets it, and hands
+    /// over to the next one.
+    fn pass_over(
         &mut self,
         now: Timestamp,
-        (resend_at, until): (Timestamp, Timestamp),
+        successor: &Owner,
         effects: &mut Vec<Effect>,
     ) {
-        if now >= until {
-            let warning = "the successor did not acknowledge the handover; its ids are \
-                           answered as unknown";
-            effects.push(Effect::Warn(warning.into()));
-            self.linger(now);
-            self.release_parked(now, effects);
-        } else if now >= resend_at {
-            let resend_at = now.plus_ms(RESEND_MS);
-            self.stop.step = Step::HandingOver { resend_at, until };
-            self.send_parts(effects);
+        effects.push(Effect::Note(format!("{successor} did not take the handover")));
+        self.stop.passed_over.insert(successor.clone());
+        self.tenure = std::mem::take(&mut self.tenure).take_back(now, restore);
+        self.hand_over(now, effects);
+    }
+
+    /// Notes what the link reports about the first part.
+    ///
+    /// If every send of it was lost, the successor never gets the right, and another one
+    /// is chosen if there is one.
+    pub(super) fn hand_over_reported(
+        &mut self,
+        now: Timestamp,
+        (to, lost): (&Owner, bool),
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.is_handing_over_to(to) {
+            return;
+        }
+        let Step::HandingOver { reach, .. } = &mut self.stop.step else { return };
+        *reach = if lost { Reach::Lost } else { Reach::Possible };
+        if !lost {
+            return;
+        }
+        self.stop.passed_over.insert(to.clone());
+        match self.successor(now) {
+            Some(_) => self.pass_over(now, to, effects),
+            None => drop(self.stop.passed_over.remove(to)),
         }
     }
 
-    /// Sends the parts of the handover.
-    fn send_parts(&self, effects: &mut Vec<Effect>) {
-        let Stage::HandedOver(handed) = &self.tenure else { return };
-        let to = &handed.successor().instance;
-        for part in handed.parts() {
-            self.tell(to, Message::HandOver(Box::new(part.clone())), effects);
+    /// Reports whether a peer is the present successor.
+    fn is_handing_over_to(&self, peer: &Owner) -> bool {
+        let successor = match &self.tenure {
+            Stage::HandedOver(handed) => handed.successor() == peer,
+            _ => false,
+        };
+        successor && matches!(self.stop.step, Step::HandingOver { .. })
+    }
+
+    /// Notes that the successor is stopping and never takes the handover.
+    pub(super) fn hand_over_declined(
+        &mut self,
+        now: Timestamp,
+        by: &Owner,
+        owner: &Owner,
+        effects: &mut Vec<Effect>,
+    ) {
+        if *owner == self.me && self.is_handing_over_to(by) {
+            self.pass_over(now, by, effects);
         }
     }
 
@@ -273,8 +376,17 @@
         part: Part,
         effects: &mut Vec<Effect>,
     ) {
-        let Stage::Serving(registry) = &mut self.tenure else { return };
         let taken = Message::HandOverTaken { from: part.from.clone() };
+        if self.is_leaving() && part.successor == self.me {
+            // Both answers are final: a stop has no way back to service.
+            let answer = match self.tenure.has_adopted(&part.from) {
+                true => taken,
+                false => Message::HandOverDeclined { from: part.from },
+            };
+            self.tell(&from.instance, answer, effects);
+            return;
+        }
+        let Stage::Serving(registry) = &mut self.tenure else { return };
         match self.assembly.accept(part, registry.rights()) {
             Ok(None) => {}
             Ok(Some(complete)) => {
@@ -309,36 +421,15 @@
         owner: &Owner,
         effects: &mut Vec<Effect>,
     ) {
-        let expected = match &self.tenure {
-            Stage::HandedOver(handed) => {
-                handed.from() == owner && handed.successor() == by
-            }
-            _ => false,
-        };
-        if !expected || !matches!(self.stop.step, Step::HandingOver { .. }) {
-            return;
+        if *owner == self.me && self.is_handing_over_to(by) {
+            self.end_handover(self.round_at, effects);
         }
-        let now = self.round_at;
-        self.linger(now);
-        self.release_parked(now, effects);
     }
 
-    /// Forwards the submissions that were kept back.
+    /// Takes in again what was kept back.
     fn release_parked(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        for (asker, submission) in std::mem::take(&mut self.stop.parked) {
-            self.submit(now, asker, submission, effects);
-        }
-    }
-
-    /// Refuses the submissions that were kept back, when no peer can take them.
-    ///
-    /// They were never admitted, and nobody else may start them.
-    fn refuse_parked(&mut self, effects: &mut Vec<Effect>) {
-        let refusal = Refusal { code: RefusalCode::Draining, retry_after_ms: None };
-        for (asker, submission) in std::mem::take(&mut self.stop.parked) {
-            let outcome = Outcome::Refused(refusal);
-            let verdict = Verdict { id: submission.id, outcome, attempts: 0 };
-            self.reply(&asker, verdict, 0, effects);
+        for (asker, ask) in std::mem::take(&mut self.stop.parked) {
+            self.asked(now, asker, ask, effects);
         }
     }
 
--- a/crates/bamboocart-core/src/engine/event.rs
+++ b/crates/bamboocart-core/src/engine/event.rs
@@ -107,6 +107,11 @@
         /// Whether the peer certainly did not take the message.
         certain: bool,
     },
+    /// A peer has taken a part of a handover; other messages are not reported.
+    PeerDelivered {
+        /// The number of the message.
+        correlation: u64,
+    },
     /// An append to the account has ended.
     AccountAppended {
         /// The number of the batch.
--- a/crates/bamboocart-core/src/engine/forward.rs
+++ b/crates/bamboocart-core/src/engine/forward.rs
@@ -55,6 +55,8 @@
     },
     /// A task that a peer runs.
     Offer(AttemptKey),
+    /// The first part of a handover, whose answer is the link's report.
+    HandOver,
 }
 
 impl Engine {
@@ -71,6 +73,24 @@
         let key = self.pending_key(correlation);
         if certain && let Some(pending) = self.take_pending(key) {
             self.give_up(now, pending, true, effects);
+        } else {
+            self.peer_delivered(now, correlation, effects);
+        }
+    }
+
+    /// Notes that a peer has or may have a part of a handover.
+    pub(super) fn peer_delivered(
+        &mut self,
+        now: Timestamp,
+        correlation: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let key = self.pending_key(correlation);
+        let about = self.pending.get(key).map(|pending| &pending.about);
+        if let Some(About::HandOver) = about
+            && let Some(pending) = self.take_pending(key)
+        {
+            self.give_up(now, pending, false, effects);
         }
     }
 
@@ -116,13 +136,18 @@
     }
 
     /// Gives up the messages that wait for an incarnation which is dead.
+    ///
+    /// The death of a successor says nothing about what it has got; its link does.
     pub(super) fn peer_died(
         &mut self,
         now: Timestamp,
         owner: &Owner,
         effects: &mut Vec<Effect>,
     ) {
-        let waiting = self.pending.iter().filter(|(_, pending)| pending.peer == *owner);
+        let waits = |pending: &Pending| {
+            pending.peer == *owner && !matches!(pending.about, About::HandOver)
+        };
+        let waiting = self.pending.iter().filter(|(_, pending)| waits(pending));
         let keys: Vec<PendingKey> = waiting.map(|(key, _)| key).collect();
         for key in keys {
             if let Some(pending) = self.take_pending(key) {
@@ -181,7 +206,7 @@
         self.successions.learn(from.clone(), to);
         let moves = |pending: &Pending| match &pending.about {
             About::Forward { ask, .. } => pending.peer == from && ask.has_id(),
-            About::Offer(_) => false,
+            About::Offer(_) | About::HandOver => false,
         };
         let waiting = self.pending.iter().filter(|(_, pending)| moves(pending));
         let keys: Vec<PendingKey> = waiting.map(|(key, _)| key).collect();
@@ -232,6 +257,10 @@
                     if not_sent { SendReport::NotSent } else { SendReport::Lost };
                 self.send_finished(now, attempt, report, effects);
             }
+            About::HandOver => {
+                let report = (&pending.peer, not_sent);
+                self.hand_over_reported(now, report, effects);
+            }
         }
     }
 
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -285,6 +285,9 @@
             Event::PeerUndelivered { correlation, certain } => {
                 self.peer_undelivered(now, correlation, certain, effects);
             }
+            Event::PeerDelivered { correlation } => {
+                self.peer_delivered(now, correlation, effects);
+            }
             Event::AccountAppended { number, confirmed } => {
                 self.account_appended(now, number, confirmed, effects);
             }
--- a/crates/bamboocart-core/src/engine/peers.rs
+++ b/crates/bamboocart-core/src/engine/peers.rs
@@ -64,6 +64,9 @@
             Message::HandOverTaken { from: owner } => {
                 self.hand_over_taken(from, &owner, effects);
             }
+            Message::HandOverDeclined { from: owner } => {
+                self.hand_over_declined(now, from, &owner, effects);
+            }
             Message::Succession { from, to } => {
                 self.succeeded(now, from, to, effects);
             }
--- a/crates/bamboocart-core/src/engine/submit.rs
+++ b/crates/bamboocart-core/src/engine/submit.rs
@@ -42,13 +42,12 @@
                 self.submit_owned(now, arrived, effects);
             }
             Resolved::Other(owner) => {
-                if self.is_handing_over_to(&owner) && self.park(&asker, &id, &submission)
-                {
-                    return;
-                }
                 let ask = Ask::Submit(Box::new(submission));
                 self.forward(now, asker, &owner, ask, effects);
             }
+            Resolved::Gone(owner) if self.is_handing_over(&owner) => {
+                self.park(asker, Ask::Submit(Box::new(submission)), effects);
+            }
             unresolved => {
                 let verdict = Verdict::unknown(id, unknown_code(&unresolved));
                 self.reply(&asker, verdict, submission.want_tickets, effects);
@@ -106,7 +105,9 @@
         arrived: Arrived,
         effects: &mut Vec<Effect>,
     ) {
-        if self.park(&arrived.asker, &arrived.id, &arrived.submission) {
+        if self.keeps_back(&arrived.id) {
+            let ask = Ask::Submit(Box::new(arrived.submission));
+            self.park(arrived.asker, ask, effects);
             return;
         }
         let plan = self.plan(now, &arrived.submission);
--- a/crates/bamboocart-core/src/message.rs
+++ b/crates/bamboocart-core/src/message.rs
@@ -77,6 +77,11 @@
         /// Its successor.
         to: Owner,
     },
+    /// The receiver is stopping and never takes over the registry of an owner.
+    HandOverDeclined {
+        /// The owner that wants to hand over.
+        from: Owner,
+    },
 }
 
 /// What a caller asks for.
--- a/crates/bamboocart-core/src/ownership/handover.rs
+++ b/crates/bamboocart-core/src/ownership/handover.rs
@@ -4,13 +4,18 @@
 //! registry, which is the only thing that admits submissions and holds their state, so
 //! nothing can be started between the snapshot and the exit. It also fixes the
 //! successor: an owner that offered its snapshot to two peers could end up with both.
+//!
+//! The one way back is [`HandedOver::take_back`], for a successor that certainly never
+//! gets the right.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use super::registry::{ContentDigest, Marks, Offer, Registry, Rights, SubmissionKey};
+use super::registry::{
+    ContentDigest, Limits, Marks, Offer, Registry, Rights, SubmissionKey,
+};
 use super::{Issuer, Owner};
 use crate::id::SubmissionId;
 use crate::outcome::{Outcome, Refusal, UnknownCode};
@@ -142,6 +147,7 @@
         issuer: &Issuer,
         outcome: impl FnMut(&SubmissionId, S) -> Outcome,
     ) -> HandedOver {
+        let (limits, kept) = (self.0.limits(), self.0.rights().clone());
         let (from, rights, entries) = self.0.into_handover(issuer.issued(), outcome);
         let chunks = chunk(entries);
         let total = chunks.len() as u32;
@@ -157,7 +163,7 @@
                 entries,
             })
             .collect();
-        HandedOver { from, successor, parts }
+        HandedOver { from, successor, limits, rights: kept, parts }
     }
 }
 
@@ -169,6 +175,9 @@
 pub struct HandedOver {
     from: Owner,
     successor: Owner,
+    limits: Limits,
+    /// The rights that were given up.
+    rights: Rights,
     parts: Vec<Part>,
 }
 
@@ -187,6 +196,26 @@
     pub fn parts(&self) -> &[Part] {
         &self.parts
     }
+
+    /// Returns the rights that were given up.
+    pub fn rights(&self) -> &Rights {
+        &self.rights
+    }
+
+    /// Takes the right back, for handing it over to another successor.
+    ///
+    /// Only two facts allow it: the successor has declined, or no send of one of the
+    /// parts ever left. That it seems to be dead does not, because it may have started
+    /// submissions under the right before, and a paused process may do so later.
+    pub fn take_back<S>(
+        self,
+        now: Timestamp,
+        restore: impl FnMut(&SubmissionId, Outcome) -> S,
+    ) -> Draining<S> {
+        let entries = self.parts.into_iter().flat_map(|part| part.entries);
+        let owner = (self.from, self.limits, self.rights);
+        Draining(Registry::taken_back(owner, entries, now, restore))
+    }
 }
 
 /// A handover of which every part has arrived.
--- a/crates/bamboocart-core/src/ownership/registry.rs
+++ b/crates/bamboocart-core/src/ownership/registry.rs
@@ -281,6 +281,11 @@
         &self.rights
     }
 
+    /// Returns the bounds.
+    pub(super) fn limits(&self) -> Limits {
+        self.limits
+    }
+
     /// Returns the number of unfinished submissions.
     pub fn open(&self) -> usize {
         self.open
@@ -412,7 +417,19 @@
         Ok(count)
     }
 
-    /// Inserts an entry of a predecessor.
+    /// Creates the registry of an owner whose handover had no effect anywhere.
+    pub(super) fn taken_back(
+        (me, limits, rights): (Owner, Limits, Rights),
+        entries: impl Iterator<Item = HandoverEntry>,
+        now: Timestamp,
+        mut restore: impl FnMut(&SubmissionId, Outcome) -> S,
+    ) -> Self {
+        let mut registry = Self { rights, ..Self::new(me, limits) };
+        entries.for_each(|entry| registry.restore(entry, now, &mut restore));
+        registry
+    }
+
+    /// Inserts an entry that was handed over.
     fn restore(
         &mut self,
         entry: HandoverEntry,
--- a/crates/bamboocart-core/src/ownership/stage.rs
+++ b/crates/bamboocart-core/src/ownership/stage.rs
@@ -50,6 +50,29 @@
         }
     }
 
+    /// Takes back a right that nobody got, see [`HandedOver::take_back`].
+    pub fn take_back(
+        self,
+        now: Timestamp,
+        restore: impl FnMut(&SubmissionId, Outcome) -> S,
+    ) -> Self {
+        match self {
+            Self::HandedOver(handed) => Self::Draining(handed.take_back(now, restore)),
+            other => other,
+        }
+    }
+
+    /// Reports whether the right of an owner may have been adopted here at any time.
+    ///
+    /// A stopping owner declines a handover only if it has not adopted it before, also
+    /// when it has passed the right on since.
+    pub fn has_adopted(&self, owner: &Owner) -> bool {
+        match self {
+            Self::HandedOver(handed) => handed.rights().has_adopted(owner),
+            other => other.rights().has_adopted(owner),
+        }
+    }
+
     /// Ends a planned stop.
     pub fn stop(self) -> Self {
         match self {
--- a/crates/bamboocart-core/tests/ownership_model.rs
+++ b/crates/bamboocart-core/tests/ownership_model.rs
@@ -35,6 +35,19 @@
     TrustsTrimmedLog,
     /// A refusal is not remembered.
     ForgetsRefusals,
+    /// A stopping instance declines a handover although it has adopted it before.
+    DeclinesAdopted,
+    /// An owner chooses another successor when the first one seems to be dead.
+    ReplacesDeadSuccessor,
+}
+
+/// Which steps a run consists of.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Focus {
+    /// All of them.
+    Everything,
+    /// Planned stops and late submissions, without the log.
+    Stops,
 }
 
 /// What the engine would keep for a submission.
@@ -57,6 +70,10 @@
     /// The live instances as this process saw them last.
     view: BTreeMap<InstanceName, Incarnation>,
     frozen: bool,
+    /// Whether a planned stop has begun, which may be before admission ends.
+    stopping: bool,
+    /// The successors that have declined.
+    passed_over: BTreeSet<Owner>,
     skew_ms: u64,
     /// The offset that a reader who trusts a trimmed log takes for 0.
     base: usize,
@@ -95,22 +112,85 @@
     }
 
     /// Receives a part of a handover.
-    fn accept(&mut self, part: Part, now_ms: u64) {
+    fn accept(&mut self, part: Part, now_ms: u64, policy: Policy) -> Accepted {
+        if self.stopping {
+            let adopted = self.stage.has_adopted(&part.from);
+            let declines = !adopted || policy == Policy::DeclinesAdopted;
+            return if declines { Accepted::Declined } else { Accepted::Nothing };
+        }
         let Stage::Serving(registry) = &mut self.stage else {
+            return Accepted::Nothing;
+        };
+        let Ok(Some(complete)) = self.assembly.accept(part, registry.rights()) else {
+            return Accepted::Nothing;
+        };
+        let now = Timestamp::from_ms(now_ms + self.skew_ms);
+        let adopted = registry.adopt(complete, now, |_, end| Work::Answered(end));
+        adopted.expect("a handover that was not adopted before");
+        Accepted::Adopted
+    }
+
+    /// Gives the right up for a successor, if the instance is draining and sees one that
+    /// it has not chosen before.
+    fn hand_over(&mut self, rng: &mut SmallRng) {
+        let others = self.live().filter(|owner| owner.instance != self.me.instance);
+        let others = others.filter(|owner| !self.passed_over.contains(owner));
+        let Some(successor) = others.choose(rng) else {
             return;
         };
-        if let Ok(Some(complete)) = self.assembly.accept(part, registry.rights()) {
-            let now = Timestamp::from_ms(now_ms + self.skew_ms);
-            let adopted = registry.adopt(complete, now, |_, end| Work::Answered(end));
-            adopted.expect("a handover that was not adopted before");
+        let stage = std::mem::take(&mut self.stage);
+        self.stage = stage.hand_over(successor, &self.issuer, |_, work| match work {
+            Work::Waiting { .. } => Outcome::Refused(NO),
+            Work::Started => Outcome::Unknown(UnknownCode::StillRunning),
+            Work::Answered(outcome) => outcome,
+        });
+    }
+
+    /// Takes the right back from a successor and chooses another one.
+    fn pass_over(&mut self, successor: Owner, now_ms: u64, rng: &mut SmallRng) {
+        let now = Timestamp::from_ms(now_ms + self.skew_ms);
+        self.passed_over.insert(successor);
+        let stage = std::mem::take(&mut self.stage);
+        self.stage = stage.take_back(now, |_, end| Work::Answered(end));
+        self.hand_over(rng);
+    }
+
+    /// Returns the successor to which the right is on its way.
+    fn successor(&self) -> Option<&Owner> {
+        match &self.stage {
+            Stage::HandedOver(handed) => Some(handed.successor()),
+            _ => None,
         }
     }
 }
 
+/// What became of a part of a handover.
+enum Accepted {
+    /// The handover is complete and took effect.
+    Adopted,
+    /// The receiver will never accept the handover.
+    Declined,
+    /// Nothing follows.
+    Nothing,
+}
+
 enum Message {
-    Submit { to: Owner, id: SubmissionId, hops: u8 },
+    Submit {
+        to: Owner,
+        id: SubmissionId,
+        hops: u8,
+    },
     Part(Box<Part>),
-    Announce { to: Owner, from: Owner, successor: Owner },
+    /// An instance will never accept the handover of `from`.
+    Declined {
+        from: Owner,
+        by: Owner,
+    },
+    Announce {
+        to: Owner,
+        from: Owner,
+        successor: Owner,
+    },
     Append(String),
 }
 
@@ -130,10 +210,13 @@
     not_run: usize,
     rejected_claims: usize,
     forgotten: usize,
+    declined: usize,
+    passed_on: usize,
 }
 
 struct World {
     policy: Policy,
+    focus: Focus,
     rng: SmallRng,
     now_ms: u64,
     processes: Vec<Process>,
@@ -144,13 +227,16 @@
     ids: Vec<SubmissionId>,
     started: BTreeMap<SubmissionId, usize>,
     not_run: BTreeSet<SubmissionId>,
+    /// The owners that have taken their right back.
+    taken_back: BTreeSet<Owner>,
     seen: Seen,
 }
 
 impl World {
-    fn new(policy: Policy, seed: u64) -> Self {
+    fn new(policy: Policy, focus: Focus, seed: u64) -> Self {
         let mut world = Self {
             policy,
+            focus,
             rng: SmallRng::seed_from_u64(seed),
             now_ms: START_MS,
             processes: vec![],
@@ -161,6 +247,7 @@
             ids: vec![],
             started: BTreeMap::new(),
             not_run: BTreeSet::new(),
+            taken_back: BTreeSet::new(),
             seen: Seen::default(),
         };
         NAMES.iter().for_each(|name| world.launch(name));
@@ -172,7 +259,12 @@
     fn launch(&mut self, name: &str) {
         self.now_ms += 1;
         let me = Owner::new(name.into(), Incarnation(self.now_ms * 1_000));
-        let limits = Limits { open: 4, total: 8, remember_ms: 90_000, ahead_ms: 30_000 };
+        let (open, total) = match self.focus {
+            Focus::Everything => (4, 8),
+            // Unused tickets stay usable until a successor is asked for them.
+            Focus::Stops => (500, 1_000),
+        };
+        let limits = Limits { open, total, remember_ms: 90_000, ahead_ms: 30_000 };
         let trusts = self.policy == Policy::TrustsTrimmedLog;
         self.processes.push(Process {
             stage: Stage::Serving(Registry::new(me.clone(), limits)),
@@ -183,6 +275,8 @@
             successions: Successions::default(),
             view: BTreeMap::from([(name.into(), me.incarnation)]),
             frozen: false,
+            stopping: false,
+            passed_over: BTreeSet::new(),
             skew_ms: self.rng.random_range(0..20_000),
             base: if trusts { self.log_start } else { 0 },
             me,
@@ -191,6 +285,40 @@
 
     /// Does one random step.
     fn step(&mut self) {
+        match self.focus {
+            Focus::Everything => self.step_everything(),
+            Focus::Stops => self.step_stops(),
+        }
+    }
+
+    /// Does one random step in which an instance often stops.
+    fn step_stops(&mut self) {
+        let at = self.rng.random_range(0..self.processes.len());
+        let awake = !self.processes[at].frozen;
+        match self.rng.random_range(0..100) {
+            0..3 if self.processes[at].stage.is_serving() => {
+                let ticket = SubmissionId::Ticket(self.processes[at].issuer.issue());
+                self.ids.push(ticket);
+            }
+            3..25 => self.resubmit(at),
+            25..60 => self.deliver(),
+            60..75 if awake => self.work(at),
+            75..81 if awake => self.look(at),
+            81..84 => {
+                let changes = self.rng.random_bool(if awake { 0.3 } else { 0.8 });
+                self.processes[at].frozen ^= changes;
+            }
+            84..87 if awake && self.processes[at].stopping => self.stop(at),
+            87..89 if awake && self.rng.random_bool(0.2) => self.stop(at),
+            89 if self.rng.random_bool(0.1) => self.stop_together(),
+            // An instance that has handed over stays, so that late messages reach it.
+            90 if self.processes[at].stage.rights().is_empty() => self.replace(at),
+            _ => {}
+        }
+    }
+
+    /// Does one random step of any kind.
+    fn step_everything(&mut self) {
         let at = self.rng.random_range(0..self.processes.len());
         let awake = !self.processes[at].frozen;
         match self.rng.random_range(0..100) {
@@ -205,7 +333,8 @@
                 let changes = self.rng.random_bool(if awake { 0.3 } else { 0.8 });
                 self.processes[at].frozen ^= changes;
             }
-            82..84 if awake && self.rng.random_bool(0.4) => self.stop(at),
+            82..84 if awake && self.rng.random_bool(0.3) => self.stop(at),
+            99 if self.rng.random_bool(0.05) => self.stop_together(),
             84..86 if self.processes[at].stage.rights().is_empty() => self.replace(at),
             86 if self.rng.random_bool(0.3) => self.replace(at),
             87..89 if !self.log_up => self.log_up = true,
@@ -260,6 +389,7 @@
             Message::Append(_) => {}
             Message::Submit { to, id, hops } => match self.awake(&to) {
                 Some(at) => self.receive(at, id, hops),
+                None if self.processes.iter().all(|process| process.me != to) => {}
                 None => self.messages.push(Message::Submit { to, id, hops }),
             },
             Message::Announce { to, from, successor } => {
@@ -272,7 +402,12 @@
                     self.messages.push(Message::Part(part.clone()));
                 }
                 if let Some(at) = self.awake(&part.successor) {
-                    self.processes[at].accept(*part, self.now_ms);
+                    self.receive_part(at, *part);
+                }
+            }
+            Message::Declined { from, by } => {
+                if let Some(at) = self.awake(&from) {
+                    self.declined(at, by);
                 }
             }
         }
@@ -418,34 +553,75 @@
         self.launch(name.as_str());
     }
 
-    /// An instance goes one step further in a planned stop.
+    /// An instance goes one step further in a planned stop: it declines handovers, then
+    /// it ends admission, then it sends its registry until the end of its process.
     fn stop(&mut self, at: usize) {
-        let mut process = self.processes.remove(at);
-        let others = process.live().filter(|owner| owner.instance != process.me.instance);
-        let successor = others.choose(&mut self.rng);
-        let stage = std::mem::take(&mut process.stage);
-        process.stage = match successor {
-            Some(successor) if matches!(stage, Stage::Draining(_)) => {
-                stage.hand_over(successor, &process.issuer, |_, work| match work {
-                    Work::Waiting { .. } => Outcome::Refused(NO),
-                    Work::Started => Outcome::Unknown(UnknownCode::StillRunning),
-                    Work::Answered(outcome) => outcome,
-                })
+        let (policy, now_ms) = (self.policy, self.now_ms);
+        let process = &mut self.processes[at];
+        if !std::mem::replace(&mut process.stopping, true) {
+            return;
+        }
+        match &process.stage {
+            Stage::Serving(_) => {
+                process.stage = std::mem::take(&mut process.stage).drain();
             }
-            _ => stage.drain(),
-        };
-        if let Stage::HandedOver(handed) = &process.stage {
-            let (from, successor) = (handed.from(), handed.successor());
-            process.successions.learn(from.clone(), successor.clone());
+            Stage::Draining(_) => process.hand_over(&mut self.rng),
+            Stage::HandedOver(handed) if policy == Policy::ReplacesDeadSuccessor => {
+                let successor = handed.successor().clone();
+                if !process.live().any(|owner| owner == successor) {
+                    process.pass_over(successor, now_ms, &mut self.rng);
+                }
+            }
+            Stage::HandedOver(_) | Stage::Stopped => {}
+        }
+        self.send_parts(at);
+    }
+
+    /// All but one instance begin to stop, and half of them have already chosen others.
+    fn stop_together(&mut self) {
+        let last = self.rng.random_range(0..self.processes.len());
+        for at in (0..self.processes.len()).filter(|&at| at != last) {
+            let steps = if self.rng.random_bool(0.5) { 3 } else { 1 };
+            (0..steps).for_each(|_| self.stop(at));
+        }
+    }
+
+    /// An instance sends its registry to its successor.
+    fn send_parts(&mut self, at: usize) {
+        if let Stage::HandedOver(handed) = &self.processes[at].stage {
             let parts = handed.parts().iter().cloned();
             self.messages.extend(parts.map(|part| Message::Part(Box::new(part))));
-            self.messages.extend(self.processes.iter().map(|other| Message::Announce {
-                to: other.me.clone(),
-                from: from.clone(),
-                successor: successor.clone(),
-            }));
         }
-        self.processes.push(process);
+    }
+
+    /// An instance receives a part of a handover.
+    fn receive_part(&mut self, at: usize, part: Part) {
+        let (from, by) = (part.from.clone(), part.successor.clone());
+        match self.processes[at].accept(part, self.now_ms, self.policy) {
+            Accepted::Adopted => {
+                self.seen.passed_on += usize::from(self.taken_back.contains(&from));
+                let announce = |other: &Process| Message::Announce {
+                    to: other.me.clone(),
+                    from: from.clone(),
+                    successor: by.clone(),
+                };
+                self.messages.extend(self.processes.iter().map(announce));
+            }
+            Accepted::Declined => self.messages.push(Message::Declined { from, by }),
+            Accepted::Nothing => {}
+        }
+    }
+
+    /// An instance learns that its successor declines, and chooses another one.
+    fn declined(&mut self, at: usize, by: Owner) {
+        let process = &mut self.processes[at];
+        if process.successor() != Some(&by) {
+            return;
+        }
+        self.seen.declined += 1;
+        self.taken_back.insert(process.me.clone());
+        process.pass_over(by, self.now_ms, &mut self.rng);
+        self.send_parts(at);
     }
 
     /// Returns what breaks the invariant.
@@ -459,8 +635,12 @@
 }
 
 /// Runs one seed and returns its first violation.
-fn run(policy: Policy, seed: u64, seen: &mut Seen) -> Option<Violation> {
-    let mut world = World::new(policy, seed);
+fn run(
+    (policy, focus): (Policy, Focus),
+    seed: u64,
+    seen: &mut Seen,
+) -> Option<Violation> {
+    let mut world = World::new(policy, focus, seed);
     world.seen = std::mem::take(seen);
     let violation = (0..STEPS).find_map(|_| {
         world.step();
@@ -477,7 +657,8 @@
 fn claims_keep_the_invariant() {
     let mut seen = Seen::default();
     for seed in 0..1_000 {
-        assert_eq!(run(Policy::Claims, seed, &mut seen), None, "seed {seed}");
+        let found = run((Policy::Claims, Focus::Everything), seed, &mut seen);
+        assert_eq!(found, None, "seed {seed}");
     }
     println!("{seen:?}");
     assert!(seen.starts > 5_000, "{seen:?}");
@@ -488,6 +669,21 @@
     assert!(seen.forgotten > 100, "{seen:?}");
 }
 
+/// Guards against a second start when instances stop at the same time, decline each
+/// other's registries and hand them on, while processes pause and messages are late.
+#[test]
+fn simultaneous_stops_keep_the_invariant() {
+    let mut seen = Seen::default();
+    for seed in 0..1_000 {
+        let found = run((Policy::Claims, Focus::Stops), seed, &mut seen);
+        assert_eq!(found, None, "seed {seed}");
+    }
+    println!("{seen:?}");
+    assert!(seen.declined > 500, "{seen:?}");
+    assert!(seen.passed_on > 100, "{seen:?}");
+    assert!(seen.for_predecessor > 100, "{seen:?}");
+}
+
 /// Guards against an explorer that cannot see a fault: it must find the violation that
 /// each rejected alternative allows.
 #[parameterized(
@@ -495,11 +691,18 @@
     future_is_not_run = { Policy::FutureIsNotRun, Violation::FalseNotRun },
     gone_is_not_run = { Policy::GoneIsNotRun, Violation::FalseNotRun },
     trusts_trimmed_log = { Policy::TrustsTrimmedLog, Violation::StartedTwice },
+    declines_adopted = { Policy::DeclinesAdopted, Violation::StartedTwice },
+    replaces_dead_successor = { Policy::ReplacesDeadSuccessor, Violation::StartedTwice },
     forgets_refusals = { Policy::ForgetsRefusals, Violation::FalseNotRun },
 )]
 fn finds_the_fault_of(policy: Policy, fault: Violation) {
     let mut seen = Seen::default();
-    let found = (0..1_000).find(|&seed| run(policy, seed, &mut seen) == Some(fault));
+    let focus = match policy {
+        Policy::DeclinesAdopted | Policy::ReplacesDeadSuccessor => Focus::Stops,
+        _ => Focus::Everything,
+    };
+    let mut finds = |seed| run((policy, focus), seed, &mut seen) == Some(fault);
+    let found = (0..1_000).find(|&seed| finds(seed));
     println!("{policy:?}: seed {found:?}");
     assert!(found.is_some(), "{policy:?} passes all seeds: {seen:?}");
 }
--- a/crates/bamboocart-dispatcher/src/peers.rs
+++ b/crates/bamboocart-dispatcher/src/peers.rs
@@ -20,12 +20,21 @@
 pub struct PeerGate {
     /// The links.
     links: Links,
-    /// The engine's numbers of messages that it wants to hear about.
-    tracked: Arc<Mutex<HashMap<MessageId, u64>>>,
+    /// The messages that the engine wants to hear about.
+    tracked: Arc<Mutex<HashMap<MessageId, Tracked>>>,
     /// The spans of forwarded submissions, which end with the answer.
     spans: Arc<OwnerSpans>,
 }
 
+/// A message that the engine wants to hear about.
+#[derive(Debug, Copy, Clone)]
+struct Tracked {
+    /// The engine's number.
+    correlation: u64,
+    /// Whether it wants to hear about the delivery too, not only about its failure.
+    delivery: bool,
+}
+
 impl PeerGate {
     /// Starts to pass messages and reports on to the engine.
     pub fn start(
@@ -34,7 +43,7 @@
         events: &Sender<Event>,
         spans: Arc<OwnerSpans>,
     ) -> Self {
-        let tracked: Arc<Mutex<HashMap<MessageId, u64>>> = Arc::default();
+        let tracked: Arc<Mutex<HashMap<MessageId, Tracked>>> = Arc::default();
         let (inbound_events, inbound_spans) = (events.clone(), spans.clone());
         thread::spawn(move || pass_messages(&inbound, &inbound_events, &inbound_spans));
         let (report_events, report_tracked) = (events.clone(), tracked.clone());
@@ -80,7 +89,8 @@
         let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
         match (self.links.send(address, priority, bytes), correlation) {
             (Ok(id), Some(correlation)) => {
-                tracked.insert(id, correlation);
+                let delivery = matches!(message, Message::HandOver(_));
+                tracked.insert(id, Tracked { correlation, delivery });
                 None
             }
             (Ok(_), None) => None,
@@ -151,22 +161,29 @@
     }
 }
 
-/// Tells the engine about messages that were not acknowledged.
+/// Tells the engine about messages that were not acknowledged, and about parts of
+/// handovers that were.
 fn pass_reports(
     reports: &Receiver<Report>,
-    tracked: &Mutex<HashMap<MessageId, u64>>,
+    tracked: &Mutex<HashMap<MessageId, Tracked>>,
     events: &Sender<Event>,
 ) {
     for report in reports {
         let mut tracked = tracked.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(correlation) = tracked.remove(&report.id) else { continue };
+        let Some(Tracked { correlation, delivery }) = tracked.remove(&report.id) else {
+            continue;
+        };
         drop(tracked);
-        let certain = match report.delivery {
+        let undelivered = |certain| Event::PeerUndelivered { correlation, certain };
+        let event = match report.delivery {
+            Delivery::Acknowledged { .. } if delivery => {
+                Event::PeerDelivered { correlation }
+            }
             Delivery::Acknowledged { .. } => continue,
-            Delivery::NotSent(_) => true,
-            Delivery::Unknown(_) => false,
+            Delivery::NotSent(_) => undelivered(true),
+            Delivery::Unknown(_) => undelivered(false),
         };
-        if events.send(Event::PeerUndelivered { correlation, certain }).is_err() {
+        if events.send(event).is_err() {
             return;
         }
     }
--- a/crates/bamboocart-dispatcher/tests/stops.rs
+++ b/crates/bamboocart-dispatcher/tests/stops.rs
@@ -12,10 +12,12 @@
 use bamboocart_wire::api::OutcomeName;
 use serde_json::{Value, json};
 use support::{
-    BalancedCallers, Cluster, ClusterSettings, Instance, Order, RECOVERY, agent,
-    base_config, call, is_ready, now, publish, seed, submit, wait_for_keys, wait_until,
+    BalancedCallers, Cluster, ClusterSettings, Instance, Mode, Node, Order, RECOVERY,
+    agent, base_config, call, hold, is_ready, now, publish, seed, submit, wait_for_keys,
+    wait_until,
 };
 use uuid::Uuid;
+use yare::parameterized;
 
 /// The time in which an instance stops after its lame-duck time under short requests.
 const STOP: Duration = Duration::from_secs(10);
@@ -80,12 +82,13 @@
         SubmissionId::CallerKey(_) => true,
     };
     let mut sends: Vec<SendRecord> = balanced.into_iter().chain(unbalanced).collect();
-    let again = repeat(&cluster, sends.iter().rev().filter(|it| it.answer.is_some()));
+    let addresses = cluster.addresses();
+    let again = repeat(&addresses, sends.iter().rev().filter(|it| it.answer.is_some()));
     let unused = tickets.into_iter().filter(of_stopped).take(UNUSED);
     let fresh: Vec<SubmissionId> = unused.collect();
     assert!(!fresh.is_empty(), "no ticket of a stopped instance is left");
     let keys = (0..UNUSED).map(|_| SubmissionId::CallerKey(Uuid::now_v7()));
-    let late = run_twice(&cluster, fresh.into_iter().chain(keys));
+    let late = run_twice(&addresses, fresh.into_iter().chain(keys));
     late.iter().for_each(assert_complete);
     sends.extend(again);
     sends.extend(late);
@@ -94,10 +97,10 @@
 
 /// Sends answered submissions again to any instance and expects the same answers.
 fn repeat<'a>(
-    cluster: &Cluster,
+    addresses: &[SocketAddr],
     answered: impl Iterator<Item = &'a SendRecord>,
 ) -> Vec<SendRecord> {
-    let (agent, addresses) = (agent(), cluster.addresses());
+    let agent = agent();
     let again = answered.take(REPEATED).enumerate().map(|(index, first)| {
         let answer = first.answer.as_ref().expect("only answered ones are repeated");
         let order = Order {
@@ -115,10 +118,9 @@
 
 /// Submits under each id at two instances at the same time.
 fn run_twice(
-    cluster: &Cluster,
+    addresses: &[SocketAddr],
     ids: impl Iterator<Item = SubmissionId>,
 ) -> Vec<SendRecord> {
-    let addresses = cluster.addresses();
     let both = |(index, id): (usize, SubmissionId)| {
         let order = Order::new(format!("late-{index}"), 5, Some(id));
         let at = |offset: usize| addresses[(index + offset) % addresses.len()];
@@ -131,6 +133,61 @@
     ids.enumerate().flat_map(both).collect()
 }
 
+/// Guards against instances that stop together, choose each other as successor and give
+/// their registries up: all but one stop under load, and none hears of the others' stop
+/// before it has handed over. The calls come in through the last one, and nothing is
+/// lent, since links that are cut may lose what they carry. The last one repeats the
+/// answers of the others, and runs their unused tickets and caller keys once.
+#[parameterized(
+    two_of_three = { &["marka", "marka", "sahab"] },
+    four_of_five = { &["marka", "marka", "marka", "marka", "sahab"] },
+)]
+fn simultaneous_stops(domains: &[&'static str]) {
+    let mut cluster = Cluster::start(ClusterSettings {
+        instances: domains.to_vec(),
+        flags: vec!["--lame-duck-ms", "200", "--no-lending"],
+        ..ClusterSettings::default()
+    });
+    wait_for_keys(&cluster);
+    let last = domains.len() - 1;
+    let stopped: Vec<u64> =
+        cluster.instances[..last].iter().map(|it| it.incarnation).collect();
+    let survivor = [cluster.instances[last].address];
+    let callers = BalancedCallers::start(8, true, seed(13), survivor.to_vec());
+    hold(Duration::from_secs(1));
+    let set_mode = |cluster: &Cluster, mode| {
+        let nodes: Vec<Node> = (0..last).map(Node::Instance).collect();
+        nodes.iter().for_each(|&node| cluster.net.set_around(&[node], &nodes, mode));
+    };
+    set_mode(&cluster, Mode::Cut);
+    cluster.instances[..last].iter().for_each(Instance::terminate);
+    let handed_over = |instance: &Instance| {
+        let status = instance.try_status();
+        status.is_none_or(|status| status["state"] == "handed-over")
+    };
+    wait_until("the choice of the successors", RECOVERY, || {
+        cluster.instances[..last].iter().all(handed_over)
+    });
+    set_mode(&cluster, Mode::Pass);
+    cluster.instances[..last].iter_mut().for_each(|it| it.wait_for_end(STOP));
+    hold(Duration::from_secs(1));
+    let (mut sends, tickets) = callers.stop();
+    sends.iter().for_each(assert_complete);
+    let again = repeat(&survivor, sends.iter().rev());
+    let unused = tickets.into_iter().filter(|id| match id {
+        SubmissionId::Ticket(ticket) => stopped.contains(&ticket.incarnation.0),
+        SubmissionId::CallerKey(_) => false,
+    });
+    let fresh: Vec<SubmissionId> = unused.take(UNUSED).collect();
+    assert!(!fresh.is_empty(), "no ticket of a stopped instance is left");
+    let keys = (0..UNUSED).map(|_| SubmissionId::CallerKey(Uuid::now_v7()));
+    let late = run_twice(&survivor, fresh.into_iter().chain(keys));
+    late.iter().for_each(assert_complete);
+    sends.extend(again);
+    sends.extend(late);
+    cluster.check_history(sends);
+}
+
 /// Guards against tickets of a stopping instance that get no answer because a peer has
 /// forwarded them: while the owner finishes long requests, its tickets and caller keys
 /// come in through a peer.
