Bound the waits of the test fixture and end processes that fail to start

Cause: one run of `leaving` never ended; why is not known. A cause that fits was found: when a test failed between the start of a dispatcher and the end of `Instance::start`, the process was not killed. It kept the output of the test program open, so that a reader of that output waited for ever although the tests had ended. The table of sockets, which is read at this point, may lack a line on a busy machine.

Ruled out: calls of the fixture and of the platform client all have timeouts. Not ruled out: other causes of that one run.

Change: a dispatcher is killed when its start fails. Callers of a failed test stop.

A permanent test would need a switch in the fixture, so there is none.

--- a/crates/bamboocart-dispatcher/tests/support/balanced.rs
+++ b/crates/bamboocart-dispatcher/tests/support/balanced.rs
@@ -18,7 +18,7 @@
 
 use super::cluster::Cluster;
 use super::http::try_call;
-use super::{RECOVERY, wait_until};
+use super::{CALLER_END, RECOVERY, join, wait_until};
 
 /// The pause between two looks of the balancer at the readiness of the instances.
 const READY_EVERY: Duration = Duration::from_millis(100);
@@ -42,7 +42,7 @@
 pub struct BalancedCallers {
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<Vec<SendRecord>>>,
-    balancer: JoinHandle<()>,
+    balancer: Option<JoinHandle<()>>,
 }
 
 /// What the callers of a group share.
@@ -82,7 +82,7 @@
         let threads = (0..count).map(thread).collect();
         let watched = shared.clone();
         let balancer = std::thread::spawn(move || watch_readiness(&watched));
-        Self { shared, threads, balancer }
+        Self { shared, threads, balancer: Some(balancer) }
     }
 
     /// Replaces the instances whose processes run.
@@ -91,16 +91,26 @@
     }
 
     /// Ends the calls and returns their records and the tickets that were never used.
-    pub fn stop(self) -> (Vec<SendRecord>, Vec<SubmissionId>) {
+    pub fn stop(mut self) -> (Vec<SendRecord>, Vec<SubmissionId>) {
         self.shared.stop.store(true, Ordering::Relaxed);
-        let records = self.threads.into_iter().flat_map(|it| it.join().unwrap());
-        let records = records.collect();
-        self.balancer.join().unwrap();
+        let threads = std::mem::take(&mut self.threads);
+        let end = |it| join("the end of a caller", CALLER_END, it);
+        let records = threads.into_iter().flat_map(end).collect();
+        let balancer = self.balancer.take();
+        balancer.into_iter().for_each(|it| join("the balancer's end", CALLER_END, it));
         let tickets = std::mem::take(&mut *self.shared.tickets.lock().unwrap());
         (records, tickets.into())
     }
 }
 
+impl Drop for BalancedCallers {
+    /// Ends the calls of a test that has failed, which would load the machine and fill
+    /// the memory until the last test of the program.
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Asks the instances for their readiness, as a load balancer does.
 fn watch_readiness(shared: &Shared) {
     while !shared.stop.load(Ordering::Relaxed) {
--- a/crates/bamboocart-dispatcher/tests/support/config.rs
+++ b/crates/bamboocart-dispatcher/tests/support/config.rs
@@ -1,6 +1,7 @@
 //! The configuration that tests publish.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bamboocart_core::config::{
     CONFIG_STREAM, ConfigRecord, ConfigSet, Fold, Folded, Publication, PublicationId,
@@ -11,6 +12,7 @@
 use bamboocart_platform::Platform;
 use uuid::Uuid;
 
+use super::RECOVERY;
 use super::http::try_call;
 
 /// Two services, one on minions and one on workers.
@@ -112,7 +114,9 @@
 /// Returns the version that the log puts in force.
 fn version_in_log(platform: &Platform) -> ConfigVersion {
     let mut fold = Fold::new();
+    let start = Instant::now();
     loop {
+        assert!(start.elapsed() < RECOVERY, "the log was not read within {RECOVERY:?}");
         let page = platform.read(CONFIG_STREAM, fold.next_offset(), 0);
         let page = page.expect("the log can be read before a publication");
         fold.begin(page.start);
--- a/crates/bamboocart-dispatcher/tests/support/forward.rs
+++ b/crates/bamboocart-dispatcher/tests/support/forward.rs
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use bamboocart_standin::join;
+
 use super::sockets;
 
 /// The bytes that are carried at a time.
@@ -156,7 +158,7 @@
     fn drop(&mut self) {
         self.stop.cancel();
         if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+            join::ended("the forwarders", thread);
         }
     }
 }
--- a/crates/bamboocart-dispatcher/tests/support/load.rs
+++ b/crates/bamboocart-dispatcher/tests/support/load.rs
@@ -13,6 +13,7 @@
 use uuid::Uuid;
 
 use super::callers::{Callers, Work};
+use super::{CALLER_END, join};
 
 /// The stack of a caller's thread.
 const STACK_BYTES: usize = 256 << 10;
@@ -58,12 +59,17 @@
 }
 
 /// A load that is being submitted.
-pub struct RunningLoad(Vec<JoinHandle<()>>);
+pub struct RunningLoad {
+    callers: Vec<JoinHandle<()>>,
+    /// The time from the start to the last call.
+    longest: Duration,
+}
 
 impl RunningLoad {
     /// Waits until every call has ended.
     pub fn join(self) {
-        self.0.into_iter().for_each(|caller| caller.join().unwrap());
+        let limit = self.longest + CALLER_END;
+        self.callers.into_iter().for_each(|it| join("a caller's end", limit, it));
     }
 }
 
@@ -113,7 +119,7 @@
             };
             threads.push(spawn(caller));
         }
-        RunningLoad(threads)
+        RunningLoad { callers: threads, longest: self.over + self.again_after }
     }
 }
 
@@ -140,7 +146,9 @@
             instances.iter().map(move |&instance| start(at, *purpose, instance))
         })
         .collect();
-    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    let last = calls.iter().map(|(at, ..)| *at).max().unwrap_or(due);
+    let limit = last - due + CALLER_END;
+    threads.into_iter().for_each(|it| join("a call's end", limit, it));
 }
 
 /// Starts a caller.
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -18,6 +18,7 @@
 mod sockets;
 mod storm;
 
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 pub use self::balanced::{
@@ -43,6 +44,10 @@
 /// a configuration is in force and the five seconds until a peer is dead or live again.
 pub const RECOVERY: Duration = Duration::from_secs(14);
 
+/// The time in which a caller ends: its last call, and the start of its thread on a busy
+/// machine.
+pub const CALLER_END: Duration = Duration::from_secs(60);
+
 /// Waits until a condition holds and fails the test at the limit.
 pub fn wait_until(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -52,6 +57,13 @@
     }
 }
 
+/// Waits until a thread has ended and returns its result, or fails the test at the limit.
+pub fn join<T>(what: &str, limit: Duration, thread: JoinHandle<T>) -> T {
+    let result = bamboocart_standin::join::within(limit, thread);
+    let result = result.unwrap_or_else(|| panic!("{what}: not within {limit:?}"));
+    result.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+}
+
 /// Lets a fault last for a time that the design page names.
 pub fn hold(duration: Duration) {
     std::thread::sleep(duration);
--- a/crates/bamboocart-dispatcher/tests/support/process.rs
+++ b/crates/bamboocart-dispatcher/tests/support/process.rs
@@ -2,14 +2,19 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use super::http::{call, try_call};
-use super::{RECOVERY, sockets, wait_until};
+use super::{POLL, RECOVERY, sockets, wait_until};
+
+/// The time in which a process starts, or ends after it was killed, on a busy machine.
+const START: Duration = Duration::from_secs(30);
 
 /// A running dispatcher, killed when it is dropped.
 pub struct Instance {
@@ -23,7 +28,39 @@
     pub address: SocketAddr,
     /// Where links of peers arrive behind the forwarder.
     pub link_listener: SocketAddr,
-    child: Child,
+    child: KilledOnDrop,
+}
+
+/// A process that does not outlive the test, also when a test fails at its start.
+///
+/// One that did would keep the output of the test program open, and whoever reads that
+/// would wait for its end for ever.
+struct KilledOnDrop(Child);
+
+impl KilledOnDrop {
+    /// Kills the process and waits until it has ended.
+    fn kill(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.0.kill();
+        let start = Instant::now();
+        while let Ok(None) = self.0.try_wait() {
+            if start.elapsed() > START {
+                // Not a panic, since this also runs while a failed test unwinds.
+                eprintln!(
+                    "process {} has not ended {START:?} after it was killed",
+                    self.0.id()
+                );
+                return;
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+}
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        self.kill();
+    }
 }
 
 /// The line that a dispatcher writes when it is ready.
@@ -52,13 +89,18 @@
             .stdout(Stdio::piped())
             .spawn()
             .expect("the dispatcher starts");
-        let mut line = String::new();
-        let output = child.stdout.as_mut().expect("the output is a pipe");
-        BufReader::new(output).read_line(&mut line).expect("the output can be read");
+        let output = child.stdout.take().expect("the output is a pipe");
+        let child = KilledOnDrop(child);
+        let line = first_line(name, output);
         let ready: Ready = serde_json::from_str(&line)
             .unwrap_or_else(|error| panic!("{name} is not ready: {error}: {line}"));
-        let port = sockets::other_listening_port(child.id(), ready.address)
-            .expect("the dispatcher listens for links");
+        let mut port = None;
+        // The table of sockets may lack a line while others are added and removed.
+        wait_until("the dispatcher's listener for links", START, || {
+            port = sockets::other_listening_port(child.0.id(), ready.address);
+            port.is_some()
+        });
+        let port = port.expect("the wait ends with a port");
         Self {
             name: name.into(),
             domain: domain.into(),
@@ -71,7 +113,7 @@
 
     /// Returns the id of the process.
     pub fn process(&self) -> u32 {
-        self.child.id()
+        self.child.0.id()
     }
 
     /// Returns the state that `GET /v1/status` reports.
@@ -87,7 +129,7 @@
 
     /// Returns whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        matches!(self.child.0.try_wait(), Ok(None))
     }
 
     /// Begins a planned stop.
@@ -112,26 +154,32 @@
 
     /// Kills the process.
     pub fn kill(&mut self) {
-        // The process may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.child.kill();
     }
 
     /// Waits for the process to end by itself.
-    pub fn wait_for_end(&mut self, limit: std::time::Duration) {
-        let ended = || self.child.try_wait().ok().flatten().is_some();
+    pub fn wait_for_end(&mut self, limit: Duration) {
+        let ended = || self.child.0.try_wait().ok().flatten().is_some();
         wait_until("the end of the process", limit, ended);
     }
 
     /// Sends a signal to the process.
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let id = i32::try_from(self.child.0.id()).ok().and_then(Pid::from_raw);
         kill_process(id.expect("a process has an id"), signal).expect("a child is ours");
     }
 }
 
-impl Drop for Instance {
-    fn drop(&mut self) {
-        self.kill();
-    }
+/// Returns the first line that a dispatcher writes.
+fn first_line(name: &str, output: ChildStdout) -> String {
+    let (send, lines) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        let read = BufReader::new(output).read_line(&mut line);
+        // The test has failed if nobody receives.
+        let _ = send.send(read.map(|_| line));
+    });
+    let line = lines.recv_timeout(START);
+    let line = line.unwrap_or_else(|_| panic!("{name}: no line of output in {START:?}"));
+    line.expect("the output can be read")
 }
--- a/crates/bamboocart-standin/src/gate.rs
+++ b/crates/bamboocart-standin/src/gate.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::http;
+use crate::{http, join};
 
 /// The bytes that a relay reads at a time.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -104,7 +104,7 @@
     fn drop(&mut self) {
         self.stop.cancel();
         if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+            join::ended("the gates", thread);
         }
     }
 }
--- a/crates/bamboocart-standin/src/http.rs
+++ b/crates/bamboocart-standin/src/http.rs
@@ -25,6 +25,8 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
+use crate::join;
+
 pub use hyper::Method;
 
 /// The result of starting a server.
@@ -96,7 +98,7 @@
     fn drop(&mut self) {
         self.stop.cancel();
         if let Some(receiver) = self.receiver.take() {
-            let _ = receiver.join();
+            join::ended("a server", receiver);
         }
     }
 }
--- a/crates/bamboocart-standin/src/lib.rs
+++ b/crates/bamboocart-standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod gate;
 pub mod history;
 pub mod http;
+pub mod join;
 pub mod load;
 pub mod measure;
 pub mod platform;
--- a/crates/bamboocart-standin/src/target/registrar.rs
+++ b/crates/bamboocart-standin/src/target/registrar.rs
@@ -10,6 +10,8 @@
 use bamboocart_platform::InstanceEntry;
 use crossbeam::channel::{self, Receiver, Sender};
 
+use crate::join;
+
 /// The largest number of updates that wait; later ones are dropped with a log line.
 const UPDATES_MAX: usize = 16_384;
 
@@ -73,7 +75,7 @@
         self.stopping.store(true, Ordering::Relaxed);
         self.updates = None;
         if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+            join::ended("the registrar", thread);
         }
     }
 }
--- a/crates/bamboocart-standin/src/target/timer.rs
+++ b/crates/bamboocart-standin/src/target/timer.rs
@@ -6,6 +6,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use crate::join;
+
 /// What a timer runs.
 type Action = Box<dyn FnOnce() + Send>;
 
@@ -73,7 +75,7 @@
         self.shared.changed.notify_one();
         let thread = self.thread.lock().expect("no holder of the lock panics").take();
         if let Some(thread) = thread {
-            let _ = thread.join();
+            join::ended("the timer", thread);
         }
     }
 }
