--- a/crates/bamboocart-dispatcher/src/peers.rs
+++ b/crates/bamboocart-dispatcher/src/peers.rs
@@ -21,12 +21,21 @@
 pub struct PeerGate {
     /// The links.
     links: Links,
-    /// The engine's numbers of messages that it wants to hear about.
-    tracked: Arc<Mutex<HashMap<MessageId, u64>>>,
+    /// The messages that the engine wants to hear about.
+    tracked: Arc<Mutex<HashMap<MessageId, Tracked>>>,
     /// The spans of forwarded submissions, which end with the answer.
     spans: Arc<OwnerSpans>,
 }
 
+/// A message that the engine wants to hear about.
+#[derive(Debug, Copy, Clone)]
+struct Tracked {
+    /// The engine's number.
+    correlation: u64,
+    /// Whether it wants to hear about the delivery too, not only about its failure.
+    delivery: bool,
+}
+
 impl PeerGate {
     /// Starts to pass messages and reports on to the engine.
     pub fn start(
@@ -35,7 +44,7 @@
         events: &Sender<Event>,
         spans: Arc<OwnerSpans>,
     ) -> Self {
-        let tracked: Arc<Mutex<HashMap<MessageId, u64>>> = Arc::default();
+        let tracked: Arc<Mutex<HashMap<MessageId, Tracked>>> = Arc::default();
         let (inbound_events, inbound_spans) = (events.clone(), spans.clone());
         thread::spawn(move || pass_messages(&inbound, &inbound_events, &inbound_spans));
         let (report_events, report_tracked) = (events.clone(), tracked.clone());
@@ -81,7 +90,8 @@
         let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
         match (self.links.send(address, priority, bytes), correlation) {
             (Ok(id), Some(correlation)) => {
-                tracked.insert(id, correlation);
+                let delivery = matches!(message, Message::HandOver(_));
+                tracked.insert(id, Tracked { correlation, delivery });
                 None
             }
             (Ok(_), None) => None,
@@ -158,15 +168,16 @@
     }
 }
 
-/// Tells the engine about messages that were not acknowledged.
+/// Tells the engine about messages that were not acknowledged, and about parts of
+/// handovers that were.
 fn pass_reports(
     reports: &Receiver<Report>,
-    tracked: &Mutex<HashMap<MessageId, u64>>,
+    tracked: &Mutex<HashMap<MessageId, Tracked>>,
     events: &Sender<Event>,
 ) {
     for report in reports {
         let mut tracked = tracked.lock().unwrap_or_else(PoisonError::into_inner);
-        let correlation = tracked.remove(&report.id);
+        let found = tracked.remove(&report.id);
         drop(tracked);
         let end = match report.delivery {
             Delivery::Acknowledged { .. } => LinkEnd::Acknowledged,
@@ -174,13 +185,15 @@
             Delivery::Unknown(_) => LinkEnd::Unknown,
         };
         observe::count_link_message(end);
-        let Some(correlation) = correlation else { continue };
-        let certain = match end {
+        let Some(Tracked { correlation, delivery }) = found else { continue };
+        let undelivered = |certain| Event::PeerUndelivered { correlation, certain };
+        let event = match end {
+            LinkEnd::Acknowledged if delivery => Event::PeerDelivered { correlation },
             LinkEnd::Acknowledged => continue,
-            LinkEnd::NotSent => true,
-            LinkEnd::Unknown => false,
+            LinkEnd::NotSent => undelivered(true),
+            LinkEnd::Unknown => undelivered(false),
         };
-        if events.send(Event::PeerUndelivered { correlation, certain }).is_err() {
+        if events.send(event).is_err() {
             return;
         }
     }
