--- /dev/null
+++ b/crates/bamboocart-core/src/account/incarnation.rs
@@ -0,0 +1,309 @@
+//! Checks the chain, the sequence and the times of one incarnation's account.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::batch::{Head, SealedBatch};
+use super::entry::{Entry, Fact};
+use super::fault::Fault;
+use super::order::OrderReplay;
+use super::place::Place;
+use super::summary::{GapCause, GapReport, IncarnationSummary};
+use super::verify::AccountKey;
+use crate::id::Incarnation;
+use crate::time::{Timestamp, US_PER_MS};
+
+/// The batch before.
+#[derive(Debug, Copy, Clone)]
+pub(super) struct Predecessor {
+    /// When it was formed.
+    pub(super) formed: Timestamp,
+    /// When it was appended.
+    pub(super) appended: Timestamp,
+    /// Whether it had no room for another entry.
+    pub(super) full: bool,
+}
+
+/// The faults of one record with the entries that they lie in.
+pub(super) type Faults = Vec<(Option<u64>, Fault)>;
+
+/// The account of one incarnation.
+#[derive(Debug)]
+pub(super) struct Account {
+    /// The start of the process.
+    pub(super) incarnation: Incarnation,
+    /// The hash of each batch by its number.
+    pub(super) seen: HashMap<u64, Head>,
+    /// The number of the next batch.
+    pub(super) next_batch: u64,
+    /// The number of the next entry, unless batches before it are missing.
+    pub(super) next_sequence: Option<u64>,
+    /// The time of the last entry.
+    pub(super) last_at: Timestamp,
+    /// The batch before, unless it is missing.
+    pub(super) predecessor: Option<Predecessor>,
+    /// The queues.
+    pub(super) replay: OrderReplay,
+    /// The summary so far.
+    pub(super) summary: IncarnationSummary,
+}
+
+impl Account {
+    /// Creates an account without batches.
+    pub(super) fn new((instance, incarnation): &AccountKey, tolerance: u32) -> Self {
+        let replay = OrderReplay::new(tolerance);
+        let summary = IncarnationSummary {
+            instance: instance.clone(),
+            incarnation: *incarnation,
+            batches: 0,
+            repeats: 0,
+            entries: 0,
+            last_sequence: 0,
+            first_at: None,
+            last_at: None,
+            head: Head::genesis(instance, *incarnation),
+            closed: false,
+            gaps: Vec::new(),
+            starts: Default::default(),
+            customers: BTreeMap::new(),
+        };
+        Self {
+            incarnation: *incarnation,
+            seen: HashMap::new(),
+            next_batch: 1,
+            next_sequence: Some(1),
+            last_at: Timestamp::from_us(incarnation.0),
+            predecessor: None,
+            replay,
+            summary,
+        }
+    }
+
+    /// Checks a batch and returns its entries, or none if it is a repeat or misplaced.
+    pub(super) fn read(
+        &mut self,
+        batch: &SealedBatch,
+        place: &Place<'_>,
+        faults: &mut Faults,
+    ) -> Vec<Entry> {
+        let number = batch.batch;
+        let computed = batch.computed_hash();
+        if self.seen.get(&number) == Some(&computed) && computed == batch.hash {
+            self.summary.repeats += 1;
+            return Vec::new();
+        }
+        if number < self.next_batch {
+            faults.push((None, Fault::MisplacedBatch { batch: number }));
+            return Vec::new();
+        }
+        if self.summary.closed {
+            faults.push((None, Fault::AfterClose { batch: number }));
+        }
+        if computed != batch.hash {
+            faults.push((None, Fault::HashMismatch { batch: number }));
+        }
+        match number == self.next_batch {
+            true if batch.previous != self.summary.head => {
+                faults.push((None, Fault::ChainBroken { batch: number }));
+            }
+            true => {}
+            false => self.skip_to(number, place, faults),
+        }
+        self.check_forming(batch, place, faults);
+        let entries = self.read_entries(batch, place, faults);
+        self.pass(batch, place);
+        entries
+    }
+
+    /// Notes that batches are missing.
+    fn skip_to(&mut self, number: u64, place: &Place<'_>, faults: &mut Faults) {
+        let (first, last) = (self.next_batch, number - 1);
+        let expired = first == 1 && place.may_have_expired(self.incarnation);
+        if !expired {
+            faults.push((None, Fault::MissingBatches { first, last }));
+        }
+        let cause = match expired {
+            true => GapCause::Expired,
+            false => GapCause::Missing,
+        };
+        self.summary.gaps.push(GapReport {
+            cause,
+            first_sequence: self.summary.last_sequence + 1,
+            last_sequence: None,
+            from: Some(self.last_at),
+            until: None,
+        });
+        self.replay.forget();
+        self.next_sequence = None;
+        self.predecessor = None;
+    }
+
+    /// Checks when the batch was formed against its neighbours and its append.
+    fn check_forming(&self, batch: &SealedBatch, place: &Place<'_>, faults: &mut Faults) {
+        let late_us = batch.formed.us_since(place.appended());
+        if late_us > place.tolerance_us() {
+            faults.push((None, Fault::PostDated { late_us }));
+        }
+        // An instance forms a batch only when it knows that the one before is in the log.
+        let earliest = self.predecessor.map_or(self.last_at, |before| before.formed);
+        let mut early_us = earliest.us_since(batch.formed);
+        if let Some(before) = self.predecessor {
+            let since_append = before.appended.us_since(batch.formed);
+            early_us = early_us.max(since_append.saturating_sub(place.tolerance_us()));
+        }
+        if early_us > 0 {
+            faults.push((None, Fault::BackDated { early_us }));
+        }
+    }
+
+    /// Reads and checks the entries of a batch.
+    fn read_entries(
+        &mut self,
+        batch: &SealedBatch,
+        place: &Place<'_>,
+        faults: &mut Faults,
+    ) -> Vec<Entry> {
+        // Entries that were recorded before the batch in front was formed are in that
+        // batch, unless it was full.
+        if let Some(before) = self.predecessor.filter(|before| !before.full) {
+            self.last_at = self.last_at.max(before.formed);
+        }
+        let mut entries = Vec::with_capacity(batch.entries.len());
+        for text in &batch.entries {
+            let entry: Entry = match serde_json::from_str(text.get()) {
+                Ok(entry) => entry,
+                Err(error) => {
+                    let reason = error.to_string();
+                    faults.push((None, Fault::Unreadable { reason }));
+                    self.next_sequence = None;
+                    self.replay.forget();
+                    continue;
+                }
+            };
+            let written = serde_json::to_string(&entry);
+            if !written.is_ok_and(|written| written == text.get()) {
+                faults.push((Some(entry.sequence), Fault::NotCanonical));
+            }
+            self.check_sequence(&entry, faults);
+            self.check_time(&entry, batch, faults);
+            entries.push(entry);
+        }
+        self.note_delay(&entries, place);
+        entries
+    }
+
+    /// Checks that no entry is missing before this one.
+    fn check_sequence(&mut self, entry: &Entry, faults: &mut Faults) {
+        let found = entry.sequence;
+        let first_new = match &entry.fact {
+            Fact::Gap(gap) if found == gap.last_sequence + 1 => gap.first_sequence,
+            _ => found,
+        };
+        match self.next_sequence {
+            Some(expected) if expected != first_new => {
+                faults.push((Some(found), Fault::SequenceBroken { expected, found }));
+                self.replay.forget();
+            }
+            Some(_) => {}
+            None => self.bound_gap(first_new, entry.at),
+        }
+        self.next_sequence = Some(found + 1);
+        if let Fact::Gap(gap) = &entry.fact {
+            self.summary.gaps.push(GapReport {
+                cause: GapCause::Dropped,
+                first_sequence: gap.first_sequence,
+                last_sequence: Some(gap.last_sequence),
+                from: Some(gap.from),
+                until: Some(gap.until),
+            });
+        }
+    }
+
+    /// Gives the gap of missing batches its end.
+    fn bound_gap(&mut self, next_sequence: u64, at: Timestamp) {
+        if let Some(gap) = self.summary.gaps.last_mut()
+            && gap.last_sequence.is_none()
+        {
+            gap.last_sequence = Some(next_sequence.saturating_sub(1));
+            gap.until = Some(at);
+        }
+    }
+
+    /// Checks that times rise up to the forming of the batch.
+    fn check_time(&mut self, entry: &Entry, batch: &SealedBatch, faults: &mut Faults) {
+        let early_us = self.last_at.us_since(entry.at);
+        if early_us > 0 {
+            faults.push((Some(entry.sequence), Fault::BackDated { early_us }));
+        }
+        let late_us = entry.at.us_since(batch.formed);
+        if late_us > 0 {
+            faults.push((Some(entry.sequence), Fault::PostDated { late_us }));
+        }
+        self.last_at = self.last_at.max(entry.at);
+        self.summary.first_at.get_or_insert(entry.at);
+        self.summary.last_at = Some(entry.at);
+    }
+
+    /// Lists entries that were appended late.
+    fn note_delay(&mut self, entries: &[Entry], place: &Place<'_>) {
+        let limit_us = place.settings.delay_ms * US_PER_MS;
+        let is_late = |entry: &&Entry| place.appended().us_since(entry.at) > limit_us;
+        let mut late = entries.iter().filter(is_late);
+        let Some(first) = late.next() else {
+            return;
+        };
+        let last = late.next_back().unwrap_or(first);
+        let until = Some(place.appended());
+        let last_sequence = Some(last.sequence);
+        let adjoins = |gap: &&mut GapReport| {
+            gap.cause == GapCause::Delayed
+                && gap.last_sequence.is_some_and(|known| known + 1 == first.sequence)
+        };
+        if let Some(gap) = self.summary.gaps.last_mut().filter(adjoins) {
+            gap.last_sequence = last_sequence;
+            gap.until = until;
+            return;
+        }
+        self.summary.gaps.push(GapReport {
+            cause: GapCause::Delayed,
+            first_sequence: first.sequence,
+            last_sequence,
+            from: Some(first.at),
+            until,
+        });
+    }
+
+    /// Moves behind a batch.
+    fn pass(&mut self, batch: &SealedBatch, place: &Place<'_>) {
+        self.seen.insert(batch.batch, batch.hash);
+        self.next_batch = batch.batch + 1;
+        self.predecessor = Some(Predecessor {
+            formed: batch.formed,
+            appended: place.appended(),
+            full: batch.is_full(),
+        });
+        let summary = &mut self.summary;
+        summary.head = batch.hash;
+        summary.closed |= batch.closes;
+        summary.batches += 1;
+        summary.entries += batch.entries.len() as u64;
+        if let Some(next) = self.next_sequence {
+            summary.last_sequence = next - 1;
+        }
+    }
+
+    /// Returns the summary, with a gap at the end if the account has none.
+    pub(super) fn finish(mut self, successor: Option<Incarnation>) -> IncarnationSummary {
+        if !self.summary.closed {
+            self.summary.gaps.push(GapReport {
+                cause: GapCause::NotClosed,
+                first_sequence: self.summary.last_sequence + 1,
+                last_sequence: None,
+                from: Some(self.last_at),
+                until: successor.map(|later| Timestamp::from_us(later.0)),
+            });
+        }
+        self.summary.starts = self.replay.starts;
+        self.summary.customers = self.replay.customers;
+        self.summary
+    }
+}
--- a/crates/bamboocart-core/src/account/mod.rs
+++ b/crates/bamboocart-core/src/account/mod.rs
@@ -10,8 +10,12 @@
 mod chain;
 mod entry;
 mod fault;
+mod incarnation;
 mod order;
+mod place;
+mod share;
 mod summary;
+mod tasks;
 mod verify;
 
 pub use self::batch::{
