Compare starts by a floor with the configuration

Cause: a start that named its floor was passed without a check, whatever the floor_percent of the configuration was, and in any order within its rank. Ruled out: floors stated by the account itself, since an instance could state its own. The exact windows of the queue, since retries that wait are not in the account; an honest queue would be accused. Change: verification reads the floors of each version from the configuration stream. A floor has a credit that grows with each start while its rank waits, up to the reserve of one window and one start. A start beyond it is a fault, as is one by a floor against share or arrival within its rank. Starts under an unknown version are counted. Tests: the case beyond_share_for_floor expected no fault and now expects one, because the floor passes over ranks and not over customers; the old case remains for Fit.

--- a/crates/bamboocart-cli/src/commands/account/verify.rs
+++ b/crates/bamboocart-cli/src/commands/account/verify.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 
 use super::{Extent, read_account};
+use crate::config_log::ConfigLog;
 use crate::error::Result;
 use crate::report::{EXIT_CODES, Exit, Report};
 use crate::settings::{Common, Faults};
@@ -48,12 +49,15 @@
         };
         faults.finish()?;
         let default = VerifySettings::default();
-        let mut verifier = Verifier::new(VerifySettings {
+        let platform = Platform::new(&address.to_string());
+        let mut config = ConfigLog::new(platform.clone(), None);
+        config.read_on(0)?;
+        let settings = VerifySettings {
             clock_tolerance_ms: tolerance.unwrap_or(default.clock_tolerance_ms),
             delay_ms: delay.unwrap_or(default.delay_ms),
             ..default
-        });
-        let platform = Platform::new(&address.to_string());
+        };
+        let mut verifier = Verifier::new(settings, config.floors().clone());
         let extent = read_account(&platform, |record| {
             let (offset, at_ms, text) = (record.offset, record.at_ms, &*record.body);
             verifier.read(&StreamRecord { offset, at_ms, text });
@@ -136,7 +140,9 @@
         .map(|(reason, n)| format!("{} {n}", json!(reason).as_str().unwrap_or_default()));
     let unchecked = (starts.unchecked > 0)
         .then(|| format!("{} not checked, admitted in a gap", starts.unchecked));
-    let reasons: Vec<String> = reasons.chain(unchecked).collect();
+    let floors = (starts.floor_unchecked > 0)
+        .then(|| format!("{} by a floor of an unknown version", starts.floor_unchecked));
+    let reasons: Vec<String> = reasons.chain(unchecked).chain(floors).collect();
     if !reasons.is_empty() {
         lines.push(format!("  starts: {}", reasons.join(", ")));
     }
--- a/crates/bamboocart-cli/src/config_log.rs
+++ b/crates/bamboocart-cli/src/config_log.rs
@@ -1,5 +1,6 @@
 //! Reading of the configuration stream.
 
+use bamboocart_core::account::Floors;
 use bamboocart_core::config::{CONFIG_STREAM, Fold, Folded, PublicationId};
 use bamboocart_core::id::ConfigVersion;
 use bamboocart_core::time::Timestamp;
@@ -12,6 +13,8 @@
     platform: Platform,
     /// The fold of the records that were read.
     fold: Fold,
+    /// The floors of the versions that were read.
+    floors: Floors,
     /// The publication to look out for.
     own: Option<PublicationId>,
     /// What became of it.
@@ -34,7 +37,7 @@
 impl ConfigLog {
     /// Creates a reader that has read nothing.
     pub fn new(platform: Platform, own: Option<PublicationId>) -> Self {
-        Self { platform, fold: Fold::new(), own, fate: None }
+        Self { platform, fold: Fold::new(), floors: Floors::default(), own, fate: None }
     }
 
     /// Returns the fold of the records that were read.
@@ -42,6 +45,11 @@
         &self.fold
     }
 
+    /// Returns the floors of the versions that were read.
+    pub fn floors(&self) -> &Floors {
+        &self.floors
+    }
+
     /// Returns what became of the publication, once its record was read.
     pub fn fate(&self) -> Option<&Fate> {
         self.fate.as_ref()
@@ -57,6 +65,9 @@
             for record in &page.records {
                 let at = Timestamp::from_ms(record.at_ms);
                 let folded = self.fold.take(record.offset, at, &record.body);
+                if let Some(in_force) = self.fold.in_force() {
+                    self.floors.add(in_force);
+                }
                 let is_rewound = matches!(folded, Folded::Rewind { .. });
                 self.note(record.offset, folded);
                 // The rest of the page comes after the records to read again.
--- a/crates/bamboocart-core/src/account/fault.rs
+++ b/crates/bamboocart-core/src/account/fault.rs
@@ -205,6 +205,18 @@
         /// The arrival number that was passed over.
         waiting_arrival: u64,
     },
+    /// A floor was used beyond its share of the starts.
+    #[snafu(display(
+        "{submission} of rank {rank} was started beyond the floor of {percent} percent"
+    ))]
+    FloorExceeded {
+        /// The submission that was started.
+        submission: SubmissionId,
+        /// Its rank.
+        rank: u8,
+        /// The share of the configuration in force.
+        percent: u32,
+    },
     /// A start names a customer or a reason that its admission excludes.
     #[snafu(display(
         "{} was started as {reason:?} against its admission",
--- a/crates/bamboocart-core/src/account/mod.rs
+++ b/crates/bamboocart-core/src/account/mod.rs
@@ -12,6 +12,7 @@
 mod draft;
 mod entry;
 mod fault;
+mod floor;
 mod incarnation;
 mod order;
 mod place;
@@ -30,6 +31,7 @@
     AnswerKind, Claim, Entry, Fact, FinishResult, Gap, StartReason, Subject, TaskRange,
 };
 pub use self::fault::{Fault, Finding};
+pub use self::floor::Floors;
 pub use self::summary::{
     CustomerTotals, GapCause, GapReport, IncarnationSummary, StartTotals, Verdict,
 };
--- a/crates/bamboocart-core/src/account/order.rs
+++ b/crates/bamboocart-core/src/account/order.rs
@@ -6,6 +6,7 @@
     AnswerKind, Claim, Entry, Fact, FinishResult, StartReason, Subject, TaskRange,
 };
 use super::fault::Fault;
+use super::floor::{Floors, Taken};
 use super::share::{Queue, scaled_cost};
 use super::summary::{CustomerTotals, StartTotals};
 use super::tasks::{Place, Task, Tasks};
@@ -58,7 +59,12 @@
     }
 
     /// Applies an entry and adds the faults that it shows.
-    pub(super) fn apply(&mut self, entry: Entry, faults: &mut Vec<Fault>) {
+    pub(super) fn apply(
+        &mut self,
+        entry: Entry,
+        floors: &Floors,
+        faults: &mut Vec<Fault>,
+    ) {
         match entry.fact {
             Fact::Admitted { subject, tasks, claim } => {
                 self.admit(subject, tasks, claim, faults);
@@ -72,7 +78,7 @@
             Fact::Started { subject, task, reason, .. } => {
                 self.totals(&subject.customer).starts += 1;
                 *self.starts.by_reason.entry(reason).or_default() += 1;
-                self.start(subject, task, reason, faults);
+                self.start((subject, task), reason, floors, faults);
             }
             Fact::Finished { subject, task, result, .. } => {
                 self.finish(&subject, task, result);
@@ -125,9 +131,9 @@
     /// Checks a start and takes the task out of its queue.
     fn start(
         &mut self,
-        subject: Subject,
-        index: TaskIndex,
+        (subject, index): (Subject, TaskIndex),
         reason: StartReason,
+        floors: &Floors,
         faults: &mut Vec<Fault>,
     ) {
         let submission = subject.submission.clone();
@@ -151,10 +157,25 @@
         match task.place {
             Place::Queued => {
                 let queue = self.queues.entry(claim.queue.clone()).or_default();
-                if reason == StartReason::Order {
-                    let fault =
-                        queue.better_claim(&submission, customer, claim, self.tolerance);
-                    faults.extend(fault);
+                queue.count_start(floors, self.config, self.complete);
+                if matches!(reason, StartReason::Order | StartReason::Floor) {
+                    let rule = (reason, self.tolerance);
+                    faults.extend(queue.better_claim(&submission, customer, claim, rule));
+                }
+                if reason == StartReason::Floor {
+                    let rank = claim.rank;
+                    match queue.take_floor(rank) {
+                        Taken::Allowed => {}
+                        Taken::Unknown => self.starts.floor_unchecked += 1,
+                        Taken::Exceeds { percent } => {
+                            let submission = submission.clone();
+                            faults.push(Fault::FloorExceeded {
+                                submission,
+                                rank,
+                                percent,
+                            });
+                        }
+                    }
                 }
                 queue.take(claim, customer, task.starts == 0);
             }
@@ -187,6 +208,10 @@
         };
         task.running = task.running.saturating_sub(1);
         task.ran |= result != FinishResult::NotStarted;
+        if !matches!(result, FinishResult::Complete | FinishResult::NotStarted) {
+            let (_, claim) = &tasks.claims[task.claim];
+            self.queues.entry(claim.queue.clone()).or_default().may_retry = true;
+        }
         let waits_again = task.place == Place::Sent && task.running == 0 && !task.ran;
         if waits_again && !tasks.cancelled {
             task.place = Place::Queued;
--- a/crates/bamboocart-core/src/account/share.rs
+++ b/crates/bamboocart-core/src/account/share.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::entry::Claim;
+use super::entry::{Claim, StartReason};
 use super::fault::Fault;
-use crate::id::{CustomerName, SubmissionId};
+use super::floor::{FloorCredit, Floors, Taken};
+use crate::id::{ConfigVersion, CustomerName, SubmissionId};
 
 /// The parts of a microsecond per unit of weight that shares are counted in, so that
 /// rounding does not add up.
@@ -17,6 +18,8 @@
     pub(super) last_arrival: Option<u64>,
     /// The customers of each rank.
     pub(super) ranks: BTreeMap<u8, Rank>,
+    /// Whether a send was lost or failed, so that tasks may wait for a retry unseen.
+    pub(super) may_retry: bool,
 }
 
 /// The customers of one rank.
@@ -26,6 +29,15 @@
     pub(super) latest_tag: u128,
     /// The customers.
     pub(super) shares: HashMap<CustomerName, Share>,
+    /// What the floor still allows.
+    floor: FloorCredit,
+}
+
+impl Rank {
+    /// Returns whether a task waits.
+    fn is_waiting(&self) -> bool {
+        self.shares.values().any(|share| !share.waiting.is_empty())
+    }
 }
 
 /// What one customer has had and what waits.
@@ -79,18 +91,43 @@
         }
     }
 
+    /// Counts a start for the floors of the ranks that wait.
+    ///
+    /// The queue counts starts only while another rank waits as well. This counts more of
+    /// them, since tasks that wait for a retry are not seen, and accuses no honest queue.
+    pub(super) fn count_start(
+        &mut self,
+        floors: &Floors,
+        version: Option<ConfigVersion>,
+        complete: bool,
+    ) {
+        for (&number, rank) in &mut self.ranks {
+            rank.floor.follow(floors.percent(version, number), complete);
+            if self.may_retry || rank.is_waiting() {
+                rank.floor.count();
+            }
+        }
+    }
+
+    /// Takes a start by the floor of a rank.
+    pub(super) fn take_floor(&mut self, rank: u8) -> Taken {
+        self.ranks.entry(rank).or_default().floor.take()
+    }
+
     /// Returns the fault if another waiting task should have been started.
+    ///
+    /// A start by a floor may pass over better ranks, but nothing of its own rank.
     pub(super) fn better_claim(
         &self,
         submission: &SubmissionId,
         customer: &CustomerName,
         claim: &Claim,
-        tolerance: u32,
+        (reason, tolerance): (StartReason, u32),
     ) -> Option<Fault> {
         let submission = submission.clone();
         let mut better_ranks = self.ranks.range(..claim.rank);
         let waiting_rank = better_ranks
-            .find(|(_, rank)| rank.shares.values().any(|s| !s.waiting.is_empty()));
+            .find(|(_, rank)| reason != StartReason::Floor && rank.is_waiting());
         if let Some((&waiting_rank, _)) = waiting_rank {
             let rank = claim.rank;
             return Some(Fault::RankPassedOver { submission, rank, waiting_rank });
--- a/crates/bamboocart-core/src/account/summary.rs
+++ b/crates/bamboocart-core/src/account/summary.rs
@@ -97,6 +97,8 @@
     pub by_reason: BTreeMap<StartReason, u64>,
     /// The starts of tasks whose admission lies in a gap, so that nothing is checked.
     pub unchecked: u64,
+    /// The starts by a floor whose share is not known.
+    pub floor_unchecked: u64,
 }
 
 /// What one customer got.
--- a/crates/bamboocart-core/src/account/verify.rs
+++ b/crates/bamboocart-core/src/account/verify.rs
@@ -5,6 +5,7 @@
 use super::batch::SealedBatch;
 use super::entry::{Entry, Fact, StartReason};
 use super::fault::{Fault, Finding};
+use super::floor::Floors;
 use super::incarnation::{Account, Faults};
 use super::place::Place;
 use super::summary::Verdict;
@@ -46,8 +47,9 @@
 pub fn verify<'a>(
     records: impl IntoIterator<Item = StreamRecord<'a>>,
     settings: VerifySettings,
+    floors: Floors,
 ) -> Verdict {
-    let mut verifier = Verifier::new(settings);
+    let mut verifier = Verifier::new(settings, floors);
     for record in records {
         verifier.read(&record);
     }
@@ -63,6 +65,8 @@
 pub struct Verifier {
     /// The tolerances.
     settings: VerifySettings,
+    /// The floors of the configuration.
+    floors: Floors,
     /// The findings so far.
     verdict: Verdict,
     /// The offset and time of the first record.
@@ -77,9 +81,12 @@
 
 impl Verifier {
     /// Creates a verification that has seen no record.
-    pub fn new(settings: VerifySettings) -> Self {
+    ///
+    /// Starts by a floor are checked as far as `floors` has the version in force.
+    pub fn new(settings: VerifySettings, floors: Floors) -> Self {
         Self {
             settings,
+            floors,
             verdict: Verdict::default(),
             start: None,
             last: None,
@@ -122,7 +129,7 @@
             let sequence = entry.sequence;
             let mut found = Vec::new();
             if let Some(account) = self.accounts.get_mut(&key) {
-                account.replay.apply(entry, &mut found);
+                account.replay.apply(entry, &self.floors, &mut found);
             }
             faults.extend(found.into_iter().map(|fault| (Some(sequence), fault)));
         }
--- a/crates/bamboocart-core/tests/account/order.rs
+++ b/crates/bamboocart-core/tests/account/order.rs
@@ -56,7 +56,19 @@
             Fault::SharePassedOver { behind_us: 500_000, tolerance_us: 400_000, .. }
         )),
     },
-    beyond_share_for_floor = { vec![backlog(), starts(0..6, Floor)], None },
+    beyond_share_for_fit = { vec![backlog(), starts(0..6, Fit)], None },
+    beyond_share_for_floor = {
+        vec![backlog(), starts(0..6, Floor)],
+        Some(|f| matches!(f, Fault::SharePassedOver { behind_us: 500_000, .. })),
+    },
+    against_arrival_for_floor = {
+        vec![backlog(), vec![start(1, "a", Floor)]],
+        Some(|f| matches!(f, Fault::ArrivalPassedOver { waiting_arrival: 0, .. })),
+    },
+    against_rank_for_floor = {
+        vec![backlog(), vec![admit(7, "b", 0), start(0, "a", Floor)]],
+        None,
+    },
     share_restored = {
         vec![backlog(), starts(0..5, Order), vec![start(6, "b", Order)]],
         None,
--- a/crates/bamboocart-core/tests/account/stream.rs
+++ b/crates/bamboocart-core/tests/account/stream.rs
@@ -1,8 +1,8 @@
 //! A log stream in memory, and entries in short form.
 
 use bamboocart_core::account::{
-    AnswerKind, Chain, Claim, Fact, Fault, FinishResult, SealedBatch, StartReason,
-    StreamRecord, Subject, TaskRange, Verdict, VerifySettings, verify,
+    AnswerKind, Chain, Claim, Fact, Fault, FinishResult, Floors, SealedBatch,
+    StartReason, StreamRecord, Subject, TaskRange, Verdict, VerifySettings, verify,
 };
 use bamboocart_core::id::{
     Attempt, ConfigVersion, Incarnation, SubmissionId, TaskIndex, Ticket,
@@ -43,12 +43,16 @@
     }
 
     pub fn verify(&self) -> Verdict {
+        self.verify_with(Floors::default())
+    }
+
+    pub fn verify_with(&self, floors: Floors) -> Verdict {
         let records = self.records.iter().map(|record| StreamRecord {
             offset: record.offset,
             at_ms: record.at_ms,
             text: &record.text,
         });
-        verify(records, VerifySettings::default())
+        verify(records, VerifySettings::default(), floors)
     }
 
     /// Gives the records consecutive offsets, as a forger of the whole stream would.
--- a/crates/bamboocart-dispatcher/tests/support/judge.rs
+++ b/crates/bamboocart-dispatcher/tests/support/judge.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use bamboocart_core::account::{
-    ACCOUNT_STREAM, Finding, StreamRecord, VerifySettings, verify,
+    ACCOUNT_STREAM, Finding, Floors, StreamRecord, VerifySettings, verify,
 };
+use bamboocart_core::config::{CONFIG_STREAM, Fold, Folded};
 use bamboocart_core::id::SubmissionId;
+use bamboocart_core::time::Timestamp;
 use bamboocart_platform::Platform;
 use bamboocart_standin::history::{Evidence, Policy, Purpose, SendRecord, What, check};
 use bamboocart_wire::api::{AnswerBody, OutcomeName, ResultBody};
@@ -120,7 +122,7 @@
         at_ms: record.at_ms,
         text: &record.body,
     });
-    let verdict = verify(stream, VerifySettings::default());
+    let verdict = verify(stream, VerifySettings::default(), floors(&platform));
     assert!(!verdict.incarnations.is_empty(), "the run left no account");
     let describe = |finding: &Finding| {
         let Finding { offset, account, sequence, fault } = finding;
@@ -129,6 +131,27 @@
     verdict.findings.iter().take(5).map(describe).collect()
 }
 
+/// Reads the floors of every version of the configuration.
+fn floors(platform: &Platform) -> Floors {
+    let (mut fold, mut floors) = (Fold::new(), Floors::default());
+    loop {
+        let page = platform.read(CONFIG_STREAM, fold.next_offset(), 0);
+        let page = page.expect("the log can be read");
+        fold.begin(page.start);
+        for record in &page.records {
+            let at = Timestamp::from_ms(record.at_ms);
+            let folded = fold.take(record.offset, at, &record.body);
+            fold.in_force().into_iter().for_each(|known| floors.add(known));
+            if matches!(folded, Folded::Rewind { .. }) {
+                break;
+            }
+        }
+        if page.records.is_empty() || fold.next_offset() >= page.end {
+            return floors;
+        }
+    }
+}
+
 /// Asks every live instance for the state of every submission, until none is running.
 fn final_states(
     cluster: &Cluster,
