--- a/crates/bamboocart-core/src/account/order.rs
+++ b/crates/bamboocart-core/src/account/order.rs
@@ -6,13 +6,12 @@
     AnswerKind, Claim, Entry, Fact, FinishResult, StartReason, Subject, TaskRange,
 };
 use super::fault::Fault;
+use super::floor::{Floors, Taken};
+use super::share::{Queue, scaled_cost};
 use super::summary::{CustomerTotals, StartTotals};
+use super::tasks::{Place, Task, Tasks};
 use crate::id::{ConfigVersion, CustomerName, GroupName, SubmissionId, TaskIndex};
 
-/// The parts of a microsecond per unit of weight that shares are counted in, so that
-/// rounding does not add up.
-const SHARE_SCALE: u128 = 1 << 20;
-
 /// The queues of one incarnation as its entries describe them.
 ///
 /// The model is start-time fair queueing per queue and rank. A customer's tag grows by
@@ -60,7 +59,12 @@
     }
 
     /// Applies an entry and adds the faults that it shows.
-    pub(super) fn apply(&mut self, entry: Entry, faults: &mut Vec<Fault>) {
+    pub(super) fn apply(
+        &mut self,
+        entry: Entry,
+        floors: &Floors,
+        faults: &mut Vec<Fault>,
+    ) {
         match entry.fact {
             Fact::Admitted { subject, tasks, claim } => {
                 self.admit(subject, tasks, claim, faults);
@@ -74,7 +78,7 @@
             Fact::Started { subject, task, reason, .. } => {
                 self.totals(&subject.customer).starts += 1;
                 *self.starts.by_reason.entry(reason).or_default() += 1;
-                self.start(subject, task, reason, faults);
+                self.start((subject, task), reason, floors, faults);
             }
             Fact::Finished { subject, task, result, .. } => {
                 self.finish(&subject, task, result);
@@ -127,9 +131,9 @@
     /// Checks a start and takes the task out of its queue.
     fn start(
         &mut self,
-        subject: Subject,
-        index: TaskIndex,
+        (subject, index): (Subject, TaskIndex),
         reason: StartReason,
+        floors: &Floors,
         faults: &mut Vec<Fault>,
     ) {
         let submission = subject.submission.clone();
@@ -153,10 +157,25 @@
         match task.place {
             Place::Queued => {
                 let queue = self.queues.entry(claim.queue.clone()).or_default();
-                if reason == StartReason::Order {
-                    let fault =
-                        queue.better_claim(&submission, customer, claim, self.tolerance);
-                    faults.extend(fault);
+                queue.count_start(floors, self.config, self.complete);
+                if matches!(reason, StartReason::Order | StartReason::Floor) {
+                    let rule = (reason, self.tolerance);
+                    faults.extend(queue.better_claim(&submission, customer, claim, rule));
+                }
+                if reason == StartReason::Floor {
+                    let rank = claim.rank;
+                    match queue.take_floor(rank) {
+                        Taken::Allowed => {}
+                        Taken::Unknown => self.starts.floor_unchecked += 1,
+                        Taken::Exceeds { percent } => {
+                            let submission = submission.clone();
+                            faults.push(Fault::FloorExceeded {
+                                submission,
+                                rank,
+                                percent,
+                            });
+                        }
+                    }
                 }
                 queue.take(claim, customer, task.starts == 0);
             }
@@ -189,6 +208,10 @@
         };
         task.running = task.running.saturating_sub(1);
         task.ran |= result != FinishResult::NotStarted;
+        if !matches!(result, FinishResult::Complete | FinishResult::NotStarted) {
+            let (_, claim) = &tasks.claims[task.claim];
+            self.queues.entry(claim.queue.clone()).or_default().may_retry = true;
+        }
         let waits_again = task.place == Place::Sent && task.running == 0 && !task.ran;
         if waits_again && !tasks.cancelled {
             task.place = Place::Queued;
@@ -269,174 +292,3 @@
         self.customers.entry(customer.clone()).or_default()
     }
 }
-
-/// The tasks of one submission.
-#[derive(Debug, Default)]
-struct Tasks {
-    /// The claims of its admissions, with their customer.
-    claims: Vec<(CustomerName, Claim)>,
-    /// The tasks.
-    states: BTreeMap<TaskIndex, Task>,
-    /// Whether its tasks left the queue without a start.
-    cancelled: bool,
-}
-
-/// One task.
-#[derive(Debug)]
-struct Task {
-    /// The position of its claim.
-    claim: usize,
-    /// Where it is.
-    place: Place,
-    /// The sends so far.
-    starts: u32,
-    /// The sends that have not ended.
-    running: u32,
-    /// Whether a send ended and may have run.
-    ran: bool,
-}
-
-impl Task {
-    /// Creates a task that waits.
-    fn waiting(claim: usize) -> Self {
-        Self { claim, place: Place::Queued, starts: 0, running: 0, ran: false }
-    }
-}
-
-/// Where a task is.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-enum Place {
-    /// In its queue.
-    Queued,
-    /// Sent at least once.
-    Sent,
-    /// Out of its queue without a start.
-    Withdrawn,
-}
-
-/// One queue.
-#[derive(Debug, Default)]
-struct Queue {
-    /// The arrival number of the last admission.
-    last_arrival: Option<u64>,
-    /// The customers of each rank.
-    ranks: BTreeMap<u8, Rank>,
-}
-
-/// The customers of one rank.
-#[derive(Debug, Default)]
-struct Rank {
-    /// The tag of the latest start.
-    latest_tag: u128,
-    /// The customers.
-    shares: HashMap<CustomerName, Share>,
-}
-
-/// What one customer has had and what waits.
-#[derive(Debug, Default)]
-struct Share {
-    /// The cost over weight of its starts.
-    tag: u128,
-    /// The largest cost over weight of one of its tasks.
-    largest: u128,
-    /// The number of waiting tasks of each arrival.
-    waiting: BTreeMap<u64, u32>,
-}
-
-impl Share {
-    /// Removes one waiting task.
-    fn remove(&mut self, arrival: u64) {
-        if let Some(count) = self.waiting.get_mut(&arrival) {
-            *count -= 1;
-            if *count == 0 {
-                self.waiting.remove(&arrival);
-            }
-        }
-    }
-}
-
-impl Queue {
-    /// Returns the share that a claim belongs to.
-    fn share(&mut self, claim: &Claim, customer: &CustomerName) -> &mut Share {
-        let rank = self.ranks.entry(claim.rank).or_default();
-        rank.shares.entry(customer.clone()).or_default()
-    }
-
-    /// Adds a waiting task.
-    fn add(&mut self, claim: &Claim, customer: &CustomerName) {
-        let rank = self.ranks.entry(claim.rank).or_default();
-        let share = rank.shares.entry(customer.clone()).or_default();
-        if share.waiting.is_empty() {
-            share.tag = share.tag.max(rank.latest_tag);
-        }
-        *share.waiting.entry(claim.arrival).or_default() += 1;
-    }
-
-    /// Takes a task that is started, and charges its customer unless that was done.
-    fn take(&mut self, claim: &Claim, customer: &CustomerName, charge: bool) {
-        let rank = self.ranks.entry(claim.rank).or_default();
-        let share = rank.shares.entry(customer.clone()).or_default();
-        share.remove(claim.arrival);
-        if charge {
-            rank.latest_tag = rank.latest_tag.max(share.tag);
-            share.tag += scaled_cost(claim);
-        }
-    }
-
-    /// Returns the fault if another waiting task should have been started.
-    fn better_claim(
-        &self,
-        submission: &SubmissionId,
-        customer: &CustomerName,
-        claim: &Claim,
-        tolerance: u32,
-    ) -> Option<Fault> {
-        let submission = submission.clone();
-        let mut better_ranks = self.ranks.range(..claim.rank);
-        let waiting_rank = better_ranks
-            .find(|(_, rank)| rank.shares.values().any(|s| !s.waiting.is_empty()));
-        if let Some((&waiting_rank, _)) = waiting_rank {
-            let rank = claim.rank;
-            return Some(Fault::RankPassedOver { submission, rank, waiting_rank });
-        }
-        let shares = &self.ranks.get(&claim.rank)?.shares;
-        let share = shares.get(customer)?;
-        match share.waiting.first_key_value() {
-            Some((&waiting_arrival, _)) if waiting_arrival < claim.arrival => {
-                let arrival = claim.arrival;
-                return Some(Fault::ArrivalPassedOver {
-                    submission,
-                    arrival,
-                    waiting_arrival,
-                });
-            }
-            _ => {}
-        }
-        let allowed = |other: &Share| {
-            (share.largest + other.largest).saturating_mul(u128::from(tolerance))
-        };
-        let behind = |other: &Share| share.tag.saturating_sub(other.tag);
-        let (waiting, other) = shares
-            .iter()
-            .filter(|(_, other)| !other.waiting.is_empty())
-            .filter(|(_, other)| behind(other) > allowed(other))
-            .max_by_key(|(_, other)| behind(other))?;
-        Some(Fault::SharePassedOver {
-            submission,
-            customer: customer.clone(),
-            waiting: waiting.clone(),
-            behind_us: unscaled(behind(other)),
-            tolerance_us: unscaled(allowed(other)),
-        })
-    }
-}
-
-/// Returns the cost over weight of one task of a claim.
-fn scaled_cost(claim: &Claim) -> u128 {
-    u128::from(claim.cost_us) * SHARE_SCALE / u128::from(claim.weight.max(1))
-}
-
-/// Returns whole microseconds per unit of weight.
-fn unscaled(scaled: u128) -> u64 {
-    u64::try_from(scaled / SHARE_SCALE).unwrap_or(u64::MAX)
-}
