--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -12,7 +12,7 @@
     Attempt, ConfigVersion, CustomerName, GroupName, Incarnation, InstanceName, KindName,
     PriorityName, SubmissionId, TargetName, TaskIndex,
 };
-use crate::message::Message;
+use crate::message::Envelope;
 use crate::outcome::Outcome;
 use crate::target::{AttemptKey, TargetKey};
 
@@ -48,7 +48,7 @@
         /// The number that `PeerUndelivered` names, if the sender needs to know.
         correlation: Option<u64>,
         /// The message.
-        message: Message,
+        envelope: Envelope,
     },
     /// A submission that a peer has forwarded is answered.
     EndSpan {
--- a/crates/bamboocart-core/src/engine/record.rs
+++ b/crates/bamboocart-core/src/engine/record.rs
@@ -98,6 +98,8 @@
     pub ran_before: bool,
     /// The name of the report on the send after which it waits again.
     pub waits_after: Option<&'static str>,
+    /// Whether a peer bounced it, so that a free slot of this instance goes first.
+    pub bounced: bool,
     /// The place that it had in the queue when it was taken out.
     pub place: Option<Place<CustomerKey>>,
 }
@@ -150,6 +152,7 @@
             tried: vec![],
             ran_before: false,
             waits_after: None,
+            bounced: false,
             place: None,
         }
     }
--- a/crates/bamboocart-core/tests/engine_stops.rs
+++ b/crates/bamboocart-core/tests/engine_stops.rs
@@ -3,7 +3,7 @@
 use bamboocart_core::engine::{Effect, Engine, Event, Setup};
 use bamboocart_core::id::{ConfigVersion, Incarnation};
 use bamboocart_core::membership::{Heartbeat, PeerInfo};
-use bamboocart_core::message::Message;
+use bamboocart_core::message::{Envelope, Message};
 use bamboocart_core::ownership::{Limits, Owner, Part};
 use bamboocart_core::placement::Policy;
 use bamboocart_core::time::Timestamp;
@@ -65,13 +65,14 @@
         self.engine.handle(at(self.now_ms), event, &mut effects);
         for effect in effects {
             match effect {
-                Effect::Peer { address, correlation, message } => match message {
+                Effect::Peer { address, correlation, envelope } => match envelope.message
+                {
                     Message::HandOver(part) => {
                         self.sent.push((address.to_string(), correlation, *part));
                     }
-                    Message::HandOverTaken { .. }
+                    message @ (Message::HandOverTaken { .. }
                     | Message::HandOverDeclined { .. }
-                    | Message::Succession { .. } => self.told.push(message),
+                    | Message::Succession { .. }) => self.told.push(message),
                     _ => {}
                 },
                 Effect::Drained => self.drained = true,
@@ -81,7 +82,8 @@
     }
 
     fn hear(&mut self, from: &str, message: Message) {
-        self.handle(Event::PeerMessage { from: owner(from), message });
+        let envelope = Envelope { slots: None, message };
+        self.handle(Event::PeerMessage { from: owner(from), envelope });
     }
 
     /// Lets time pass in which the peers of `alive` are heard.
--- a/crates/bamboocart-dispatcher/tests/support/judge.rs
+++ b/crates/bamboocart-dispatcher/tests/support/judge.rs
@@ -121,6 +121,7 @@
 ///
 /// Gaps are no findings: a killed instance takes its last entries with it.
 fn account_findings(cluster: &Cluster) -> Vec<String> {
+    let platform = Platform::new(&cluster.platform.address().to_string());
     let records = account_records(cluster);
     let stream = records.iter().map(|record| StreamRecord {
         offset: record.offset,
--- a/crates/bamboocart-dispatcher/tests/support/versions.rs
+++ b/crates/bamboocart-dispatcher/tests/support/versions.rs
@@ -7,7 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use bamboocart_core::account::{Fact, OpenBatch};
+use bamboocart_core::account::{Fact, SealedBatch};
 use bamboocart_core::config::{
     CONFIG_STREAM, ConfigRecord, ConfigSet, Publication, PublicationId,
 };
@@ -91,10 +91,11 @@
     let mut changes: BTreeMap<(String, u64), Vec<u64>> = BTreeMap::new();
     let mut known = BTreeSet::new();
     for record in account_records(cluster) {
-        let batch: OpenBatch = record.body.parse().expect("the account is readable");
+        let (batch, _) =
+            SealedBatch::read(&record.body).expect("the account is readable");
         let run = (batch.instance.to_string(), batch.incarnation.0);
         // A batch is appended again when its answer is lost.
-        if !known.insert((run.clone(), batch.number)) {
+        if !known.insert((run.clone(), batch.batch)) {
             continue;
         }
         let versions = changes.entry(run).or_default();
