Name the bound on open sends after what it bounds

Cause: `--send-threads` bounded the threads that sent tasks, one for each open send.

Change: the setting is `--max-sends`, 2,048 by default, which is more than the slots of 25 workers with 64 slots each.

--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -184,7 +184,7 @@
     fn start_outputs(&self, peer_listener: TcpListener) -> Result<Outputs> {
         let holder = format!("{}/{}", self.settings.name, self.incarnation.0);
         let senders = Senders::start(
-            self.settings.limits.send_threads,
+            self.settings.limits.max_sends,
             CONNECTIONS_PER_TARGET,
             (&holder, self.tracer),
             self.events.clone(),
--- a/crates/bamboocart-dispatcher/src/flags.rs
+++ b/crates/bamboocart-dispatcher/src/flags.rs
@@ -48,12 +48,12 @@
     /// Largest number of sends to targets at the same time
     #[bpaf(
         long,
-        env("BAMBOOCART_SEND_THREADS"),
+        env("BAMBOOCART_MAX_SENDS"),
         argument("COUNT"),
-        fallback("512".into()),
+        fallback("2048".into()),
         display_fallback
     )]
-    pub send_threads: String,
+    pub max_sends: String,
     /// Largest number of connections from callers and operators
     #[bpaf(
         long,
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -45,7 +45,7 @@
 #[derive(Debug, Copy, Clone)]
 pub struct Limits {
     /// The largest number of sends to targets at the same time.
-    pub send_threads: usize,
+    pub max_sends: usize,
     /// The largest number of connections from callers and operators.
     pub max_connections: usize,
     /// The largest size of a request body.
@@ -154,7 +154,7 @@
 impl Limits {
     /// Reads the bounds and notes every fault.
     fn parse(flags: &LimitFlags, faults: &mut Faults) -> Option<Self> {
-        let send_threads = faults.parse_positive("--send-threads", &flags.send_threads);
+        let max_sends = faults.parse_positive("--max-sends", &flags.max_sends);
         let max_connections =
             faults.parse_positive("--max-connections", &flags.max_connections);
         let max_body_bytes =
@@ -172,7 +172,7 @@
             "must be larger than --open-submissions, so that refusals can be remembered",
         );
         Some(Self {
-            send_threads: send_threads?,
+            max_sends: max_sends?,
             max_connections: max_connections?,
             max_body_bytes: max_body_bytes?,
             queue_tasks: queue_tasks?,
--- a/crates/bamboocart-dispatcher/tests/help.rs
+++ b/crates/bamboocart-dispatcher/tests/help.rs
@@ -38,7 +38,7 @@
     "--log-format=text",
     "--placement=random",
     "--queue-tasks=1",
-    "--send-threads=1",
+    "--max-sends=1",
 ];
 
 /// Guards against wrong settings that start an instance or whose message names no remedy.
--- a/crates/bamboocart-dispatcher/tests/limits.rs
+++ b/crates/bamboocart-dispatcher/tests/limits.rs
@@ -339,7 +339,7 @@
     let output = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
         .args(["--name", "a.b", "--failure-domain", ""])
         .args(["--listen", "127.0.0.1:0", "--peer-listen", "0.0.0.0:0"])
-        .args(["--platform", "127.0.0.1:0", "--send-threads", "0"])
+        .args(["--platform", "127.0.0.1:0", "--max-sends", "0"])
         .args(["--max-connections", "0", "--queue-tasks", "0"])
         .args(["--open-submissions", "9", "--remembered-submissions", "9"])
         .output()
@@ -351,7 +351,7 @@
         "--failure-domain",
         "--peer-listen",
         "--platform",
-        "--send-threads",
+        "--max-sends",
         "--max-connections",
         "--queue-tasks",
         "--remembered-submissions",
@@ -378,7 +378,7 @@
     let output = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"))
         .args(["--name", "a", "--listen", "nowhere", "--peer-listen", "127.0.0.1:x"])
         .args(["--peer-address", "0.0.0.0:0", "--seed", "b", "--seed", "127.0.0.1:1"])
-        .args(["--platform", "localhost", "--send-threads", "0", "--remember-ms=-1"])
+        .args(["--platform", "localhost", "--max-sends", "0", "--remember-ms=-1"])
         .args(["--placement", "best", "--log-format", "xml"])
         .env("BAMBOOCART_MAX_BODY_BYTES", "4k")
         .env("BAMBOOCART_QUEUE_TASKS", "many")
@@ -397,7 +397,7 @@
         ("--peer-address", "names no address that peers can reach"),
         ("--seed", address),
         ("--platform", address),
-        ("--send-threads", "must be at least 1"),
+        ("--max-sends", "must be at least 1"),
         ("--max-body-bytes", number),
         ("--queue-tasks", number),
         ("--remember-ms", number),
--- a/crates/bamboocart-dispatcher/tests/sends.rs
+++ b/crates/bamboocart-dispatcher/tests/sends.rs
@@ -16,7 +16,7 @@
     let cluster = Cluster::start(ClusterSettings {
         instances: vec!["marka"],
         minions: vec!["--count", "2", "--slots", "8"],
-        flags: vec!["--send-threads", "2"],
+        flags: vec!["--max-sends", "2"],
         ..ClusterSettings::default()
     });
     let address = cluster.instances[0].address;
