Add a span for the peer that runs a lent task

Cause: a task that a peer runs left the spans of entry, owner and target; the hop over the lending peer had none. The target's span named the owner as its parent although another instance sent the task.

Ruled out: forwarded requests already had one span for each hop. The caller's span is not recorded by design; the entry's span names it as its parent.

Change: an offered task begins a span `lender`, which ends with the report to the owner, also when the offer is bounced.

--- a/crates/bamboocart-core/src/engine/effect.rs
+++ b/crates/bamboocart-core/src/engine/effect.rs
@@ -50,7 +50,7 @@
         /// The message.
         envelope: Envelope,
     },
-    /// A submission that a peer has forwarded is answered.
+    /// A submission that a peer has forwarded or a task that it has lent is answered.
     EndSpan {
         /// The peer.
         peer: InstanceName,
--- a/crates/bamboocart-core/src/engine/ended.rs
+++ b/crates/bamboocart-core/src/engine/ended.rs
@@ -60,6 +60,8 @@
             }
             Origin::Peer { owner, correlation } => {
                 let message = Message::Ran { correlation, report };
+                let peer = owner.instance.clone();
+                effects.push(Effect::EndSpan { peer, correlation });
                 self.tell(&owner.instance, message, effects);
             }
         }
--- a/crates/bamboocart-core/src/engine/lend.rs
+++ b/crates/bamboocart-core/src/engine/lend.rs
@@ -95,6 +95,8 @@
             .and_then(|key| Some((key, self.targets.get(key)?)));
         let Some((target_key, target)) = target else {
             let report = SendReport::TurnedAway(TurnAway::Busy);
+            let peer = from.instance.clone();
+            effects.push(Effect::EndSpan { peer, correlation });
             self.tell(&from.instance, Message::Ran { correlation, report }, effects);
             return;
         };
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -28,7 +28,7 @@
 use crate::routes::Context;
 use crate::sender::Senders;
 use crate::settings::Settings;
-use crate::spans::OwnerSpans;
+use crate::spans::PeerSpans;
 use crate::waiters::Waiters;
 use crate::{appender, follower, lister, observe, server};
 
@@ -225,7 +225,7 @@
             (inbound, reports),
             &CancellationToken::new(),
         )?;
-        let spans = Arc::new(OwnerSpans::new(self.tracer));
+        let spans = Arc::new(PeerSpans::new(self.tracer));
         Ok(PeerGate::start(links, (inbound_queue, report_queue), &self.events, spans))
     }
 
--- a/crates/bamboocart-dispatcher/src/peers.rs
+++ b/crates/bamboocart-dispatcher/src/peers.rs
@@ -6,6 +6,7 @@
 use std::thread;
 
 use bamboocart_core::engine::{Event, Reply};
+use bamboocart_core::id::InstanceName;
 use bamboocart_core::message::{Ask, Envelope, Message};
 use bamboocart_core::ownership::Owner;
 use bamboocart_peer::{
@@ -15,7 +16,7 @@
 use crossbeam::channel::{Receiver, Sender};
 
 use crate::observe::{self, LinkEnd};
-use crate::spans::OwnerSpans;
+use crate::spans::PeerSpans;
 
 /// The links, with what is needed to tell the engine what became of its messages.
 pub struct PeerGate {
@@ -23,8 +24,8 @@
     links: Links,
     /// The messages that the engine wants to hear about.
     tracked: Arc<Mutex<HashMap<MessageId, Tracked>>>,
-    /// The spans of forwarded submissions, which end with the answer.
-    spans: Arc<OwnerSpans>,
+    /// The spans of forwarded submissions and lent tasks, which end with the answer.
+    spans: Arc<PeerSpans>,
 }
 
 /// A message that the engine wants to hear about.
@@ -42,7 +43,7 @@
         links: Links,
         (inbound, reports): (Receiver<Inbound>, Receiver<Report>),
         events: &Sender<Event>,
-        spans: Arc<OwnerSpans>,
+        spans: Arc<PeerSpans>,
     ) -> Self {
         let tracked: Arc<Mutex<HashMap<MessageId, Tracked>>> = Arc::default();
         let (inbound_events, inbound_spans) = (events.clone(), spans.clone());
@@ -109,8 +110,8 @@
         self.links.cut_counts()
     }
 
-    /// Ends the span of a forwarded submission that is answered.
-    pub fn end_span(&self, peer: &bamboocart_core::id::InstanceName, correlation: u64) {
+    /// Ends the span of a forwarded submission or a lent task that is answered.
+    pub fn end_span(&self, peer: &InstanceName, correlation: u64) {
         self.spans.end(peer, correlation);
     }
 
@@ -141,11 +142,7 @@
 }
 
 /// Passes the messages of peers on to the engine.
-fn pass_messages(
-    inbound: &Receiver<Inbound>,
-    events: &Sender<Event>,
-    spans: &OwnerSpans,
-) {
+fn pass_messages(inbound: &Receiver<Inbound>, events: &Sender<Event>, spans: &PeerSpans) {
     for item in inbound {
         let mut envelope = match decode(&item.message) {
             Ok(envelope) => envelope,
@@ -154,14 +151,7 @@
                 continue;
             }
         };
-        if let Message::Forward { correlation, ask: Ask::Submit(submission) } =
-            &mut envelope.message
-        {
-            let parent = submission.traceparent.take();
-            let context = (submission.id.as_ref(), parent.as_deref());
-            submission.traceparent =
-                spans.begin(&item.from.instance, *correlation, context);
-        }
+        begin_span(&mut envelope.message, &item.from.instance, spans);
         let from = Owner::new(item.from.instance.clone(), item.from.incarnation);
         if events.send(Event::PeerMessage { from, envelope }).is_err() {
             return;
@@ -169,6 +159,24 @@
     }
 }
 
+/// Begins the span of a hop that a message starts, as the parent of the next hop.
+fn begin_span(message: &mut Message, from: &InstanceName, spans: &PeerSpans) {
+    match message {
+        Message::Forward { correlation, ask: Ask::Submit(submission) } => {
+            let parent = submission.traceparent.take();
+            let context = (submission.id.as_ref(), parent.as_deref());
+            let number = (from, *correlation);
+            submission.traceparent = spans.begin("owner", number, context);
+        }
+        Message::Offer { correlation, task } => {
+            let parent = task.traceparent.take();
+            let context = (Some(&task.submission), parent.as_deref());
+            task.traceparent = spans.begin("lender", (from, *correlation), context);
+        }
+        _ => {}
+    }
+}
+
 /// Tells the engine about messages that were not acknowledged, and about parts of
 /// handovers that were.
 fn pass_reports(
