Make the horizon of claims on caller keys a setting

Cause: no test covered a claim that passes from one instance to another, since that takes 120 s. The times at which claims are extended and taken over are shares of it and keep their values for the default. A test with 15 s kills an owner and brings keys that were answered, running, never sent, or made until its claim ended; the owner of each key is folded from the log apart from the tested code. Ruled out: that instances with different horizons disagree, since owners follow from the claims alone. With the last claim of a range for all its keys, a key of the old claim is completed by the new owner.

--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -37,7 +37,8 @@
 };
 use crate::membership::{Membership, PeerInfo, StopSchedule};
 use crate::ownership::{
-    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Stage, Successions,
+    Assembly, ClaimTable, Claimer, Horizon, Issuer, Limits, Owner, Registry, Stage,
+    Successions,
 };
 use crate::placement::Policy;
 use crate::quota::QuotaTable;
@@ -45,6 +46,7 @@
 use crate::target::{AttemptKey, TargetKey};
 use crate::time::Timestamp;
 
+pub use self::claim::CLAIM_STREAM;
 pub use self::effect::{Effect, LeaseOrder, Observation, ProbeOrder, Reply, SendOrder};
 pub use self::event::{
     ClaimPage, Event, LeaseGrant, NewSubmission, ProbeAnswer, TaskSpec, WaiterId,
@@ -91,6 +93,8 @@
     pub queue_tasks: usize,
     /// The bounds of the registry.
     pub limits: Limits,
+    /// How far ahead ranges of caller keys are claimed.
+    pub claim_horizon: Horizon,
     /// The time between the end of readiness and the end of admission at a stop.
     pub lame_duck_ms: u64,
     /// The seed of random choices.
@@ -201,7 +205,7 @@
             tenure: Stage::Serving(Registry::new(me.clone(), setup.limits)),
             ledger: Ledger::new(Chain::new(me.instance.clone(), me.incarnation)),
             issuer: Issuer::new(setup.domain.clone(), me.clone()),
-            claimer: Claimer::new(me.clone()),
+            claimer: Claimer::new(me.clone(), setup.claim_horizon),
             assembly: Assembly::new(me.clone()),
             membership: Membership::new(info, now),
             rng: SmallRng::seed_from_u64(setup.seed),
--- a/crates/bamboocart-core/src/ownership/claims.rs
+++ b/crates/bamboocart-core/src/ownership/claims.rs
@@ -14,9 +14,6 @@
 /// The number of ranges that the hash of a key selects from.
 pub const RANGES: usize = 64;
 
-/// How far ahead of the present an instance claims.
-pub const HORIZON_MS: u64 = 120_000;
-
 /// How far back the first claim of an unclaimed time reaches, for keys that were made
 /// shortly before.
 pub const BACKDATE_MS: u64 = 60_000;
@@ -24,8 +21,8 @@
 /// How far a claim may reach beyond the log's time of its append.
 ///
 /// The bound lets a reader of a trimmed log state the latest time that an expired claim
-/// can have covered. The difference to [`HORIZON_MS`] allows for clocks that differ
-/// between instances and log.
+/// can have covered. The difference to the horizon of a claimer allows for clocks that
+/// differ between instances and log.
 pub const MAX_AHEAD_MS: u64 = 300_000;
 
 /// How far the log's clock may step back without misleading a reader of a trimmed log.
--- a/crates/bamboocart-core/src/ownership/mod.rs
+++ b/crates/bamboocart-core/src/ownership/mod.rs
@@ -10,6 +10,7 @@
 
 mod claims;
 mod handover;
+mod horizon;
 mod plan;
 mod registry;
 mod resolve;
@@ -23,14 +24,15 @@
 use crate::id::{Incarnation, InstanceName};
 
 pub use self::claims::{
-    BACKDATE_MS, Claim, ClaimRecord, ClaimTable, Covered, Fault, FaultReason, HORIZON_MS,
-    KeyRange, LOG_CLOCK_SLACK_MS, MAX_AHEAD_MS, RANGES, RangeSet,
+    BACKDATE_MS, Claim, ClaimRecord, ClaimTable, Covered, Fault, FaultReason, KeyRange,
+    LOG_CLOCK_SLACK_MS, MAX_AHEAD_MS, RANGES, RangeSet,
 };
 pub use self::handover::{
     AcceptError, Assembly, Complete, Draining, HandedOver, HandoverEntry, PART_BYTES,
     Part, Right,
 };
-pub use self::plan::{APPEND_EVERY_MS, Claimer, RENEW_AT_MS, TAKE_OVER_AT_MS};
+pub use self::horizon::{Horizon, HorizonError};
+pub use self::plan::{APPEND_EVERY_MS, Claimer};
 pub use self::registry::{
     AdoptError, Arrival, ContentDigest, Limits, Marks, Offer, Registry, Rights,
     SubmissionKey, Vacancy,
--- a/crates/bamboocart-core/src/ownership/plan.rs
+++ b/crates/bamboocart-core/src/ownership/plan.rs
@@ -2,28 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::Owner;
-use super::claims::{
-    BACKDATE_MS, Claim, ClaimTable, HORIZON_MS, KeyRange, RANGES, RangeSet,
-};
+use super::claims::{BACKDATE_MS, Claim, ClaimTable, KeyRange, RANGES, RangeSet};
+use super::{Horizon, Owner};
 use crate::time::Timestamp;
 
-/// The remaining time of a claim at which its holder extends it.
-pub const RENEW_AT_MS: u64 = 80_000;
-
-/// The remaining time of a claim at which another live instance takes the range over.
-///
-/// A holder that is alive and can reach the log has extended it long before.
-pub const TAKE_OVER_AT_MS: u64 = 30_000;
-
-/// The remaining time at which a holder extends its claim although the range is meant
-/// for another instance, because that instance has not acted.
-const KEEP_AT_MS: u64 = 10_000;
-
-/// The remaining time at which any instance takes a range, because neither its holder
-/// nor the instance that it is meant for has acted.
-const ABANDONED_AT_MS: u64 = 5_000;
-
 /// The time after its start in which an instance leaves unclaimed ranges to the
 /// instances that they are meant for.
 const SETTLE_MS: u64 = 5_000;
@@ -34,20 +16,18 @@
 /// would append the same claims again and again while the log is slow.
 pub const APPEND_EVERY_MS: u64 = 5_000;
 
-/// Claims end at multiples of this, so that ranges are extended together.
-const END_GRID_MS: u64 = 10_000;
-
 /// Decides when one incarnation appends claims.
 #[derive(Debug)]
 pub struct Claimer {
     me: Owner,
+    horizon: Horizon,
     appended_at: Option<Timestamp>,
 }
 
 impl Claimer {
     /// Creates the claimer of an incarnation.
-    pub fn new(me: Owner) -> Self {
-        Self { me, appended_at: None }
+    pub fn new(me: Owner, horizon: Horizon) -> Self {
+        Self { me, horizon, appended_at: None }
     }
 
     /// Returns the claims to append now, at most one for each distinct start.
@@ -84,7 +64,8 @@
         now: Timestamp,
     ) -> Vec<Claim> {
         let now_ms = now.as_ms();
-        let until_ms = (now_ms + HORIZON_MS).next_multiple_of(END_GRID_MS);
+        let ahead_ms = now_ms + self.horizon.ms();
+        let until_ms = ahead_ms.next_multiple_of(self.horizon.grid_ms());
         let meant = assign(table, &self.me, live);
         let mut by_start: BTreeMap<u64, RangeSet> = BTreeMap::new();
         for range in KeyRange::all() {
@@ -108,11 +89,12 @@
         let left_ms = end_ms.saturating_sub(now_ms);
         let started_ms = Timestamp::from_us(self.me.incarnation.0).as_ms();
         match (held, meant_for_me) {
-            (true, true) => left_ms < RENEW_AT_MS,
-            (true, false) => left_ms < KEEP_AT_MS,
-            (false, true) => left_ms < TAKE_OVER_AT_MS,
+            (true, true) => left_ms < self.horizon.renew_at_ms(),
+            (true, false) => left_ms < self.horizon.keep_at_ms(),
+            (false, true) => left_ms < self.horizon.take_over_at_ms(),
             (false, false) => {
-                left_ms < ABANDONED_AT_MS && now_ms >= started_ms + SETTLE_MS
+                left_ms < self.horizon.abandoned_at_ms()
+                    && now_ms >= started_ms + SETTLE_MS
             }
         }
     }
--- a/crates/bamboocart-core/tests/ownership.rs
+++ b/crates/bamboocart-core/tests/ownership.rs
@@ -201,7 +201,10 @@
 )]
 fn spreads_ranges(before: &[&str], after: &[&str]) {
     let make = |names: &[&str]| -> Vec<(Owner, Claimer)> {
-        names.iter().map(|name| (owner(name), Claimer::new(owner(name)))).collect()
+        names
+            .iter()
+            .map(|name| (owner(name), Claimer::new(owner(name), Horizon::default())))
+            .collect()
     };
     let mut log = ClaimTable::default();
     shares(&mut make(before), &mut log, 0, 200_000);
@@ -219,7 +222,7 @@
 fn waits_for_what_it_appended() {
     let me = owner("a");
     let mut table = ClaimTable::default();
-    let mut claimer = Claimer::new(me.clone());
+    let mut claimer = Claimer::new(me.clone(), Horizon::default());
     assert_eq!(claimer.due(&table, &[], at(0)).len(), 1);
     assert_eq!(claimer.due(&table, &[], at(APPEND_EVERY_MS - 1)).len(), 0);
     assert_eq!(claimer.due(&table, &[], at(APPEND_EVERY_MS)).len(), 1);
--- a/crates/bamboocart-core/tests/ownership_model.rs
+++ b/crates/bamboocart-core/tests/ownership_model.rs
@@ -177,7 +177,7 @@
         self.processes.push(Process {
             stage: Stage::Serving(Registry::new(me.clone(), limits)),
             table: ClaimTable::default(),
-            claimer: Claimer::new(me.clone()),
+            claimer: Claimer::new(me.clone(), Horizon::default()),
             issuer: Issuer::new("d".into(), me.clone()),
             assembly: Assembly::new(me.clone()),
             successions: Successions::default(),
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -8,7 +8,7 @@
 
 use bamboocart_core::engine::{Engine, Event, Setup};
 use bamboocart_core::id::Incarnation;
-use bamboocart_core::ownership;
+use bamboocart_core::ownership::{self, Horizon};
 use bamboocart_peer::{LinkSettings, Links, PeerIdentity, StartError};
 use bamboocart_platform::Platform;
 use bamboocart_telemetry::lines::LineSink;
@@ -287,6 +287,7 @@
                 remember_ms: limits.remember_ms,
                 ..ownership::Limits::default()
             },
+            claim_horizon: Horizon::new(limits.claim_horizon_ms).unwrap_or_default(),
             lame_duck_ms: limits.lame_duck_ms,
             seed: self.incarnation.0,
         }
--- a/crates/bamboocart-dispatcher/src/follower.rs
+++ b/crates/bamboocart-dispatcher/src/follower.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bamboocart_core::config::{CONFIG_STREAM, ConfigRecord, Fold, Folded, InForce};
-use bamboocart_core::engine::{ClaimPage, Event};
+use bamboocart_core::engine::{CLAIM_STREAM, ClaimPage, Event};
 use bamboocart_core::time::Timestamp;
 use bamboocart_platform::{Platform, RecordPage};
 use crossbeam::channel::Sender;
@@ -11,9 +11,6 @@
 
 use crate::heard::HeardSnapshot;
 
-/// The stream of claims.
-pub const CLAIM_STREAM: &str = "claims";
-
 /// The longest wait for a new record in one call.
 const WAIT_MS: u64 = 2_000;
 
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bamboocart_core::ownership::Horizon;
 use bamboocart_core::placement::Policy;
 use bamboocart_telemetry::logs::LogFormat;
 use bpaf::{Args, Bpaf, ParseFailure};
@@ -110,6 +111,16 @@
         display_fallback
     )]
     pub remember_ms: u64,
+    /// Time in milliseconds ahead for which ranges of caller keys are claimed; the keys of
+    /// a dead instance are served again when it is over
+    #[bpaf(
+        long,
+        env("BAMBOOCART_CLAIM_HORIZON_MS"),
+        argument("MS"),
+        fallback(120_000),
+        display_fallback
+    )]
+    pub claim_horizon_ms: u64,
     /// Time in milliseconds at a planned stop from the end of readiness to the end of
     /// admission, in which the load balancer notices
     #[bpaf(
@@ -223,6 +234,11 @@
             (limits.send_threads == 0, "--send-threads must be at least 1"),
             (limits.max_connections == 0, "--max-connections must be at least 1"),
             (limits.queue_tasks == 0, "--queue-tasks must be at least 1"),
+            (
+                Horizon::new(limits.claim_horizon_ms).is_err(),
+                "--claim-horizon-ms must be 15000 to 200000, so that a live instance can \
+                 extend its claims in time and clocks may differ by 80 s",
+            ),
             (
                 limits.open_submissions >= limits.remembered_submissions,
                 "--remembered-submissions must be larger than --open-submissions, so that \
--- a/crates/bamboocart-dispatcher/tests/limits.rs
+++ b/crates/bamboocart-dispatcher/tests/limits.rs
@@ -341,6 +341,7 @@
         .args(["--listen", "127.0.0.1:0", "--peer-listen", "0.0.0.0:0"])
         .args(["--platform", "127.0.0.1:0", "--send-threads", "0"])
         .args(["--max-connections", "0", "--queue-tasks", "0"])
+        .args(["--claim-horizon-ms", "14999"])
         .args(["--open-submissions", "9", "--remembered-submissions", "9"])
         .output()
         .unwrap();
@@ -354,6 +355,7 @@
         "--send-threads",
         "--max-connections",
         "--queue-tasks",
+        "--claim-horizon-ms",
         "--remembered-submissions",
     ];
     for flag in flags {
--- a/crates/bamboocart-dispatcher/tests/support/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 mod balanced;
 mod callers;
+mod claims;
 mod cluster;
 mod config;
 mod forward;
@@ -25,6 +26,7 @@
     BalancedCallers, Order, agent, is_ready, now, submit, wait_for_keys,
 };
 pub use self::callers::{Callers, Work};
+pub use self::claims::{Claims, HeldKeys, started_keys};
 pub use self::cluster::{Cluster, ClusterSettings};
 pub use self::config::{base_config, config_text, publish, register};
 pub use self::forward::{Mode, Net, Node};
