Drop tasks that are too late before each event

Cause: queues were looked through for tasks that can no longer start in time at ticks only. A process that was paused takes in the ends of its sends before its next tick, and started a queued task after its deadline on the first slot that became free. Change: the queues are looked through before every event. The test freezes an owner of caller keys until its claim has passed on, while callers send all keys to it as well, and wakes it with and without the log. Conclusion: an owner that wakes up still runs, once, a key of its past claim that nobody has brought before.

--- a/crates/bamboocart-core/src/engine/answer.rs
+++ b/crates/bamboocart-core/src/engine/answer.rs
@@ -113,7 +113,7 @@
     }
 
     /// Ends submissions with a task that can no longer start in time.
-    fn expire_queues(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+    pub(super) fn expire_queues(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         let pop = |engine: &mut Self| {
             let mut groups = engine.groups.values_mut();
             groups.find_map(|group| group.queue.pop_expired(now))
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -250,6 +250,9 @@
 
     /// Takes in one event and adds what has to be done to `effects`.
     pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
+        // A process that was paused takes in the ends of its sends before its next tick.
+        // It must not start on the freed slots what is too late by now.
+        self.expire_queues(now, effects);
         match event {
             Event::Submit { waiter, submission } => {
                 self.submit(now, waiter.into(), submission, effects);
--- a/crates/bamboocart-dispatcher/tests/claims.rs
+++ b/crates/bamboocart-dispatcher/tests/claims.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -9,13 +10,15 @@
 
 use bamboocart_core::id::{Incarnation, SubmissionId};
 use bamboocart_core::ownership::Owner;
+use bamboocart_core::time::Timestamp;
 use bamboocart_standin::clock;
 use bamboocart_standin::history::{Purpose, SendRecord};
 use bamboocart_wire::api::OutcomeName;
 use support::{
-    Callers, Claims, Cluster, ClusterSettings, HeldKeys, Work, evidence, judge, spawn,
-    started_keys, wait_for_keys, wait_until,
+    Callers, Claims, Cluster, ClusterSettings, HeldKeys, Mode, Node, Work, evidence,
+    judge, spawn, started_keys, wait_for_keys, wait_until,
 };
+use yare::parameterized;
 
 /// The horizon of claims in milliseconds, the shortest that the settings allow.
 const HORIZON_MS: &str = "15000";
@@ -190,3 +193,47 @@
     println!("{:#?}", judge(&scene.cluster, &scene.callers, &[1, 2]));
     scene.check_starts();
 }
+
+/// Guards against an owner that was only frozen and, when it wakes up after its claim has
+/// passed on, starts what it had queued or what others own by now. Callers have sent all
+/// keys to it, too, so that it finds them when it wakes up. Without the log it does not know
+/// then that its claim has passed on.
+#[parameterized(with_the_log = { Mode::Pass }, without_the_log = { Mode::Reset })]
+fn claims_pass_on_from_a_frozen_owner(log: Mode) {
+    let scene = Scene::start();
+    let all = scene.cluster.addresses();
+    let waiting = scene.works(120, 1_900);
+    let mut calls = scene.submit(&waiting, &all[..1], Purpose::Submit);
+    let started = || waiting.iter().filter(|work| scene.starts(work) > 0).count();
+    wait_until("the first starts", ROUND * 4, || started() >= 20);
+    scene.cluster.net.set(Node::Instance(0), Node::Platform, log);
+    scene.cluster.instances[0].freeze();
+    let (fresh, more) = scene.submit_until_passed_on(&all);
+    calls.extend(more);
+    let woken: Timestamp = clock::now();
+    scene.cluster.instances[0].resume();
+    join(calls);
+    scene.cluster.net.set(Node::Instance(0), Node::Platform, Mode::Pass);
+    scene.cluster.wait_for_service();
+    let (old, new): (Vec<Work>, Vec<Work>) =
+        fresh.into_iter().partition(|work| scene.is_of_first_owner(work));
+    println!("{} keys of the old claim and {} of the new ones", old.len(), new.len());
+    assert!(!old.is_empty() && new.len() >= scene.held.count());
+    join(scene.submit(&[old.clone(), new.clone()].concat(), &all, Purpose::Resubmit));
+    println!("{:#?}", judge(&scene.cluster, &scene.callers, &[0, 1, 2]));
+    scene.check_starts();
+
+    let waiting: BTreeSet<_> = waiting.iter().map(key_of).collect();
+    let old: BTreeSet<_> = old.iter().map(key_of).collect();
+    let by_woken = started_keys(&scene.cluster).into_iter();
+    let by_woken: Vec<_> = by_woken
+        .filter(|(at, owner, _)| *at >= woken && *owner == scene.owner)
+        .map(|(_, _, key)| key)
+        .collect();
+    let (own, strange): (Vec<_>, Vec<_>) =
+        by_woken.into_iter().partition(|key| old.contains(key));
+    println!("the woken owner started {} keys of its own claim", own.len());
+    let queued = strange.iter().filter(|key| waiting.contains(key)).count();
+    assert_eq!((strange.len(), queued), (0, 0), "it started what it must not start");
+    assert!(new.iter().all(|work| scene.starts(work) == 1), "not all new keys ran once");
+}
