--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -37,7 +37,8 @@
 };
 use crate::membership::{Membership, PeerInfo, StopSchedule};
 use crate::ownership::{
-    Assembly, ClaimTable, Claimer, Issuer, Limits, Owner, Registry, Stage, Successions,
+    Assembly, ClaimTable, Claimer, Horizon, Issuer, Limits, Owner, Registry, Stage,
+    Successions,
 };
 use crate::placement::Policy;
 use crate::quota::QuotaTable;
@@ -46,6 +47,7 @@
 use crate::target::{AttemptKey, TargetKey};
 use crate::time::Timestamp;
 
+pub use self::claim::CLAIM_STREAM;
 pub use self::effect::{
     AnswerCost, Answered, Effect, LeaseOrder, Observation, ProbeOrder, Reply, SendOrder,
     Started, StartedAfter,
@@ -97,6 +99,8 @@
     pub queue_tasks: usize,
     /// The bounds of the registry.
     pub limits: Limits,
+    /// How far ahead ranges of caller keys are claimed.
+    pub claim_horizon: Horizon,
     /// The time between the end of readiness and the end of admission at a stop.
     pub lame_duck_ms: u64,
     /// The seed of random choices.
@@ -209,7 +213,7 @@
             tenure: Stage::Serving(Registry::new(me.clone(), setup.limits)),
             ledger: Ledger::new(Chain::new(me.instance.clone(), me.incarnation)),
             issuer: Issuer::new(setup.domain.clone(), me.clone()),
-            claimer: Claimer::new(me.clone()),
+            claimer: Claimer::new(me.clone(), setup.claim_horizon),
             assembly: Assembly::new(me.clone()),
             membership: Membership::new(info, now),
             rng: SmallRng::seed_from_u64(setup.seed),
@@ -256,6 +260,9 @@
     /// Takes in one event and adds what has to be done to `effects`.
     pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
         let before = effects.len();
+        // A process that was paused takes in the ends of its sends before its next tick.
+        // It must not start on the freed slots what is too late by now.
+        self.expire_queues(now, effects);
         self.take_in(now, event, effects);
         self.report_slots(now, &mut effects[before..]);
     }
--- a/crates/bamboocart-core/tests/engine_stops.rs
+++ b/crates/bamboocart-core/tests/engine_stops.rs
@@ -4,7 +4,7 @@
 use bamboocart_core::id::{ConfigVersion, Incarnation};
 use bamboocart_core::membership::{Heartbeat, PeerInfo};
 use bamboocart_core::message::{Envelope, Message};
-use bamboocart_core::ownership::{Limits, Owner, Part};
+use bamboocart_core::ownership::{Horizon, Limits, Owner, Part};
 use bamboocart_core::placement::Policy;
 use bamboocart_core::time::Timestamp;
 use yare::parameterized;
@@ -52,6 +52,7 @@
             hedge: false,
             queue_tasks: 10,
             limits: Limits::default(),
+            claim_horizon: Horizon::default(),
             lame_duck_ms: 0,
             seed: 1,
         };
--- a/crates/bamboocart-core/tests/lending.rs
+++ b/crates/bamboocart-core/tests/lending.rs
@@ -9,7 +9,7 @@
 use bamboocart_core::id::{Attempt, ConfigVersion, Incarnation, TaskIndex};
 use bamboocart_core::membership::{Heartbeat, Listing, PeerInfo, TargetInfo};
 use bamboocart_core::message::{Envelope, Message, OfferedTask};
-use bamboocart_core::ownership::{Limits, Owner};
+use bamboocart_core::ownership::{Horizon, Limits, Owner};
 use bamboocart_core::placement::Policy;
 use bamboocart_core::slots::{FreeTarget, SlotReport};
 use bamboocart_core::target::{SendReport, TurnAway};
@@ -75,6 +75,7 @@
             hedge: false,
             queue_tasks: 10,
             limits: Limits::default(),
+            claim_horizon: Horizon::default(),
             lame_duck_ms: 0,
             seed: 1,
         };
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/app.rs
@@ -285,6 +285,7 @@
                 remember_ms: limits.remember_ms,
                 ..ownership::Limits::default()
             },
+            claim_horizon: limits.claim_horizon,
             lame_duck_ms: limits.lame_duck_ms,
             seed: self.incarnation.0,
         }
--- a/crates/bamboocart-dispatcher/src/flags.rs
+++ b/crates/bamboocart-dispatcher/src/flags.rs
@@ -108,6 +108,16 @@
         display_fallback
     )]
     pub remember_ms: String,
+    /// Time in milliseconds ahead for which ranges of caller keys are claimed; the keys of
+    /// a dead instance are served again when it is over
+    #[bpaf(
+        long,
+        env("BAMBOOCART_CLAIM_HORIZON_MS"),
+        argument("MS"),
+        fallback("120000".into()),
+        display_fallback
+    )]
+    pub claim_horizon_ms: String,
     /// Time in milliseconds at a planned stop from the end of readiness to the end of
     /// admission, in which the load balancer notices
     #[bpaf(
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use bamboocart_core::ownership::Horizon;
 use bamboocart_core::placement::Policy;
 use bamboocart_telemetry::logs::LogFormat;
 use bamboocart_telemetry::trace::SAMPLE_SCALE;
@@ -58,6 +59,8 @@
     pub remembered_submissions: usize,
     /// The time for which an answer is remembered.
     pub remember_ms: u64,
+    /// The time ahead for which ranges of caller keys are claimed.
+    pub claim_horizon: Horizon,
     /// The time at a planned stop from the end of readiness to the end of admission.
     pub lame_duck_ms: u64,
 }
@@ -164,6 +167,15 @@
         let remembered = &flags.remembered_submissions;
         let remembered = faults.parse("--remembered-submissions", remembered, NUMBER);
         let remember_ms = faults.parse("--remember-ms", &flags.remember_ms, NUMBER);
+        let claim_horizon =
+            faults.parse("--claim-horizon-ms", &flags.claim_horizon_ms, NUMBER);
+        let claim_horizon = claim_horizon.map(Horizon::new);
+        faults.check(
+            "--claim-horizon-ms",
+            !matches!(claim_horizon, Some(Err(_))),
+            "must be 15000 to 200000, so that a live instance can extend its claims in \
+             time and clocks may differ by 80 s",
+        );
         let lame_duck_ms = faults.parse("--lame-duck-ms", &flags.lame_duck_ms, NUMBER);
         let is_larger = open.zip(remembered).is_none_or(|(open, all)| all > open);
         faults.check(
@@ -179,6 +191,7 @@
             open_submissions: open?,
             remembered_submissions: remembered?,
             remember_ms: remember_ms?,
+            claim_horizon: claim_horizon?.ok()?,
             lame_duck_ms: lame_duck_ms?,
         })
     }
--- a/crates/bamboocart-dispatcher/tests/support/judge.rs
+++ b/crates/bamboocart-dispatcher/tests/support/judge.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bamboocart_core::account::{
-    ACCOUNT_STREAM, Finding, Floors, StreamRecord, VerifySettings, verify,
+    ACCOUNT_STREAM, Finding, Floors, SealedBatch, StreamRecord, VerifySettings, verify,
 };
 use bamboocart_core::config::{CONFIG_STREAM, Fold, Folded};
 use bamboocart_core::id::SubmissionId;
@@ -103,7 +103,7 @@
 }
 
 /// Reads the account that the run has left on the log so far.
-pub fn account_records(cluster: &Cluster) -> Vec<Record> {
+fn account_records(cluster: &Cluster) -> Vec<Record> {
     let platform = Platform::new(&cluster.platform.address().to_string());
     let mut records = vec![];
     let mut next = 0;
@@ -117,6 +117,18 @@
     }
 }
 
+/// Reads the batches of the account, each once: one is appended again when its answer is
+/// lost.
+pub fn account_batches(cluster: &Cluster) -> Vec<SealedBatch> {
+    let mut known = BTreeSet::new();
+    let batches = account_records(cluster).into_iter().map(|record| {
+        SealedBatch::read(&record.body).expect("the account is readable").0
+    });
+    batches
+        .filter(|it| known.insert((it.instance.clone(), it.incarnation, it.batch)))
+        .collect()
+}
+
 /// Verifies the account that the run left on the log.
 ///
 /// Gaps are no findings: a killed instance takes its last entries with it.
--- a/crates/bamboocart-dispatcher/tests/support/versions.rs
+++ b/crates/bamboocart-dispatcher/tests/support/versions.rs
@@ -7,7 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use bamboocart_core::account::{Fact, SealedBatch};
+use bamboocart_core::account::Fact;
 use bamboocart_core::config::{
     CONFIG_STREAM, ConfigRecord, ConfigSet, Publication, PublicationId,
 };
@@ -18,7 +18,7 @@
 
 use super::cluster::Cluster;
 use super::http::{call, try_call};
-use super::judge::account_records;
+use super::judge::account_batches;
 use super::process::Instance;
 use super::{base_config, wait_until};
 
@@ -89,15 +89,8 @@
 /// tells. Unlike looks from outside, the account misses none.
 pub fn policy_changes(cluster: &Cluster) -> BTreeMap<(String, u64), Vec<u64>> {
     let mut changes: BTreeMap<(String, u64), Vec<u64>> = BTreeMap::new();
-    let mut known = BTreeSet::new();
-    for record in account_records(cluster) {
-        let (batch, _) =
-            SealedBatch::read(&record.body).expect("the account is readable");
+    for batch in account_batches(cluster) {
         let run = (batch.instance.to_string(), batch.incarnation.0);
-        // A batch is appended again when its answer is lost.
-        if !known.insert((run.clone(), batch.batch)) {
-            continue;
-        }
         let versions = changes.entry(run).or_default();
         versions.extend(batch.entries.iter().filter_map(|entry| match entry.fact {
             Fact::PolicyChange { to, .. } => Some(to.0),
