Use targets of other failure domains only while they answer

Cause: when a failure domain is cut off, each side counts the instances of the other one as dead after 5 s and takes over its targets, which it can't reach. Sends to them end as "unknown" at the deadline. The tests did not see it, since the forwarders left the way to targets open.

Ruled out: outlier ejection alone does not help, because at most half of a group is ejected.

Change: a target whose failure domain has no serving instance is probed and is used only while it answers. In the tests, the list names forwarders in front of the targets, which find the opener of a connection by its process as those of the links do. This takes less code than a header, and the dispatcher needs no change for it.

--- a/crates/bamboocart-core/src/engine/fleet.rs
+++ b/crates/bamboocart-core/src/engine/fleet.rs
@@ -121,8 +121,11 @@
         }
     }
 
-    /// Asks the targets for their state while the list is stale.
+    /// Asks targets for their state: orphans, and others while the list is stale.
     pub(super) fn probe_targets(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let orphans = self.membership.answering_orphans(now);
+        self.fleet_changed |= orphans != self.orphans;
+        self.orphans = orphans;
         let used = |info: &TargetInfo| self.target_names.contains_key(&info.name);
         for info in self.membership.due_probes(now, used) {
             let TargetInfo { name, incarnation, address, .. } = info;
@@ -166,7 +169,11 @@
             let Some((group, _)) = group else { continue };
             let mine = match leaving {
                 true => self.target_names.contains_key(&info.name),
-                false => self.membership.uses(info, false),
+                false => {
+                    let reached = self.orphans.contains(&info.name);
+                    (reached || self.membership.has_home(info))
+                        && self.membership.uses(info, false)
+                }
             };
             if mine {
                 wanted.insert(info.name.clone(), (info.clone(), group.clone()));
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -155,6 +155,8 @@
     target_names: HashMap<TargetName, TargetKey>,
     /// Whether the used targets may have to change.
     fleet_changed: bool,
+    /// The targets without an instance in their failure domain that answer probes.
+    orphans: BTreeSet<TargetName>,
     /// The leases that are to be returned.
     returns: Vec<(TargetKey, LeaseGrant)>,
     /// What peers can run for this instance.
@@ -226,6 +228,7 @@
             hedges: SendBudget::for_hedges(),
             target_names: HashMap::new(),
             fleet_changed: true,
+            orphans: BTreeSet::new(),
             returns: vec![],
             credits: BTreeMap::new(),
             linked: vec![],
--- a/crates/bamboocart-core/src/membership/list.rs
+++ b/crates/bamboocart-core/src/membership/list.rs
@@ -6,7 +6,7 @@
 use super::peers::{Change, PeerInfo, PeerState, Peers};
 use super::stop::{Member, StopSchedule};
 use super::targets::{TargetInfo, Targets};
-use crate::id::{InstanceName, TargetName};
+use crate::id::{DomainName, InstanceName, TargetName};
 use crate::time::Timestamp;
 
 /// The age of the list after which targets are probed directly.
@@ -94,30 +94,57 @@
     /// `leaving` says whether this instance is draining, so that its targets move to the
     /// others. Two instances may use the same target while their views differ.
     pub fn user_of(&self, target: &TargetInfo, leaving: bool) -> Option<&PeerInfo> {
-        let others = self.peers.serving().map(|peer| &peer.info);
-        let own = (!leaving).then_some(self.peers.me());
-        assign::user_of(&target.name, &target.domain, others.chain(own))
+        user_of(&self.peers, target, leaving)
     }
 
     /// Reports whether this instance uses a target.
     pub fn uses(&self, target: &TargetInfo, leaving: bool) -> bool {
-        self.user_of(target, leaving) == Some(self.peers.me())
+        uses(&self.peers, target, leaving)
     }
 
     /// Returns the targets to probe now and notes that they are probed.
     ///
-    /// There are none while the list is fresh. `used` selects the targets that this
-    /// instance uses; those that a doubtful list lacks are probed as well.
+    /// While the list is stale, they are the targets that `used` selects as used by this
+    /// instance and those that a doubtful list lacks. Orphans of this instance are always
+    /// probed.
     pub fn due_probes(
         &mut self,
         now: Timestamp,
         used: impl Fn(&TargetInfo) -> bool,
     ) -> Vec<TargetInfo> {
-        if !self.is_stale(now) {
-            return vec![];
-        }
-        let missing = &self.missing;
-        self.targets.due_probes(now, |info| used(info) || missing.contains(&info.name))
+        let (stale, missing) = (self.is_stale(now), &self.missing);
+        let (peers, homes) = (&self.peers, self.homes());
+        let mine = |info: &TargetInfo| uses(peers, info, false);
+        self.targets.due_probes(now, |info| {
+            let in_doubt = stale && (used(info) || missing.contains(&info.name));
+            in_doubt || (!homes.contains(&info.domain) && mine(info))
+        })
+    }
+
+    /// Returns the orphans that answer probes.
+    ///
+    /// An orphan is a target of a failure domain without a serving instance. The whole
+    /// failure domain may be cut off, and then a send to the target would be lost. An
+    /// instance therefore uses only orphans that answer it.
+    pub fn answering_orphans(&self, now: Timestamp) -> BTreeSet<TargetName> {
+        let homes = self.homes();
+        let orphans =
+            self.targets.serving().filter(|it| !homes.contains(&it.info.domain));
+        let names = orphans.map(|target| &target.info.name);
+        names.filter(|name| self.targets.answers(name, now)).cloned().collect()
+    }
+
+    /// Reports whether a target's failure domain has a serving instance.
+    pub fn has_home(&self, target: &TargetInfo) -> bool {
+        let domain = &target.domain;
+        let mut serving = self.peers.serving();
+        *domain == self.peers.me().domain || serving.any(|it| it.info.domain == *domain)
+    }
+
+    /// Returns the failure domains with a serving instance.
+    fn homes(&self) -> BTreeSet<DomainName> {
+        let serving = self.peers.serving().map(|peer| &peer.info.domain);
+        serving.chain([&self.peers.me().domain]).cloned().collect()
     }
 
     /// Marks the members that a stop plan has reached and returns the new ones.
@@ -227,3 +254,19 @@
     }
     removed * 2 > known && silent * 2 <= removed
 }
+
+/// Returns the instance that uses a target in the view of an instance.
+fn user_of<'a>(
+    peers: &'a Peers,
+    target: &TargetInfo,
+    leaving: bool,
+) -> Option<&'a PeerInfo> {
+    let others = peers.serving().map(|peer| &peer.info);
+    let own = (!leaving).then_some(peers.me());
+    assign::user_of(&target.name, &target.domain, others.chain(own))
+}
+
+/// Reports whether an instance uses a target.
+fn uses(peers: &Peers, target: &TargetInfo, leaving: bool) -> bool {
+    user_of(peers, target, leaving) == Some(peers.me())
+}
--- a/crates/bamboocart-core/src/membership/targets.rs
+++ b/crates/bamboocart-core/src/membership/targets.rs
@@ -208,6 +208,15 @@
         leaving && self.leave(name, incarnation, Leaving::Probe)
     }
 
+    /// Reports whether a target has answered its last probe, or can still do so.
+    pub fn answers(&self, name: &TargetName, now: Timestamp) -> bool {
+        let recent = |at| now.ms_since(at) < EVIDENCE_MS;
+        self.targets.get(name).is_some_and(|target| {
+            let waits = target.asked_at.is_none_or(|at| now.ms_since(at) < ANSWER_MS);
+            target.answered_at.is_some_and(recent) && waits
+        })
+    }
+
     /// Returns the targets to probe now and notes that they are probed.
     ///
     /// `asked` selects the targets that are worth a probe. A target that answered within
--- a/crates/bamboocart-core/tests/membership.rs
+++ b/crates/bamboocart-core/tests/membership.rs
@@ -399,6 +399,30 @@
     assert!(each_second.values().all(|&count| count <= PROBES_PER_S));
 }
 
+/// Guards against the use of targets that are cut off together with the instances of their
+/// failure domain, and against targets that nobody uses after the last of these is gone.
+#[test]
+fn orphans_are_used_while_they_answer() {
+    let mut membership = Membership::new(info("me", "d", 1), at(0));
+    let cut_off = TargetInfo { domain: "e".into(), ..target("t1", 1) };
+    let targets = vec![(target("t0", 1), false), (cut_off.clone(), false)];
+    membership.listed(Listing { version: 1, targets, ..Default::default() }, at(0));
+    assert!(membership.has_home(&target("t0", 1)) && !membership.has_home(&cut_off));
+    assert!(membership.answering_orphans(at(0)).is_empty());
+    let mut probes = |ms, answers: bool| {
+        let due = membership.due_probes(at(ms), |_| true);
+        let names: Vec<_> = due.iter().map(|it| it.name.as_str().to_owned()).collect();
+        if answers {
+            due.iter().for_each(|it| membership.targets.answered(&it.name, at(ms)));
+        }
+        (names, membership.answering_orphans(at(ms + 1_000)).len())
+    };
+    assert_eq!(probes(0, true), (vec!["t1".to_owned()], 1));
+    assert_eq!(probes(PROBE_EVERY_MS, false), (vec!["t1".to_owned()], 0));
+    membership.peers.heard(beat(info("other", "e", 1), vec![]), at(3_000));
+    assert!(membership.has_home(&cut_off));
+}
+
 fn plan(members: &[&str], drain_ms: u64, at_once: u32, after: &[&str]) -> StopPlan {
     let (targets, instances): (Vec<&str>, Vec<&str>) =
         members.iter().partition(|name| name.starts_with('t'));
--- a/crates/bamboocart-dispatcher/tests/instances.rs
+++ b/crates/bamboocart-dispatcher/tests/instances.rs
@@ -2,7 +2,12 @@
 
 mod support;
 
-use support::{Cluster, Fault, Mode, Node, PEER_DEAD, Storm, hold};
+use std::collections::BTreeMap;
+
+use support::{
+    Cluster, ClusterSettings, Fault, Mode, Node, Order, PEER_DEAD, Storm, agent, hold,
+    now, submit, wait_for_keys,
+};
 use yare::parameterized;
 
 /// A run with a fault of instances.
@@ -27,6 +32,52 @@
     Storm::new(case.seed, case.fault).run();
 }
 
+/// Guards against the same when a failure domain is cut off from the targets of others
+/// as well.
+#[test]
+fn storms_while_a_failure_domain_is_cut_off_from_targets() {
+    let cluster = ClusterSettings { cut_targets: true, ..ClusterSettings::default() };
+    Storm { cluster, ..Storm::new(17, cut_off) }.run();
+}
+
+/// Guards against a failure domain that is cut off and doesn't serve although it has
+/// targets of its own, and against one that keeps sending to the targets of others.
+#[test]
+fn a_cut_off_failure_domain_serves_with_its_own_targets() {
+    let cluster = Cluster::start(ClusterSettings {
+        cut_targets: true,
+        ..ClusterSettings::default()
+    });
+    wait_for_keys(&cluster);
+    cluster.isolate("marka", Mode::Cut);
+    hold(PEER_DEAD);
+    let agent = agent();
+    let mut sends = vec![];
+    let mut codes = BTreeMap::new();
+    let begun = now();
+    for number in 0..200 {
+        for &at in &cluster.addresses()[..2] {
+            let order = Order::new(format!("cut-{number}-{at}"), 5, None);
+            let record = submit(&agent, at, &order);
+            let code = record.answer.as_ref().map(|it| it.code.to_string());
+            *codes.entry((at, code)).or_insert(0) += 1;
+            sends.push(record);
+        }
+        if now().ms_since(begun) > 12_000 {
+            break;
+        }
+    }
+    cluster.isolate("marka", Mode::Pass);
+    println!("{codes:?}");
+    cluster.wait_for_service();
+    let failed = sends
+        .iter()
+        .filter(|it| it.answer.as_ref().is_none_or(|it| it.code != "complete"));
+    let failed: Vec<_> = failed.collect();
+    assert!(failed.is_empty(), "{} of {}: {:#?}", failed.len(), sends.len(), failed[0]);
+    cluster.check_history(sends);
+}
+
 /// Leaves everything as it is.
 fn none(_: &mut Cluster, _: u64) -> Vec<usize> {
     vec![0, 1, 2]
--- a/crates/bamboocart-dispatcher/tests/support/cluster.rs
+++ b/crates/bamboocart-dispatcher/tests/support/cluster.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bamboocart_core::config::{ConfigSet, Role};
-use bamboocart_core::id::Incarnation;
+use bamboocart_core::id::{DomainName, Incarnation};
 use bamboocart_platform::{InstanceEntry, ListState};
 use bamboocart_standin::history::{Evidence, Policy, SendRecord, check};
 use bamboocart_standin::platform::{self, PlatformServer};
@@ -36,6 +36,9 @@
     pub workers: Vec<&'static str>,
     /// Further flags of each dispatcher; `{name}` stands for its name.
     pub flags: Vec<&'static str>,
+    /// Whether a failure domain that is cut off is also cut off from the targets of
+    /// others. The forwarders for it cost time in each connection.
+    pub cut_targets: bool,
     /// The time that the platform keeps records.
     pub retention_ms: u64,
     /// The first configuration, if one is published.
@@ -49,6 +52,7 @@
             minions: vec!["--count", "6"],
             workers: vec!["--count", "3"],
             flags: vec![],
+            cut_targets: false,
             retention_ms: 3_600_000,
             config: Some(base_config()),
         }
@@ -104,8 +108,13 @@
         let common = common.into_iter();
         let at = ["--platform".into(), platform.address().to_string()];
         let common: Vec<String> = common.chain(at).collect();
-        let (minions, workers) =
-            (minions(&settings.minions, &common), workers(&settings.workers, &common));
+        let door = |domain: &DomainName, target: SocketAddr| {
+            let known = DOMAINS.into_iter().find(|known| *known == domain.as_str());
+            let known = known.filter(|_| settings.cut_targets);
+            known.map_or(target, |domain| net.open_target(domain, target))
+        };
+        let minions = minions(&settings.minions, &common, &door);
+        let workers = workers(&settings.workers, &common, &door);
         let mut cluster = Self {
             instances: vec![],
             minions,
@@ -277,11 +286,13 @@
     /// Sets the mode between a failure domain and everything outside of it.
     pub fn isolate(&self, domain: &str, mode: Mode) {
         let nodes = (0..self.instances.len()).map(Node::Instance);
-        let all: Vec<Node> = nodes.chain([Node::Platform]).collect();
+        let targets = DOMAINS.map(Node::Targets);
+        let all: Vec<Node> = nodes.chain([Node::Platform]).chain(targets).collect();
         let members = self.instances.iter().enumerate();
         let inside: Vec<Node> = members
             .filter(|(_, instance)| instance.domain == domain)
             .map(|(index, _)| Node::Instance(index))
+            .chain(targets.into_iter().filter(|it| is_of(it, domain)))
             .collect();
         self.net.set_around(&inside, &all, mode);
     }
@@ -318,22 +329,30 @@
     }
 }
 
+/// Reports whether a node stands for the targets of a failure domain.
+fn is_of(node: &Node, domain: &str) -> bool {
+    matches!(node, Node::Targets(name) if *name == domain)
+}
+
+/// Returns the address at which the list names a target.
+type Door<'a> = &'a dyn Fn(&DomainName, SocketAddr) -> SocketAddr;
+
 /// Returns the entries of a list in a status.
 fn rows<'a>(status: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> {
     status[name].as_array().into_iter().flatten()
 }
 
 /// Starts minions.
-fn minions(flags: &[&str], common: &[String]) -> Fleet {
+fn minions(flags: &[&str], common: &[String], door: Door) -> Fleet {
     let flags: Vec<&str> =
         flags.iter().copied().chain(common.iter().map(String::as_str)).collect();
     let settings: MinionSettings =
         minion_settings().to_options().run_inner(flags.as_slice()).unwrap();
-    Fleet::start(&settings.fleet, &settings.shape()).unwrap()
+    Fleet::start_behind(&settings.fleet, &settings.shape(), door).unwrap()
 }
 
 /// Starts workers.
-fn workers(flags: &[&str], common: &[String]) -> Fleet {
+fn workers(flags: &[&str], common: &[String], door: Door) -> Fleet {
     let own = ["--service", "yard-work"];
     let flags: Vec<&str> = flags
         .iter()
@@ -343,5 +362,5 @@
         .collect();
     let settings: WorkerSettings =
         worker_settings().to_options().run_inner(flags.as_slice()).unwrap();
-    Fleet::start(&settings.fleet, &settings.shape()).unwrap()
+    Fleet::start_behind(&settings.fleet, &settings.shape(), door).unwrap()
 }
--- a/crates/bamboocart-dispatcher/tests/support/forward.rs
+++ b/crates/bamboocart-dispatcher/tests/support/forward.rs
@@ -20,12 +20,14 @@
 const BUFFER_BYTES: usize = 64 * 1024;
 
 /// An end of connections.
-#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
 pub enum Node {
     /// The platform.
     Platform,
     /// An instance, by its position in the cluster.
     Instance(usize),
+    /// The targets of a failure domain.
+    Targets(&'static str),
 }
 
 /// What happens to the bytes between two nodes.
@@ -91,6 +93,21 @@
     ///
     /// Without a given opener it is found by the process that holds the connection.
     pub fn open(&self, to: Node, opener: Option<Node>) -> SocketAddr {
+        self.open_to(to, None, opener)
+    }
+
+    /// Opens a forwarder to one target of a failure domain and returns its address.
+    pub fn open_target(&self, domain: &'static str, target: SocketAddr) -> SocketAddr {
+        self.open_to(Node::Targets(domain), Some(target), None)
+    }
+
+    /// Opens a forwarder to an address, or to wherever the node listens at the time.
+    fn open_to(
+        &self,
+        to: Node,
+        fixed: Option<SocketAddr>,
+        opener: Option<Node>,
+    ) -> SocketAddr {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
@@ -108,7 +125,8 @@
                         eprintln!("a connection from {from} is none of an instance");
                         return;
                     };
-                    let backend = book.lock().unwrap().backends.get(&to).copied();
+                    let listed = || book.lock().unwrap().backends.get(&to).copied();
+                    let backend = fixed.or_else(listed);
                     let Some(backend) = backend else { return reset(&stream) };
                     let route = route(from, to);
                     if let Err(error) = relay(stream, backend, switches, route).await {
@@ -165,11 +183,7 @@
 
 /// Returns the key of the connections between two nodes.
 fn route(a: Node, b: Node) -> (Node, Node) {
-    let order = |node| match node {
-        Node::Platform => 0,
-        Node::Instance(index) => index + 1,
-    };
-    if order(a) <= order(b) { (a, b) } else { (b, a) }
+    if a <= b { (a, b) } else { (b, a) }
 }
 
 /// Returns the instance that opened a connection.
--- a/crates/bamboocart-dispatcher/tests/support/storm.rs
+++ b/crates/bamboocart-dispatcher/tests/support/storm.rs
@@ -18,6 +18,8 @@
     pub seed: u64,
     /// What is submitted.
     pub load: Load,
+    /// The system.
+    pub cluster: ClusterSettings,
     /// The fault, which begins one second after the load.
     pub fault: Fault,
 }
@@ -25,7 +27,8 @@
 impl Storm {
     /// Describes a run of the usual load.
     pub fn new(seed: u64, fault: Fault) -> Self {
-        Self { seed, load: Load::default(), fault }
+        let cluster = ClusterSettings::default();
+        Self { seed, load: Load::default(), cluster, fault }
     }
 
     /// Runs the load with the fault on new systems, once or as often as the environment
@@ -40,7 +43,7 @@
     /// Runs the load once.
     fn round(&self, seed: u64) -> Summary {
         println!("seed {seed}");
-        let mut cluster = Cluster::start(ClusterSettings::default());
+        let mut cluster = Cluster::start(self.cluster.clone());
         cluster.wait_for_claims();
         let callers: Arc<Callers> = Callers::new();
         let load = self.load.start(seed, &callers, &cluster.addresses());
--- a/crates/bamboocart-standin/src/target/fleet.rs
+++ b/crates/bamboocart-standin/src/target/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bamboocart_core::id::{Incarnation, InstanceName, RackName};
+use bamboocart_core::id::{DomainName, Incarnation, InstanceName, RackName};
 use bamboocart_platform::{InstanceEntry, ListState};
 use snafu::{ResultExt, Snafu};
 
@@ -35,6 +35,9 @@
 /// The time that the removal of registrations may take at the stop.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Returns the address under which a target is registered.
+type Door<'a> = &'a dyn Fn(&DomainName, SocketAddr) -> SocketAddr;
+
 /// A running fleet, stopped when it is dropped.
 pub struct Fleet {
     /// The control interface.
@@ -58,6 +61,16 @@
 impl Fleet {
     /// Starts all targets and registers them at the platform.
     pub fn start(settings: &FleetSettings, shape: &Shape) -> Result<Self> {
+        Self::start_behind(settings, shape, &|_, address| address)
+    }
+
+    /// Starts all targets and registers them under the addresses that `door` returns for
+    /// the failure domain and the address of each.
+    pub fn start_behind(
+        settings: &FleetSettings,
+        shape: &Shape,
+        door: Door,
+    ) -> Result<Self> {
         let gates = GateKeeper::start().context(GateSnafu)?;
         let shared = Arc::new(Shared {
             journal: Journal::default(),
@@ -67,7 +80,8 @@
         let mut targets = Vec::new();
         let mut servers = Vec::new();
         for index in 0..settings.count {
-            let (target, server) = start_target(settings, shape, &gates, &shared, index)?;
+            let (target, server) =
+                start_target((settings, shape, door), &gates, &shared, index)?;
             targets.push(target);
             servers.push(server);
         }
@@ -146,8 +160,7 @@
 
 /// Starts one target behind a gate.
 fn start_target(
-    settings: &FleetSettings,
-    shape: &Shape,
+    (settings, shape, door): (&FleetSettings, &Shape, Door),
     gates: &GateKeeper,
     shared: &Arc<Shared>,
     index: u32,
@@ -156,7 +169,8 @@
     let inner =
         Inner { address: server.address(), connections_max: settings.connections };
     let gate = gates.open(0, inner).context(GateSnafu)?;
-    let entry = entry(settings, shape, index, gate.address());
+    let mut entry = entry(settings, shape, index, gate.address());
+    entry.address = door(&entry.failure_domain, gate.address()).to_string();
     let run_times = run_times(settings, index);
     let shared = Arc::clone(shared);
     let target = Target::new(entry, shape.usage_lag_ms, run_times, gate, shared);
