Hedge tasks that a peer runs

Cause: only runs on own targets were hedged.

Change: a straggler that a peer runs gets a second send to a free target of the owner. When it ends first, the peer is told to stop its run.

Test: a_lent_straggler_is_hedged_on_an_own_slot fails without the change ("not hedged").

--- a/crates/bamboocart-core/src/engine/hedge.rs
+++ b/crates/bamboocart-core/src/engine/hedge.rs
@@ -49,13 +49,16 @@
     ) {
         let Some(state) = self.attempts.get(first) else { return };
         let Origin::Own { task: queued, declared_us } = state.origin else { return };
-        let RunPlace::Target(slow) = state.place else { return };
+        let slow = match state.place {
+            RunPlace::Target(target) => Some(target),
+            RunPlace::Peer(_) => None,
+        };
         let name = state.group.clone();
         let Some(group) = self.groups.get(&name) else { return };
         if !group.queue.is_empty() {
             return;
         }
-        let target = group.placement.pick(state.kind, &[slow], &mut self.rng);
+        let target = group.placement.pick(state.kind, slow.as_slice(), &mut self.rng);
         let Some(target) = target.filter(|_| self.hedges.take()) else { return };
         let Some(record) = self.tenure.get_mut(queued.submission) else { return };
         let Some(task) = record.tasks.get_mut(usize::from(queued.task)) else { return };
--- a/crates/bamboocart-core/tests/lending.rs
+++ b/crates/bamboocart-core/tests/lending.rs
@@ -23,21 +23,23 @@
 failure_domains = ["a"]
 [service.s]
 target_group = "g"
-slots = 2
-connections = 8
+slots = 50
+connections = 50
 [priority.p]
 rank = 0
 [request_kind.k]
 service = "s"
 priority = "p"
+idempotent = true
+hedge = true
 deadline_ms = 1000
 shortest_run_ms = 100
 longest_run_ms = 400
 [quota.c]
 weight = 1
-starts_per_s = 10
-burst = 10
-in_flight = 10
+starts_per_s = 100
+burst = 100
+in_flight = 100
 "#;
 
 const VERSION: ConfigVersion = ConfigVersion(1);
@@ -58,6 +60,7 @@
 /// An instance with one target, next to a peer.
 struct Bench {
     engine: Engine,
+    now: Timestamp,
 }
 
 impl Bench {
@@ -72,13 +75,13 @@
             policy: Policy::EarliestFinish,
             lend: true,
             eject: true,
-            hedge: false,
-            queue_tasks: 10,
+            hedge: true,
+            queue_tasks: 100,
             limits: Limits::default(),
             lame_duck_ms: 0,
             seed: 1,
         };
-        let mut bench = Self { engine: Engine::new(setup, at(0)) };
+        let mut bench = Self { engine: Engine::new(setup, at(0)), now: at(1) };
         let set = check(&[SourceFile { name: "f.toml", text: CONFIG }]).unwrap();
         let (set, version) = (Arc::new(set), VERSION);
         bench.handle(Event::ConfigAccepted { version, set, since: None });
@@ -112,7 +115,7 @@
 
     fn handle(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = vec![];
-        self.engine.handle(at(1), event, &mut effects);
+        self.engine.handle(self.now, event, &mut effects);
         effects
     }
 
@@ -221,3 +224,38 @@
         expected
     );
 }
+
+/// Guards against stragglers that are never hedged because a peer runs them, and against
+/// a peer that goes on with a run whose result is no longer needed.
+#[test]
+fn a_lent_straggler_is_hedged_on_an_own_slot() {
+    let mut bench = Bench::new(50);
+    let result = || SendReport::Result(Default::default());
+    let sent = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Send(order) => Some(order.attempt),
+            _ => None,
+        })
+    };
+    // 34 sends earn one hedge. Their run time is the 95th percentile.
+    let attempts: Vec<_> = (0..34).filter_map(|_| sent(&bench.submit())).collect();
+    bench.now = at(401);
+    for attempt in attempts {
+        bench.handle(Event::SendFinished { attempt, report: result() });
+    }
+    bench.hear(Some((2, 100)), Message::Cancel { correlation: 0 });
+    let Went::ToPeer(correlation) = went(&bench.submit()) else { panic!("not lent") };
+    bench.now = at(401 + 590);
+    assert_eq!(sent(&bench.handle(Event::Tick)), None);
+    bench.now = at(401 + 700);
+    let hedge = sent(&bench.handle(Event::Tick));
+    let Some(attempt) = hedge else { panic!("not hedged") };
+    let effects = bench.handle(Event::SendFinished { attempt, report: result() });
+    let is_cancel = |effect: &Effect| match effect {
+        Effect::Peer { envelope, .. } => {
+            matches!(envelope.message, Message::Cancel { correlation: it } if it == correlation)
+        }
+        _ => false,
+    };
+    assert!(effects.iter().any(is_cancel), "the peer is not told");
+}
