Let the first claims take effect late in the test that needs it

Cause: `keys_are_started_once_while_ranges_are_claimed` needs calls that come before the first claims, and had them only when the load began fast enough.

Change: the platform's appends take effect 3 s late until the fault ends, so that the load is certain to begin before the claims.

Conclusion: the condition no longer depends on the machine; the check is the same.

--- a/crates/bamboocart-dispatcher/tests/log_faults.rs
+++ b/crates/bamboocart-dispatcher/tests/log_faults.rs
@@ -50,6 +50,7 @@
 fn end(cluster: &Cluster) {
     cluster.platform_faults(&json!({
         "down": 0, "silent": 0, "slow_ms": 0, "drop_answers": 0, "freeze_list": false,
+        "late_appends": 0,
     }));
 }
 
@@ -75,6 +76,8 @@
         let mut cluster =
             Cluster::start(ClusterSettings { instances: vec![], ..Default::default() });
         cluster.platform_faults(&case.switches);
+        // Without it, all claims may be in force before the first call.
+        cluster.platform_faults(&json!({ "late_appends": 1_000, "late_ms": 3_000 }));
         for domain in ["marka", "sahab", "qastal"] {
             cluster.add_instance(domain);
         }
