--- a/crates/bamboocart-core/src/config/fold.rs
+++ b/crates/bamboocart-core/src/config/fold.rs
@@ -236,8 +236,8 @@
     /// from it.
     ///
     /// It replaces the snapshots of the log when all of them have expired. The records
-    /// from [`Fold::next_offset`] on are to be read again. A snapshot is due at once then,
-    /// because the log holds none that a further reader could start from.
+    /// from [`Fold::next_offset`] on are to be read again. A snapshot is due at once
+    /// then, because the log holds none that a further reader could start from.
     pub fn restore(&mut self, snapshot: Snapshot) -> bool {
         let is_past = snapshot.version.0 <= snapshot.covers_until + 1;
         let is_usable = is_past && check_set(&snapshot.set).is_ok();
--- a/crates/bamboocart-core/src/ownership/horizon.rs
+++ b/crates/bamboocart-core/src/ownership/horizon.rs
@@ -4,8 +4,8 @@
 
 /// The shortest horizon, with 6 s from the extension of a claim to its take-over.
 ///
-/// An instance appends claims at most each 5 s, so that a shorter horizon would leave it no
-/// second try before others take its ranges over.
+/// An instance appends claims at most each 5 s, so that a shorter horizon would leave it
+/// no second try before others take its ranges over.
 const SHORTEST_MS: u64 = 15_000;
 
 /// The longest horizon, which leaves 80 s for clocks that differ up to the bound of the
@@ -52,8 +52,8 @@
         self.0 / 12
     }
 
-    /// Returns the remaining time at which any instance takes a range, because neither its
-    /// holder nor the instance that it is meant for has acted.
+    /// Returns the remaining time at which any instance takes a range, because neither
+    /// its holder nor the instance that it is meant for has acted.
     pub const fn abandoned_at_ms(self) -> u64 {
         self.0 / 24
     }
--- a/crates/bamboocart-dispatcher/src/follower.rs
+++ b/crates/bamboocart-dispatcher/src/follower.rs
@@ -97,7 +97,7 @@
     let is_restored = fold.restore(snapshot);
     match is_restored {
         true => log::info!(
-            "the log is read on after record {covers_until} from a peer's version {version}"
+            "reading after record {covers_until} from a peer's version {version}"
         ),
         false => log::warn!(
             "records after {covers_until} have expired unread; a snapshot is needed"
--- a/crates/bamboocart-dispatcher/src/heard.rs
+++ b/crates/bamboocart-dispatcher/src/heard.rs
@@ -1,4 +1,4 @@
-//! The snapshot that a peer has sent, on its way from the engine to the reader of the log.
+//! The snapshot of a peer on its way from the engine to the reader of the log.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/settings.rs
@@ -111,8 +111,8 @@
         display_fallback
     )]
     pub remember_ms: u64,
-    /// Time in milliseconds ahead for which ranges of caller keys are claimed; the keys of
-    /// a dead instance are served again when it is over
+    /// Time in milliseconds ahead for which ranges of caller keys are claimed; the keys
+    /// of a dead instance are served again when it is over
     #[bpaf(
         long,
         env("BAMBOOCART_CLAIM_HORIZON_MS"),
--- a/crates/bamboocart-dispatcher/tests/claims.rs
+++ b/crates/bamboocart-dispatcher/tests/claims.rs
@@ -196,8 +196,8 @@
 
 /// Guards against an owner that was only frozen and, when it wakes up after its claim has
 /// passed on, starts what it had queued or what others own by now. Callers have sent all
-/// keys to it, too, so that it finds them when it wakes up. Without the log it does not know
-/// then that its claim has passed on.
+/// keys to it, too, so that it finds them when it wakes up. Without the log it does not
+/// know then that its claim has passed on.
 #[parameterized(with_the_log = { Mode::Pass }, without_the_log = { Mode::Reset })]
 fn claims_pass_on_from_a_frozen_owner(log: Mode) {
     let scene = Scene::start();
--- a/crates/bamboocart-dispatcher/tests/configuration.rs
+++ b/crates/bamboocart-dispatcher/tests/configuration.rs
@@ -52,7 +52,7 @@
     assert!(weights(&cluster).iter().all(|&it| it == Some(3)));
 }
 
-/// The two kinds of connections of a cut-off failure domain, in the order of their return.
+/// The order in which the connections of a cut-off failure domain return.
 struct Heal {
     /// Whether connections to the platform return first.
     platform_first: bool,
--- a/crates/bamboocart-dispatcher/tests/remember.rs
+++ b/crates/bamboocart-dispatcher/tests/remember.rs
@@ -6,7 +6,7 @@
 
 use bamboocart_core::id::SubmissionId;
 use bamboocart_standin::history::{Purpose, What};
-use bamboocart_wire::api::OutcomeName;
+use bamboocart_wire::api::OutcomeName::{self, Complete, Refused};
 use support::{
     Callers, Cluster, ClusterSettings, Work, evidence, hold, judge, wait_for_keys,
     wait_until,
@@ -37,16 +37,16 @@
 /// than a forgotten one and was never used is not started either.
 #[parameterized(
     completed_ticket = {
-        Case { key: false, kind: "release-order", outcome: OutcomeName::Complete, starts: 1 }
+        Case { key: false, kind: "release-order", outcome: Complete, starts: 1 }
     },
     completed_key = {
-        Case { key: true, kind: "release-order", outcome: OutcomeName::Complete, starts: 1 }
+        Case { key: true, kind: "release-order", outcome: Complete, starts: 1 }
     },
     refused_ticket = {
-        Case { key: false, kind: "unknown", outcome: OutcomeName::Refused, starts: 0 }
+        Case { key: false, kind: "unknown", outcome: Refused, starts: 0 }
     },
     refused_key = {
-        Case { key: true, kind: "unknown", outcome: OutcomeName::Refused, starts: 0 }
+        Case { key: true, kind: "unknown", outcome: Refused, starts: 0 }
     },
 )]
 fn forgotten_submissions_are_unknown(case: Case) {
