Let the rate of probes follow the number of targets

Cause: an instance sent at most ten probes a second. While no list shows a leaving target, each of N targets waits N / 10 s for its probe, so that from about 40 targets on a leaving one may get work for more than 5 s after it began to leave.

Ruled out: the announcement in answers does not suffice, since the answer to a start does not say that its target is leaving.

Change: the rate is half of the targets a second, at least 10 and at most 40. A silent target holds a sender thread for 1 s per probe, which is why it is bounded. It reaches 150 targets within 4.5 s.

--- a/crates/bamboocart-core/src/membership/mod.rs
+++ b/crates/bamboocart-core/src/membership/mod.rs
@@ -22,5 +22,6 @@
 };
 pub use self::stop::{Member, StopSchedule, Turn};
 pub use self::targets::{
-    Leaving, PROBE_EVERY_MS, PROBES_PER_S, TARGETS, Target, TargetInfo, Targets,
+    Leaving, PROBE_EVERY_MS, PROBES_PER_S, PROBES_PER_S_MAX, TARGETS, Target, TargetInfo,
+    Targets,
 };
--- a/crates/bamboocart-core/src/membership/targets.rs
+++ b/crates/bamboocart-core/src/membership/targets.rs
@@ -14,10 +14,17 @@
 /// The time between two probes of one target.
 pub const PROBE_EVERY_MS: u64 = 2_000;
 
-/// The probes that one instance sends each second; targets that gave no answer for the
-/// longest time come first.
+/// The probes that one instance sends each second to few targets; those that gave no
+/// answer for the longest time come first.
 pub const PROBES_PER_S: usize = 10;
 
+/// The probes that one instance sends each second at most.
+///
+/// A silent target holds a sender thread for 1 s per probe, and other sends need these
+/// threads. Up to 150 targets are reached within 4 s, so that a leaving one gets no new
+/// work after 5 s.
+pub const PROBES_PER_S_MAX: usize = 40;
+
 /// The silence of a target that was asked, after which it counts as not answering.
 const SILENT_MS: u64 = 5_000;
 
@@ -230,17 +237,22 @@
         if self.probes.0 != second {
             self.probes = (second, 0);
         }
-        let mut due: Vec<&mut Target> = self
+        let mut asked: Vec<&mut Target> = self
             .targets
             .values_mut()
-            .filter(|target| target.is_serving() && target.probe_at <= now)
+            .filter(|target| target.is_serving() && asked(&target.info))
+            .collect();
+        let per_s = asked.len().div_ceil((PROBE_EVERY_MS / 1_000) as usize);
+        let per_s = per_s.clamp(PROBES_PER_S, PROBES_PER_S_MAX);
+        let mut due: Vec<&mut Target> = asked
+            .drain(..)
+            .filter(|target| target.probe_at <= now)
             .filter(|target| {
                 target.answered_at.is_none_or(|at| now.ms_since(at) >= PROBE_EVERY_MS)
             })
-            .filter(|target| asked(&target.info))
             .collect();
         due.sort_by_key(|target| target.answered_at.max(Some(target.probe_at)));
-        due.truncate(PROBES_PER_S.saturating_sub(self.probes.1));
+        due.truncate(per_s.saturating_sub(self.probes.1));
         self.probes.1 += due.len();
         due.into_iter()
             .map(|target| {
