--- a/crates/bamboocart-core/tests/account/floors.rs
+++ b/crates/bamboocart-core/tests/account/floors.rs
@@ -85,7 +85,8 @@
     caught_up_in_the_window = { Case {
         letters: "o".repeat(80) + &"f".repeat(20), floors: &[&[0, 20]], faults: 0..=0 } },
     caught_up_twice = { Case {
-        letters: "o".repeat(80) + &"f".repeat(40), floors: &[&[0, 20]], faults: 10..=20 } },
+        letters: "o".repeat(80) + &"f".repeat(40),
+        floors: &[&[0, 20]], faults: 10..=20 } },
     no_floor = { Case { letters: "of".into(), floors: &[&[0, 0]], faults: 1..=1 } },
     no_priority = { Case { letters: "of".into(), floors: &[&[0]], faults: 1..=1 } },
     all = { Case { letters: "f".repeat(300), floors: &[&[0, 100]], faults: 0..=0 } },
