Count offers that a peer's reports cannot know of yet

Cause: a report of free slots replaced what was known of a peer, although the offers that were sent since it was made were not in it. A peer that sends many messages at once was offered the same slots with each of them.

Change: an offer is subtracted from every report that is heard within 20 ms after it. A wave of reports therefore offers a slot once in that time.

The new case of the core test expects no offer where three were made before.

Conclusion: reports on every message need this bound; the time is far above a round trip between failure domains of 3 ms.

--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -98,7 +98,7 @@
             chosen.is_some()
         })?;
         if let Some(FreeSlot::Peer(slot, _)) = &chosen {
-            self.peer_slots.take(slot);
+            self.peer_slots.take(slot, now);
         }
         Some((next, chosen?))
     }
--- a/crates/bamboocart-core/src/slots.rs
+++ b/crates/bamboocart-core/src/slots.rs
@@ -1,6 +1,6 @@
 //! The free slots of peers, as their messages tell.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -24,6 +24,12 @@
 /// At 80 % of capacity an instance gets a task of its own about every 12 ms.
 const FRESH_MS: u64 = 5;
 
+/// The time after an offer in which reports may not know of it yet.
+///
+/// Without it, a peer that sends many messages at once was offered its free slots again
+/// with each of them: 944 tasks in one wave of cancellations.
+const UNSEEN_MS: u64 = 20;
+
 /// The time that an offer takes longer than a start on an own target.
 const HOP_US: u64 = 1_000;
 
@@ -89,6 +95,8 @@
     heard_at: Timestamp,
     /// When the peer bounced a task last.
     bounced_at: Option<Timestamp>,
+    /// The offers that reports may not know of yet, with their groups.
+    unseen: VecDeque<(Timestamp, usize)>,
 }
 
 impl PeerSlots {
@@ -100,6 +108,7 @@
         if report.made > view.report.made || view.is_stale(now) {
             view.report = report;
             view.heard_at = now;
+            view.subtract_unseen(now);
         }
     }
 
@@ -174,10 +183,12 @@
         Some(PeerSlot { peer, group: wanted.group, target })
     }
 
-    /// Counts a slot as used until the next report.
-    pub fn take(&mut self, slot: &PeerSlot) {
-        let view = self.views.get_mut(&slot.peer);
-        let group = view.and_then(|view| view.report.groups.get_mut(slot.group));
+    /// Counts a slot as used until a report that knows of the offer.
+    pub fn take(&mut self, slot: &PeerSlot, now: Timestamp) {
+        let Some(view) = self.views.get_mut(&slot.peer) else { return };
+        view.forget_seen(now);
+        view.unseen.push_back((now, slot.group));
+        let group = view.report.groups.get_mut(slot.group);
         if let Some(target) = group.and_then(|group| group.get_mut(slot.target)) {
             target.free = target.free.saturating_sub(1);
         }
@@ -208,6 +219,26 @@
 }
 
 impl View {
+    /// Takes the slots of recent offers out of a report, fastest targets first, because
+    /// these were asked for.
+    fn subtract_unseen(&mut self, now: Timestamp) {
+        self.forget_seen(now);
+        for &(_, group) in &self.unseen {
+            let targets = self.report.groups.get_mut(group).into_iter().flatten();
+            if let Some(target) = { targets }.find(|target| target.free > 0) {
+                target.free -= 1;
+            }
+        }
+    }
+
+    /// Forgets the offers that every further report knows of.
+    fn forget_seen(&mut self, now: Timestamp) {
+        let is_seen = |&(at, _): &(Timestamp, usize)| now.ms_since(at) >= UNSEEN_MS;
+        while self.unseen.front().is_some_and(is_seen) {
+            self.unseen.pop_front();
+        }
+    }
+
     /// Reports whether the last free slots are probably still free.
     fn is_fresh(&self, now: Timestamp) -> bool {
         now.ms_since(self.heard_at) < FRESH_MS
--- a/crates/bamboocart-core/tests/slots.rs
+++ b/crates/bamboocart-core/tests/slots.rs
@@ -34,7 +34,7 @@
     let wanted = Wanted { group: 0, kind: 0, own_us: own_ms.map(|ms| ms * 1_000) };
     let next = || {
         let slot = slots.best(wanted, VERSION, now, &mut rng)?;
-        slots.take(&slot);
+        slots.take(&slot, now);
         Some(slot.peer.to_string())
     };
     std::iter::from_fn(next).take(20).collect()
@@ -134,3 +134,17 @@
     let bytes = bincode::serde::encode_to_vec(&largest, bincode::config::standard());
     assert!(bytes.unwrap().len() <= 150);
 }
+
+/// Guards against a peer whose many messages, made before it has heard of offers, are each
+/// answered with offers for the same slots, and against slots that stay counted as used.
+#[parameterized(
+    made_before_the_offers = { 5, "" },
+    made_after_them = { 30, "a a a" },
+)]
+fn offers_outlast_reports_that_miss_them(heard_ms: u64, expected: &str) {
+    let mut slots = PeerSlots::default();
+    slots.heard(&name("a"), report(0, &[(2, 50), (1, 90)]), at(0));
+    assert_eq!(offered(&mut slots, None, at(1)).len(), 3);
+    slots.heard(&name("a"), report(2, &[(2, 50), (1, 90)]), at(heard_ms));
+    assert_eq!(offered(&mut slots, None, at(heard_ms)).join(" "), expected);
+}
