Give each instance targets of its own in the test of simultaneous stops

Cause: with 6 minions, `four_of_five` had two in the failure domain of four instances, and both are used by one of them; two others depended on targets of a failure domain without instances, and the fourth had none. Without lending, an instance without targets cannot serve its caller keys. Ruled out: the load alone, since the shares follow from the names.

Change: 24 minions.

Conclusion: the fault was in the test's setup.

--- a/crates/bamboocart-dispatcher/tests/stops.rs
+++ b/crates/bamboocart-dispatcher/tests/stops.rs
@@ -145,6 +145,8 @@
 fn simultaneous_stops(domains: &[&'static str]) {
     let mut cluster = Cluster::start(ClusterSettings {
         instances: domains.to_vec(),
+        // Without lending, each instance needs targets of its own failure domain.
+        minions: vec!["--count", "24"],
         flags: vec!["--lame-duck-ms", "200", "--no-lending"],
         ..ClusterSettings::default()
     });
