Expire queues before every dispatch and admit all calls before the freeze

Since calls to targets run on few threads, the first 20 starts come before all 120 calls are admitted; the others were read on waking up, which the test allows for keys that nobody has brought before but did not count as such. Ruled out: expiry that comes too late, since the failures were the same with the change below.

Change: the test freezes the owner only when all 120 calls are admitted. Queues are looked through before each dispatch in place of each event, so that a bounced task that goes back into the queue within an event is not started too late either; this was found by reading.

Conclusion: the check is the same, and its condition is certain now.

--- a/crates/bamboocart-core/src/engine/dispatch.rs
+++ b/crates/bamboocart-core/src/engine/dispatch.rs
@@ -45,6 +45,9 @@
         name: &GroupName,
         effects: &mut Vec<Effect>,
     ) {
+        // A process that was paused takes in the ends of its sends before its next tick,
+        // and bounced tasks go back into the queue. Neither may start what is too late.
+        self.expire_queues(now, effects);
         self.start_probes(now, name, effects);
         while let Some((next, slot)) = self.next_task(now, name) {
             match slot {
--- a/crates/bamboocart-core/src/engine/mod.rs
+++ b/crates/bamboocart-core/src/engine/mod.rs
@@ -263,9 +263,6 @@
     /// Takes in one event and adds what has to be done to `effects`.
     pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
         let before = effects.len();
-        // A process that was paused takes in the ends of its sends before its next tick.
-        // It must not start on the freed slots what is too late by now.
-        self.expire_queues(now, effects);
         self.take_in(now, event, effects);
         self.report_slots(now, &mut effects[before..]);
     }
--- a/crates/bamboocart-dispatcher/tests/claims.rs
+++ b/crates/bamboocart-dispatcher/tests/claims.rs
@@ -205,6 +205,9 @@
     let waiting = scene.works(120, 1_900);
     let mut calls = scene.submit(&waiting, &all[..1], Purpose::Submit);
     let started = || waiting.iter().filter(|work| scene.starts(work) > 0).count();
+    // A call that is admitted only on waking up is one that nobody has brought before.
+    let admitted = || scene.cluster.instances[0].status()["open_submissions"] == 120;
+    wait_until("the admission", ROUND * 4, admitted);
     wait_until("the first starts", ROUND * 4, || started() >= 20);
     scene.cluster.net.set(Node::Instance(0), Node::Platform, log);
     scene.cluster.instances[0].freeze();
