--- a/crates/bamboocart-dispatcher/src/main.rs
+++ b/crates/bamboocart-dispatcher/src/main.rs
@@ -15,6 +15,7 @@
 mod sender;
 mod server;
 mod settings;
+mod site;
 mod spans;
 mod waiters;
 
@@ -31,8 +32,14 @@
 /// The width of help texts.
 const MESSAGE_COLUMNS: usize = 100;
 
+/// The first argument of an instance on the users' platform.
+const SITE_COMMAND: &str = "site";
+
 /// Starts an instance and runs it until it is told to stop.
 fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some(SITE_COMMAND) {
+        return exit_code(site::run());
+    }
     let flags = match Flags::from_args() {
         Ok(flags) => flags,
         Err(failure) => {
@@ -48,7 +55,12 @@
             return ExitCode::from(USAGE);
         }
     };
-    match app::run(settings) {
+    exit_code(app::run(settings))
+}
+
+/// Prints an error and returns the exit code of the process.
+fn exit_code<E: std::fmt::Display>(result: Result<(), E>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/site/front.rs
@@ -0,0 +1,162 @@
+//! Connections of clients.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboocart_adapter::{
+    FrontError, FrontRequest, HttpAnswer, decode_job, encode_answer, encode_error,
+    encode_pending, patience_ms, read_request,
+};
+use bamboocart_jobs::{Answer, RequestKey, Submission};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::site::shell::Shell;
+
+/// The most connections of clients; more are closed at once.
+const MAX_CONNECTIONS: usize = 1_500;
+
+/// The pause after a failure to accept a connection, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections.
+pub async fn accept(shell: Shell, listener: TcpListener) {
+    let open: Rc<Cell<usize>> = Rc::default();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if open.get() < MAX_CONNECTIONS => {
+                let counted = Counted::new(&open);
+                shell.spawn(serve(shell.clone(), stream, counted));
+            }
+            Ok(_) => {
+                log::warn!(target: "front", limit = MAX_CONNECTIONS;
+                    "connection closed; too many are open");
+            }
+            Err(error) => {
+                log::warn!(target: "front", error:% = error; "cannot accept connections");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts a connection while it is open.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Counts a new connection.
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves a connection until it ends.
+async fn serve(shell: Shell, stream: TcpStream, _counted: Counted) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(target: "front", error:% = error; "cannot set an option");
+    }
+    let limits = shell.read(|engine, _| engine.catalog().limits);
+    let service = service_fn(|request| handle(shell.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(
+            limits.header_timeout_ms.max(limits.idle_timeout_ms),
+        ))
+        .max_buf_size(limits.max_header_bytes.max(8 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!(target: "front", error:% = error; "connection ended");
+    }
+}
+
+/// Answers a request.
+async fn handle(
+    shell: Shell,
+    request: Request<Incoming>,
+) -> Result<HttpAnswer, Infallible> {
+    let mut answer = match route(&shell, request).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::info!(target: "front", error:% = error; "request not served");
+            encode_error(&error)
+        }
+    };
+    if shell.is_closing() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// Does what a request asks for.
+async fn route(
+    shell: &Shell,
+    request: Request<Incoming>,
+) -> Result<HttpAnswer, FrontError> {
+    let catalog = shell.read(|engine, _| engine.catalog().clone());
+    let (head, body) = request.into_parts();
+    match read_request(&head, &catalog)? {
+        FrontRequest::Submit(queue, id) => {
+            let limit_bytes = catalog.limits.max_body_bytes;
+            let body = read_body(body, limit_bytes).await?;
+            let job = decode_job(id, &body)?;
+            let patience_ms = patience_ms(&head.headers);
+            let (request, receiver) = shell.open_request();
+            let _guard = Guard { shell: shell.clone(), request };
+            let submission = Submission { request, queue, job, patience_ms };
+            shell.event(|engine, now| engine.submit(now, submission));
+            let answer = receiver.await.unwrap_or(Answer::GivenUp);
+            Ok(encode_answer(answer))
+        }
+        FrontRequest::State(_, id) => {
+            let state = shell.read(|engine, _| engine.state(id));
+            Ok(encode_answer(state.map_or(Answer::Unknown, Answer::State)))
+        }
+        FrontRequest::Cancel(_, id) => {
+            let known = shell.event(|engine, now| engine.cancel(now, id));
+            Ok(encode_answer(if known { Answer::Cancelled } else { Answer::Unknown }))
+        }
+        FrontRequest::Pending(queue) => {
+            Ok(encode_pending(shell.read(|engine, _| engine.pending(&queue.name))))
+        }
+    }
+}
+
+/// Ends a request when its handler ends, also when the client has left.
+struct Guard {
+    shell: Shell,
+    request: RequestKey,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.shell.close_request(self.request);
+    }
+}
+
+/// Reads a body of limited size.
+async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, FrontError> {
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(FrontError::TooLarge { limit_bytes })
+        }
+        Err(_) => Err(FrontError::Unread),
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -0,0 +1,128 @@
+//! An instance on the users' platform: sockets, timers and signals around the engine.
+//!
+//! Everything runs on one thread. A share of a core is too little for a second one to add
+//! work, and each hand-over between threads is charged.
+
+mod clock;
+mod front;
+mod links;
+mod probe;
+mod shell;
+mod signals;
+mod store;
+
+use std::env;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+
+use bamboocart_adapter::{SETTINGS_VARIABLE, Settings, SettingsError};
+use bamboocart_jobs::Member;
+use bamboocart_telemetry::lines::LineSink;
+use bamboocart_telemetry::logs::{self, LogFormat, LogSettings, LogsError};
+use log::LevelFilter;
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+use self::shell::Shell;
+
+/// The result of running an instance.
+pub type Result<T, E = SiteError> = std::result::Result<T, E>;
+
+/// Why an instance cannot run.
+#[derive(Debug, Snafu)]
+pub enum SiteError {
+    /// The variable with the path of the settings file is not set.
+    #[snafu(display(
+        "the variable {SETTINGS_VARIABLE} is not set; set it to the path of \
+                     the settings file"
+    ))]
+    NoVariable,
+    /// The settings file cannot be read.
+    #[snafu(display("cannot read {}: {source}; check the path", path.display()))]
+    Unreadable {
+        /// The path.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The settings cannot be used.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// The cause.
+        source: SettingsError,
+    },
+    /// The log cannot be set up.
+    #[snafu(display("{source}"))]
+    Logs {
+        /// The cause.
+        source: LogsError,
+    },
+    /// A socket, the runtime or a thread cannot be set up.
+    #[snafu(display("cannot {what}: {source}; check addresses and process limits"))]
+    Start {
+        /// What was tried.
+        what: &'static str,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Runs an instance until it is told to stop.
+pub fn run() -> Result<()> {
+    let path = env::var_os(SETTINGS_VARIABLE).context(NoVariableSnafu)?;
+    let path = PathBuf::from(path);
+    let text = fs::read_to_string(&path).context(UnreadableSnafu { path: &path })?;
+    let settings: Settings = text.parse().context(SettingsSnafu)?;
+    let sink =
+        LineSink::start(io::stdout()).context(StartSnafu { what: "start the log" })?;
+    let log_settings = LogSettings { level: LevelFilter::Info, format: LogFormat::Json };
+    logs::install(log_settings, sink.clone()).context(LogsSnafu)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(StartSnafu { what: "start the runtime" })?;
+    let member = Member {
+        name: settings.node_name.as_str().into(),
+        failure_domain: settings.failure_domain.as_str().into(),
+        address: settings.peer,
+        incarnation: clock::unix_ms(),
+    };
+    log::info!(target: "process", instance:% = member, config:% = path.display();
+        "instance starts");
+    let result = LocalSet::new().block_on(&runtime, serve(settings, member));
+    log::info!(target: "process", ok = result.is_ok(), dropped_lines = sink.dropped();
+        "instance stops");
+    sink.flush(FLUSH_LIMIT);
+    result
+}
+
+/// The time for writing the last lines of the log.
+const FLUSH_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// Opens the sockets, starts all tasks and waits for the end of the stop.
+async fn serve(settings: Settings, member: Member) -> Result<()> {
+    let cancel = CancellationToken::new();
+    let shell = Shell::new(member, cancel.clone());
+    let peer =
+        links::listen(settings.peer).context(StartSnafu { what: "listen for peers" })?;
+    let front = links::listen(settings.front)
+        .context(StartSnafu { what: "listen for clients" })?;
+    let ready = links::listen(settings.ready)
+        .context(StartSnafu { what: "listen for readiness" })?;
+    let metrics = links::listen(settings.metrics)
+        .context(StartSnafu { what: "listen for metrics" })?;
+    let signals =
+        signals::Signals::new().context(StartSnafu { what: "watch signals" })?;
+    shell.spawn(shell.clone().run_timer());
+    shell.spawn(links::accept(shell.clone(), peer));
+    shell.spawn(front::accept(shell.clone(), front));
+    shell.spawn(probe::accept(shell.clone(), ready));
+    shell.spawn(probe::accept(shell.clone(), metrics));
+    store::spawn(&shell, &settings);
+    signals.run(&shell, &settings).await;
+    cancel.cancel();
+    Ok(())
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -0,0 +1,245 @@
+//! The engine with everything that its effects need.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboocart_adapter::MinionClient;
+use bamboocart_jobs::{
+    Answer, Effect, Engine, Frame, Member, Moment, PeerKey, RequestKey,
+};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::site::clock;
+use crate::site::links;
+
+/// The shortest time between two ticks.
+const MIN_SLEEP: Duration = Duration::from_millis(1);
+
+/// The frames that wait for a link; more mean that the peer does not read.
+const LINK_FRAMES: usize = 256;
+
+/// The engine of this process and its surroundings; clones share them.
+#[derive(Clone)]
+pub struct Shell {
+    inner: Rc<Inner>,
+}
+
+/// What the clones of a shell share.
+struct Inner {
+    /// This instance.
+    member: Member,
+    /// The decisions.
+    engine: RefCell<Engine>,
+    /// The calls to minions.
+    minions: MinionClient,
+    /// The requests that wait for their answers.
+    requests: RefCell<HashMap<RequestKey, oneshot::Sender<Answer>>>,
+    /// The ways to peers.
+    links: RefCell<HashMap<PeerKey, mpsc::Sender<Frame>>>,
+    /// The number of the next request.
+    next_request: Cell<u64>,
+    /// When the timer fires.
+    timer_due: Cell<Moment>,
+    /// Tells the timer that it has to fire earlier.
+    timer_changed: Notify,
+    /// Whether the platform may send new connections.
+    ready: Cell<bool>,
+    /// Whether connections are closed after their current request.
+    closing: Cell<bool>,
+    /// Ends all tasks.
+    cancel: CancellationToken,
+}
+
+impl Shell {
+    /// Creates the engine of an instance.
+    pub fn new(member: Member, cancel: CancellationToken) -> Self {
+        let seed = member.incarnation;
+        Self {
+            inner: Rc::new(Inner {
+                engine: RefCell::new(Engine::new(member.clone(), seed)),
+                member,
+                minions: MinionClient::default(),
+                requests: RefCell::default(),
+                links: RefCell::default(),
+                next_request: Cell::new(1),
+                timer_due: Cell::default(),
+                timer_changed: Notify::new(),
+                ready: Cell::new(true),
+                closing: Cell::new(false),
+                cancel,
+            }),
+        }
+    }
+
+    /// Returns this instance as a member of the group.
+    pub fn member(&self) -> &Member {
+        &self.inner.member
+    }
+
+    /// Returns the token that ends all tasks.
+    pub fn cancel(&self) -> &CancellationToken {
+        &self.inner.cancel
+    }
+
+    /// Runs a task until it ends or all tasks are ended.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        let cancel = self.inner.cancel.clone();
+        spawn_local(async move { cancel.run_until_cancelled(task).await });
+    }
+
+    /// Reads the engine.
+    pub fn read<T>(&self, look: impl FnOnce(&Engine, Moment) -> T) -> T {
+        look(&self.inner.engine.borrow(), clock::now())
+    }
+
+    /// Passes an event to the engine and carries out what follows from it.
+    pub fn event<T>(&self, event: impl FnOnce(&mut Engine, Moment) -> T) -> T {
+        let now = clock::now();
+        let mut engine = self.inner.engine.borrow_mut();
+        let result = event(&mut engine, now);
+        let effects = engine.take_effects();
+        let frames = engine.take_frames(now);
+        let due = engine.next_due(now);
+        drop(engine);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        for (peer, frame) in frames {
+            self.send_frame(peer, frame);
+        }
+        if due < self.inner.timer_due.get() {
+            self.inner.timer_changed.notify_one();
+        }
+        result
+    }
+
+    /// Calls the engine whenever something is due.
+    pub async fn run_timer(self) {
+        loop {
+            let now = clock::now();
+            let due = self.inner.engine.borrow().next_due(now);
+            self.inner.timer_due.set(due);
+            let wait = Duration::from_millis(due.since(now)).max(MIN_SLEEP);
+            tokio::select! {
+                () = sleep(wait) => self.event(|engine, now| engine.tick(now)),
+                () = self.inner.timer_changed.notified() => {}
+            }
+        }
+    }
+
+    /// Registers a request and returns the way on which its answer comes.
+    pub fn open_request(&self) -> (RequestKey, oneshot::Receiver<Answer>) {
+        let key = RequestKey(self.inner.next_request.get());
+        self.inner.next_request.set(key.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.inner.requests.borrow_mut().insert(key, sender);
+        (key, receiver)
+    }
+
+    /// Ends a request; if it has no answer yet, its client is gone.
+    pub fn close_request(&self, key: RequestKey) {
+        if self.inner.requests.borrow_mut().remove(&key).is_some() {
+            self.event(|engine, now| engine.abandon(now, key));
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn open_requests(&self) -> usize {
+        self.inner.requests.borrow().len()
+    }
+
+    /// Returns whether the platform may send new connections.
+    pub fn is_ready(&self) -> bool {
+        let known = self.read(|engine, _| engine.catalog().version > 0);
+        self.inner.ready.get() && known
+    }
+
+    /// Tells the platform to send no new connections.
+    pub fn set_not_ready(&self) {
+        self.inner.ready.set(false);
+        self.inner.closing.set(true);
+    }
+
+    /// Returns whether connections are closed after their current request.
+    pub fn is_closing(&self) -> bool {
+        self.inner.closing.get()
+    }
+
+    /// Opens a link to each peer that has none.
+    pub fn open_links(&self) {
+        let peers = self.read(|engine, _| engine.peers());
+        let mut open = self.inner.links.borrow_mut();
+        open.retain(|key, _| peers.iter().any(|(peer, _)| peer == key));
+        for (key, address) in peers {
+            open.entry(key).or_insert_with(|| {
+                let (sender, receiver) = mpsc::channel(LINK_FRAMES);
+                self.spawn(links::carry(self.clone(), key, address, receiver));
+                sender
+            });
+        }
+    }
+
+    /// Hands a frame to the link of a peer; without a link it is lost.
+    fn send_frame(&self, peer: PeerKey, frame: Frame) {
+        let links = self.inner.links.borrow();
+        if let Some(link) = links.get(&peer)
+            && link.try_send(frame).is_err()
+        {
+            log::warn!(target: "peer", peer:? = peer; "frame is lost; the link is full");
+        }
+    }
+
+    /// Carries out an effect.
+    fn carry_out(&self, effect: Effect) {
+        let shell = self.clone();
+        match effect {
+            Effect::Answer(request, answer) => {
+                let waiting = self.inner.requests.borrow_mut().remove(&request);
+                if let Some(sender) = waiting {
+                    // A receiver that is gone means that its client left just now.
+                    let _ = sender.send(answer);
+                }
+            }
+            Effect::Start(order) => self.spawn(async move {
+                let answer = shell.inner.minions.start(&order).await;
+                let (key, token) = (order.target.minion, order.target.fencing_token);
+                shell.event(|engine, now| {
+                    engine.start_answered(now, key, token, order.run, answer);
+                });
+            }),
+            Effect::Stop(order) => self.spawn(async move {
+                let answer = shell.inner.minions.stop(&order).await;
+                let (key, token) = (order.target.minion, order.target.fencing_token);
+                shell.event(|engine, now| {
+                    engine.stop_answered(now, key, token, order.run, answer);
+                });
+            }),
+            Effect::Hold(order) => self.spawn(async move {
+                let answer = shell.inner.minions.hold(&order).await;
+                let (key, token) = (order.target.minion, order.target.fencing_token);
+                shell.event(|engine, now| {
+                    engine.hold_answered(now, key, token, answer);
+                });
+            }),
+        }
+    }
+
+    /// Waits until no request waits any more, at most for `limit`.
+    pub async fn await_requests(&self, limit: Duration) {
+        let idle = async {
+            while self.open_requests() > 0 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        if timeout(limit, idle).await.is_err() {
+            log::warn!(target: "process", requests = self.open_requests();
+                "requests are still open at the end of the stop");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -0,0 +1,234 @@
+//! What the store tells: configuration, minions, and the members of the group.
+
+use std::time::Duration;
+
+use bamboocart_adapter::{
+    ReadPage, Record, RegistryChange, Settings, StoreClient, StoreError, TOPIC_CONFIG,
+    TOPIC_MINIONS, decode_config, decode_entry, decode_key,
+};
+use bamboocart_jobs::{Member, MinionId};
+use tokio::time::sleep;
+
+use crate::site::shell::Shell;
+
+/// The group of all instances.
+const GROUP: &str = "entry";
+
+/// The topics whose partitions the group deals out. Only the members matter; each of them
+/// is listed as long as there are at least as many partitions as members.
+const GROUP_TOPICS: [&str; 4] = ["entry-0", "entry-1", "entry-2", "entry-3"];
+
+/// The time between two joins.
+const JOIN_INTERVAL: Duration = Duration::from_millis(350);
+
+/// The time after which a member that has not joined again is dropped.
+const MEMBER_TTL_MS: u64 = 1_300;
+
+/// The time that a read of the configuration waits for a change.
+const CONFIG_WAIT_MS: u64 = 20_000;
+
+/// The time between two reads of the list of minions.
+const MINIONS_INTERVAL: Duration = Duration::from_millis(450);
+
+/// The pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The key of the configuration.
+const CONFIG_KEY: &str = "config";
+
+/// Starts the tasks that follow the store.
+pub fn spawn(shell: &Shell, settings: &Settings) {
+    let store = StoreClient::new(settings.store);
+    shell.spawn(follow_config(shell.clone(), store.clone()));
+    shell.spawn(follow_minions(shell.clone(), store.clone()));
+    let ttl_ms = MEMBER_TTL_MS.max(settings.min_ttl_ms);
+    shell.spawn(stay_member(shell.clone(), store, ttl_ms));
+}
+
+/// Leaves the group, so that the other instances notice at once.
+pub async fn leave(shell: &Shell, settings: &Settings) {
+    let store = StoreClient::new(settings.store);
+    if let Err(error) = store.leave(GROUP, &shell.member().to_string()).await {
+        log::info!(target: "store", error:% = error; "cannot leave the group");
+    }
+}
+
+/// The state of the way to the store, for one line per loss and return.
+struct Dependency {
+    what: &'static str,
+    lost: bool,
+}
+
+impl Dependency {
+    /// Creates the state of a dependency that is not known to be lost.
+    fn new(what: &'static str) -> Self {
+        Self { what, lost: false }
+    }
+
+    /// Notes a failed call.
+    fn failed(&mut self, error: &StoreError) {
+        if !self.lost {
+            log::warn!(target: "store", what = self.what, error:% = error; "store lost");
+        }
+        self.lost = true;
+    }
+
+    /// Notes a call that succeeded.
+    fn answered(&mut self) {
+        if self.lost {
+            log::info!(target: "store", what = self.what; "store is back");
+        }
+        self.lost = false;
+    }
+}
+
+/// A reader of a keyed topic.
+struct Follower {
+    store: StoreClient,
+    topic: &'static str,
+    /// The offset to read from; none before the newest records were read.
+    offset: Option<u64>,
+    dependency: Dependency,
+}
+
+impl Follower {
+    /// Creates a reader that begins with the newest records.
+    fn new(store: StoreClient, topic: &'static str) -> Self {
+        Self { store, topic, offset: None, dependency: Dependency::new(topic) }
+    }
+
+    /// Returns the next records, and whether they are the newest of all keys.
+    async fn next(&mut self, wait_ms: u64) -> (ReadPage, bool) {
+        loop {
+            let whole = self.offset.is_none();
+            let page = match self.offset {
+                None => self.store.newest(self.topic).await,
+                Some(offset) => self.store.read(self.topic, offset, wait_ms).await,
+            };
+            match page {
+                Ok(page) => {
+                    self.dependency.answered();
+                    self.offset = Some(page.next_offset);
+                    return (page, whole);
+                }
+                Err(StoreError::Expired) => {
+                    log::info!(target: "store", topic = self.topic, offset = self.offset;
+                        "records have expired; reading the newest");
+                    self.offset = None;
+                }
+                Err(error) => {
+                    self.dependency.failed(&error);
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Puts each new configuration in force.
+async fn follow_config(shell: Shell, store: StoreClient) {
+    let mut follower = Follower::new(store, TOPIC_CONFIG);
+    loop {
+        let (page, _) = follower.next(CONFIG_WAIT_MS).await;
+        for record in page.records.iter().filter(|record| record.key == CONFIG_KEY) {
+            match decode_config(&record.value) {
+                Ok(catalog) => {
+                    shell.event(|engine, _| engine.set_catalog(catalog));
+                }
+                Err(error) => {
+                    log::error!(target: "config", error:% = error;
+                        "configuration is passed over");
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the list of minions.
+async fn follow_minions(shell: Shell, store: StoreClient) {
+    let mut follower = Follower::new(store, TOPIC_MINIONS);
+    loop {
+        let (page, whole) = follower.next(0).await;
+        if whole {
+            drop_missing(&shell, &page.records);
+        }
+        let changes: Vec<RegistryChange> = page.records.iter().map(change_of).collect();
+        let mut entries = Vec::new();
+        shell.event(|engine, now| {
+            for change in changes {
+                match change {
+                    RegistryChange::Listed(entry) => entries.push(*entry),
+                    RegistryChange::Dropped(id) => {
+                        entries.retain(|entry| entry.id != id);
+                        engine.unlist_minion(now, &id);
+                    }
+                }
+            }
+            engine.list_minions(now, entries);
+        });
+        sleep(MINIONS_INTERVAL).await;
+    }
+}
+
+/// Drops the minions that a complete list does not have.
+fn drop_missing(shell: &Shell, records: &[Record]) {
+    let known = shell.read(|engine, _| engine.listed_minions());
+    let listed: Vec<MinionId> = records.iter().map(|r| decode_key(&r.key)).collect();
+    shell.event(|engine, now| {
+        for id in known.iter().filter(|id| !listed.contains(id)) {
+            engine.unlist_minion(now, id);
+        }
+    });
+}
+
+/// Reads a record; one that names no usable minion counts as dropped.
+fn change_of(record: &Record) -> RegistryChange {
+    decode_entry(record).unwrap_or_else(|error| {
+        log::warn!(target: "store", error:% = error; "entry of a minion is passed over");
+        RegistryChange::Dropped(decode_key(&record.key))
+    })
+}
+
+/// Stays a member of the group and follows its changes.
+async fn stay_member(shell: Shell, store: StoreClient, ttl_ms: u64) {
+    let member = shell.member().to_string();
+    let topics = GROUP_TOPICS.map(String::from);
+    let mut dependency = Dependency::new(GROUP);
+    let mut generation = 0;
+    let mut known = 0;
+    loop {
+        match store.join(GROUP, &member, &topics, ttl_ms, generation).await {
+            Ok(joined) => {
+                dependency.answered();
+                generation = joined.generation;
+            }
+            Err(error) => dependency.failed(&error),
+        }
+        if generation != known && read_members(&shell, &store, generation).await {
+            known = generation;
+        }
+        shell.open_links();
+        sleep(JOIN_INTERVAL).await;
+    }
+}
+
+/// Reads the members of a generation, and returns whether that succeeded.
+async fn read_members(shell: &Shell, store: &StoreClient, generation: u64) -> bool {
+    let owners = match store.owners(GROUP).await {
+        Ok(owners) => owners,
+        Err(error) => {
+            log::info!(target: "store", error:% = error; "cannot read the members");
+            return false;
+        }
+    };
+    let read = |text: &String| match text.parse::<Member>() {
+        Ok(member) => Some(member),
+        Err(error) => {
+            log::warn!(target: "store", error:% = error; "member is passed over");
+            None
+        }
+    };
+    let members: Vec<Member> = owners.members.iter().filter_map(read).collect();
+    shell.event(|engine, now| engine.set_members(now, generation, &members));
+    true
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -0,0 +1,94 @@
+//! What the engine asks its surroundings to do.
+
+use std::net::SocketAddr;
+
+use crate::id::{MinionId, RunRef, Text};
+use crate::job::JobState;
+use crate::minion::MinionKey;
+
+/// A client's request that waits for its answer, numbered by the caller of the engine.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
+pub struct RequestKey(pub u64);
+
+/// An action for the shell around the engine.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Answers a request.
+    Answer(RequestKey, Answer),
+    /// Starts a run.
+    Start(StartOrder),
+    /// Stops a run.
+    Stop(StopOrder),
+    /// Renews the lease of a minion and waits for ends.
+    Hold(HoldOrder),
+}
+
+/// The answer to a request.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Answer {
+    /// The job has ended.
+    Ended(JobState),
+    /// The state of a job that is known.
+    State(JobState),
+    /// The request was cancelled.
+    Cancelled,
+    /// Nothing of the job has run or will run.
+    Refused {
+        /// When the client may come back.
+        retry_after_s: u64,
+    },
+    /// The instance cannot take this work; nothing of it has run or will run.
+    Unavailable,
+    /// The job was started and given up; it may be sent again.
+    GivenUp,
+    /// No such job.
+    Unknown,
+}
+
+/// The minion that a call goes to.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// The minion.
+    pub minion: MinionKey,
+    /// Its id, which the call names as the intended incarnation.
+    pub id: MinionId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The fencing token.
+    pub fencing_token: u64,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone)]
+pub struct StartOrder {
+    /// The minion.
+    pub target: Target,
+    /// The run.
+    pub run: RunRef,
+    /// What the client sent for the task.
+    pub spec: Text,
+    /// The end of the lease on the minion's clock.
+    pub lease_until_ms: u64,
+}
+
+/// An order to stop a run.
+#[derive(Debug, Clone)]
+pub struct StopOrder {
+    /// The minion.
+    pub target: Target,
+    /// The run.
+    pub run: RunRef,
+}
+
+/// An order to renew the lease of a minion and to wait for a run to end.
+#[derive(Debug, Clone)]
+pub struct HoldOrder {
+    /// The minion.
+    pub target: Target,
+    /// The end of the lease on the minion's clock, unless that clock is not known yet.
+    pub lease_until_ms: Option<u64>,
+    /// The number of the last end that is taken note of.
+    pub last_seen: u64,
+    /// How long the call may wait for an end.
+    pub wait_ms: u64,
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/id.rs
@@ -0,0 +1,146 @@
+//! Names and identifiers.
+
+use std::fmt::{self, Debug, Display, Formatter};
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, Snafu, ensure};
+
+/// The result of parsing an identifier.
+pub type Result<T, E = ParseIdError> = std::result::Result<T, E>;
+
+/// Defines newtypes over shared strings.
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// The name of a service.
+    ServiceName;
+    /// The id of a minion in the platform's list.
+    MinionId;
+    /// One run of an instance, as the store's group knows it.
+    MemberId;
+}
+
+/// The id of a job: 16 hexadecimal digits, kept in the client's spelling.
+#[derive(Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+pub struct JobId([u8; 16]);
+
+impl Display for JobId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(std::str::from_utf8(&self.0).unwrap_or("?"))
+    }
+}
+
+impl Debug for JobId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        Display::fmt(self, f)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digits: [u8; 16] =
+            text.as_bytes().try_into().ok().context(JobIdSnafu { text })?;
+        ensure!(digits.iter().all(u8::is_ascii_hexdigit), JobIdSnafu { text });
+        Ok(Self(digits))
+    }
+}
+
+/// One task of one occurrence of a job.
+#[derive(
+    Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+pub struct TaskRef {
+    /// The job.
+    pub job: JobId,
+    /// The number of the occurrence; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// The number of the step.
+    pub step: u16,
+    /// The number of the task within its step.
+    pub index: u16,
+}
+
+impl Display for TaskRef {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+impl FromStr for TaskRef {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut parts = text.split('.');
+        let mut next = || parts.next().context(TaskSnafu { text });
+        let task = Self {
+            job: next()?.parse()?,
+            occurrence: next()?.parse().ok().context(TaskSnafu { text })?,
+            step: next()?.parse().ok().context(TaskSnafu { text })?,
+            index: next()?.parse().ok().context(TaskSnafu { text })?,
+        };
+        ensure!(parts.next().is_none(), TaskSnafu { text });
+        Ok(task)
+    }
+}
+
+/// One start of a task.
+#[derive(
+    Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+pub struct RunRef {
+    /// The task.
+    pub task: TaskRef,
+    /// The number of the start, from 1 on.
+    pub run: u64,
+}
+
+/// Why a text is not an identifier.
+#[derive(Debug, Clone, Eq, PartialEq, Snafu)]
+pub enum ParseIdError {
+    /// Not the id of a job.
+    #[snafu(display("`{text}` is not a job id; use 16 hexadecimal digits"))]
+    JobId {
+        /// The text.
+        text: String,
+    },
+    /// Not the name of a task.
+    #[snafu(display("`{text}` is not a task; use JOB.OCCURRENCE.STEP.INDEX"))]
+    Task {
+        /// The text.
+        text: String,
+    },
+}
+
+/// A text that is shared without being copied.
+pub(crate) type Text = Arc<str>;
--- /dev/null
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -0,0 +1,105 @@
+//! Messages between instances.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{MinionId, RunRef, Text};
+use crate::resources::Resources;
+
+/// A batch of messages to one peer.
+///
+/// The two times let the receiver bound how long ago the sender heard of it, whatever the
+/// delay of the frame.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Frame {
+    /// The sender's clock.
+    pub sent_ms: u64,
+    /// The `sent_ms` of the last frame that the sender got from the receiver, or 0.
+    pub echo_ms: u64,
+    /// The messages, in order.
+    pub messages: Vec<Message>,
+}
+
+/// A message between instances.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// The free room of the minions that the sender holds.
+    Rooms(Vec<RoomReport>),
+    /// Asks the receiver to start a run on a minion that it holds.
+    Start {
+        /// The run.
+        run: RunRef,
+        /// The minion that the sender expects to be best.
+        minion: MinionId,
+        /// What the task needs.
+        need: Resources,
+        /// The client's estimate of the run time.
+        estimate_ms: u64,
+        /// What the client sent for the task.
+        spec: Text,
+    },
+    /// Asks the receiver to stop a run.
+    Stop(RunRef),
+    /// Tells an owner that a run was not started and will not be.
+    Bounced {
+        /// The run.
+        run: RunRef,
+        /// Whether the number of the run was too low for the minion.
+        outdated: bool,
+    },
+    /// Tells an owner how a run ended.
+    Ended {
+        /// The run.
+        run: RunRef,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// Tells an owner all of its runs on minions that the sender holds, as the first
+    /// message of a new link.
+    Runs(Vec<RunRef>),
+    /// Tells peers that the sender gives up all its minions.
+    Leaving,
+    /// Tells an owner that the sender no longer holds the minion of a run.
+    Released(RunRef),
+    /// Announces what a new holder found on a minion.
+    Adopted {
+        /// The minion.
+        minion: MinionId,
+        /// The runs that are active.
+        active: Vec<RunRef>,
+        /// The runs that have ended.
+        ended: Vec<(RunRef, RunEnd)>,
+    },
+    /// Tells a new holder that a run belongs to the sender.
+    Claimed {
+        /// The minion.
+        minion: MinionId,
+        /// The run.
+        run: RunRef,
+        /// What the task needs.
+        need: Resources,
+        /// The client's estimate of the run time.
+        estimate_ms: u64,
+    },
+}
+
+/// The free room of one minion.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RoomReport {
+    /// The minion.
+    pub minion: MinionId,
+    /// What is free.
+    pub free: Resources,
+    /// The learned run time over the estimate, in thousandths.
+    pub pace_permille: u32,
+}
+
+/// How a run ended.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub enum RunEnd {
+    /// The task is done.
+    Done,
+    /// The task failed through its own fault or its minion's.
+    Failed,
+    /// The run was stopped, its lease lapsed, or it never began.
+    Void,
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -0,0 +1,220 @@
+//! Minions, and what the holder of one knows of it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::clock::ClockEstimate;
+use crate::effect::Target;
+use crate::id::{MinionId, ServiceName, TaskRef};
+use crate::pace::Pace;
+use crate::peer::PeerKey;
+use crate::resources::Resources;
+use crate::time::Moment;
+
+new_key_type! {
+    /// A minion that is or was in the platform's list.
+    pub struct MinionKey;
+}
+
+/// A minion as the platform's list has it.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct MinionEntry {
+    /// The id.
+    pub id: MinionId,
+    /// The service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The failure domain.
+    pub failure_domain: Box<str>,
+    /// Whether it takes new work.
+    pub state: MinionState,
+    /// What it has.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<Box<str>>,
+    /// When its process started, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+}
+
+/// Whether a minion takes new work.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum MinionState {
+    /// It takes new work.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// A minion, with what this instance knows of it as its holder.
+#[derive(Debug)]
+pub(crate) struct Minion {
+    /// The entry of the list.
+    pub(crate) entry: MinionEntry,
+    /// When the list dropped it, if it did.
+    pub(crate) unlisted: Option<Moment>,
+    /// Whether the members make this instance its holder.
+    pub(crate) assigned: bool,
+    /// How fast it is.
+    pub(crate) pace: Pace,
+    /// What the holder knows, if this instance is the holder.
+    pub(crate) held: Option<Held>,
+    /// The fencing token with which the minion was lost to another holder, if it was.
+    pub(crate) lost: Option<LostHold>,
+}
+
+/// A hold that another holder's fencing token has ended.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct LostHold {
+    /// The token that was too low.
+    pub(crate) fencing_token: u64,
+    /// When it was refused.
+    pub(crate) at: Moment,
+}
+
+/// What the holder of a minion knows.
+#[derive(Debug)]
+pub(crate) struct Held {
+    /// The fencing token of all orders.
+    pub(crate) fencing_token: u64,
+    /// When the hold began.
+    pub(crate) since: Moment,
+    /// The incarnation that answered, once one has.
+    pub(crate) incarnation: Option<u64>,
+    /// The minion's clock.
+    pub(crate) clock: ClockEstimate,
+    /// The number of the last end that was taken note of.
+    pub(crate) last_seen: u64,
+    /// The runs whose room is taken.
+    pub(crate) runs: BTreeMap<TaskRef, Run>,
+    /// The call that holds the minion.
+    pub(crate) hold: HoldState,
+    /// No start is sent before.
+    pub(crate) blocked_until: Moment,
+    /// The calls in a row that got no answer.
+    pub(crate) missed: u32,
+}
+
+/// The state of the call that holds a minion.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub(crate) enum HoldState {
+    /// None is under way; the next is sent at the given time.
+    Due(Moment),
+    /// One was sent.
+    Sent(Moment),
+}
+
+/// A run on a minion, as its holder sees it.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct Run {
+    /// The number of the run.
+    pub(crate) run: u64,
+    /// Whose job it belongs to.
+    pub(crate) owner: RunOwner,
+    /// The room that it takes.
+    pub(crate) need: Resources,
+    /// The client's estimate of its run time; 0 if not known.
+    pub(crate) estimate_ms: u64,
+    /// When it was ordered or found.
+    pub(crate) since: Moment,
+    /// How far the order has come.
+    pub(crate) phase: RunPhase,
+    /// From when on the minion's list is complete in respect of this run: a hold that was
+    /// sent later and does not list it shows that it is gone.
+    pub(crate) settled: Option<Moment>,
+    /// The lease that its start carried, on the minion's clock.
+    pub(crate) lease_until_ms: u64,
+}
+
+/// The owner of a run.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub(crate) enum RunOwner {
+    /// This instance.
+    Local,
+    /// A peer.
+    Peer(PeerKey),
+    /// Found on the minion; nobody has claimed it yet.
+    Unclaimed,
+    /// Nobody wants it any more.
+    Nobody,
+}
+
+/// How far the orders for a run have come.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub(crate) enum RunPhase {
+    /// The start was sent.
+    Starting,
+    /// The minion runs it.
+    Active,
+    /// The start was not answered, or a stop is wanted; a stop is sent when due.
+    StopDue(Moment),
+    /// A stop was sent.
+    Stopping(Moment),
+}
+
+/// All minions.
+#[derive(Debug, Default)]
+pub(crate) struct Minions {
+    /// The minions.
+    pub(crate) arena: SlotMap<MinionKey, Minion>,
+    /// The keys by id.
+    pub(crate) by_id: HashMap<MinionId, MinionKey>,
+}
+
+impl Minion {
+    /// Creates a minion that was just listed.
+    pub(crate) fn new(entry: MinionEntry) -> Self {
+        Self {
+            entry,
+            unlisted: None,
+            assigned: false,
+            pace: Pace::default(),
+            held: None,
+            lost: None,
+        }
+    }
+
+    /// Returns the address of calls to this minion.
+    pub(crate) fn target(&self, key: MinionKey, fencing_token: u64) -> Target {
+        Target {
+            minion: key,
+            id: self.entry.id.clone(),
+            address: self.entry.address,
+            fencing_token,
+        }
+    }
+
+    /// Returns the free room for new starts, or nothing if there may be none.
+    pub(crate) fn free(&self, now: Moment) -> Option<Resources> {
+        let held = self.held.as_ref()?;
+        let usable = self.entry.state == MinionState::Ready
+            && held.incarnation.is_some()
+            && held.missed == 0
+            && now >= held.blocked_until;
+        usable.then(|| self.entry.capacity.minus(held.used()))
+    }
+}
+
+impl Held {
+    /// Creates the state of a hold that begins now.
+    pub(crate) fn new(fencing_token: u64, now: Moment) -> Self {
+        Self {
+            fencing_token,
+            since: now,
+            incarnation: None,
+            clock: ClockEstimate::default(),
+            last_seen: 0,
+            runs: BTreeMap::new(),
+            hold: HoldState::Due(now),
+            blocked_until: Moment::default(),
+            missed: 0,
+        }
+    }
+
+    /// Returns the room that runs take.
+    pub(crate) fn used(&self) -> Resources {
+        self.runs.values().fold(Resources::default(), |sum, run| sum.plus(run.need))
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -0,0 +1,488 @@
+//! The owner's part: jobs, their answers, and the placement of their tasks.
+
+use log::{info, warn};
+
+use crate::effect::{Answer, Effect, RequestKey};
+use crate::engine::Engine;
+use crate::holder::RunOrder;
+use crate::id::{JobId, MinionId, RunRef};
+use crate::job::{Holder, Job, JobState, Placement, Submission, TaskState};
+use crate::message::{Message, RunEnd};
+use crate::minion::{MinionKey, RunOwner};
+use crate::peer::PeerKey;
+use crate::placement::{self, Candidate, Choice, Site};
+use crate::resources::Resources;
+use crate::time::Moment;
+use crate::timing::{REMEMBER_MS, RUN_GONE_MS};
+
+/// The most jobs at the same time; more are refused.
+const MAX_JOBS: usize = 4_096;
+
+/// The most outcomes that are remembered.
+const MAX_OUTCOMES: usize = 16_384;
+
+/// The step by which run numbers rise when a minion has seen higher ones.
+const RUN_NUMBER_STEP: u64 = 16;
+
+/// The time that a refused client is asked to wait; bursts last some seconds.
+const RETRY_AFTER_S: u64 = 2;
+
+/// The time that an order to a peer takes longer than one to an own minion.
+const HOP_MS: f64 = 4.0;
+
+impl Engine {
+    /// Takes a request to run a job; an answer follows as an effect.
+    pub fn submit(&mut self, now: Moment, submission: Submission) {
+        let request = submission.request;
+        let id = submission.job.id;
+        if let Some(outcome) = self.outcomes.get(&id) {
+            info!(target: "job", request_id:% = id, outcome:? = outcome;
+                "repeated request gets the known outcome");
+            return self.answer(request, Answer::Ended(*outcome));
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            info!(target: "job", request_id:% = id; "repeated request joins the job");
+            job.requests.push(request);
+            job.deadline = job.deadline.max(now + submission.patience_ms);
+            self.job_of_request.insert(request, id);
+            return;
+        }
+        if let Some(reason) = self.refusal(&submission) {
+            warn!(target: "job", request_id:% = id, reason; "job refused");
+            return self.answer(request, Answer::Unavailable);
+        }
+        let typical_pace = self.pace.ratio();
+        let mut job = Job::new(submission, now);
+        job.scale_objective(typical_pace);
+        info!(target: "job", request_id:% = id, queue = &*job.queue.name,
+            tasks = job.tasks.len(), objective_ms = job.objective_ms,
+            config = self.catalog.version; "job accepted");
+        self.job_of_request.insert(request, id);
+        self.waiting.insert((job.start_by(), id));
+        self.jobs.insert(id, job);
+        self.settle(now);
+    }
+
+    /// Returns why a job cannot be taken at all.
+    fn refusal(&self, submission: &Submission) -> Option<&'static str> {
+        match () {
+            () if self.draining => Some("the instance is stopping"),
+            () if self.jobs.len() >= MAX_JOBS => Some("too many jobs"),
+            () if !submission.job.best_effort => Some("stored jobs are not supported"),
+            () => submission.job.unsupported,
+        }
+    }
+
+    /// Notes that the client of a request is gone.
+    pub fn abandon(&mut self, now: Moment, request: RequestKey) {
+        let Some(id) = self.job_of_request.remove(&request) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.requests.retain(|&waiting| waiting != request);
+        if job.requests.is_empty() {
+            self.end_job(now, id, None, "client left");
+        }
+        self.settle(now);
+    }
+
+    /// Cancels a job of this instance, and returns whether it knew the job.
+    pub fn cancel(&mut self, now: Moment, id: JobId) -> bool {
+        let known = self.jobs.contains_key(&id) || self.outcomes.contains_key(&id);
+        if self.jobs.contains_key(&id) {
+            let outcome = Some(Answer::Ended(JobState::Cancelled));
+            self.end_job(now, id, outcome, "cancelled");
+            self.remember(now, id, JobState::Cancelled);
+        }
+        self.settle(now);
+        known
+    }
+
+    /// Returns the state of a job, if it is known.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let active = self.jobs.get(&id).map(Job::state);
+        active.or_else(|| self.outcomes.get(&id).copied())
+    }
+
+    /// Returns how many jobs of a queue have not started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let pending = |job: &&Job| !job.ordered && *job.queue.name == *queue;
+        self.jobs.values().filter(pending).count()
+    }
+
+    /// Queues an answer.
+    fn answer(&mut self, request: RequestKey, answer: Answer) {
+        self.effects.push(Effect::Answer(request, answer));
+    }
+
+    /// Remembers an outcome for copies of its request.
+    fn remember(&mut self, now: Moment, id: JobId, state: JobState) {
+        self.outcomes.insert(id, state);
+        self.outcome_order.push_back((now, id));
+        while let Some(&(at, oldest)) = self.outcome_order.front()
+            && (now.since(at) > REMEMBER_MS || self.outcomes.len() > MAX_OUTCOMES)
+        {
+            self.outcome_order.pop_front();
+            self.outcomes.remove(&oldest);
+        }
+    }
+
+    /// Ends a job: stops what runs and answers its requests.
+    fn end_job(&mut self, now: Moment, id: JobId, answer: Option<Answer>, why: &str) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        self.waiting.remove(&(job.start_by(), id));
+        let done = job.tasks.iter().filter(|t| t.state == TaskState::Done).count();
+        info!(target: "job", request_id:% = id, why, answer:? = answer, done,
+            tasks = job.tasks.len(), age_ms = now.since(job.arrived),
+            objective_ms = job.objective_ms; "job ended");
+        for task in 0..job.tasks.len() {
+            if let TaskState::Placed(placement) = job.tasks[task].state {
+                let run = job.run_ref(task);
+                match placement.holder {
+                    Holder::Local(key) => self.stop_run(now, key, run),
+                    Holder::Peer(peer) => self.send(peer, Message::Stop(run)),
+                }
+            }
+        }
+        for request in job.requests {
+            self.job_of_request.remove(&request);
+            if let Some(answer) = answer {
+                self.answer(request, answer);
+            }
+        }
+    }
+
+    /// Returns the task of a run, if the run is its current one.
+    fn current(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
+        let job = self.jobs.get_mut(&run.task.job)?;
+        let task = job.position(run.task)?;
+        let placed = matches!(job.tasks[task].state, TaskState::Placed(_));
+        (placed && job.tasks[task].last_run == run.run).then_some((job, task))
+    }
+
+    /// Lets a task wait for another placement.
+    fn requeue(&mut self, run: RunRef) {
+        let Some((job, task)) = self.current(run) else { return };
+        job.tasks[task].state = TaskState::Waiting;
+        let entry = (job.start_by(), job.id);
+        self.waiting.insert(entry);
+    }
+
+    /// Takes the end of a run of an own job.
+    pub(crate) fn run_ended(&mut self, now: Moment, run: RunRef, end: RunEnd) {
+        let Some((job, task)) = self.current(run) else { return };
+        match end {
+            RunEnd::Done => {
+                job.tasks[task].state = TaskState::Done;
+                if job.is_done() {
+                    let id = job.id;
+                    let answer = Some(Answer::Ended(JobState::Completed));
+                    self.end_job(now, id, answer, "all tasks are done");
+                    self.remember(now, id, JobState::Completed);
+                } else {
+                    job.unblock();
+                    let entry = (job.start_by(), job.id);
+                    if job.is_waiting() {
+                        self.waiting.insert(entry);
+                    }
+                }
+            }
+            RunEnd::Failed => {
+                job.tasks[task].failures += 1;
+                let failures = job.tasks[task].failures;
+                info!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                    failures, limit = job.queue.max_attempts; "run failed");
+                if failures >= job.queue.max_attempts {
+                    let id = job.id;
+                    let answer = Some(Answer::Ended(JobState::Failed));
+                    self.end_job(now, id, answer, "a task failed too often");
+                    self.remember(now, id, JobState::Failed);
+                } else {
+                    self.requeue(run);
+                }
+            }
+            RunEnd::Void => {
+                info!(target: "job", request_id:% = run.task.job, run:% = run.task;
+                    "run is void and waits again");
+                self.requeue(run);
+            }
+        }
+    }
+
+    /// Takes note that a run was not started.
+    pub(crate) fn run_bounced(&mut self, run: RunRef, outdated: bool) {
+        if let Some((job, task)) = self.current(run)
+            && outdated
+        {
+            job.tasks[task].last_run += RUN_NUMBER_STEP;
+            job.tasks[task].state = TaskState::Waiting;
+            let entry = (job.start_by(), job.id);
+            self.waiting.insert(entry);
+            return;
+        }
+        self.requeue(run);
+    }
+
+    /// Takes a peer's word that a run was not started.
+    pub(crate) fn bounced_by_peer(&mut self, peer: PeerKey, run: RunRef, outdated: bool) {
+        if let Some((job, task)) = self.current(run)
+            && let TaskState::Placed(placement) = job.tasks[task].state
+            && let Some(key) = placement.minion
+            && let Some(minion) = self.minions.arena.get(key)
+            && let Some(peer) = self.peers.arena.get_mut(peer)
+        {
+            let minion: MinionId = minion.entry.id.clone();
+            peer.forget_room(&minion);
+        }
+        self.run_bounced(run, outdated);
+    }
+
+    /// Notes that the holder of a run has lost the minion; a new one may adopt the run.
+    pub(crate) fn holder_lost(&mut self, now: Moment, run: RunRef) {
+        let Some((job, task)) = self.current(run) else { return };
+        if let TaskState::Placed(placement) = &mut job.tasks[task].state {
+            placement.gone_at.get_or_insert(now + RUN_GONE_MS);
+        }
+    }
+
+    /// Claims a run that a new holder has found, if it is current.
+    ///
+    /// Returns what the task needs and the estimate of its run time.
+    pub(crate) fn claim(
+        &mut self,
+        run: RunRef,
+        peer: Option<PeerKey>,
+        minion: &MinionId,
+    ) -> Option<(Resources, u64)> {
+        let key = self.minions.by_id.get(minion).copied();
+        let (job, task) = self.current(run)?;
+        let holder = match (peer, key) {
+            (Some(peer), _) => Holder::Peer(peer),
+            (None, Some(key)) => Holder::Local(key),
+            (None, None) => return None,
+        };
+        if let TaskState::Placed(placement) = &mut job.tasks[task].state {
+            placement.holder = holder;
+            placement.gone_at = None;
+        }
+        let step = job.step_of(task);
+        Some((step.need, step.estimate_ms))
+    }
+
+    /// Takes a peer's announcement of what it found on a minion.
+    pub(crate) fn adopted_by_peer(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        minion: &MinionId,
+        active: Vec<RunRef>,
+        ended: Vec<(RunRef, RunEnd)>,
+    ) {
+        for run in active {
+            if let Some((need, estimate_ms)) = self.claim(run, Some(peer), minion) {
+                let minion = minion.clone();
+                self.send(peer, Message::Claimed { minion, run, need, estimate_ms });
+            }
+        }
+        for (run, end) in ended {
+            self.run_ended(now, run, end);
+        }
+    }
+
+    /// Treats the runs at a holder as void that the holder does not list, if it had the
+    /// order when it made the list.
+    pub(crate) fn reconcile(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        listed: &[RunRef],
+        echo: Moment,
+    ) {
+        let mut missing = Vec::new();
+        for job in self.jobs.values() {
+            for (position, task) in job.tasks.iter().enumerate() {
+                let run = job.run_ref(position);
+                if let TaskState::Placed(placement) = task.state
+                    && placement.holder == Holder::Peer(peer)
+                    && placement.since <= echo
+                    && !listed.contains(&run)
+                {
+                    missing.push(run);
+                }
+            }
+        }
+        for run in missing {
+            self.run_ended(now, run, RunEnd::Void);
+        }
+    }
+
+    /// Refuses, gives up and requeues what has run out of time.
+    pub(crate) fn expire(&mut self, now: Moment) {
+        let mut ends = Vec::new();
+        let mut gone = Vec::new();
+        for job in self.jobs.values_mut() {
+            let age_limit = if job.ordered { job.deadline } else { job.start_by() };
+            if age_limit <= now {
+                ends.push((job.id, job.ordered));
+                continue;
+            }
+            for position in 0..job.tasks.len() {
+                let run = job.run_ref(position);
+                let TaskState::Placed(placement) = &mut job.tasks[position].state else {
+                    continue;
+                };
+                if let Holder::Peer(peer) = placement.holder {
+                    let peer = self.peers.arena.get(peer);
+                    let heard = peer.and_then(|peer| peer.heard).unwrap_or_default();
+                    match peer.is_some_and(|peer| peer.is_responsive(now)) {
+                        true => {}
+                        false => {
+                            placement.gone_at.get_or_insert(heard + RUN_GONE_MS);
+                        }
+                    }
+                }
+                if placement.gone_at.is_some_and(|gone_at| gone_at <= now) {
+                    gone.push(run);
+                }
+            }
+        }
+        for run in gone {
+            warn!(target: "job", request_id:% = run.task.job, run:% = run.task;
+                "the holder of a run is lost");
+            self.requeue(run);
+        }
+        for (id, ordered) in ends {
+            match ordered {
+                true => {
+                    let answer = Some(Answer::GivenUp);
+                    self.end_job(now, id, answer, "deadline");
+                }
+                false => {
+                    let answer = Answer::Refused { retry_after_s: RETRY_AFTER_S };
+                    self.end_job(now, id, Some(answer), "no room in time");
+                }
+            }
+        }
+    }
+
+    /// Places the waiting tasks, jobs with the earliest latest start first.
+    pub(crate) fn place(&mut self, now: Moment) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut candidates = self.candidates(now);
+        let order: Vec<JobId> = self.waiting.iter().map(|&(_, id)| id).collect();
+        for id in order {
+            if candidates.is_empty() {
+                return;
+            }
+            self.place_job(now, id, &mut candidates);
+        }
+    }
+
+    /// Places the waiting tasks of a job: all of them, or what can be placed if the job has
+    /// started or is too wide for the free room.
+    fn place_job(&mut self, now: Moment, id: JobId, candidates: &mut Vec<Candidate>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let before: Vec<Resources> = candidates.iter().map(|c| c.free).collect();
+        let arena = &self.minions.arena;
+        let suits = |job: &Job, task: usize, minion: MinionKey| {
+            let Some(minion) = arena.get(minion) else { return false };
+            let label = job.step_of(task).required_label.as_ref();
+            minion.entry.service == job.queue.service
+                && label.is_none_or(|label| minion.entry.labels.contains(label))
+        };
+        let choices = placement::choose(job, candidates, suits, &mut self.rng, now);
+        let waiting =
+            job.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
+        let complete = choices.len() == waiting;
+        if !complete && !job.ordered {
+            for (candidate, free) in candidates.iter_mut().zip(before) {
+                candidate.free = free;
+            }
+            return;
+        }
+        if complete {
+            self.waiting.remove(&(job.start_by(), id));
+        }
+        for choice in choices {
+            let candidate = candidates[choice.candidate].clone();
+            self.place_task(now, id, choice, &candidate);
+        }
+    }
+
+    /// Orders a run of a task on the chosen minion.
+    fn place_task(
+        &mut self,
+        now: Moment,
+        id: JobId,
+        choice: Choice,
+        candidate: &Candidate,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let holder = match candidate.site {
+            Site::Local => Holder::Local(candidate.minion),
+            Site::Peer(peer) => Holder::Peer(peer),
+        };
+        job.ordered = true;
+        job.tasks[choice.task].last_run += 1;
+        job.tasks[choice.task].state = TaskState::Placed(Placement {
+            holder,
+            minion: Some(candidate.minion),
+            since: now,
+            gone_at: None,
+        });
+        let run = job.run_ref(choice.task);
+        let step = job.step_of(choice.task);
+        let (need, estimate_ms) = (step.need, step.estimate_ms);
+        let spec = job.spec.clone();
+        let minion = self.minions.arena[candidate.minion].entry.id.clone();
+        info!(target: "job", request_id:% = id, run:% = run.task, number = run.run,
+            minion:% = minion, pace = candidate.pace,
+            local = candidate.site == Site::Local; "task placed");
+        match candidate.site {
+            Site::Local => {
+                let order = RunOrder { run, need, estimate_ms, spec };
+                if !self.start_run(now, candidate.minion, order, RunOwner::Local) {
+                    self.requeue(run);
+                }
+            }
+            Site::Peer(key) => {
+                if let Some(peer) = self.peers.arena.get_mut(key) {
+                    peer.offer(&minion, need, now);
+                }
+                self.send(key, Message::Start { run, minion, need, estimate_ms, spec });
+            }
+        }
+    }
+
+    /// Returns the minions with free room, of this instance and of its peers.
+    fn candidates(&self, now: Moment) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for (key, minion) in &self.minions.arena {
+            if let Some(free) = minion.free(now)
+                && free.cpu_millicores > 0
+            {
+                let pace = minion.pace.ratio();
+                let site = Site::Local;
+                candidates.push(Candidate { site, minion: key, free, pace, hop_ms: 0.0 });
+            }
+        }
+        for (peer_key, peer) in &self.peers.arena {
+            if !peer.is_responsive(now) {
+                continue;
+            }
+            for room in &peer.rooms {
+                let Some(&minion) = self.minions.by_id.get(&room.minion) else {
+                    continue;
+                };
+                candidates.push(Candidate {
+                    site: Site::Peer(peer_key),
+                    minion,
+                    free: room.free,
+                    pace: f64::from(room.pace_permille) / 1000.0,
+                    hop_ms: HOP_MS,
+                });
+            }
+        }
+        candidates
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -0,0 +1,196 @@
+//! Peers: what was heard of them, the room they reported, and what waits for them.
+
+use std::collections::HashMap;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::id::{MemberId, MinionId};
+use crate::member::Member;
+use crate::message::{Frame, Message, RoomReport};
+use crate::resources::Resources;
+use crate::time::Moment;
+use crate::timing::{FRAME_INTERVAL_MS, HOLDER_SILENCE_MS, REPORT_INTERVAL_MS};
+
+new_key_type! {
+    /// A peer.
+    pub struct PeerKey;
+}
+
+/// The messages that wait for one peer at the most; it gets no more until some are sent.
+pub(crate) const OUTBOX_MESSAGES: usize = 4_096;
+
+/// A peer.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    /// The peer as the group knows it.
+    pub(crate) member: Member,
+    /// Whether the group has it.
+    pub(crate) listed: bool,
+    /// Whether it has given up its minions.
+    pub(crate) leaving: bool,
+    /// When a frame last arrived.
+    pub(crate) heard: Option<Moment>,
+    /// The sending time of its last frame, on its clock.
+    pub(crate) heard_sent_ms: u64,
+    /// The sending time of our last frame that it has echoed, on our clock.
+    pub(crate) echoed: Option<Moment>,
+    /// The room that it reported, less what was offered since.
+    pub(crate) rooms: Vec<RoomReport>,
+    /// What was offered and may not be part of the last report yet.
+    offers: Vec<Offer>,
+    /// The messages that wait.
+    outbox: Vec<Message>,
+    /// When the last frame was sent.
+    sent: Option<Moment>,
+    /// When the last report was sent.
+    reported: Option<Moment>,
+    /// Whether the free room has changed since the last report.
+    pub(crate) report_due: bool,
+}
+
+/// Room that was offered to a task.
+#[derive(Debug)]
+struct Offer {
+    /// When.
+    at: Moment,
+    /// The minion.
+    minion: MinionId,
+    /// The room.
+    need: Resources,
+}
+
+impl Peer {
+    /// Creates a peer that nothing was heard of.
+    fn new(member: Member) -> Self {
+        Self {
+            member,
+            listed: false,
+            leaving: false,
+            heard: None,
+            heard_sent_ms: 0,
+            echoed: None,
+            rooms: Vec::new(),
+            offers: Vec::new(),
+            outbox: Vec::new(),
+            sent: None,
+            reported: None,
+            report_due: true,
+        }
+    }
+
+    /// Returns whether work may be offered to the peer.
+    pub(crate) fn is_responsive(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < HOLDER_SILENCE_MS)
+    }
+
+    /// Queues a message; false means that too many wait and it is not sent.
+    pub(crate) fn push(&mut self, message: Message) -> bool {
+        let fits = self.outbox.len() < OUTBOX_MESSAGES;
+        if fits {
+            self.outbox.push(message);
+        }
+        fits
+    }
+
+    /// Notes that room was offered to a task.
+    pub(crate) fn offer(&mut self, minion: &MinionId, need: Resources, now: Moment) {
+        self.offers.push(Offer { at: now, minion: minion.clone(), need });
+        take_room(&mut self.rooms, minion, need);
+    }
+
+    /// Notes a frame's times.
+    pub(crate) fn note_frame(&mut self, frame: &Frame, now: Moment) {
+        self.heard = Some(now);
+        self.heard_sent_ms = frame.sent_ms;
+        let echo = Moment(frame.echo_ms);
+        if frame.echo_ms > 0 && echo <= now {
+            self.echoed = self.echoed.max(Some(echo));
+        }
+    }
+
+    /// Replaces the reported room, less the offers that the report cannot know of.
+    pub(crate) fn report(&mut self, rooms: Vec<RoomReport>) {
+        self.rooms = rooms;
+        let known = self.echoed.unwrap_or_default();
+        self.offers.retain(|offer| offer.at > known);
+        for offer in &self.offers {
+            take_room(&mut self.rooms, &offer.minion, offer.need);
+        }
+    }
+
+    /// Forgets the room of a minion until the next report.
+    pub(crate) fn forget_room(&mut self, minion: &MinionId) {
+        self.rooms.retain(|room| room.minion != *minion);
+    }
+
+    /// Forgets everything that a lost link makes uncertain.
+    pub(crate) fn reset(&mut self) {
+        self.rooms.clear();
+        self.offers.clear();
+        self.outbox.clear();
+        self.report_due = true;
+    }
+
+    /// Returns when the next frame is due.
+    pub(crate) fn frame_due(&self) -> Moment {
+        let Some(sent) = self.sent else { return Moment::default() };
+        if !self.outbox.is_empty() {
+            return Moment::default();
+        }
+        let report = self.reported.unwrap_or_default() + REPORT_INTERVAL_MS;
+        let beat = sent + FRAME_INTERVAL_MS;
+        if self.report_due { beat.min(report) } else { beat }
+    }
+
+    /// Returns the frame that is due, if one is.
+    pub(crate) fn take_frame(
+        &mut self,
+        rooms: &[RoomReport],
+        now: Moment,
+    ) -> Option<Frame> {
+        if self.frame_due() > now {
+            return None;
+        }
+        let mut messages = std::mem::take(&mut self.outbox);
+        let last_report = self.reported.unwrap_or_default();
+        if self.report_due && now.since(last_report) >= REPORT_INTERVAL_MS {
+            self.report_due = false;
+            self.reported = Some(now);
+            messages.push(Message::Rooms(rooms.to_vec()));
+        }
+        self.sent = Some(now);
+        Some(Frame { sent_ms: now.0, echo_ms: self.heard_sent_ms, messages })
+    }
+}
+
+/// Takes room away from a report.
+fn take_room(rooms: &mut [RoomReport], minion: &MinionId, need: Resources) {
+    if let Some(room) = rooms.iter_mut().find(|room| room.minion == *minion) {
+        room.free = room.free.minus(need);
+    }
+}
+
+/// All peers.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    /// The peers.
+    pub(crate) arena: SlotMap<PeerKey, Peer>,
+    /// The keys by member.
+    by_id: HashMap<MemberId, PeerKey>,
+}
+
+impl Peers {
+    /// Returns the peer for a member, which is added if it is new.
+    pub(crate) fn insert(&mut self, member: &Member) -> PeerKey {
+        let arena = &mut self.arena;
+        let key = self.by_id.entry(member.id());
+        *key.or_insert_with(|| arena.insert(Peer::new(member.clone())))
+    }
+
+    /// Removes a peer.
+    pub(crate) fn remove(&mut self, key: PeerKey) {
+        if let Some(peer) = self.arena.remove(key) {
+            self.by_id.remove(&peer.member.id());
+        }
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/time.rs
@@ -0,0 +1,25 @@
+//! Time as the engine sees it.
+
+use std::ops::Add;
+
+/// A point on the steady clock of this instance, in milliseconds.
+///
+/// The clock counts the time during which the machine is suspended, so that a process that
+/// wakes up sees its leases as expired.
+#[derive(Debug, Default, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Returns the milliseconds from `earlier` to this moment, or 0 if it lies later.
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Moment {
+    type Output = Self;
+
+    fn add(self, duration_ms: u64) -> Self {
+        Self(self.0.saturating_add(duration_ms))
+    }
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -0,0 +1,45 @@
+//! The time spans on which the safety of the engine rests, in milliseconds.
+//!
+//! A job may come again at another instance 1,300 ms after its first connection broke. Runs
+//! of the first owner have to be gone by then, even if their holder stops responding too:
+//! `OWNER_SILENCE_MS` + `LEASE_MS` on a clock that is 2 % slow + the time of a stop.
+
+/// How long a lease lasts from the moment it is ordered, on the minion's clock.
+pub const LEASE_MS: u64 = 600;
+
+/// How long a hold waits for a run to end before it returns and is sent again.
+pub const HOLD_WAIT_MS: u64 = 250;
+
+/// The time after which a hold without an answer counts as lost, beyond its wait.
+pub const CALL_TIMEOUT_MS: u64 = 300;
+
+/// The pause before a hold is sent again after a failure.
+pub const HOLD_RETRY_MS: u64 = 100;
+
+/// A holder stops the runs of an owner that has not echoed a frame for this long.
+pub const OWNER_SILENCE_MS: u64 = 500;
+
+/// An owner offers no work to a holder that it has not heard from for this long.
+pub const HOLDER_SILENCE_MS: u64 = 300;
+
+/// The time after the last frame of a holder at which none of its runs is left: it stops
+/// them after `OWNER_SILENCE_MS`, or is frozen and their leases lapse.
+pub const RUN_GONE_MS: u64 = 1_200;
+
+/// The longest time between two frames to a peer.
+pub const FRAME_INTERVAL_MS: u64 = 100;
+
+/// The shortest time between two reports of free room to a peer.
+pub const REPORT_INTERVAL_MS: u64 = 20;
+
+/// How long a new holder waits for the owners of the runs that it found.
+pub const CLAIM_MS: u64 = 300;
+
+/// How long a minion that rejected a start for want of room gets no further one.
+pub const ROOM_BACKOFF_MS: u64 = 40;
+
+/// How long a minion that refused or did not answer gets no further start.
+pub const SUSPECT_MS: u64 = 1_000;
+
+/// How long the outcome of a finished job is remembered for copies of its request.
+pub const REMEMBER_MS: u64 = 20_000;
