Start within milliseconds on the platform

Cause: three to seven of the seven instances were not ready when traffic began, and all were away for 8 s after a final fault. The time passed before `main`: the tracing library links a constructor that measures the processor's clock until two readings agree within 0.001 %. A smaller program and a log without a thread did not change it; a program without the library started in 13 ms. Change: the earlier way to run moves behind the feature `standalone`, and what is deployed leaves it out. Lines of the log wait in a buffer that the one thread writes, and members are read several times after a change of the group, since a new member is listed only once it owns a partition. The configuration is read with waits of 1 s, so that a silent connection cannot hide it for 20 s.

--- a/crates/bamboocart-dispatcher/src/site/mod.rs
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod front;
 mod links;
+mod output;
 mod probe;
 mod shell;
 mod signals;
@@ -18,7 +19,7 @@
 
 use bamboocart_adapter::{SETTINGS_VARIABLE, Settings, SettingsError};
 use bamboocart_jobs::Member;
-use bamboocart_telemetry::lines::LineSink;
+use bamboocart_telemetry::buffer::LineBuffer;
 use bamboocart_telemetry::logs::{self, LogFormat, LogSettings, LogsError};
 use log::LevelFilter;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -76,10 +77,9 @@
     let path = PathBuf::from(path);
     let text = fs::read_to_string(&path).context(UnreadableSnafu { path: &path })?;
     let settings: Settings = text.parse().context(SettingsSnafu)?;
-    let sink =
-        LineSink::start(io::stdout()).context(StartSnafu { what: "start the log" })?;
+    let lines = output::lines().context(StartSnafu { what: "open the log" })?;
     let log_settings = LogSettings { level: LevelFilter::Info, format: LogFormat::Json };
-    logs::install(log_settings, sink.clone()).context(LogsSnafu)?;
+    logs::install_buffered(log_settings, lines.clone()).context(LogsSnafu)?;
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
@@ -92,18 +92,16 @@
     };
     log::info!(target: "process", instance:% = member, config:% = path.display();
         "instance starts");
-    let result = LocalSet::new().block_on(&runtime, serve(settings, member));
-    log::info!(target: "process", ok = result.is_ok(), dropped_lines = sink.dropped();
+    let result =
+        LocalSet::new().block_on(&runtime, serve(settings, member, lines.clone()));
+    log::info!(target: "process", ok = result.is_ok(), dropped_lines = lines.dropped();
         "instance stops");
-    sink.flush(FLUSH_LIMIT);
+    output::write(&lines);
     result
 }
 
-/// The time for writing the last lines of the log.
-const FLUSH_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
-
 /// Opens the sockets, starts all tasks and waits for the end of the stop.
-async fn serve(settings: Settings, member: Member) -> Result<()> {
+async fn serve(settings: Settings, member: Member, lines: LineBuffer) -> Result<()> {
     let cancel = CancellationToken::new();
     let shell = Shell::new(member, cancel.clone());
     let peer =
@@ -117,6 +115,7 @@
     let signals =
         signals::Signals::new().context(StartSnafu { what: "watch signals" })?;
     shell.spawn(shell.clone().run_timer());
+    shell.spawn(output::write_regularly(lines));
     shell.spawn(links::accept(shell.clone(), peer));
     shell.spawn(front::accept(shell.clone(), front));
     shell.spawn(probe::accept(shell.clone(), ready));
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -82,11 +82,6 @@
         &self.inner.member
     }
 
-    /// Returns the token that ends all tasks.
-    pub fn cancel(&self) -> &CancellationToken {
-        &self.inner.cancel
-    }
-
     /// Runs a task until it ends or all tasks are ended.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         let cancel = self.inner.cancel.clone();
--- a/crates/bamboocart-dispatcher/src/site/store.rs
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -24,8 +24,13 @@
 /// The time after which a member that has not joined again is dropped.
 const MEMBER_TTL_MS: u64 = 1_300;
 
-/// The time that a read of the configuration waits for a change.
-const CONFIG_WAIT_MS: u64 = 20_000;
+/// How often the members are read after a change of the group. A new member owns a partition,
+/// and is listed, only after earlier owners have joined again.
+const LOOKS_AFTER_CHANGE: u32 = 6;
+
+/// The time that a read of the configuration waits for a change. It bounds how long a
+/// connection that has gone silent hides one.
+const CONFIG_WAIT_MS: u64 = 1_000;
 
 /// The time between two reads of the list of minions.
 const MINIONS_INTERVAL: Duration = Duration::from_millis(450);
@@ -196,6 +201,7 @@
     let mut dependency = Dependency::new(GROUP);
     let mut generation = 0;
     let mut known = 0;
+    let mut looks_left = 0;
     loop {
         match store.join(GROUP, &member, &topics, ttl_ms, generation).await {
             Ok(joined) => {
@@ -204,8 +210,12 @@
             }
             Err(error) => dependency.failed(&error),
         }
-        if generation != known && read_members(&shell, &store, generation).await {
+        if generation != known {
             known = generation;
+            looks_left = LOOKS_AFTER_CHANGE;
+        }
+        if looks_left > 0 && read_members(&shell, &store, generation).await {
+            looks_left -= 1;
         }
         shell.open_links();
         sleep(JOIN_INTERVAL).await;
--- a/crates/bamboocart-dispatcher/src/app.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/app.rs
@@ -21,16 +21,16 @@
 use snafu::{ResultExt, Snafu};
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
-use crate::driver::{self, Outputs};
-use crate::heard::HeardSnapshot;
-use crate::peers::PeerGate;
-use crate::routes::Context;
-use crate::sender::Senders;
-use crate::settings::Settings;
-use crate::spans::PeerSpans;
-use crate::waiters::Waiters;
-use crate::{appender, follower, lister, observe, server};
+use crate::standalone::clock::Clock;
+use crate::standalone::driver::{self, Outputs};
+use crate::standalone::heard::HeardSnapshot;
+use crate::standalone::peers::PeerGate;
+use crate::standalone::routes::Context;
+use crate::standalone::sender::Senders;
+use crate::standalone::settings::Settings;
+use crate::standalone::spans::PeerSpans;
+use crate::standalone::waiters::Waiters;
+use crate::standalone::{appender, follower, lister, observe, server};
 
 /// The result of running an instance.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
--- a/crates/bamboocart-dispatcher/src/appender.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/appender.rs
@@ -7,7 +7,7 @@
 use bamboocart_platform::Platform;
 use crossbeam::channel::{Receiver, Sender};
 
-use crate::observe::{LogCall, count_log_call};
+use crate::standalone::observe::{LogCall, count_log_call};
 
 /// A record to append.
 #[derive(Debug)]
--- a/crates/bamboocart-dispatcher/src/driver.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/driver.rs
@@ -10,13 +10,13 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio_util::sync::CancellationToken;
 
-use crate::appender::{AccountBatch, Append};
-use crate::clock::Clock;
-use crate::heard::HeardSnapshot;
-use crate::observe;
-use crate::peers::PeerGate;
-use crate::sender::{Outbound, Senders};
-use crate::waiters::Waiters;
+use crate::standalone::appender::{AccountBatch, Append};
+use crate::standalone::clock::Clock;
+use crate::standalone::heard::HeardSnapshot;
+use crate::standalone::observe;
+use crate::standalone::peers::PeerGate;
+use crate::standalone::sender::{Outbound, Senders};
+use crate::standalone::waiters::Waiters;
 
 /// The time between two ticks while events arrive.
 const TICK_MS: u64 = 20;
--- a/crates/bamboocart-dispatcher/src/flags.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/flags.rs
@@ -1,7 +1,7 @@
 //! The flags and environment variables of an instance, as text.
 //!
 //! The parser stops at the first value that it cannot read, so it takes every value as
-//! text, and [`Settings::read`](crate::settings::Settings::read) reports all faults.
+//! text, and [`Settings::read`](crate::standalone::settings::Settings::read) reports all faults.
 
 use bpaf::{Args, Bpaf, ParseFailure};
 
--- a/crates/bamboocart-dispatcher/src/follower.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/follower.rs
@@ -9,8 +9,8 @@
 use crossbeam::channel::Sender;
 use tokio_util::sync::CancellationToken;
 
-use crate::heard::HeardSnapshot;
-use crate::observe::{LogCall, count_log_call};
+use crate::standalone::heard::HeardSnapshot;
+use crate::standalone::observe::{LogCall, count_log_call};
 
 /// The longest wait for a new record in one call.
 const WAIT_MS: u64 = 2_000;
--- a/crates/bamboocart-dispatcher/src/peers.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/peers.rs
@@ -15,8 +15,8 @@
 use bamboocart_wire::message::{decode, encode};
 use crossbeam::channel::{Receiver, Sender};
 
-use crate::observe::{self, LinkEnd};
-use crate::spans::PeerSpans;
+use crate::standalone::observe::{self, LinkEnd};
+use crate::standalone::spans::PeerSpans;
 
 /// The links, with what is needed to tell the engine what became of its messages.
 pub struct PeerGate {
--- a/crates/bamboocart-dispatcher/src/routes.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/routes.rs
@@ -26,9 +26,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::gauges;
-use crate::observe::count_answer;
-use crate::waiters::Waiters;
+use crate::standalone::gauges;
+use crate::standalone::observe::count_answer;
+use crate::standalone::waiters::Waiters;
 
 /// The time in which the body of a request must have arrived.
 const BODY_TIMEOUT_MS: u64 = 10_000;
--- a/crates/bamboocart-dispatcher/src/server.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/server.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::routes::{Context, route};
+use crate::standalone::routes::{Context, route};
 
 /// The time in which the headers of a request must have arrived.
 ///
--- a/crates/bamboocart-dispatcher/src/settings.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/settings.rs
@@ -9,7 +9,7 @@
 use bamboocart_telemetry::trace::SAMPLE_SCALE;
 use log::LevelFilter;
 
-use crate::flags::{Flags, LimitFlags, OutputFlags, PolicyFlags};
+use crate::standalone::flags::{Flags, LimitFlags, OutputFlags, PolicyFlags};
 
 /// The form of addresses.
 const ADDRESS: &str = "an IP address and port such as 127.0.0.1:7101";
--- a/crates/bamboocart-jobs/src/pace.rs
+++ b/crates/bamboocart-jobs/src/pace.rs
@@ -24,11 +24,6 @@
 }
 
 impl Pace {
-    /// Creates a pace that is assumed until tasks have run.
-    pub(crate) fn assumed(ratio: f64) -> Self {
-        Self { log_mean: ratio.clamp(BOUNDS.0, BOUNDS.1).ln(), count: 0 }
-    }
-
     /// Takes the run time of a task that ended well.
     pub(crate) fn observe(&mut self, run_ms: u64, estimate_ms: u64) {
         let ratio = run_ms.max(1) as f64 / estimate_ms.max(1) as f64;
@@ -42,9 +37,4 @@
     pub(crate) fn ratio(&self) -> f64 {
         self.log_mean.exp()
     }
-
-    /// Returns the number of observations.
-    pub(crate) fn count(&self) -> u32 {
-        self.count
-    }
 }
--- a/crates/bamboocart-telemetry/src/lib.rs
+++ b/crates/bamboocart-telemetry/src/lib.rs
@@ -1,7 +1,9 @@
 //! Logs, metrics and traces.
 
+pub mod buffer;
 pub mod lines;
 pub mod logs;
 pub mod metrics;
+#[cfg(feature = "traces")]
 pub mod trace;
 pub mod utc;
--- a/crates/bamboocart-telemetry/src/logs.rs
+++ b/crates/bamboocart-telemetry/src/logs.rs
@@ -10,6 +10,7 @@
 use serde_json::{Map, Value as Json};
 use snafu::{ResultExt, Snafu};
 
+use crate::buffer::LineBuffer;
 use crate::lines::LineSink;
 use crate::utc;
 
@@ -66,13 +67,26 @@
     dispatch(settings, sink).apply().context(InstalledSnafu)
 }
 
+/// Logs to `buffer` from now on, for the whole process; the caller writes the buffer.
+pub fn install_buffered(settings: LogSettings, buffer: LineBuffer) -> Result<()> {
+    dispatch_to(settings, move |line| buffer.push(&line)).apply().context(InstalledSnafu)
+}
+
 /// Returns a logger that is not installed, for tests and for further outputs.
 pub fn dispatch(settings: LogSettings, sink: LineSink) -> Dispatch {
+    dispatch_to(settings, move |line| sink.push(line))
+}
+
+/// Returns a logger that passes each line on.
+fn dispatch_to(
+    settings: LogSettings,
+    push: impl Fn(String) + Send + Sync + 'static,
+) -> Dispatch {
     let format = match settings.format {
         LogFormat::Text => text_line,
         LogFormat::Json => json_line,
     };
-    let write = fern::Output::call(move |record| sink.push(record.args().to_string()));
+    let write = fern::Output::call(move |record| push(record.args().to_string()));
     Dispatch::new().level(settings.level).format(format).chain(write)
 }
 
