Tell runs of an earlier owner apart, and add the emulator that shows it

Cause: a job that is sent again has runs of the same numbers under its earlier owner. Ruled out by the emulator's trace: leases that lapse late, stops that are not carried out. Also found: lists of runs that a new link begins with left out runs that nobody had claimed yet; a holder that did not know a run called it void, though a new holder had it; a peer that was heard again still counted as lost. Change: ends, bounces and releases count only from the holder of the placement, and a holder says which minion it chose; unknown runs are released, not void.

--- a/crates/bamboocart-dispatcher/src/site/links.rs
+++ b/crates/bamboocart-dispatcher/src/site/links.rs
@@ -66,10 +66,10 @@
     loop {
         match open(&shell, address).await {
             Ok(mut stream) => {
-                // What waited was meant for the earlier link; the engine starts anew.
-                while frames.try_recv().is_ok() {}
                 shell.event(|engine, _| engine.link_opened(peer));
                 let end = feed(&shell, peer, &mut stream, &mut frames).await;
+                while frames.try_recv().is_ok() {}
+                shell.event(|engine, now| engine.link_lost(now, peer));
                 match end {
                     Ok(()) => return,
                     Err(error) => {
@@ -84,7 +84,6 @@
             }
         }
         sleep(REOPEN_PAUSE).await;
-        while frames.try_recv().is_ok() {}
         if frames.is_closed() {
             return;
         }
--- /dev/null
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -0,0 +1,208 @@
+//! An emulated minion: runs under leases, fencing tokens, a list of ends.
+
+use std::collections::BTreeMap;
+
+use bamboocart_jobs::{
+    ActiveRun, EndedRun, HoldReply, MinionId, Resources, RunEnd, RunRef, StartAnswer,
+    TaskRef,
+};
+
+/// A minion.
+#[derive(Debug)]
+pub(crate) struct Minion {
+    pub(crate) id: MinionId,
+    pub(crate) domain: usize,
+    pub(crate) cpu_millicores: u32,
+    /// The run time over the nominal one.
+    pub(crate) pace: f64,
+    /// A factor on run times while it is slow.
+    pub(crate) slow_factor: f64,
+    pub(crate) hangs: bool,
+    pub(crate) fails: bool,
+    pub(crate) up: bool,
+    /// The start of its process in virtual time.
+    pub(crate) born_us: u64,
+    /// The highest fencing token that it has seen.
+    token: u64,
+    runs: BTreeMap<TaskRef, ActiveTask>,
+    /// The highest run of each task that ended or was stopped here.
+    closed: BTreeMap<TaskRef, u64>,
+    ended: Vec<EndedRun>,
+    next_end: u64,
+    /// The end of the lease on its clock.
+    lease_until_ms: u64,
+}
+
+/// A task that runs.
+#[derive(Debug, Copy, Clone)]
+struct ActiveTask {
+    run: u64,
+    cpu_millicores: u32,
+}
+
+/// What a minion says to a hold.
+pub(crate) enum HoldOutcome {
+    Fenced,
+    Taken,
+}
+
+impl Minion {
+    pub(crate) fn new(
+        id: MinionId,
+        domain: usize,
+        pace: f64,
+        cpu_millicores: u32,
+    ) -> Self {
+        Self {
+            id,
+            domain,
+            cpu_millicores,
+            pace,
+            slow_factor: 1.0,
+            hangs: false,
+            fails: false,
+            up: true,
+            born_us: 0,
+            token: 0,
+            runs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            lease_until_ms: 0,
+        }
+    }
+
+    /// Returns its steady clock, which runs 1 % slow.
+    pub(crate) fn clock_ms(&self, now_us: u64) -> u64 {
+        (now_us - self.born_us) / 1_000 * 99 / 100 + 1
+    }
+
+    /// Forgets everything, as a crash does, and returns what ran.
+    pub(crate) fn crash(&mut self) -> Vec<RunRef> {
+        self.up = false;
+        let runs = std::mem::take(&mut self.runs);
+        self.closed.clear();
+        self.ended.clear();
+        self.next_end = 1;
+        self.token = 0;
+        self.lease_until_ms = 0;
+        runs.into_iter().map(|(task, run)| RunRef { task, run: run.run }).collect()
+    }
+
+    /// Takes a start.
+    pub(crate) fn start(
+        &mut self,
+        now_us: u64,
+        token: u64,
+        run: RunRef,
+        need: Resources,
+        lease_until_ms: u64,
+    ) -> StartAnswer {
+        if token < self.token {
+            return StartAnswer::Fenced;
+        }
+        self.token = token;
+        let used: u32 = self.runs.values().map(|run| run.cpu_millicores).sum();
+        let known = self.runs.get(&run.task).map(|active| active.run);
+        let closed = self.closed.get(&run.task).copied().unwrap_or(0);
+        let answer = match () {
+            () if known == Some(run.run) => StartAnswer::Started,
+            () if run.run <= closed.max(known.unwrap_or(0)) => StartAnswer::Outdated,
+            () if lease_until_ms <= self.clock_ms(now_us) => return StartAnswer::Late,
+            () if used + need.cpu_millicores > self.cpu_millicores => StartAnswer::NoRoom,
+            () => {
+                let active =
+                    ActiveTask { run: run.run, cpu_millicores: need.cpu_millicores };
+                self.runs.insert(run.task, active);
+                StartAnswer::Started
+            }
+        };
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+        answer
+    }
+
+    /// Takes a stop, and returns whether it was accepted and whether the run was active.
+    pub(crate) fn stop(&mut self, token: u64, run: RunRef) -> (StartAnswer, bool) {
+        if token < self.token {
+            return (StartAnswer::Fenced, false);
+        }
+        self.token = token;
+        let active = self.runs.get(&run.task).is_some_and(|active| active.run == run.run);
+        if active {
+            self.end(run, RunEnd::Void);
+        } else {
+            let closed = self.closed.entry(run.task).or_default();
+            *closed = run.run.max(*closed);
+        }
+        (StartAnswer::Started, active)
+    }
+
+    /// Takes a hold.
+    pub(crate) fn hold(
+        &mut self,
+        token: u64,
+        lease_until_ms: Option<u64>,
+        last_seen: u64,
+    ) -> HoldOutcome {
+        if token < self.token {
+            return HoldOutcome::Fenced;
+        }
+        self.token = token;
+        if let Some(until) = lease_until_ms {
+            self.lease_until_ms = self.lease_until_ms.max(until);
+        }
+        self.ended.retain(|end| end.number > last_seen);
+        HoldOutcome::Taken
+    }
+
+    /// Returns both lists.
+    pub(crate) fn lists(&self, now_us: u64) -> HoldReply {
+        let active = self.runs.iter().map(|(&task, active)| ActiveRun {
+            run: RunRef { task, run: active.run },
+            done_percent: 0,
+        });
+        HoldReply {
+            incarnation: self.born_us + 1,
+            clock_ms: self.clock_ms(now_us),
+            active: active.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// Returns whether an end waits to be taken note of.
+    pub(crate) fn has_news(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    /// Ends a run, and returns whether it was active.
+    pub(crate) fn end(&mut self, run: RunRef, end: RunEnd) -> bool {
+        let active = self.runs.get(&run.task).is_some_and(|active| active.run == run.run);
+        if active {
+            self.runs.remove(&run.task);
+            self.closed.insert(run.task, run.run);
+            self.ended.push(EndedRun { number: self.next_end, run, end });
+            self.next_end += 1;
+        }
+        active
+    }
+
+    /// Ends everything if the lease has lapsed, and returns what ended.
+    pub(crate) fn lapse(&mut self, now_us: u64) -> Vec<RunRef> {
+        if self.clock_ms(now_us) < self.lease_until_ms {
+            return Vec::new();
+        }
+        let runs = self.runs.iter();
+        let lapsed: Vec<RunRef> =
+            runs.map(|(&task, run)| RunRef { task, run: run.run }).collect();
+        for &run in &lapsed {
+            self.end(run, RunEnd::Void);
+        }
+        lapsed
+    }
+
+    /// Returns when the lease lapses, if anything runs.
+    pub(crate) fn lapses_at_us(&self) -> Option<u64> {
+        let left = !self.runs.is_empty();
+        left.then(|| self.born_us + (self.lease_until_ms + 1) * 1_000 * 100 / 99)
+    }
+}
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine of an instance.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::mem;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 use crate::effect::{Effect, RequestKey};
 use crate::holder::RunOrder;
 use crate::id::{JobId, MinionId};
-use crate::job::{Job, JobState};
+use crate::job::{Holder, Job, JobState};
 use crate::member::Member;
 use crate::message::{Frame, Message};
 use crate::minion::{HoldState, Minion, MinionEntry, MinionKey, Minions, RunPhase};
@@ -52,7 +52,7 @@
     /// The peers.
     pub(crate) peers: Peers,
     /// The jobs that have not ended.
-    pub(crate) jobs: HashMap<JobId, Job>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
     /// The jobs with waiting tasks, by the latest start that meets the objective.
     pub(crate) waiting: BTreeSet<(Moment, JobId)>,
     /// The jobs of requests that wait.
@@ -106,7 +106,7 @@
             catalog: Arc::default(),
             minions: Minions::default(),
             peers: Peers::default(),
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
             job_of_request: HashMap::new(),
             outcomes: HashMap::new(),
@@ -210,11 +210,25 @@
     pub fn link_opened(&mut self, peer: PeerKey) {
         let runs = self.runs_of_peer(peer);
         if let Some(peer) = self.peers.arena.get_mut(peer) {
-            peer.reset();
+            peer.open_link();
             peer.push(Message::Runs(runs));
         }
     }
 
+    /// Notes that the link to a peer was lost.
+    pub fn link_lost(&mut self, now: Moment, peer: PeerKey) {
+        let Some(entry) = self.peers.arena.get_mut(peer) else { return };
+        let unsent = entry.lose_link();
+        let echoed = entry.echoed.unwrap_or_default();
+        for run in unsent {
+            self.run_bounced(Holder::Peer(peer), run, false);
+        }
+        for run in self.runs_placed_since(peer, echoed) {
+            self.send(peer, Message::Stop(run));
+        }
+        self.settle(now);
+    }
+
     /// Returns whether a peer has not echoed any frame for `silence_ms`, counted from the
     /// opening of the link at the earliest.
     pub fn is_link_silent(
@@ -263,15 +277,20 @@
             }
             Message::Stop(run) => self.stop_for_peer(now, peer, run),
             Message::Bounced { run, outdated } => {
-                self.bounced_by_peer(peer, run, outdated);
+                self.run_bounced(Holder::Peer(peer), run, outdated);
+            }
+            Message::Ended { run, end } => {
+                self.run_ended(now, Holder::Peer(peer), run, end);
+            }
+            Message::Moved { run, minion } => {
+                self.run_moved(Holder::Peer(peer), run, &minion);
             }
-            Message::Ended { run, end } => self.run_ended(now, run, end),
-            Message::Released(run) => self.holder_lost(now, run),
+            Message::Released(run) => self.holder_lost(now, Holder::Peer(peer), run),
             Message::Adopted { minion, active, ended } => {
                 self.adopted_by_peer(now, peer, &minion, active, ended);
             }
-            Message::Claimed { minion, run, need, estimate_ms } => {
-                self.claimed_by_peer(peer, &minion, run, need, estimate_ms);
+            Message::Claimed { minion, run, need } => {
+                self.claimed_by_peer(now, peer, &minion, run, need);
             }
             Message::Runs(runs) => self.reconcile(now, peer, &runs, echo),
             Message::Leaving => {
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -1,12 +1,13 @@
 //! The holder's part: runs, leases and ends on the minions that this instance holds.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 use log::{info, warn};
 
 use crate::effect::{Effect, HoldOrder, StartOrder, StopOrder};
 use crate::engine::Engine;
 use crate::id::{MinionId, RunRef, ServiceName, Text};
+use crate::job::Holder;
 use crate::message::{Message, RoomReport, RunEnd};
 use crate::minion::{Held, HoldState, LostHold, MinionKey, Run, RunOwner, RunPhase};
 use crate::peer::PeerKey;
@@ -113,7 +114,7 @@
             } else {
                 held.runs.remove(&run.task);
                 held.blocked_until = now + backoff_ms(answer);
-                self.bounce(now, owner, run, answer);
+                self.bounce(now, key, owner, run, answer);
             }
             if answer != StartAnswer::Started {
                 let minion = self.minions.arena[key].entry.id.as_str();
@@ -251,23 +252,25 @@
             ended: ended.clone(),
         });
         for run in active {
-            if let Some((need, estimate_ms)) = self.claim(run, None, &minion) {
-                self.claimed(key, run, RunOwner::Local, need, estimate_ms);
+            if let Some(need) = self.claim(run, None, &minion) {
+                self.claimed(now, key, run, RunOwner::Local, need);
             }
         }
         for (run, end) in ended {
-            self.run_ended(now, run, end);
+            if self.claim(run, None, &minion).is_some() {
+                self.run_ended(now, Holder::Local(key), run, end);
+            }
         }
     }
 
     /// Notes the owner of a run that was found on a minion.
     fn claimed(
         &mut self,
+        now: Moment,
         key: MinionKey,
         run: RunRef,
         owner: RunOwner,
         need: Resources,
-        estimate_ms: u64,
     ) -> bool {
         let held = self.minions.arena[key].held.as_mut();
         let entry = held.and_then(|held| held.runs.get_mut(&run.task));
@@ -275,7 +278,7 @@
             Some(entry) if entry.run == run.run && entry.owner == RunOwner::Unclaimed => {
                 entry.owner = owner;
                 entry.need = need;
-                entry.estimate_ms = estimate_ms;
+                entry.claimed = now;
                 true
             }
             _ => false,
@@ -285,15 +288,15 @@
     /// Takes a peer's claim of a run that this instance found.
     pub(crate) fn claimed_by_peer(
         &mut self,
+        now: Moment,
         peer: PeerKey,
         minion: &MinionId,
         run: RunRef,
         need: Resources,
-        estimate_ms: u64,
     ) {
         let Some(&key) = self.minions.by_id.get(minion) else { return };
         let owner = RunOwner::Peer(peer);
-        if !self.claimed(key, run, owner, need, estimate_ms) {
+        if !self.claimed(now, key, run, owner, need) {
             // The run has ended meanwhile; its end was sent to all peers before.
             info!(target: "minion", run:% = run.task; "claimed run is gone");
         }
@@ -311,7 +314,7 @@
             minion.pace.observe(run_ms, run.estimate_ms);
             self.pace.observe(run_ms, run.estimate_ms);
         }
-        self.report_end(now, run.owner, end.run, end.end);
+        self.report_end(now, key, run.owner, end.run, end.end);
     }
 
     /// Compares the runs that should be there with those that are.
@@ -324,7 +327,7 @@
         active: &[ActiveRun],
     ) {
         let Some(held) = self.minions.arena[key].held.as_mut() else { return };
-        let listed: HashSet<RunRef> = active.iter().map(|found| found.run).collect();
+        let listed: BTreeSet<RunRef> = active.iter().map(|found| found.run).collect();
         let mut gone = Vec::new();
         for (&task, run) in &mut held.runs {
             let run_ref = RunRef { task, run: run.run };
@@ -353,7 +356,7 @@
             if let Some(held) = self.minions.arena[key].held.as_mut() {
                 held.runs.remove(&run.task);
             }
-            self.report_end(now, owner, run, RunEnd::Void);
+            self.report_end(now, key, owner, run, RunEnd::Void);
         }
     }
 
@@ -367,14 +370,21 @@
         minion.held = Some(fresh);
         for (task, run) in held.runs {
             let run_ref = RunRef { task, run: run.run };
-            self.report_end(now, run.owner, run_ref, RunEnd::Void);
+            self.report_end(now, key, run.owner, run_ref, RunEnd::Void);
         }
     }
 
     /// Tells the owner of a run how it ended.
-    fn report_end(&mut self, now: Moment, owner: RunOwner, run: RunRef, end: RunEnd) {
+    fn report_end(
+        &mut self,
+        now: Moment,
+        key: MinionKey,
+        owner: RunOwner,
+        run: RunRef,
+        end: RunEnd,
+    ) {
         match owner {
-            RunOwner::Local => self.run_ended(now, run, end),
+            RunOwner::Local => self.run_ended(now, Holder::Local(key), run, end),
             RunOwner::Peer(peer) => self.send(peer, Message::Ended { run, end }),
             RunOwner::Unclaimed => self.broadcast(&Message::Ended { run, end }),
             RunOwner::Nobody => {}
@@ -382,13 +392,22 @@
     }
 
     /// Tells the owner of a run that it was not started.
-    fn bounce(&mut self, now: Moment, owner: RunOwner, run: RunRef, answer: StartAnswer) {
+    fn bounce(
+        &mut self,
+        now: Moment,
+        key: MinionKey,
+        owner: RunOwner,
+        run: RunRef,
+        answer: StartAnswer,
+    ) {
         let outdated = answer == StartAnswer::Outdated;
         match (owner, answer) {
             (_, StartAnswer::Invalid) => {
-                self.report_end(now, owner, run, RunEnd::Failed);
+                self.report_end(now, key, owner, run, RunEnd::Failed);
+            }
+            (RunOwner::Local, _) => {
+                self.run_bounced(Holder::Local(key), run, outdated);
             }
-            (RunOwner::Local, _) => self.run_bounced(run, outdated),
             (RunOwner::Peer(peer), _) => {
                 self.send(peer, Message::Bounced { run, outdated });
             }
@@ -411,7 +430,7 @@
         for (task, run) in held.runs {
             let run_ref = RunRef { task, run: run.run };
             match run.owner {
-                RunOwner::Local => self.holder_lost(now, run_ref),
+                RunOwner::Local => self.holder_lost(now, Holder::Local(key), run_ref),
                 RunOwner::Peer(peer) => self.send(peer, Message::Released(run_ref)),
                 RunOwner::Unclaimed | RunOwner::Nobody => {}
             }
@@ -453,6 +472,7 @@
                 need: order.need,
                 estimate_ms: order.estimate_ms,
                 since: now,
+                claimed: Moment::default(),
                 phase: RunPhase::Starting,
                 settled: None,
                 lease_until_ms,
@@ -491,6 +511,11 @@
         order: RunOrder,
     ) {
         let run = order.run;
+        // An order that has waited in a buffer may be older than the owner's patience.
+        let echoed = self.peers.arena.get(peer).and_then(|peer| peer.echoed);
+        if echoed.is_none_or(|echoed| now.since(echoed) > OWNER_SILENCE_MS) {
+            return self.send(peer, Message::Bounced { run, outdated: false });
+        }
         let named = self.minions.by_id.get(minion).copied();
         let service = named.map(|key| self.minions.arena[key].entry.service.clone());
         let fits = |key: &MinionKey| {
@@ -503,8 +528,13 @@
         });
         let started = chosen
             .is_some_and(|key| self.start_run(now, key, order, RunOwner::Peer(peer)));
-        if !started {
-            self.send(peer, Message::Bounced { run, outdated: false });
+        match chosen {
+            Some(key) if started && Some(key) != named => {
+                let minion = self.minions.arena[key].entry.id.clone();
+                self.send(peer, Message::Moved { run, minion });
+            }
+            Some(_) if started => {}
+            _ => self.send(peer, Message::Bounced { run, outdated: false }),
         }
     }
 
@@ -528,11 +558,14 @@
     pub(crate) fn stop_for_peer(&mut self, now: Moment, peer: PeerKey, run: RunRef) {
         let found = self.minions.arena.iter().find_map(|(key, minion)| {
             let held = minion.held.as_ref()?;
-            held.runs.get(&run.task).filter(|r| r.run == run.run).map(|_| key)
+            let entry = held.runs.get(&run.task)?;
+            let own = entry.run == run.run && entry.owner == RunOwner::Peer(peer);
+            own.then_some(key)
         });
         match found {
             Some(key) => self.stop_run(now, key, run),
-            None => self.send(peer, Message::Ended { run, end: RunEnd::Void }),
+            // It may be active under another holder, so that it is not known to be void.
+            None => self.send(peer, Message::Released(run)),
         }
     }
 
@@ -540,15 +573,15 @@
     /// claimed.
     pub(crate) fn stop_orphans(&mut self, now: Moment) {
         let peers = &self.peers.arena;
-        let silent = |peer: PeerKey| {
+        let silent = |peer: PeerKey, claimed: Moment| {
             let echoed = peers.get(peer).and_then(|peer| peer.echoed);
-            echoed.is_none_or(|echoed| now.since(echoed) > OWNER_SILENCE_MS)
+            now.since(echoed.unwrap_or_default().max(claimed)) > OWNER_SILENCE_MS
         };
         for minion in self.minions.arena.values_mut() {
             let Some(held) = minion.held.as_mut() else { continue };
             for (task, run) in &mut held.runs {
                 let orphan = match run.owner {
-                    RunOwner::Peer(peer) => silent(peer),
+                    RunOwner::Peer(peer) => silent(peer, run.claimed),
                     RunOwner::Unclaimed => now.since(run.since) > CLAIM_MS,
                     RunOwner::Local | RunOwner::Nobody => false,
                 };
@@ -609,11 +642,15 @@
         self.minions.arena.values().filter_map(report).collect()
     }
 
-    /// Returns the runs of a peer's jobs on the minions that this instance holds.
+    /// Returns the runs on held minions that belong to a peer, or may do so because nobody
+    /// has claimed them yet.
     pub(crate) fn runs_of_peer(&self, peer: PeerKey) -> Vec<RunRef> {
         let held = self.minions.arena.values().filter_map(|minion| minion.held.as_ref());
         held.flat_map(|held| &held.runs)
-            .filter(|(_, run)| run.owner == RunOwner::Peer(peer))
+            .filter(|(_, run)| {
+                matches!(run.owner, RunOwner::Unclaimed)
+                    || run.owner == RunOwner::Peer(peer)
+            })
             .map(|(&task, run)| RunRef { task, run: run.run })
             .collect()
     }
@@ -641,6 +678,7 @@
             need: Resources::default(),
             estimate_ms: 0,
             since: now,
+            claimed: Moment::default(),
             phase: RunPhase::Active,
             settled: Some(now),
             lease_until_ms: 0,
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -46,6 +46,13 @@
         /// Whether the number of the run was too low for the minion.
         outdated: bool,
     },
+    /// Tells an owner that a run was started on another minion than the named one.
+    Moved {
+        /// The run.
+        run: RunRef,
+        /// The minion.
+        minion: MinionId,
+    },
     /// Tells an owner how a run ended.
     Ended {
         /// The run.
@@ -77,8 +84,6 @@
         run: RunRef,
         /// What the task needs.
         need: Resources,
-        /// The client's estimate of the run time.
-        estimate_ms: u64,
     },
 }
 
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -115,10 +115,12 @@
     pub(crate) owner: RunOwner,
     /// The room that it takes.
     pub(crate) need: Resources,
-    /// The client's estimate of its run time; 0 if not known.
+    /// The client's estimate of its run time; 0 if it began under another holder.
     pub(crate) estimate_ms: u64,
     /// When it was ordered or found.
     pub(crate) since: Moment,
+    /// When its owner has claimed it, if it was found.
+    pub(crate) claimed: Moment,
     /// How far the order has come.
     pub(crate) phase: RunPhase,
     /// From when on the minion's list is complete in respect of this run: a hold that was
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -150,8 +150,18 @@
         }
     }
 
-    /// Returns the task of a run, if the run is its current one.
-    fn current(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
+    /// Returns the task of a run, if the run is its current one at this holder.
+    ///
+    /// A job that was sent again has runs of the same numbers under its earlier owner, so
+    /// that the number alone does not tell.
+    fn current(&mut self, run: RunRef, holder: Holder) -> Option<(&mut Job, usize)> {
+        let (job, task) = self.placed(run)?;
+        let TaskState::Placed(placement) = job.tasks[task].state else { return None };
+        (placement.holder == holder).then_some((job, task))
+    }
+
+    /// Returns the task of a run, if its current run has this number.
+    fn placed(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
         let job = self.jobs.get_mut(&run.task.job)?;
         let task = job.position(run.task)?;
         let placed = matches!(job.tasks[task].state, TaskState::Placed(_));
@@ -160,15 +170,21 @@
 
     /// Lets a task wait for another placement.
     fn requeue(&mut self, run: RunRef) {
-        let Some((job, task)) = self.current(run) else { return };
+        let Some((job, task)) = self.placed(run) else { return };
         job.tasks[task].state = TaskState::Waiting;
         let entry = (job.start_by(), job.id);
         self.waiting.insert(entry);
     }
 
     /// Takes the end of a run of an own job.
-    pub(crate) fn run_ended(&mut self, now: Moment, run: RunRef, end: RunEnd) {
-        let Some((job, task)) = self.current(run) else { return };
+    pub(crate) fn run_ended(
+        &mut self,
+        now: Moment,
+        holder: Holder,
+        run: RunRef,
+        end: RunEnd,
+    ) {
+        let Some((job, task)) = self.current(run, holder) else { return };
         match end {
             RunEnd::Done => {
                 job.tasks[task].state = TaskState::Done;
@@ -208,63 +224,65 @@
     }
 
     /// Takes note that a run was not started.
-    pub(crate) fn run_bounced(&mut self, run: RunRef, outdated: bool) {
-        if let Some((job, task)) = self.current(run)
-            && outdated
-        {
+    pub(crate) fn run_bounced(&mut self, holder: Holder, run: RunRef, outdated: bool) {
+        let Some((job, task)) = self.current(run, holder) else { return };
+        let mut minion = None;
+        if let TaskState::Placed(placement) = job.tasks[task].state {
+            minion = placement.minion;
+        }
+        if outdated {
             job.tasks[task].last_run += RUN_NUMBER_STEP;
-            job.tasks[task].state = TaskState::Waiting;
-            let entry = (job.start_by(), job.id);
-            self.waiting.insert(entry);
-            return;
         }
-        self.requeue(run);
+        job.tasks[task].state = TaskState::Waiting;
+        let entry = (job.start_by(), job.id);
+        self.waiting.insert(entry);
+        if let Holder::Peer(peer) = holder
+            && let Some(minion) = minion.and_then(|key| self.minions.arena.get(key))
+            && let Some(peer) = self.peers.arena.get_mut(peer)
+        {
+            peer.forget_room(&minion.entry.id);
+        }
     }
 
-    /// Takes a peer's word that a run was not started.
-    pub(crate) fn bounced_by_peer(&mut self, peer: PeerKey, run: RunRef, outdated: bool) {
-        if let Some((job, task)) = self.current(run)
-            && let TaskState::Placed(placement) = job.tasks[task].state
-            && let Some(key) = placement.minion
-            && let Some(minion) = self.minions.arena.get(key)
-            && let Some(peer) = self.peers.arena.get_mut(peer)
+    /// Takes note that a holder has started a run on another minion than the named one.
+    pub(crate) fn run_moved(&mut self, holder: Holder, run: RunRef, minion: &MinionId) {
+        let key = self.minions.by_id.get(minion).copied();
+        if let Some((job, task)) = self.current(run, holder)
+            && let TaskState::Placed(placement) = &mut job.tasks[task].state
         {
-            let minion: MinionId = minion.entry.id.clone();
-            peer.forget_room(&minion);
+            placement.minion = key;
         }
-        self.run_bounced(run, outdated);
     }
 
     /// Notes that the holder of a run has lost the minion; a new one may adopt the run.
-    pub(crate) fn holder_lost(&mut self, now: Moment, run: RunRef) {
-        let Some((job, task)) = self.current(run) else { return };
-        if let TaskState::Placed(placement) = &mut job.tasks[task].state {
+    ///
+    /// Until then, or until the run is gone for certain, the task is not placed again.
+    pub(crate) fn holder_lost(&mut self, now: Moment, holder: Holder, run: RunRef) {
+        if let Some((job, task)) = self.current(run, holder)
+            && let TaskState::Placed(placement) = &mut job.tasks[task].state
+        {
             placement.gone_at.get_or_insert(now + RUN_GONE_MS);
         }
     }
 
-    /// Claims a run that a new holder has found, if it is current.
-    ///
-    /// Returns what the task needs and the estimate of its run time.
+    /// Claims a run that a new holder has found, if it is current; returns what it needs.
     pub(crate) fn claim(
         &mut self,
         run: RunRef,
         peer: Option<PeerKey>,
         minion: &MinionId,
-    ) -> Option<(Resources, u64)> {
-        let key = self.minions.by_id.get(minion).copied();
-        let (job, task) = self.current(run)?;
-        let holder = match (peer, key) {
-            (Some(peer), _) => Holder::Peer(peer),
-            (None, Some(key)) => Holder::Local(key),
-            (None, None) => return None,
+    ) -> Option<Resources> {
+        let key = self.minions.by_id.get(minion).copied()?;
+        let (job, task) = self.placed(run)?;
+        let TaskState::Placed(placement) = &mut job.tasks[task].state else {
+            return None;
         };
-        if let TaskState::Placed(placement) = &mut job.tasks[task].state {
-            placement.holder = holder;
-            placement.gone_at = None;
+        if placement.minion != Some(key) {
+            return None;
         }
-        let step = job.step_of(task);
-        Some((step.need, step.estimate_ms))
+        placement.holder = peer.map_or(Holder::Local(key), Holder::Peer);
+        placement.gone_at = None;
+        Some(job.step_of(task).need)
     }
 
     /// Takes a peer's announcement of what it found on a minion.
@@ -277,17 +295,19 @@
         ended: Vec<(RunRef, RunEnd)>,
     ) {
         for run in active {
-            if let Some((need, estimate_ms)) = self.claim(run, Some(peer), minion) {
+            if let Some(need) = self.claim(run, Some(peer), minion) {
                 let minion = minion.clone();
-                self.send(peer, Message::Claimed { minion, run, need, estimate_ms });
+                self.send(peer, Message::Claimed { minion, run, need });
             }
         }
         for (run, end) in ended {
-            self.run_ended(now, run, end);
+            if self.claim(run, Some(peer), minion).is_some() {
+                self.run_ended(now, Holder::Peer(peer), run, end);
+            }
         }
     }
 
-    /// Treats the runs at a holder as void that the holder does not list, if it had the
+    /// Treats the runs at a holder as lost that the holder does not list, if it had the
     /// order when it made the list.
     pub(crate) fn reconcile(
         &mut self,
@@ -310,15 +330,32 @@
             }
         }
         for run in missing {
-            self.run_ended(now, run, RunEnd::Void);
+            self.holder_lost(now, Holder::Peer(peer), run);
+        }
+    }
+
+    /// Returns the runs that were ordered from a peer after `echoed`, so that it is not known
+    /// whether the orders arrived.
+    pub(crate) fn runs_placed_since(&self, peer: PeerKey, echoed: Moment) -> Vec<RunRef> {
+        let mut runs = Vec::new();
+        for job in self.jobs.values() {
+            for (position, task) in job.tasks.iter().enumerate() {
+                if let TaskState::Placed(placement) = task.state
+                    && placement.holder == Holder::Peer(peer)
+                    && placement.since >= echoed
+                {
+                    runs.push(job.run_ref(position));
+                }
+            }
         }
+        runs
     }
 
     /// Refuses, gives up and requeues what has run out of time.
     pub(crate) fn expire(&mut self, now: Moment) {
         let mut ends = Vec::new();
         let mut gone = Vec::new();
-        for job in self.jobs.values_mut() {
+        for job in self.jobs.values() {
             let age_limit = if job.ordered { job.deadline } else { job.start_by() };
             if age_limit <= now {
                 ends.push((job.id, job.ordered));
@@ -326,20 +363,17 @@
             }
             for position in 0..job.tasks.len() {
                 let run = job.run_ref(position);
-                let TaskState::Placed(placement) = &mut job.tasks[position].state else {
+                let TaskState::Placed(placement) = job.tasks[position].state else {
                     continue;
                 };
-                if let Holder::Peer(peer) = placement.holder {
-                    let peer = self.peers.arena.get(peer);
-                    let heard = peer.and_then(|peer| peer.heard).unwrap_or_default();
-                    match peer.is_some_and(|peer| peer.is_responsive(now)) {
-                        true => {}
-                        false => {
-                            placement.gone_at.get_or_insert(heard + RUN_GONE_MS);
-                        }
+                let silent = match placement.holder {
+                    Holder::Peer(peer) => {
+                        let peer = self.peers.arena.get(peer);
+                        peer.is_none_or(|peer| peer.is_gone(now))
                     }
-                }
-                if placement.gone_at.is_some_and(|gone_at| gone_at <= now) {
+                    Holder::Local(_) => false,
+                };
+                if silent || placement.gone_at.is_some_and(|gone_at| gone_at <= now) {
                     gone.push(run);
                 }
             }
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -4,12 +4,14 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::id::{MemberId, MinionId};
+use crate::id::{MemberId, MinionId, RunRef};
 use crate::member::Member;
 use crate::message::{Frame, Message, RoomReport};
 use crate::resources::Resources;
 use crate::time::Moment;
-use crate::timing::{FRAME_INTERVAL_MS, HOLDER_SILENCE_MS, REPORT_INTERVAL_MS};
+use crate::timing::{
+    FRAME_INTERVAL_MS, HOLDER_SILENCE_MS, REPORT_INTERVAL_MS, RUN_GONE_MS,
+};
 
 new_key_type! {
     /// A peer.
@@ -28,6 +30,8 @@
     pub(crate) listed: bool,
     /// Whether it has given up its minions.
     pub(crate) leaving: bool,
+    /// Whether a link to it is open; messages wait until one is.
+    link_open: bool,
     /// When a frame last arrived.
     pub(crate) heard: Option<Moment>,
     /// The sending time of its last frame, on its clock.
@@ -66,6 +70,7 @@
             member,
             listed: false,
             leaving: false,
+            link_open: false,
             heard: None,
             heard_sent_ms: 0,
             echoed: None,
@@ -123,16 +128,40 @@
         self.rooms.retain(|room| room.minion != *minion);
     }
 
-    /// Forgets everything that a lost link makes uncertain.
-    pub(crate) fn reset(&mut self) {
+    /// Notes that a link was opened.
+    pub(crate) fn open_link(&mut self) {
+        self.link_open = true;
+        self.report_due = true;
+    }
+
+    /// Notes that the link was lost, and returns the starts that wait; they were certainly
+    /// not sent.
+    pub(crate) fn lose_link(&mut self) -> Vec<RunRef> {
+        self.link_open = false;
         self.rooms.clear();
         self.offers.clear();
-        self.outbox.clear();
-        self.report_due = true;
+        let mut unsent = Vec::new();
+        self.outbox.retain(|message| match message {
+            Message::Start { run, .. } => {
+                unsent.push(*run);
+                false
+            }
+            _ => true,
+        });
+        unsent
+    }
+
+    /// Returns whether none of the runs that this peer started can be left: it has been
+    /// silent for so long that it has stopped them or that their leases have lapsed.
+    pub(crate) fn is_gone(&self, now: Moment) -> bool {
+        now.since(self.heard.unwrap_or_default()) > RUN_GONE_MS
     }
 
     /// Returns when the next frame is due.
     pub(crate) fn frame_due(&self) -> Moment {
+        if !self.link_open {
+            return Moment(u64::MAX);
+        }
         let Some(sent) = self.sent else { return Moment::default() };
         if !self.outbox.is_empty() {
             return Moment::default();
