Tell holders on a new link which runs are still wanted

Change: each new link begins with the runs that the owner still wants; the holder stops the others and releases those that it lacks.

--- a/crates/bamboocart-emulator/src/world.rs
+++ b/crates/bamboocart-emulator/src/world.rs
@@ -993,14 +993,7 @@
                 length_ms = for_ms;
             }
             Trouble::Rebalance { .. } => self.group_changed(0),
-            Trouble::ResetLinks { .. } => {
-                for node in 0..self.nodes.len() {
-                    let peers: Vec<PeerKey> =
-                        self.nodes[node].links.keys().copied().collect();
-                    peers.into_iter().for_each(|peer| self.lose_link(node, peer));
-                    self.after(node);
-                }
-            }
+            Trouble::ResetLinks { .. } => self.reset_links(),
             Trouble::SilentLinks { for_ms, .. } => {
                 self.links_silent = true;
                 length_ms = for_ms;
@@ -1042,6 +1035,15 @@
         self.schedule(length_ms * 1_000, Event::Relief(number, victims));
     }
 
+    /// Loses all links.
+    fn reset_links(&mut self) {
+        for node in 0..self.nodes.len() {
+            let peers: Vec<PeerKey> = self.nodes[node].links.keys().copied().collect();
+            peers.into_iter().for_each(|peer| self.lose_link(node, peer));
+            self.after(node);
+        }
+    }
+
     /// Ends a trouble.
     fn relief(&mut self, number: usize, victims: Vec<usize>) {
         match self.day.troubles[number] {
@@ -1060,7 +1062,11 @@
                 self.store_up = true;
                 self.group_changed(20_000);
             }
-            Trouble::SilentLinks { .. } => self.links_silent = false,
+            // The silent connections are replaced.
+            Trouble::SilentLinks { .. } => {
+                self.links_silent = false;
+                self.reset_links();
+            }
             Trouble::CrashMinions { .. } => {
                 for minion in victims {
                     self.minions[minion].up = true;
--- /dev/null
+++ b/crates/bamboocart-emulator/tests/rules.rs
@@ -0,0 +1,56 @@
+//! The rules hold on days with troubles, over seeds.
+
+use bamboocart_emulator::{Day, run};
+use yare::parameterized;
+
+/// The number of seeds of each day.
+const SEEDS: u64 = 6;
+
+/// Guards against tasks that run twice at the same time, tasks that nobody asked for, and
+/// refusals of jobs that have started, whatever fails.
+#[parameterized(
+    calm = { include_str!("../days/calm.toml") },
+    kills = { include_str!("../days/kills.toml") },
+    freezes = { include_str!("../days/freezes.toml") },
+    cuts = { include_str!("../days/cuts.toml") },
+    minions = { include_str!("../days/minions.toml") },
+    burst = { include_str!("../days/burst.toml") },
+)]
+fn rules_hold(day: &str) {
+    let day = Day::parse(day).unwrap();
+    for seed in 1..=SEEDS {
+        let report = run(&day, seed);
+        assert!(report.broken.is_empty(), "seed {seed}: {report}");
+        assert!(report.runs > 0, "seed {seed}: nothing ran");
+    }
+}
+
+/// Guards against a second run of a task whose job is sent again: each of these seeds had
+/// one when ends counted for any run of the same number.
+#[parameterized(
+    kills = { include_str!("../days/kills.toml"), &[1, 6, 8, 10, 12, 15, 16, 17] },
+    freezes = { include_str!("../days/freezes.toml"), &[1, 4, 6, 7, 8, 12, 14, 15, 16] },
+    cuts = { include_str!("../days/cuts.toml"), &[4, 8, 12, 16, 18, 26, 28] },
+)]
+fn resent_jobs_run_once(day: &str, seeds: &[u64]) {
+    let day = Day::parse(day).unwrap();
+    for &seed in seeds {
+        let report = run(&day, seed);
+        assert!(report.broken.is_empty(), "seed {seed}: {report}");
+    }
+}
+
+/// Guards against outcomes that depend on anything but the seed.
+#[test]
+fn a_seed_gives_one_outcome() {
+    let day = Day::parse(include_str!("../days/kills.toml")).unwrap();
+    assert_eq!(run(&day, 3).to_string(), run(&day, 3).to_string());
+}
+
+/// Guards against a system that loses work on a day without troubles.
+#[test]
+fn a_calm_day_is_served() {
+    let day = Day::parse(include_str!("../days/calm.toml")).unwrap();
+    let report = run(&day, 1);
+    assert!(report.credit() > 0.9, "{report}");
+}
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -205,13 +205,14 @@
         self.peers.insert(member)
     }
 
-    /// Notes that a link to a peer was opened; the first message tells it which of its runs
-    /// are here, since messages of an earlier link may be lost.
+    /// Notes that a link to a peer was opened.
     pub fn link_opened(&mut self, peer: PeerKey) {
         let runs = self.runs_of_peer(peer);
+        let wanted = self.runs_at_peer(peer);
         if let Some(peer) = self.peers.arena.get_mut(peer) {
             peer.open_link();
             peer.push(Message::Runs(runs));
+            peer.push(Message::Wanted(wanted));
         }
     }
 
@@ -219,13 +220,9 @@
     pub fn link_lost(&mut self, now: Moment, peer: PeerKey) {
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let unsent = entry.lose_link();
-        let echoed = entry.echoed.unwrap_or_default();
         for run in unsent {
             self.run_bounced(Holder::Peer(peer), run, false);
         }
-        for run in self.runs_placed_since(peer, echoed) {
-            self.send(peer, Message::Stop(run));
-        }
         self.settle(now);
     }
 
@@ -293,6 +290,7 @@
                 self.claimed_by_peer(now, peer, &minion, run, need);
             }
             Message::Runs(runs) => self.reconcile(now, peer, &runs, echo),
+            Message::Wanted(runs) => self.keep_wanted(now, peer, &runs),
             Message::Leaving => {
                 if let Some(peer) = self.peers.arena.get_mut(peer) {
                     info!(target: "peer", peer:% = peer.member; "peer leaves");
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -569,6 +569,28 @@
         }
     }
 
+    /// Stops the runs of a peer that it does not want any more, and releases those that it
+    /// wants and that are not here.
+    pub(crate) fn keep_wanted(&mut self, now: Moment, peer: PeerKey, wanted: &[RunRef]) {
+        let mut here = BTreeSet::new();
+        for minion in self.minions.arena.values_mut() {
+            let Some(held) = minion.held.as_mut() else { continue };
+            for (&task, run) in &mut held.runs {
+                let run_ref = RunRef { task, run: run.run };
+                if run.owner != RunOwner::Peer(peer) {
+                    continue;
+                }
+                here.insert(run_ref);
+                if !wanted.contains(&run_ref) && run.want_stop(now) {
+                    info!(target: "minion", run:% = task; "unwanted run is stopped");
+                }
+            }
+        }
+        for &run in wanted.iter().filter(|run| !here.contains(run)) {
+            self.send(peer, Message::Released(run));
+        }
+    }
+
     /// Stops the runs of owners that were not heard of in time, and those that nobody has
     /// claimed.
     pub(crate) fn stop_orphans(&mut self, now: Moment) {
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -60,9 +60,12 @@
         /// How it ended.
         end: RunEnd,
     },
-    /// Tells an owner all of its runs on minions that the sender holds, as the first
-    /// message of a new link.
+    /// Tells an owner all of its runs on minions that the sender holds, when a new link is
+    /// opened: ends and releases may be lost with the earlier one.
     Runs(Vec<RunRef>),
+    /// Tells a holder all runs that the sender has placed there and still wants, when a new
+    /// link is opened: starts and stops may be lost with the earlier one.
+    Wanted(Vec<RunRef>),
     /// Tells peers that the sender gives up all its minions.
     Leaving,
     /// Tells an owner that the sender no longer holds the minion of a run.
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -316,33 +316,34 @@
         listed: &[RunRef],
         echo: Moment,
     ) {
-        let mut missing = Vec::new();
-        for job in self.jobs.values() {
-            for (position, task) in job.tasks.iter().enumerate() {
-                let run = job.run_ref(position);
-                if let TaskState::Placed(placement) = task.state
-                    && placement.holder == Holder::Peer(peer)
-                    && placement.since <= echo
-                    && !listed.contains(&run)
-                {
-                    missing.push(run);
-                }
-            }
-        }
+        let missing: Vec<RunRef> = self
+            .runs_at_peer(peer)
+            .into_iter()
+            .filter(|run| !listed.contains(run))
+            .filter(|&run| self.placed_by(run, echo))
+            .collect();
         for run in missing {
             self.holder_lost(now, Holder::Peer(peer), run);
         }
     }
 
-    /// Returns the runs that were ordered from a peer after `echoed`, so that it is not known
-    /// whether the orders arrived.
-    pub(crate) fn runs_placed_since(&self, peer: PeerKey, echoed: Moment) -> Vec<RunRef> {
+    /// Returns whether a run was placed at `moment` or before.
+    fn placed_by(&self, run: RunRef, moment: Moment) -> bool {
+        let job = self.jobs.get(&run.task.job);
+        let task = job.and_then(|job| Some(&job.tasks[job.position(run.task)?]));
+        task.is_some_and(|task| match task.state {
+            TaskState::Placed(placement) => placement.since <= moment,
+            TaskState::Blocked | TaskState::Waiting | TaskState::Done => false,
+        })
+    }
+
+    /// Returns the runs that are placed at a peer.
+    pub(crate) fn runs_at_peer(&self, peer: PeerKey) -> Vec<RunRef> {
         let mut runs = Vec::new();
         for job in self.jobs.values() {
             for (position, task) in job.tasks.iter().enumerate() {
                 if let TaskState::Placed(placement) = task.state
                     && placement.holder == Holder::Peer(peer)
-                    && placement.since >= echoed
                 {
                     runs.push(job.run_ref(position));
                 }
