Place urgent jobs first and rest minions that fail, stall or slow down

Cause: wide jobs waited until all their tasks had room while narrow, less urgent ones took each free slot; minions that failed or stalled drew more work because they were free again soon. Change: jobs wait in order of priority, then of their latest start, and take the room there is; a minion that fails runs of two jobs in a row, or stalls or triples a run, gets no work for a while and then one task; runs that stand still are stopped and placed elsewhere.

--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -38,6 +38,17 @@
 struct ActiveTask {
     run: u64,
     cpu_millicores: u32,
+    started_us: u64,
+    /// Its run time here; none if it stands still.
+    run_us: Option<u64>,
+}
+
+impl ActiveTask {
+    /// Returns the share of the work that is done.
+    fn percent(&self, now_us: u64) -> u8 {
+        let Some(run_us) = self.run_us else { return 0 };
+        ((now_us - self.started_us) * 100 / run_us.max(1)).min(100) as u8
+    }
 }
 
 /// What a minion says to a hold.
@@ -95,7 +106,7 @@
         now_us: u64,
         token: u64,
         run: RunRef,
-        need: Resources,
+        (need, run_us): (Resources, Option<u64>),
         lease_until_ms: u64,
     ) -> StartAnswer {
         if token < self.token {
@@ -111,8 +122,12 @@
             () if lease_until_ms <= self.clock_ms(now_us) => return StartAnswer::Late,
             () if used + need.cpu_millicores > self.cpu_millicores => StartAnswer::NoRoom,
             () => {
-                let active =
-                    ActiveTask { run: run.run, cpu_millicores: need.cpu_millicores };
+                let active = ActiveTask {
+                    run: run.run,
+                    cpu_millicores: need.cpu_millicores,
+                    started_us: now_us,
+                    run_us,
+                };
                 self.runs.insert(run.task, active);
                 StartAnswer::Started
             }
@@ -159,7 +174,7 @@
     pub(crate) fn lists(&self, now_us: u64) -> HoldReply {
         let active = self.runs.iter().map(|(&task, active)| ActiveRun {
             run: RunRef { task, run: active.run },
-            done_percent: 0,
+            done_percent: active.percent(now_us),
         });
         HoldReply {
             incarnation: self.born_us + 1,
--- a/crates/bamboocart-emulator/src/world.rs
+++ b/crates/bamboocart-emulator/src/world.rs
@@ -610,11 +610,13 @@
         let run_ms = job.runs_ms[usize::from(order.run.task.index)];
         let entry = &mut self.minions[minion];
         let known = entry.lists(self.now_us).active.iter().any(|r| r.run == order.run);
+        let run_us = (run_ms * entry.pace * entry.slow_factor * 1_000.0) as u64;
+        let run_us = (!entry.hangs).then_some(run_us);
         let answer = entry.start(
             self.now_us,
             order.target.fencing_token,
             order.run,
-            job.need,
+            (job.need, run_us),
             order.lease_until_ms,
         );
         match answer {
@@ -622,12 +624,11 @@
                 self.report.runs += 1;
                 self.checks.started(self.now_us, order.run, minion);
                 let entry = &self.minions[minion];
-                let factor = entry.pace * entry.slow_factor;
-                let hang_us = if entry.hangs { 20_000_000 } else { 0 };
                 let end = if entry.fails { RunEnd::Failed } else { RunEnd::Done };
-                let delay_us = (run_ms * factor * 1_000.0) as u64 + hang_us;
                 let event = Event::RunEnds(minion, entry.born_us, order.run, end);
-                self.schedule(delay_us, event);
+                if let Some(run_us) = run_us {
+                    self.schedule(run_us, event);
+                }
                 self.watch_lease(minion);
             }
             StartAnswer::NoRoom => self.report.rejected_starts += 1,
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::effect::{Effect, RequestKey};
 use crate::holder::RunOrder;
 use crate::id::{JobId, MinionId};
-use crate::job::{Holder, Job, JobState};
+use crate::job::{Holder, Job, JobState, Rank};
 use crate::member::Member;
 use crate::message::{Frame, Message};
 use crate::minion::{HoldState, Minion, MinionEntry, MinionKey, Minions, RunPhase};
@@ -53,8 +53,8 @@
     pub(crate) peers: Peers,
     /// The jobs that have not ended.
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    /// The jobs with waiting tasks, by the latest start that meets the objective.
-    pub(crate) waiting: BTreeSet<(Moment, JobId)>,
+    /// The jobs with waiting tasks, in their order.
+    pub(crate) waiting: BTreeSet<Rank>,
     /// The jobs of requests that wait.
     pub(crate) job_of_request: HashMap<RequestKey, JobId>,
     /// The outcomes of jobs that have ended.
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -12,6 +12,7 @@
 use crate::minion::{Held, HoldState, LostHold, MinionKey, Run, RunOwner, RunPhase};
 use crate::peer::PeerKey;
 use crate::resources::Resources;
+use crate::suspicion::Progress;
 use crate::time::Moment;
 use crate::timing::{
     CALL_TIMEOUT_MS, CLAIM_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, LEASE_MS, OWNER_SILENCE_MS,
@@ -222,6 +223,7 @@
         for end in ended {
             self.note_end(now, key, end);
         }
+        self.judge_progress(now, key, &reply.active);
         self.compare(now, key, sent, clock_ms, &reply.active);
         self.rooms_changed();
     }
@@ -309,14 +311,59 @@
         let known = held.runs.get(&end.run.task).filter(|run| run.run == end.run.run);
         let Some(&run) = known else { return };
         held.runs.remove(&end.run.task);
-        if end.end == RunEnd::Done && run.estimate_ms > 0 {
-            let run_ms = now.since(run.since);
-            minion.pace.observe(run_ms, run.estimate_ms);
-            self.pace.observe(run_ms, run.estimate_ms);
+        let elapsed_ms = now.since(run.since);
+        match end.end {
+            RunEnd::Done if run.estimate_ms > 0 => {
+                let expected_ms = run.estimate_ms as f64 * minion.pace.ratio();
+                let progress = Progress { elapsed_ms, expected_ms, done_percent: 100 };
+                if !progress.is_slow() {
+                    held.suspicion.clear();
+                }
+                minion.pace.observe(elapsed_ms, run.estimate_ms);
+                self.pace.observe(elapsed_ms, run.estimate_ms);
+            }
+            RunEnd::Failed => {
+                if held.suspicion.note_failure(end.run.task.job, now) {
+                    warn!(target: "minion", minion:% = minion.entry.id;
+                        "minion fails runs of several jobs; it gets no work for a while");
+                }
+            }
+            RunEnd::Done | RunEnd::Void => {}
         }
         self.report_end(now, key, run.owner, end.run, end.end);
     }
 
+    /// Finds out whether active runs stand still or take too long. Runs that stand still are
+    /// stopped, so that their owners can place them elsewhere.
+    fn judge_progress(&mut self, now: Moment, key: MinionKey, active: &[ActiveRun]) {
+        let minion = &mut self.minions.arena[key];
+        let pace = minion.pace.ratio();
+        let Some(held) = minion.held.as_mut() else { return };
+        for found in active {
+            let known = held.runs.get_mut(&found.run.task);
+            let Some(run) = known.filter(|run| run.run == found.run.run) else {
+                continue;
+            };
+            if run.estimate_ms == 0 || run.phase != RunPhase::Active {
+                continue;
+            }
+            let progress = Progress {
+                elapsed_ms: now.since(run.since),
+                expected_ms: run.estimate_ms as f64 * pace,
+                done_percent: found.done_percent,
+            };
+            let stalled = progress.is_stalled();
+            if (stalled || progress.is_slow()) && held.suspicion.suspect(now) {
+                warn!(target: "minion", minion:% = minion.entry.id,
+                    run:% = found.run.task, progress:? = progress;
+                    "minion stalls or is slow; it gets no work for a while");
+            }
+            if stalled {
+                run.want_stop(now);
+            }
+        }
+    }
+
     /// Compares the runs that should be there with those that are.
     fn compare(
         &mut self,
--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/job.rs
@@ -95,6 +95,17 @@
     pub(crate) ordered: bool,
 }
 
+/// The place of a job in the order of those that wait.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd)]
+pub(crate) struct Rank {
+    /// The rank of the queue; 0 comes first.
+    priority: u8,
+    /// The latest start that meets the objective.
+    start_by: Moment,
+    /// The job.
+    pub(crate) job: JobId,
+}
+
 /// A task of a job.
 #[derive(Debug, Clone)]
 pub(crate) struct Task {
@@ -108,6 +119,8 @@
     pub(crate) last_run: u64,
     /// How often it ended as failed.
     pub(crate) failures: u32,
+    /// The minion on which its last run ended without a result.
+    pub(crate) avoid: Option<MinionKey>,
 }
 
 /// Where a task stands.
@@ -204,6 +217,12 @@
         self.arrived + self.objective_ms / WAIT_SHARE
     }
 
+    /// Returns the place in the order of jobs that wait: more urgent queues first, then
+    /// the earliest latest start.
+    pub(crate) fn rank(&self) -> Rank {
+        Rank { priority: self.queue.priority, start_by: self.start_by(), job: self.id }
+    }
+
     /// Returns whether a task may be placed.
     pub(crate) fn is_waiting(&self) -> bool {
         self.tasks.iter().any(|task| task.state == TaskState::Waiting)
@@ -249,6 +268,7 @@
             state,
             last_run: 0,
             failures: 0,
+            avoid: None,
         }));
     }
     tasks
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod peer;
 mod placement;
 mod resources;
+mod suspicion;
 mod time;
 pub mod timing;
 
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -11,6 +11,7 @@
 use crate::pace::Pace;
 use crate::peer::PeerKey;
 use crate::resources::Resources;
+use crate::suspicion::Suspicion;
 use crate::time::Moment;
 
 new_key_type! {
@@ -95,6 +96,8 @@
     pub(crate) blocked_until: Moment,
     /// The calls in a row that got no answer.
     pub(crate) missed: u32,
+    /// What speaks against it.
+    pub(crate) suspicion: Suspicion,
 }
 
 /// The state of the call that holds a minion.
@@ -194,7 +197,8 @@
         let usable = self.entry.state == MinionState::Ready
             && held.incarnation.is_some()
             && held.missed == 0
-            && now >= held.blocked_until;
+            && now >= held.blocked_until
+            && held.suspicion.allows(held.runs.len(), now);
         usable.then(|| self.entry.capacity.minus(held.used()))
     }
 }
@@ -212,6 +216,7 @@
             hold: HoldState::Due(now),
             blocked_until: Moment::default(),
             missed: 0,
+            suspicion: Suspicion::default(),
         }
     }
 
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -58,7 +58,7 @@
             tasks = job.tasks.len(), objective_ms = job.objective_ms,
             config = self.catalog.version; "job accepted");
         self.job_of_request.insert(request, id);
-        self.waiting.insert((job.start_by(), id));
+        self.waiting.insert(job.rank());
         self.jobs.insert(id, job);
         self.settle(now);
     }
@@ -128,7 +128,7 @@
     /// Ends a job: stops what runs and answers its requests.
     fn end_job(&mut self, now: Moment, id: JobId, answer: Option<Answer>, why: &str) {
         let Some(job) = self.jobs.remove(&id) else { return };
-        self.waiting.remove(&(job.start_by(), id));
+        self.waiting.remove(&job.rank());
         let done = job.tasks.iter().filter(|t| t.state == TaskState::Done).count();
         info!(target: "job", request_id:% = id, why, answer:? = answer, done,
             tasks = job.tasks.len(), age_ms = now.since(job.arrived),
@@ -171,8 +171,11 @@
     /// Lets a task wait for another placement.
     fn requeue(&mut self, run: RunRef) {
         let Some((job, task)) = self.placed(run) else { return };
+        if let TaskState::Placed(placement) = job.tasks[task].state {
+            job.tasks[task].avoid = placement.minion;
+        }
         job.tasks[task].state = TaskState::Waiting;
-        let entry = (job.start_by(), job.id);
+        let entry = job.rank();
         self.waiting.insert(entry);
     }
 
@@ -195,7 +198,7 @@
                     self.remember(now, id, JobState::Completed);
                 } else {
                     job.unblock();
-                    let entry = (job.start_by(), job.id);
+                    let entry = job.rank();
                     if job.is_waiting() {
                         self.waiting.insert(entry);
                     }
@@ -234,7 +237,7 @@
             job.tasks[task].last_run += RUN_NUMBER_STEP;
         }
         job.tasks[task].state = TaskState::Waiting;
-        let entry = (job.start_by(), job.id);
+        let entry = job.rank();
         self.waiting.insert(entry);
         if let Holder::Peer(peer) = holder
             && let Some(minion) = minion.and_then(|key| self.minions.arena.get(key))
@@ -404,7 +407,7 @@
             return;
         }
         let mut candidates = self.candidates(now);
-        let order: Vec<JobId> = self.waiting.iter().map(|&(_, id)| id).collect();
+        let order: Vec<JobId> = self.waiting.iter().map(|rank| rank.job).collect();
         for id in order {
             if candidates.is_empty() {
                 return;
@@ -413,30 +416,23 @@
         }
     }
 
-    /// Places the waiting tasks of a job: all of them, or what can be placed if the job has
-    /// started or is too wide for the free room.
-    fn place_job(&mut self, now: Moment, id: JobId, candidates: &mut Vec<Candidate>) {
+    /// Places the waiting tasks of a job as far as there is room. More urgent jobs come
+    /// first, so that what is left of a wide one takes the next room.
+    fn place_job(&mut self, now: Moment, id: JobId, candidates: &mut [Candidate]) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let before: Vec<Resources> = candidates.iter().map(|c| c.free).collect();
         let arena = &self.minions.arena;
-        let suits = |job: &Job, task: usize, minion: MinionKey| {
-            let Some(minion) = arena.get(minion) else { return false };
+        let suits = |job: &Job, task: usize, key: MinionKey| {
+            let Some(minion) = arena.get(key) else { return false };
             let label = job.step_of(task).required_label.as_ref();
             minion.entry.service == job.queue.service
+                && job.tasks[task].avoid != Some(key)
                 && label.is_none_or(|label| minion.entry.labels.contains(label))
         };
         let choices = placement::choose(job, candidates, suits, &mut self.rng, now);
         let waiting =
             job.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
-        let complete = choices.len() == waiting;
-        if !complete && !job.ordered {
-            for (candidate, free) in candidates.iter_mut().zip(before) {
-                candidate.free = free;
-            }
-            return;
-        }
-        if complete {
-            self.waiting.remove(&(job.start_by(), id));
+        if choices.len() == waiting {
+            self.waiting.remove(&job.rank());
         }
         for choice in choices {
             let candidate = candidates[choice.candidate].clone();
