--- a/crates/bamboocart-dispatcher/src/site/mod.rs
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -23,6 +23,7 @@
 use bamboocart_telemetry::logs::{self, LogFormat, LogSettings, LogsError};
 use log::LevelFilter;
 use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
@@ -84,16 +85,9 @@
         .enable_all()
         .build()
         .context(StartSnafu { what: "start the runtime" })?;
-    let member = Member {
-        name: settings.node_name.as_str().into(),
-        failure_domain: settings.failure_domain.as_str().into(),
-        address: settings.peer,
-        incarnation: clock::unix_ms(),
-    };
-    log::info!(target: "process", instance:% = member, config:% = path.display();
-        "instance starts");
-    let result =
-        LocalSet::new().block_on(&runtime, serve(settings, member, lines.clone()));
+    log::info!(target: "process", instance = settings.node_name.as_str(),
+        settings:% = path.display(); "instance starts");
+    let result = LocalSet::new().block_on(&runtime, serve(settings, lines.clone()));
     log::info!(target: "process", ok = result.is_ok(), dropped_lines = lines.dropped();
         "instance stops");
     output::write(&lines);
@@ -101,19 +95,28 @@
 }
 
 /// Opens the sockets, starts all tasks and waits for the end of the stop.
-async fn serve(settings: Settings, member: Member, lines: LineBuffer) -> Result<()> {
-    let cancel = CancellationToken::new();
-    let shell = Shell::new(member, cancel.clone());
-    let peer =
-        links::listen(settings.peer).context(StartSnafu { what: "listen for peers" })?;
-    let front = links::listen(settings.front)
-        .context(StartSnafu { what: "listen for clients" })?;
-    let ready = links::listen(settings.ready)
-        .context(StartSnafu { what: "listen for readiness" })?;
-    let metrics = links::listen(settings.metrics)
-        .context(StartSnafu { what: "listen for metrics" })?;
+async fn serve(settings: Settings, lines: LineBuffer) -> Result<()> {
+    let open = |address, what| links::listen(address).context(StartSnafu { what });
+    let peer = open(settings.peer, "listen for peers")?;
+    let front = open(settings.front, "listen for clients")?;
+    let ready = open(settings.ready, "listen for readiness")?;
+    let metrics = open(settings.metrics, "listen for metrics")?;
     let signals =
         signals::Signals::new().context(StartSnafu { what: "watch signals" })?;
+    let port =
+        |listener: &TcpListener, what| listener.local_addr().context(StartSnafu { what });
+    let member = Member {
+        name: settings.node_name.as_str().into(),
+        failure_domain: settings.failure_domain.as_str().into(),
+        address: port(&peer, "listen for peers")?,
+        incarnation: clock::unix_ms(),
+    };
+    log::info!(target: "process", member:% = member,
+        front:% = port(&front, "listen for clients")?,
+        ready:% = port(&ready, "listen for readiness")?,
+        metrics:% = port(&metrics, "listen for metrics")?; "listening");
+    let cancel = CancellationToken::new();
+    let shell = Shell::new(member, cancel.clone());
     shell.spawn(shell.clone().run_timer());
     shell.spawn(output::write_regularly(lines));
     shell.spawn(links::accept(shell.clone(), peer));
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/site/process.rs
@@ -0,0 +1,87 @@
+//! An instance as a process.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+
+use bamboocart_site_standin::{StandIn, wait_until};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+/// Numbers the settings files.
+static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
+
+/// A process that is killed when it is dropped.
+pub struct Instance {
+    child: Child,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+impl Instance {
+    /// Starts an instance and waits until it listens.
+    pub fn start(platform: &StandIn, name: &str) -> Self {
+        let settings = platform.settings(name, [0; 4]);
+        let mut child = command(&settings).stdout(Stdio::piped()).spawn().unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let line = lines
+            .by_ref()
+            .map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap())
+            .find(|line| line["message"] == "listening")
+            .expect("the instance says where it listens");
+        let address = |field: &str| line[field].as_str().unwrap().parse().unwrap();
+        let (front, ready) = (address("front"), address("ready"));
+        // Reads the rest, so that the process never waits for its log.
+        thread::spawn(move || lines.for_each(drop));
+        Self { child, front, ready }
+    }
+
+    /// Starts an instance and waits until it is ready.
+    pub fn start_ready(platform: &StandIn, name: &str) -> Self {
+        let instance = Self::start(platform, name);
+        assert!(wait_until(|| instance.readiness() == 200), "{name} is not ready");
+        instance
+    }
+
+    /// Returns the status of the readiness probe; 0 without an answer.
+    pub fn readiness(&self) -> u16 {
+        let agent: ureq::Agent =
+            ureq::Agent::config_builder().http_status_as_error(false).build().into();
+        let call = agent.get(format!("http://{}/-/readiness", self.ready)).call();
+        call.map_or(0, |response| response.status().as_u16())
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the command that starts an instance with these settings.
+pub fn command(settings: &str) -> Command {
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("site-{}-{number}.conf", std::process::id()));
+    fs::write(&path, settings).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"));
+    command.arg("site").env("BAMBOOCART_CONFIG", path);
+    command
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/site/start.rs
@@ -0,0 +1,47 @@
+//! What an instance says before it can serve, and to what it cannot serve.
+
+use bamboocart_site_standin::{StandIn, submit, wait_until};
+use yare::parameterized;
+
+use crate::process::{Instance, command};
+
+/// Guards against settings whose faults come to light one by one.
+#[test]
+fn all_faults_of_the_settings_are_reported() {
+    let output =
+        command("node_name=edge-1\nzone\nplatform.address=nowhere\n").output().unwrap();
+    assert!(!output.status.success());
+    let text = String::from_utf8(output.stderr).unwrap();
+    for fault in ["`zone` has no `=`", "`ip`", "listen_addrs.front", "nowhere"] {
+        assert!(text.contains(fault), "no word of {fault}: {text}");
+    }
+}
+
+/// Guards against an instance that calls itself ready, or turns requests away for good,
+/// before it knows the configuration.
+#[test]
+fn an_instance_waits_for_the_configuration() {
+    let platform = StandIn::start(2).unwrap();
+    platform.set_store_up(false);
+    let instance = Instance::start(&platform, "edge-1");
+    assert_eq!(instance.readiness(), 503);
+    let path = "/q/0000000000000001";
+    assert_eq!(submit(instance.front, path, 1, 10).unwrap().status, 503);
+    platform.publish(1, "/q/");
+    platform.set_store_up(true);
+    assert!(wait_until(|| instance.readiness() == 200));
+    assert!(wait_until(|| submit(instance.front, path, 1, 10).unwrap().status == 200));
+}
+
+/// Guards against malformed requests that get an answer of the wrong kind.
+#[parameterized(
+    no_queue = { "/other/0000000000000001", 1, 404 },
+    no_id = { "/q/xyz", 1, 400 },
+    no_tasks = { "/q/0000000000000002", 0, 400 },
+)]
+fn bad_requests_are_refused(path: &str, tasks: u16, status: u16) {
+    let platform = StandIn::start(1).unwrap();
+    platform.publish(1, "/q/");
+    let instance = Instance::start_ready(&platform, "edge-1");
+    assert_eq!(submit(instance.front, path, tasks, 10).unwrap().status, status);
+}
