Take ended incarnations for no peers

The instance opened a link to itself and peers sent everything twice; the second claim of a run was answered with a release, and the owner ran the task again 1.2 s later. The log shows the instance's own name as the claimer. Ruled out: late adoption and lapsed leases. Change: only the newest incarnation of another instance is a peer, and a link is used only if the intended incarnation accepts it. Also: a stopping instance serves new requests for as long as the grace period allows.

--- a/crates/bamboocart-dispatcher/src/site/links.rs
+++ b/crates/bamboocart-dispatcher/src/site/links.rs
@@ -64,7 +64,7 @@
     mut frames: mpsc::Receiver<Frame>,
 ) {
     loop {
-        match open(&shell, address).await {
+        match open(&shell, peer, address).await {
             Ok(mut stream) => {
                 shell.event(|engine, _| engine.link_opened(peer));
                 let end = feed(&shell, peer, &mut stream, &mut frames).await;
@@ -90,9 +90,10 @@
     }
 }
 
-/// Opens a connection and its stream.
+/// Opens a connection and its stream, if the intended incarnation of the peer accepts it.
 async fn open(
     shell: &Shell,
+    peer: PeerKey,
     address: SocketAddr,
 ) -> Result<SendStream<Bytes>, LinkError> {
     let handshake = async {
@@ -109,7 +110,13 @@
             .header(MEMBER_HEADER, shell.member().to_string())
             .body(())?;
         let (response, stream) = sender.send_request(request, false)?;
-        response.await?;
+        let response = response.await?;
+        let accepted = response.headers().get(MEMBER_HEADER);
+        let expected = shell
+            .read(|engine, _| engine.member_of(peer).map(|member| member.to_string()));
+        if accepted.map(|id| id.as_bytes()) != expected.as_deref().map(str::as_bytes) {
+            return Err("another instance has accepted the link".into());
+        }
         Ok::<_, LinkError>(stream)
     };
     timeout(OPEN_TIMEOUT, handshake).await?
@@ -177,9 +184,14 @@
     let member = request.headers().get(MEMBER_HEADER);
     let member: Member =
         member.ok_or("the peer does not say who it is")?.to_str()?.parse()?;
+    if member.name == shell.member().name {
+        return Err("the link comes from this instance or an earlier one".into());
+    }
     let peer = shell.event(|engine, _| engine.peer(&member));
     shell.open_links();
-    respond.send_response(Response::new(()), false)?;
+    let response =
+        Response::builder().header(MEMBER_HEADER, shell.member().to_string()).body(())?;
+    respond.send_response(response, false)?;
     let reader = read(shell.clone(), peer, request.into_body());
     tokio::select! {
         end = reader => end,
--- a/crates/bamboocart-dispatcher/src/site/signals.rs
+++ b/crates/bamboocart-dispatcher/src/site/signals.rs
@@ -10,9 +10,8 @@
 use crate::site::shell::Shell;
 use crate::site::store;
 
-/// The time after a termination signal in which new requests are still served, because the
-/// balancer notices after two probes a second apart that the instance is not ready.
-const SERVE_ON: Duration = Duration::from_millis(2_400);
+/// The time that the jobs of clients that wait need at the end of a stop.
+const FINISH_MS: u64 = 1_600;
 
 /// The time that is left for the kernel and the log at the end of the grace period.
 const RESERVE_MS: u64 = 700;
@@ -50,18 +49,21 @@
 }
 
 /// Stops gracefully: no new connections, then no minions, then no new jobs.
+///
+/// New requests are served for as long as the grace period allows. The balancer notices only
+/// after two probes a second apart that the instance is not ready, and goes on sending
+/// clients where fewer than half of a failure domain's instances are.
 async fn stop(shell: &Shell, settings: &Settings) {
     log::info!(target: "process", requests = shell.open_requests(); "stop begins");
     shell.set_not_ready();
-    sleep(SERVE_ON).await;
+    let serve_on_ms = settings.grace_ms.saturating_sub(FINISH_MS + RESERVE_MS);
+    sleep(Duration::from_millis(serve_on_ms)).await;
     shell.event(|engine, now| {
         engine.drain();
         engine.leave(now);
     });
     store::leave(shell, settings).await;
-    let used_ms = SERVE_ON.as_millis() as u64 + RESERVE_MS;
-    let left_ms = settings.grace_ms.saturating_sub(used_ms);
-    shell.await_requests(Duration::from_millis(left_ms)).await;
+    shell.await_requests(Duration::from_millis(FINISH_MS)).await;
     // Lets the last answers and frames leave.
     sleep(Duration::from_millis(50)).await;
 }
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -179,13 +179,22 @@
     }
 
     /// Takes the members of the group as of a generation.
+    ///
+    /// The group keeps an instance that has ended for some time. An earlier incarnation of a
+    /// peer, or of this instance, is no peer: its address reaches the present one.
     pub fn set_members(&mut self, now: Moment, generation: u64, members: &[Member]) {
         for peer in self.peers.arena.values_mut() {
             peer.listed = false;
         }
-        for member in members.iter().filter(|member| **member != self.member) {
-            let key = self.peers.insert(member);
-            self.peers.arena[key].listed = true;
+        for member in members.iter().filter(|member| member.name != self.member.name) {
+            let newest = members
+                .iter()
+                .filter(|other| other.name == member.name)
+                .all(|other| other.incarnation <= member.incarnation);
+            if newest {
+                let key = self.peers.insert(member);
+                self.peers.arena[key].listed = true;
+            }
         }
         if generation != self.generation {
             info!(target: "peer", generation, members = members.len(); "group changed");
@@ -205,6 +214,11 @@
         self.peers.insert(member)
     }
 
+    /// Returns a peer as a member of the group.
+    pub fn member_of(&self, peer: PeerKey) -> Option<&Member> {
+        self.peers.arena.get(peer).map(|peer| &peer.member)
+    }
+
     /// Notes that a link to a peer was opened.
     pub fn link_opened(&mut self, peer: PeerKey) {
         let runs = self.runs_of_peer(peer);
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -302,7 +302,9 @@
         let key = self.minions.by_id.get(minion).copied();
         if !key.is_some_and(|key| self.claimed(now, key, run, owner, need)) {
             // Its end was sent before, or another instance holds the minion by now.
-            info!(target: "minion", run:% = run.task; "claimed run is not here");
+            let claimer = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
+            info!(target: "minion", run:% = run.task, peer:? = claimer;
+                "claimed run is not here");
             self.send(peer, Message::Released(run));
         }
     }
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -265,6 +265,8 @@
             && let TaskState::Placed(placement) = &mut job.tasks[task].state
         {
             placement.gone_at.get_or_insert(now + RUN_GONE_MS);
+            info!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                holder:? = holder; "the holder of a run has lost the minion");
         }
     }
 
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -209,8 +209,17 @@
 }
 
 impl Peers {
-    /// Returns the peer for a member, which is added if it is new.
+    /// Returns the peer for a member, which is added if it is new. Earlier incarnations of
+    /// the same instance have ended and are forgotten.
     pub(crate) fn insert(&mut self, member: &Member) -> PeerKey {
+        let ended: Vec<PeerKey> = self
+            .arena
+            .iter()
+            .filter(|(_, peer)| peer.member.name == member.name)
+            .filter(|(_, peer)| peer.member.incarnation < member.incarnation)
+            .map(|(key, _)| key)
+            .collect();
+        ended.into_iter().for_each(|key| self.remove(key));
         let arena = &mut self.arena;
         let key = self.by_id.entry(member.id());
         *key.or_insert_with(|| arena.insert(Peer::new(member.clone())))
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -180,3 +180,25 @@
     let answer = fixture.end_run(start.run);
     assert_eq!(answer, Some(Answer::Ended(JobState::Completed)));
 }
+
+/// Guards against an instance that talks to itself, or to the present incarnation of a peer
+/// as if it were an earlier one: the group keeps members that have ended for a while, and
+/// their addresses are in use again (TWICE on the day trouble-2 of Thailand, seed
+/// 80766071568).
+#[test]
+fn ended_incarnations_are_no_peers() {
+    let now = Moment(10_000);
+    let mut present = member("entry-1", "marka");
+    present.incarnation = 2;
+    let mut engine = Engine::new(present.clone(), 7);
+    let mut later = member("entry-2", "sahab");
+    engine.set_members(now, 5, &[later.clone()]);
+    assert_eq!(engine.peers().len(), 1);
+    later.incarnation = 9;
+    let members =
+        [member("entry-1", "marka"), present, member("entry-2", "sahab"), later.clone()];
+    engine.set_members(now, 6, &members);
+    let peers: Vec<&Member> =
+        engine.peers().into_iter().filter_map(|(key, _)| engine.member_of(key)).collect();
+    assert_eq!(peers, [&later]);
+}
