--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/job.rs
@@ -51,8 +51,6 @@
     pub after: Vec<u16>,
     /// The label that a minion must have.
     pub required_label: Option<Box<str>>,
-    /// The most tasks of the step on one minion at a time; 0 means any number.
-    pub max_per_minion: u16,
 }
 
 /// The state of a job as clients see it.
