Wait for the runs of an ended holder

Change: the earlier incarnation stays known as ended, gets no link and no work, and its runs are waited for as before. Test: runs_of_an_ended_holder_are_waited_for, which fails when the time of the last frame is forgotten.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -205,7 +205,7 @@
 
     /// Returns the peers and their addresses.
     pub fn peers(&self) -> Vec<(PeerKey, SocketAddr)> {
-        let peers = self.peers.arena.iter();
+        let peers = self.peers.arena.iter().filter(|(_, peer)| !peer.ended);
         peers.map(|(key, peer)| (key, peer.member.address)).collect()
     }
 
@@ -449,7 +449,7 @@
             .peers
             .arena
             .values()
-            .filter(|peer| !peer.leaving)
+            .filter(|peer| !peer.leaving && !peer.ended)
             .filter(|peer| {
                 let heard = peer.heard.unwrap_or_default();
                 peer.listed || now.since(heard) < MEMBER_SILENCE_MS
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -30,6 +30,9 @@
     pub(crate) listed: bool,
     /// Whether it has given up its minions.
     pub(crate) leaving: bool,
+    /// Whether a later incarnation of the instance was heard of. The entry stays for a while,
+    /// since runs that this one has started may still be active.
+    pub(crate) ended: bool,
     /// Whether a link to it is open; messages wait until one is.
     link_open: bool,
     /// When a frame last arrived.
@@ -70,6 +73,7 @@
             member,
             listed: false,
             leaving: false,
+            ended: false,
             link_open: false,
             heard: None,
             heard_sent_ms: 0,
@@ -85,7 +89,8 @@
 
     /// Returns whether work may be offered to the peer.
     pub(crate) fn is_responsive(&self, now: Moment) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) < HOLDER_SILENCE_MS)
+        !self.ended
+            && self.heard.is_some_and(|heard| now.since(heard) < HOLDER_SILENCE_MS)
     }
 
     /// Queues a message; false means that too many wait and it is not sent.
@@ -210,16 +215,16 @@
 
 impl Peers {
     /// Returns the peer for a member, which is added if it is new. Earlier incarnations of
-    /// the same instance have ended and are forgotten.
+    /// the same instance have ended.
     pub(crate) fn insert(&mut self, member: &Member) -> PeerKey {
-        let ended: Vec<PeerKey> = self
-            .arena
-            .iter()
-            .filter(|(_, peer)| peer.member.name == member.name)
-            .filter(|(_, peer)| peer.member.incarnation < member.incarnation)
-            .map(|(key, _)| key)
-            .collect();
-        ended.into_iter().for_each(|key| self.remove(key));
+        for peer in self.arena.values_mut() {
+            let earlier = peer.member.incarnation < member.incarnation;
+            if peer.member.name == member.name && earlier {
+                peer.ended = true;
+                peer.listed = false;
+                peer.link_open = false;
+            }
+        }
         let arena = &mut self.arena;
         let key = self.by_id.entry(member.id());
         *key.or_insert_with(|| arena.insert(Peer::new(member.clone())))
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -6,7 +6,8 @@
 use bamboocart_jobs::{
     ActiveRun, Answer, Effect, EndedRun, Engine, Frame, HoldAnswer, HoldReply, JobState,
     Member, Message, MinionEntry, MinionState, Moment, NewJob, PeerKey, Queue,
-    RequestKey, Resources, RunEnd, RunRef, StartAnswer, StartOrder, Step, Submission,
+    RequestKey, Resources, RoomReport, RunEnd, RunRef, StartAnswer, StartOrder, Step,
+    Submission,
 };
 use yare::parameterized;
 
@@ -28,6 +29,20 @@
     }
 }
 
+/// Returns the list's entry of a minion with room for two tasks.
+fn entry(id: &str, failure_domain: &str) -> MinionEntry {
+    MinionEntry {
+        id: id.into(),
+        service: "service".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+        failure_domain: failure_domain.into(),
+        state: MinionState::Ready,
+        capacity: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
+        labels: Vec::new(),
+        incarnation: 1,
+    }
+}
+
 fn submission() -> Submission {
     let step = Step {
         count: 1,
@@ -62,17 +77,7 @@
     fn new() -> Self {
         let mut engine = Engine::new(member("entry-1", "marka"), 7);
         let now = Moment(10_000);
-        let entry = MinionEntry {
-            id: "m-1".into(),
-            service: "service".into(),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-            failure_domain: "marka".into(),
-            state: MinionState::Ready,
-            capacity: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
-            labels: Vec::new(),
-            incarnation: 1,
-        };
-        engine.list_minions(now, vec![entry]);
+        engine.list_minions(now, vec![entry("m-1", "marka")]);
         let members = [member("entry-1", "marka"), member("entry-2", "sahab")];
         engine.set_members(now, 5, &members);
         let peer = engine.peer(&members[1]);
@@ -202,3 +207,44 @@
         engine.peers().into_iter().filter_map(|(key, _)| engine.member_of(key)).collect();
     assert_eq!(peers, [&later]);
 }
+
+/// Returns whether a start is among the messages that are due.
+fn sends_start(engine: &mut Engine, now: Moment) -> bool {
+    let frames = engine.take_frames(now);
+    let mut messages = frames.into_iter().flat_map(|(_, frame)| frame.messages);
+    messages.any(|message| matches!(message, Message::Start { .. }))
+}
+
+/// Guards against a second run at the moment at which a killed holder is back: the run of
+/// its earlier incarnation is active until its lease lapses (TWICE on a mixed day of Amman,
+/// seed 744013048908).
+#[test]
+fn runs_of_an_ended_holder_are_waited_for() {
+    let mut fixture = Fixture::new();
+    let Fixture { engine, peer, now } = &mut fixture;
+    engine.list_minions(*now, vec![entry("m-2", "sahab")]);
+    let room = |minion: &str| RoomReport {
+        minion: minion.into(),
+        free: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
+        pace_permille: 100,
+    };
+    let hear = |engine: &mut Engine, peer, now: Moment| {
+        let messages = vec![Message::Rooms(vec![room("m-1"), room("m-2")])];
+        engine.frame_arrived(now, peer, Frame { sent_ms: 1, echo_ms: now.0, messages });
+    };
+    engine.link_opened(*peer);
+    hear(engine, *peer, *now);
+    engine.submit(*now, submission());
+    let local = engine.take_effects();
+    let local = local.iter().any(|effect| matches!(effect, Effect::Start(_)));
+    assert!(sends_start(engine, *now) && !local, "the peer gets the run");
+
+    let later = *now + 300;
+    let mut back = member("entry-2", "sahab");
+    back.incarnation = 9;
+    let back = engine.peer(&back);
+    engine.link_opened(back);
+    hear(engine, back, later);
+    engine.tick(later);
+    assert!(!sends_start(engine, later), "the task is started again at once");
+}
