Number the holds, and let newcomers wait until the group names them

The holder had given the minion up and taken it back five times within a second under the same token; the answers to the holds of each time counted for all, so that two or more holds stayed under way for good. A list that was older than the start of a run was then taken for the answer to a hold that was sent after the start. Ruled out: a rebirth of the minion (not logged), another holder (no fencing), orders carried out late (over for 24 s).

Change: a hold has a number, which its answer names. An instance that the group does not name yet takes no minions from members that are heard, or were named less than 400 ms ago; members give it none before it is named. An earlier run of an instance that the group still names counts for the present one. While the group changes, instances join every 100 ms instead of 350. The emulator's group names newcomers one change later, as the store does.

--- a/crates/bamboocart-dispatcher/src/site/links.rs
+++ b/crates/bamboocart-dispatcher/src/site/links.rs
@@ -187,7 +187,7 @@
     if member.name == shell.member().name {
         return Err("the link comes from this instance or an earlier one".into());
     }
-    let peer = shell.event(|engine, _| engine.peer(&member));
+    let peer = shell.event(|engine, now| engine.peer(now, &member));
     shell.open_links();
     let response =
         Response::builder().header(MEMBER_HEADER, shell.member().to_string()).body(())?;
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -227,9 +227,9 @@
                 let sent = Instant::now();
                 let answer = shell.inner.minions.hold(&order).await;
                 page::record_hold(&answer, sent.elapsed());
-                let (key, token) = (order.target.minion, order.target.fencing_token);
+                let (key, number) = (order.target.minion, order.number);
                 shell.event(|engine, now| {
-                    engine.hold_answered(now, key, token, answer);
+                    engine.hold_answered(now, key, number, answer);
                 });
             }),
         }
--- a/crates/bamboocart-dispatcher/src/site/store.rs
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -18,6 +18,10 @@
 /// is listed as long as there are at least as many partitions as members.
 const GROUP_TOPICS: [&str; 4] = ["entry-0", "entry-1", "entry-2", "entry-3"];
 
+/// The time between two joins while the group is changing. It bounds how long an instance
+/// that has come takes no part, since earlier members share with it when they join again.
+const CHANGING_JOIN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The time between two joins.
 const JOIN_INTERVAL: Duration = Duration::from_millis(350);
 
@@ -26,7 +30,7 @@
 
 /// How often the members are read after a change of the group. A new member owns a partition,
 /// and is listed, only after earlier owners have joined again.
-const LOOKS_AFTER_CHANGE: u32 = 6;
+const LOOKS_AFTER_CHANGE: u32 = 8;
 
 /// The time that a read of the configuration waits for a change. It bounds how long a
 /// connection that has gone silent hides one.
@@ -218,7 +222,8 @@
             looks_left -= 1;
         }
         shell.open_links();
-        sleep(JOIN_INTERVAL).await;
+        let changing = looks_left > 0;
+        sleep(if changing { CHANGING_JOIN_INTERVAL } else { JOIN_INTERVAL }).await;
     }
 }
 
--- a/crates/bamboocart-emulator/src/world.rs
+++ b/crates/bamboocart-emulator/src/world.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use bamboocart_jobs::{
-    Answer, Catalog, Effect, Engine, Frame, HoldAnswer, HoldOrder, HoldReply, JobId,
-    JobState, Member, MinionEntry, MinionId, MinionKey, MinionState, Moment, NewJob,
-    PeerKey, Queue, RequestKey, Resources, RunEnd, RunRef, Service, StartAnswer,
+    Answer, Catalog, Effect, Engine, Frame, HoldAnswer, HoldNumber, HoldOrder, HoldReply,
+    JobId, JobState, Member, MinionEntry, MinionId, MinionKey, MinionState, Moment,
+    NewJob, PeerKey, Queue, RequestKey, Resources, RunEnd, RunRef, Service, StartAnswer,
     StartOrder, Step, StopOrder, Submission, WireLimits,
 };
 use rand::rngs::SmallRng;
@@ -146,7 +146,7 @@
     Frame(Member, Frame),
     Start(MinionKey, u64, RunRef, StartAnswer),
     Stop(MinionKey, u64, RunRef, StartAnswer),
-    Hold(MinionKey, u64, HoldAnswer),
+    Hold(MinionKey, HoldNumber, HoldAnswer),
     /// The tick that was due at a time; one that a later plan replaced is passed over.
     Tick(u64),
 }
@@ -230,6 +230,8 @@
     holds: Vec<WaitingHold>,
     queues: Vec<Arc<Queue>>,
     generation: u64,
+    /// The instances that the group names.
+    owners: Vec<Member>,
     store_up: bool,
     cut_domain: Option<usize>,
     links_silent: bool,
@@ -256,6 +258,7 @@
             holds: Vec::new(),
             queues: Vec::new(),
             generation: 0,
+            owners: Vec::new(),
             store_up: true,
             cut_domain: None,
             links_silent: false,
@@ -428,7 +431,7 @@
             Input::Submit(job, attempt) => self.submit(node, job, attempt),
             Input::Gone(request) => engine.abandon(now, request),
             Input::Frame(member, frame) => {
-                let peer = engine.peer(&member);
+                let peer = engine.peer(now, &member);
                 engine.frame_arrived(now, peer, frame);
             }
             Input::Start(key, token, run, answer) => {
@@ -437,8 +440,8 @@
             Input::Stop(key, token, run, answer) => {
                 engine.stop_answered(now, key, token, run, answer);
             }
-            Input::Hold(key, token, answer) => {
-                engine.hold_answered(now, key, token, answer);
+            Input::Hold(key, number, answer) => {
+                engine.hold_answered(now, key, number, answer);
             }
             Input::Tick(_) => {
                 self.nodes[node].next_tick_us = u64::MAX;
@@ -539,9 +542,8 @@
                 (0, Input::Stop(key, token, order.run, StartAnswer::Lost))
             }
             Order::Hold(order) => {
-                let target = &order.target;
-                let (key, token) = (target.minion, target.fencing_token);
-                (order.wait_ms, Input::Hold(key, token, HoldAnswer::Lost))
+                let (key, number) = (order.target.minion, order.number);
+                (order.wait_ms, Input::Hold(key, number, HoldAnswer::Lost))
             }
         };
         let delay_us = ORDER_TIMEOUT_US + wait_ms * 1_000;
@@ -584,8 +586,8 @@
                 let waits = order.wait_ms > 0 && !self.minions[minion].has_news();
                 match outcome {
                     HoldOutcome::Fenced => {
-                        let key = order.target.minion;
-                        self.reply(&call, Input::Hold(key, token, HoldAnswer::Fenced));
+                        let (key, number) = (order.target.minion, order.number);
+                        self.reply(&call, Input::Hold(key, number, HoldAnswer::Fenced));
                     }
                     HoldOutcome::Taken if waits && call.answered => {
                         self.number += 1;
@@ -671,8 +673,8 @@
     fn answer_hold(&mut self, minion: usize, call: Call) {
         let lists: HoldReply = self.minions[minion].lists(self.now_us);
         if let Order::Hold(order) = &call.order {
-            let (key, token) = (order.target.minion, order.target.fencing_token);
-            self.reply(&call, Input::Hold(key, token, HoldAnswer::Reply(lists)));
+            let (key, number) = (order.target.minion, order.number);
+            self.reply(&call, Input::Hold(key, number, HoldAnswer::Reply(lists)));
         }
     }
 
@@ -797,8 +799,18 @@
             return;
         }
         self.generation += 1;
-        let up = self.nodes.iter().filter(|node| node.up);
-        let members: Vec<Member> = up.map(|node| node.member.clone()).collect();
+        let up: Vec<Member> =
+            self.nodes.iter().filter(|node| node.up).map(|n| n.member.clone()).collect();
+        // Instances that have come get a part only after earlier members have joined again.
+        self.owners.retain(|owner| up.contains(owner));
+        if self.owners.is_empty() {
+            self.owners.extend(up.first().cloned());
+        }
+        let members = self.owners.clone();
+        if members.len() < up.len() {
+            self.owners = up;
+            self.group_changed(GROUP_DELAY_US);
+        }
         for node in 0..self.nodes.len() {
             let delay_us = self.rng.random_range(0..GROUP_DELAY_US);
             let incarnation = self.nodes[node].incarnation;
--- a/crates/bamboocart-jobs/src/effect.rs
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -80,9 +80,15 @@
     pub run: RunRef,
 }
 
+/// The number of a call that holds a minion, unique for an engine.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct HoldNumber(pub u64);
+
 /// An order to renew the lease of a minion and to wait for a run to end.
 #[derive(Debug, Clone)]
 pub struct HoldOrder {
+    /// The number, which its answer names.
+    pub number: HoldNumber,
     /// The minion.
     pub target: Target,
     /// The end of the lease on the minion's clock, unless that clock is not known yet.
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use crate::catalog::Catalog;
-use crate::effect::{Effect, RequestKey};
+use crate::effect::{Effect, HoldNumber, RequestKey};
 use crate::holder::RunOrder;
 use crate::id::{JobId, MinionId};
 use crate::job::{Holder, Job, JobState, Rank};
@@ -57,6 +57,8 @@
     /// Whether tasks or room have come since tasks were last placed.
     pub(crate) placement_due: bool,
     /// Whether this instance takes no new work.
+    /// The number of the last call that holds a minion.
+    pub(crate) last_hold: HoldNumber,
     pub(crate) draining: bool,
     /// The actions that wait.
     pub(crate) effects: Vec<Effect>,
@@ -96,6 +98,7 @@
             outcome_order: VecDeque::new(),
             pace: Pace::default(),
             review: Review::default(),
+            last_hold: HoldNumber(0),
             placement_due: false,
             draining: false,
             effects: Vec::new(),
@@ -165,8 +168,8 @@
     }
 
     /// Returns the key of the peer that a link comes from.
-    pub fn peer(&mut self, member: &Member) -> PeerKey {
-        self.peers.insert(member)
+    pub fn peer(&mut self, now: Moment, member: &Member) -> PeerKey {
+        self.peers.insert(member, now)
     }
 
     /// Returns a peer as a member of the group.
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -4,7 +4,7 @@
 
 use log::{info, warn};
 
-use crate::effect::{Effect, HoldOrder, StartOrder, StopOrder};
+use crate::effect::{Effect, HoldNumber, HoldOrder, StartOrder, StopOrder};
 use crate::engine::Engine;
 use crate::id::{MinionId, RunRef, ServiceName, Text};
 use crate::job::Holder;
@@ -158,16 +158,21 @@
         self.settle(now);
     }
 
-    /// Takes the answer to a hold that carried `fencing_token`.
+    /// Takes the answer to a hold; that of an earlier one than the last changes nothing.
     pub fn hold_answered(
         &mut self,
         now: Moment,
         key: MinionKey,
-        fencing_token: u64,
+        number: HoldNumber,
         answer: HoldAnswer,
     ) {
-        let Some(held) = self.held(key, fencing_token) else { return };
-        let HoldState::Sent(sent) = held.hold else { return };
+        let minion = self.minions.arena.get_mut(key);
+        let Some(held) = minion.and_then(|minion| minion.held.as_mut()) else { return };
+        let fencing_token = held.fencing_token;
+        let sent = match held.hold {
+            HoldState::Sent { number: last, at } if last == number => at,
+            HoldState::Sent { .. } | HoldState::Due(_) => return,
+        };
         match answer {
             HoldAnswer::Reply(reply) => {
                 held.hold = HoldState::Due(now);
@@ -691,9 +696,12 @@
             if let HoldState::Due(due) = held.hold
                 && due <= now
             {
-                held.hold = HoldState::Sent(now);
+                self.last_hold.0 += 1;
+                let number = self.last_hold;
+                held.hold = HoldState::Sent { number, at: now };
                 let first = held.incarnation.is_none();
                 self.effects.push(Effect::Hold(HoldOrder {
+                    number,
                     target: address(token),
                     lease_until_ms: held.clock.read(now).map(|clock| clock + LEASE_MS),
                     last_seen: held.last_seen,
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use self::catalog::{Catalog, Queue, Service, WireLimits};
 pub use self::effect::{
-    Answer, Effect, HoldOrder, RequestKey, StartOrder, StopOrder, Target,
+    Answer, Effect, HoldNumber, HoldOrder, RequestKey, StartOrder, StopOrder, Target,
 };
 pub use self::engine::{Engine, Status};
 pub use self::holder::{ActiveRun, EndedRun, HoldAnswer, HoldReply, StartAnswer};
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -9,7 +9,7 @@
 use crate::message::Message;
 use crate::minion::MinionKey;
 use crate::neighbours::neighbours;
-use crate::peer::PeerKey;
+use crate::peer::{Peer, PeerKey};
 use crate::time::Moment;
 
 /// How long a minion that the list has dropped is still used while it answers. Entries that
@@ -23,6 +23,10 @@
 /// generation of the group.
 const RETAKE_MS: u64 = 1_000;
 
+/// How long a newcomer waits to hear of the members that the group names, before it takes
+/// minions without them. Opening a link takes some tens of milliseconds.
+const FIRST_CONTACT_MS: u64 = 400;
+
 /// How long a peer that is neither listed nor heard is remembered.
 const PEER_MEMORY_MS: u64 = 10_000;
 
@@ -43,6 +47,8 @@
     at: Moment,
     /// Whether something has changed that calls for a review now.
     due: bool,
+    /// Whether the group has named this instance as a member.
+    joined: bool,
     /// Whether this instance has left the group.
     left: bool,
 }
@@ -62,12 +68,18 @@
                 .filter(|other| other.name == member.name)
                 .all(|other| other.incarnation <= member.incarnation);
             if newest {
-                let key = self.peers.insert(member);
-                self.peers.arena[key].listed = true;
+                let key = self.peers.insert(member, now);
+                let peer = &mut self.peers.arena[key];
+                peer.listed = true;
+                peer.joined = true;
             }
         }
+        // An earlier run of this instance, which the group has not dropped yet, had the same
+        // part as this one.
+        self.review.joined |= members.iter().any(|it| it.name == self.member.name);
         if generation != self.review.generation {
-            info!(target: "peer", generation, members = members.len(); "group changed");
+            info!(target: "peer", generation, members = members.len(),
+                joined = self.review.joined; "group changed");
         }
         self.review.generation = self.review.generation.max(generation);
         self.review.due = true;
@@ -162,18 +174,24 @@
     /// Returns the members that hold minions, in order.
     ///
     /// A peer that the group has dropped stays a member while it is heard: the store may
-    /// have lost sight of it, and moving its minions would serve nobody.
+    /// have lost sight of it, and moving its minions would serve nobody. An instance that the
+    /// group does not name yet takes none from members that work: after a loss of all
+    /// instances the first ones would take all minions from each other in turn.
     fn members(&self, now: Moment) -> Vec<Member> {
-        let peers = self.peers.arena.values();
-        let mut members: Vec<Member> = peers
-            .filter(|peer| !peer.leaving && !peer.ended)
-            .filter(|peer| {
-                let heard = peer.heard.unwrap_or_default();
-                peer.listed || now.since(heard) < MEMBER_SILENCE_MS
-            })
+        let heard = |peer: &Peer| {
+            peer.heard.is_some_and(|heard| now.since(heard) < MEMBER_SILENCE_MS)
+        };
+        let new = |peer: &Peer| now.since(peer.known_since) < FIRST_CONTACT_MS;
+        let present = |peer: &&Peer| !peer.leaving && !peer.ended;
+        let peers = || self.peers.arena.values().filter(present);
+        let established = self.review.joined
+            || peers().any(|peer| peer.joined && (heard(peer) || new(peer)));
+        let mut members: Vec<Member> = peers()
+            .filter(|peer| peer.listed || heard(peer))
+            .filter(|peer| peer.joined || !established)
             .map(|peer| peer.member.clone())
             .collect();
-        if !self.review.left {
+        if !self.review.left && (self.review.joined || !established) {
             members.push(self.member.clone());
         }
         members.sort();
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -6,7 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::clock::ClockEstimate;
-use crate::effect::Target;
+use crate::effect::{HoldNumber, Target};
 use crate::id::{MinionId, ServiceName, TaskRef};
 use crate::pace::Pace;
 use crate::peer::PeerKey;
@@ -105,8 +105,14 @@
 pub(crate) enum HoldState {
     /// None is under way; the next is sent at the given time.
     Due(Moment),
-    /// One was sent.
-    Sent(Moment),
+    /// One was sent. Answers to earlier ones may still come, from before the minion was
+    /// given up and taken back; their lists are older than the last call.
+    Sent {
+        /// Which one.
+        number: HoldNumber,
+        /// When.
+        at: Moment,
+    },
 }
 
 /// A run on a minion, as its holder sees it.
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -29,6 +29,10 @@
     pub(crate) member: Member,
     /// Whether the group has it.
     pub(crate) listed: bool,
+    /// Whether the group has ever had it.
+    pub(crate) joined: bool,
+    /// When it was first heard of.
+    pub(crate) known_since: Moment,
     /// Whether it has given up its minions.
     pub(crate) leaving: bool,
     /// Whether a later incarnation of the instance was heard of. The entry stays for a while,
@@ -75,10 +79,12 @@
 
 impl Peer {
     /// Creates a peer that nothing was heard of.
-    fn new(member: Member) -> Self {
+    fn new(member: Member, now: Moment) -> Self {
         Self {
             member,
             listed: false,
+            joined: false,
+            known_since: now,
             leaving: false,
             ended: false,
             neighbour: false,
@@ -245,11 +251,13 @@
 
 impl Peers {
     /// Returns the peer for a member, which is added if it is new. Earlier incarnations of
-    /// the same instance have ended.
-    pub(crate) fn insert(&mut self, member: &Member) -> PeerKey {
+    /// the same instance have ended, and their part in the group passes to it.
+    pub(crate) fn insert(&mut self, member: &Member, now: Moment) -> PeerKey {
+        let mut joined = false;
         for peer in self.arena.values_mut() {
             let earlier = peer.member.incarnation < member.incarnation;
             if peer.member.name == member.name && earlier {
+                joined |= peer.joined;
                 peer.ended = true;
                 peer.listed = false;
                 peer.link_open = false;
@@ -257,7 +265,11 @@
         }
         let arena = &mut self.arena;
         let key = self.by_id.entry(member.id());
-        *key.or_insert_with(|| arena.insert(Peer::new(member.clone())))
+        *key.or_insert_with(|| {
+            let mut peer = Peer::new(member.clone(), now);
+            peer.joined = joined;
+            arena.insert(peer)
+        })
     }
 
     /// Returns when the next frame to any peer is due.
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Effect, EndedRun, Engine, Frame, HoldAnswer, HoldReply, JobState,
-    Member, Message, MinionEntry, MinionState, Moment, NewJob, PeerKey, Queue,
+    ActiveRun, Answer, Effect, EndedRun, Engine, Frame, HoldAnswer, HoldOrder, HoldReply,
+    JobState, Member, Message, MinionEntry, MinionState, Moment, NewJob, PeerKey, Queue,
     RequestKey, Resources, RoomReport, RunEnd, RunRef, StartAnswer, StartOrder, Step,
     Submission,
 };
@@ -73,6 +73,20 @@
     }
 }
 
+/// Returns the hold that was just sent.
+fn take_hold(engine: &mut Engine) -> HoldOrder {
+    hold_of(engine.take_effects())
+}
+
+/// Returns the hold among effects.
+fn hold_of(effects: Vec<Effect>) -> HoldOrder {
+    let hold = effects.into_iter().find_map(|effect| match effect {
+        Effect::Hold(order) => Some(order),
+        _ => None,
+    });
+    hold.expect("a hold is sent")
+}
+
 impl Fixture {
     fn new() -> Self {
         let mut engine = Engine::new(member("entry-1", "marka"), 7);
@@ -80,7 +94,7 @@
         engine.list_minions(now, vec![entry("m-1", "marka")]);
         let members = [member("entry-1", "marka"), member("entry-2", "sahab")];
         engine.set_members(now, 5, &members);
-        let peer = engine.peer(&members[1]);
+        let peer = engine.peer(now, &members[1]);
         let mut fixture = Self { engine, peer, now };
         fixture.answer_hold(HoldReply::default());
         fixture
@@ -90,18 +104,9 @@
     fn answer_hold(&mut self, mut reply: HoldReply) {
         reply.incarnation = 1;
         reply.clock_ms = self.now.0;
-        let hold =
-            self.engine.take_effects().into_iter().find_map(|effect| match effect {
-                Effect::Hold(order) => Some(order),
-                _ => None,
-            });
-        let target = hold.expect("a hold is under way").target;
-        self.engine.hold_answered(
-            self.now,
-            target.minion,
-            target.fencing_token,
-            HoldAnswer::Reply(reply),
-        );
+        let order = take_hold(&mut self.engine);
+        let answer = HoldAnswer::Reply(reply);
+        self.engine.hold_answered(self.now, order.target.minion, order.number, answer);
     }
 
     /// Starts a job of one task on the minion and keeps a hold under way.
@@ -123,17 +128,12 @@
         );
         self.now = self.now + 100;
         // The hold from before the job ends without news, and the next one is sent.
-        let hold = effects.into_iter().find_map(|effect| match effect {
-            Effect::Hold(order) => Some(order),
-            _ => None,
-        });
-        let target = hold.expect("a hold is under way").target;
+        let order = hold_of(effects);
         let active = vec![ActiveRun { run: start.run, done_percent: 30 }];
         let reply =
             HoldReply { incarnation: 1, clock_ms: self.now.0, active, ended: Vec::new() };
         let answer = HoldAnswer::Reply(reply);
-        let token = target.fencing_token;
-        self.engine.hold_answered(self.now, target.minion, token, answer);
+        self.engine.hold_answered(self.now, order.target.minion, order.number, answer);
         start
     }
 
@@ -251,9 +251,54 @@
     let later = *now + 300;
     let mut back = member("entry-2", "sahab");
     back.incarnation = 9;
-    let back = engine.peer(&back);
+    let back = engine.peer(*now, &back);
     engine.link_opened(back);
     hear(engine, back, later);
     engine.tick(later);
     assert!(!sends_start(engine, later), "the task is started again at once");
 }
+
+/// Guards against the answer to a hold from before the minion was given up and taken back
+/// under the same token: its list lacked a run that had begun since, which was started again
+/// elsewhere (TWICE on trouble-3 of Thailand, 45.477 s).
+#[test]
+fn an_answer_from_before_a_minion_was_given_up_changes_nothing() {
+    let now = Moment(10_000);
+    let own = member("entry-1", "marka");
+    let both = [own.clone(), member("entry-2", "marka")];
+    let mut fixture = (0..)
+        .map(|number| {
+            let mut engine = Engine::new(own.clone(), 7);
+            engine.list_minions(now, vec![entry(&format!("m-{number}"), "marka")]);
+            engine.set_members(now, 5, &both[..1]);
+            let peer = engine.peer(now, &both[1]);
+            Fixture { engine, peer, now }
+        })
+        .find_map(|mut fixture| {
+            let first = take_hold(&mut fixture.engine);
+            fixture.engine.set_members(now, 5, &both);
+            (fixture.engine.status(now).held == 0).then_some((fixture, first))
+        })
+        .expect("one minion passes to the second member");
+    let (fixture, first) = (&mut fixture.0, fixture.1);
+    fixture.engine.set_members(now, 5, &both[..1]);
+    fixture.answer_hold(HoldReply::default());
+    let start = fixture.start_job();
+    fixture.now = fixture.now + 5;
+    let old = HoldReply { incarnation: 1, clock_ms: now.0, ..HoldReply::default() };
+    let answer = HoldAnswer::Reply(old);
+    let minion = first.target.minion;
+    let effects = fixture.engine.take_effects();
+    fixture.engine.hold_answered(fixture.now, minion, first.number, answer);
+    let again = fixture.engine.take_effects();
+    assert!(again.is_empty(), "after an old answer: {again:?}");
+    let current = hold_of(effects);
+    let ended = vec![EndedRun { number: 1, run: start.run, end: RunEnd::Done }];
+    let clock_ms = fixture.now.0;
+    let reply = HoldReply { incarnation: 1, clock_ms, active: Vec::new(), ended };
+    let answer = HoldAnswer::Reply(reply);
+    fixture.engine.hold_answered(fixture.now, minion, current.number, answer);
+    let done = Effect::Answer(REQUEST, Answer::Ended(JobState::Completed));
+    let effects = fixture.engine.take_effects();
+    assert!(effects.iter().any(|it| format!("{it:?}") == format!("{done:?}")));
+}
