Let requests wait for the first configuration right after the start

Change: in the first 500 ms of a process a request waits for the first configuration. Later it is refused at once.

--- a/crates/bamboocart-dispatcher/src/site/front.rs
+++ b/crates/bamboocart-dispatcher/src/site/front.rs
@@ -110,7 +110,7 @@
     shell: &Shell,
     request: Request<Incoming>,
 ) -> Result<HttpAnswer, FrontError> {
-    let catalog = shell.read(|engine, _| engine.catalog().clone());
+    let catalog = shell.catalog().await;
     let (head, body) = request.into_parts();
     match read_request(&head, &catalog)? {
         FrontRequest::Submit(queue, id) => {
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -4,17 +4,18 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bamboocart_adapter::MinionClient;
 use bamboocart_jobs::{
-    Answer, Effect, Engine, Frame, Member, Moment, PeerKey, RequestKey,
+    Answer, Catalog, Effect, Engine, Frame, Member, Moment, PeerKey, RequestKey,
 };
 use bamboocart_telemetry::job_metrics::{FRAMES_LOST, FRAMES_SENT};
 use metrics::counter;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{self, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::site::clock;
@@ -24,6 +25,10 @@
 /// The shortest time between two ticks.
 const MIN_SLEEP: Duration = Duration::from_millis(1);
 
+/// How long after the start of the process requests wait for the first configuration. It
+/// usually arrives within 50 ms; when the store is away, requests are refused at once later.
+const FIRST_CATALOG_PATIENCE: Duration = Duration::from_millis(500);
+
 /// The frames that wait for a link; more mean that the peer does not read.
 const LINK_FRAMES: usize = 256;
 
@@ -47,6 +52,10 @@
     links: RefCell<HashMap<PeerKey, mpsc::Sender<Frame>>>,
     /// The number of the next request.
     next_request: Cell<u64>,
+    /// When the process started.
+    started: time::Instant,
+    /// Tells the requests that wait that a configuration is in force.
+    catalog_known: Notify,
     /// When the timer fires.
     timer_due: Cell<Moment>,
     /// Tells the timer that it has to fire earlier.
@@ -71,6 +80,8 @@
                 requests: RefCell::default(),
                 links: RefCell::default(),
                 next_request: Cell::new(1),
+                started: time::Instant::now(),
+                catalog_known: Notify::new(),
                 timer_due: Cell::default(),
                 timer_changed: Notify::new(),
                 ready: Cell::new(true),
@@ -117,6 +128,25 @@
         result
     }
 
+    /// Puts a configuration in force.
+    pub fn set_catalog(&self, catalog: Catalog) {
+        self.event(|engine, _| engine.set_catalog(catalog));
+        self.inner.catalog_known.notify_waiters();
+    }
+
+    /// Returns the configuration in force; right after the start, waits for the first one.
+    pub async fn catalog(&self) -> Arc<Catalog> {
+        let known = self.inner.catalog_known.notified();
+        let current = || self.read(|engine, _| Arc::clone(engine.catalog()));
+        let catalog = current();
+        if catalog.version > 0 {
+            return catalog;
+        }
+        // Without one in time, the request is refused by its reader.
+        let _ = timeout_at(self.inner.started + FIRST_CATALOG_PATIENCE, known).await;
+        current()
+    }
+
     /// Calls the engine whenever something is due.
     pub async fn run_timer(self) {
         loop {
--- a/crates/bamboocart-dispatcher/tests/site/start.rs
+++ b/crates/bamboocart-dispatcher/tests/site/start.rs
@@ -1,5 +1,7 @@
 //! What an instance says before it can serve, and to what it cannot serve.
 
+use std::thread;
+
 use bamboocart_site_standin::{StandIn, submit, wait_until};
 use yare::parameterized;
 
@@ -33,6 +35,22 @@
     assert!(wait_until(|| submit(instance.front, path, 1, 10).unwrap().status == 200));
 }
 
+/// Guards against an instance that refuses what comes in the moment before it has read the
+/// configuration, as after a loss of all instances.
+#[test]
+fn requests_wait_for_the_first_configuration() {
+    let platform = StandIn::start(2).unwrap();
+    platform.publish(1, "/q/");
+    platform.set_store_up(false);
+    let instance = Instance::start(&platform, "edge-1");
+    let front = instance.front;
+    let request =
+        thread::spawn(move || submit(front, "/q/0000000000000001", 1, 10).unwrap());
+    // The instance reads the configuration when it calls the store for the second time.
+    platform.set_store_up(true);
+    assert_ne!(request.join().unwrap().status, 503, "the first request was refused");
+}
+
 /// Guards against malformed requests that get an answer of the wrong kind.
 #[parameterized(
     no_queue = { "/other/0000000000000001", 1, 404 },
