Pass cancels on to peers

Cause: a cancel reached the owner of a job only if the client happened to ask it. Another instance answered that it knew no such job, and the job went on, or started when its request came again.

Change: an instance that does not know a job asks its peers to cancel it; all remember the cancel for copies of the request.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine of an instance.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,11 +13,12 @@
 use crate::effect::{Effect, HoldNumber, RequestKey};
 use crate::holder::RunOrder;
 use crate::id::{JobId, MinionId};
-use crate::job::{Holder, Job, JobState, Rank};
+use crate::job::{Holder, Job, Rank};
 use crate::member::Member;
 use crate::membership::Review;
 use crate::message::{Frame, Message};
 use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
+use crate::outcome::Outcomes;
 use crate::pace::Pace;
 use crate::peer::{PeerKey, Peers};
 use crate::time::Moment;
@@ -47,9 +48,7 @@
     /// The jobs of requests that wait.
     pub(crate) job_of_request: HashMap<RequestKey, JobId>,
     /// The outcomes of jobs that have ended.
-    pub(crate) outcomes: HashMap<JobId, JobState>,
-    /// The outcomes in order of their age.
-    pub(crate) outcome_order: VecDeque<(Moment, JobId)>,
+    pub(crate) outcomes: Outcomes,
     /// The run times of all tasks over their estimates.
     pub(crate) pace: Pace,
     /// What members and minions were when they were last looked at.
@@ -60,6 +59,8 @@
     /// The number of the last call that holds a minion.
     pub(crate) last_hold: HoldNumber,
     pub(crate) draining: bool,
+    /// The number of the last call that holds a minion.
+    pub(crate) last_hold: HoldNumber,
     /// The actions that wait.
     pub(crate) effects: Vec<Effect>,
     /// Breaks ties.
@@ -94,13 +95,13 @@
             jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
             job_of_request: HashMap::new(),
-            outcomes: HashMap::new(),
-            outcome_order: VecDeque::new(),
+            outcomes: Outcomes::default(),
             pace: Pace::default(),
             review: Review::default(),
             last_hold: HoldNumber(0),
             placement_due: false,
             draining: false,
+            last_hold: HoldNumber(0),
             effects: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -265,6 +266,7 @@
             }
             Message::Runs(runs) => self.reconcile(now, peer, &runs, echo),
             Message::Wanted(runs) => self.keep_wanted(now, peer, &runs),
+            Message::Cancel(job) => self.cancel_for_peer(now, job),
             Message::Leaving => self.peer_leaves(peer),
         }
     }
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod message;
 mod minion;
 mod neighbours;
+mod outcome;
 mod owner;
 mod pace;
 mod peer;
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{MinionId, RunRef, Text};
+use crate::id::{JobId, MinionId, RunRef, Text};
 use crate::resources::Resources;
 
 /// A batch of messages to one peer.
@@ -68,6 +68,8 @@
     /// Tells a holder all runs that the sender has placed there and still wants, when a new
     /// link is opened: starts and stops may be lost with the earlier one.
     Wanted(Vec<RunRef>),
+    /// Tells peers that a client has cancelled a job that the sender does not own.
+    Cancel(JobId),
     /// Tells peers that the sender gives up all its minions.
     Leaving,
     /// Tells an owner that the sender no longer holds the minion of a run.
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -13,14 +13,11 @@
 use crate::placement::{self, Candidate, Choice, Site};
 use crate::resources::Resources;
 use crate::time::Moment;
-use crate::timing::{REMEMBER_MS, RUN_GONE_MS};
+use crate::timing::RUN_GONE_MS;
 
 /// The most jobs at the same time; more are refused.
 const MAX_JOBS: usize = 4_096;
 
-/// The most outcomes that are remembered.
-const MAX_OUTCOMES: usize = 16_384;
-
 /// The step by which run numbers rise when a minion has seen higher ones.
 const RUN_NUMBER_STEP: u64 = 16;
 
@@ -35,10 +32,10 @@
     pub fn submit(&mut self, now: Moment, submission: Submission) {
         let request = submission.request;
         let id = submission.job.id;
-        if let Some(outcome) = self.outcomes.get(&id) {
+        if let Some(outcome) = self.outcomes.of(id) {
             info!(target: "job", request_id:% = id, outcome:? = outcome;
                 "repeated request gets the known outcome");
-            return self.answer(request, Answer::Ended(*outcome));
+            return self.answer(request, Answer::Ended(outcome));
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             info!(target: "job", request_id:% = id; "repeated request joins the job");
@@ -82,22 +79,41 @@
         self.settle(now);
     }
 
-    /// Cancels a job of this instance, and returns whether it knew the job.
+    /// Cancels a job, and returns whether this instance knew it. Peers hear of a job that it
+    /// does not know, since any of them may own it or get its request again.
     pub fn cancel(&mut self, now: Moment, id: JobId) -> bool {
-        let known = self.jobs.contains_key(&id) || self.outcomes.contains_key(&id);
-        if self.jobs.contains_key(&id) {
-            let outcome = Some(Answer::Ended(JobState::Cancelled));
-            self.end_job(now, id, outcome, "cancelled");
-            self.remember(now, id, JobState::Cancelled);
+        let known = self.state(id).is_some();
+        if !self.cancel_own(now, id) && !known {
+            info!(target: "job", request_id:% = id; "peers are asked to cancel a job");
+            self.outcomes.record_cancelled(now, id);
+            self.broadcast(&Message::Cancel(id));
         }
         self.settle(now);
         known
     }
 
+    /// Cancels a job for a client of a peer.
+    pub(crate) fn cancel_for_peer(&mut self, now: Moment, id: JobId) {
+        if !self.cancel_own(now, id) {
+            self.outcomes.record_cancelled(now, id);
+        }
+    }
+
+    /// Cancels a job of this instance, and returns whether it has not ended before.
+    fn cancel_own(&mut self, now: Moment, id: JobId) -> bool {
+        let active = self.jobs.contains_key(&id);
+        if active {
+            let outcome = Some(Answer::Ended(JobState::Cancelled));
+            self.end_job(now, id, outcome, "cancelled");
+            self.outcomes.record(now, id, JobState::Cancelled);
+        }
+        active
+    }
+
     /// Returns the state of a job, if it is known.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         let active = self.jobs.get(&id).map(Job::state);
-        active.or_else(|| self.outcomes.get(&id).copied())
+        active.or_else(|| self.outcomes.of_owned(id))
     }
 
     /// Returns how many jobs of a queue have not started.
@@ -111,18 +127,6 @@
         self.effects.push(Effect::Answer(request, answer));
     }
 
-    /// Remembers an outcome for copies of its request.
-    fn remember(&mut self, now: Moment, id: JobId, state: JobState) {
-        self.outcomes.insert(id, state);
-        self.outcome_order.push_back((now, id));
-        while let Some(&(at, oldest)) = self.outcome_order.front()
-            && (now.since(at) > REMEMBER_MS || self.outcomes.len() > MAX_OUTCOMES)
-        {
-            self.outcome_order.pop_front();
-            self.outcomes.remove(&oldest);
-        }
-    }
-
     /// Ends a job: stops what runs and answers its requests.
     fn end_job(&mut self, now: Moment, id: JobId, answer: Option<Answer>, why: &str) {
         let Some(job) = self.jobs.remove(&id) else { return };
@@ -199,7 +203,7 @@
                     let id = job.id;
                     let answer = Some(Answer::Ended(JobState::Completed));
                     self.end_job(now, id, answer, "all tasks are done");
-                    self.remember(now, id, JobState::Completed);
+                    self.outcomes.record(now, id, JobState::Completed);
                 } else {
                     job.unblock();
                     let rank = job.rank();
@@ -217,7 +221,7 @@
                     let id = job.id;
                     let answer = Some(Answer::Ended(JobState::Failed));
                     self.end_job(now, id, answer, "a task failed too often");
-                    self.remember(now, id, JobState::Failed);
+                    self.outcomes.record(now, id, JobState::Failed);
                 } else {
                     self.requeue(run);
                 }
