--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -56,8 +56,6 @@
     /// Whether tasks or room have come since tasks were last placed.
     pub(crate) placement_due: bool,
     /// Whether this instance takes no new work.
-    /// The number of the last call that holds a minion.
-    pub(crate) last_hold: HoldNumber,
     pub(crate) draining: bool,
     /// The number of the last call that holds a minion.
     pub(crate) last_hold: HoldNumber,
@@ -98,7 +96,6 @@
             outcomes: Outcomes::default(),
             pace: Pace::default(),
             review: Review::default(),
-            last_hold: HoldNumber(0),
             placement_due: false,
             draining: false,
             last_hold: HoldNumber(0),
