Brief instances that the store does not answer

Ruled out: a slow start (listening after 1 ms, peers heard after 20 ms).

Change: the frames of an instance without a configuration say so; peers send it the configuration and the list of minions. It holds no minions without a token of the store, but places jobs on those of its peers. A configuration of the store is never replaced by one of a peer. A peer that has opened a link but sent no frame yet is no longer forgotten at once.

--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -111,7 +111,11 @@
     pub fn event<T>(&self, event: impl FnOnce(&mut Engine, Moment) -> T) -> T {
         let now = clock::now();
         let mut engine = self.inner.engine.borrow_mut();
+        let uninformed = engine.catalog().version == 0;
         let result = event(&mut engine, now);
+        if uninformed && engine.catalog().version > 0 {
+            self.inner.catalog_known.notify_waiters();
+        }
         let effects = engine.take_effects();
         let frames = engine.take_frames(now);
         let due = engine.next_due(now);
@@ -128,12 +132,6 @@
         result
     }
 
-    /// Puts a configuration in force.
-    pub fn set_catalog(&self, catalog: Catalog) {
-        self.event(|engine, _| engine.set_catalog(catalog));
-        self.inner.catalog_known.notify_waiters();
-    }
-
     /// Returns the configuration in force; right after the start, waits for the first one.
     pub async fn catalog(&self) -> Arc<Catalog> {
         let known = self.inner.catalog_known.notified();
--- a/crates/bamboocart-dispatcher/src/site/store.rs
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -141,7 +141,9 @@
         let (page, _) = follower.next(CONFIG_WAIT_MS).await;
         for record in page.records.iter().filter(|record| record.key == CONFIG_KEY) {
             match decode_config(&record.value) {
-                Ok(catalog) => shell.set_catalog(catalog),
+                Ok(catalog) => {
+                    shell.event(|engine, _| engine.set_catalog(catalog));
+                }
                 Err(error) => {
                     log::error!(target: "config", error:% = error;
                         "configuration is passed over");
--- a/crates/bamboocart-dispatcher/tests/site/jobs.rs
+++ b/crates/bamboocart-dispatcher/tests/site/jobs.rs
@@ -115,3 +115,29 @@
     assert!(wait_until(|| submit(3, "/r/").state == "completed"));
     assert_eq!(submit(4, "/q/").status, 404, "a removed queue is still served");
 }
+
+/// Guards against an instance that serves nothing after a restart, because the store does
+/// not answer it while its peers work.
+#[test]
+fn a_restarted_instance_serves_without_the_store() {
+    let platform = StandIn::start(4).unwrap();
+    platform.publish(1, "/q/");
+    let names = ["edge-1", "edge-2"];
+    let mut instances = names.map(|name| Instance::start_ready(&platform, name));
+    let submit_to = |front, number: u32| {
+        submit(front, &format!("/q/{number:016x}"), 2, 20).unwrap().state
+    };
+    // Both have links to each other when they use each other's minions.
+    let warm = AtomicU32::new(0);
+    for instance in &instances {
+        let next = || submit_to(instance.front, warm.fetch_add(1, Ordering::Relaxed));
+        assert!(wait_until(|| next() == "completed"));
+    }
+    platform.set_store_up(false);
+    instances[1].signal(Signal::KILL);
+    instances[1].wait();
+    instances[1] = instances[1].start_again(&platform, "edge-2");
+    let front = instances[1].front;
+    let next = || submit_to(front, 0x1000 + warm.fetch_add(1, Ordering::Relaxed));
+    assert!(wait_until(|| next() == "completed"), "the instance serves nothing");
+}
--- a/crates/bamboocart-dispatcher/tests/site/process.rs
+++ b/crates/bamboocart-dispatcher/tests/site/process.rs
@@ -20,12 +20,24 @@
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// The ports for clients, readiness, peers and metrics.
+    ports: [u16; 4],
 }
 
 impl Instance {
     /// Starts an instance and waits until it listens.
     pub fn start(platform: &StandIn, name: &str) -> Self {
-        let settings = platform.settings(name, [0; 4]);
+        Self::start_at(platform, name, [0; 4])
+    }
+
+    /// Starts the next incarnation of an instance that has ended, at the same ports.
+    pub fn start_again(&self, platform: &StandIn, name: &str) -> Self {
+        Self::start_at(platform, name, self.ports)
+    }
+
+    /// Starts an instance at these ports, and waits until it listens.
+    fn start_at(platform: &StandIn, name: &str, ports: [u16; 4]) -> Self {
+        let settings = platform.settings(name, ports);
         let mut child = command(&settings).stdout(Stdio::piped()).spawn().unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let line = lines
@@ -33,11 +45,16 @@
             .map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap())
             .find(|line| line["message"] == "listening")
             .expect("the instance says where it listens");
-        let address = |field: &str| line[field].as_str().unwrap().parse().unwrap();
+        let address = |field: &str| -> SocketAddr {
+            line[field].as_str().unwrap().parse().unwrap()
+        };
         let (front, ready) = (address("front"), address("ready"));
+        let member: Vec<&str> = line["member"].as_str().unwrap().split('/').collect();
+        let peer: SocketAddr = member[2].parse().unwrap();
+        let ports = [front.port(), ready.port(), peer.port(), address("metrics").port()];
         // Reads the rest, so that the process never waits for its log.
         thread::spawn(move || lines.for_each(drop));
-        Self { child, front, ready }
+        Self { child, front, ready, ports }
     }
 
     /// Starts an instance and waits until it is ready.
--- a/crates/bamboocart-jobs/src/catalog.rs
+++ b/crates/bamboocart-jobs/src/catalog.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::ServiceName;
 
 /// All objects of one configuration version.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Catalog {
     /// The version; 0 means that none is known yet.
     pub version: u64,
@@ -32,7 +34,7 @@
 }
 
 /// A queue of jobs of one request kind.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// The name.
     pub name: Box<str>,
@@ -53,7 +55,7 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, Eq, PartialEq)]
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The name.
     pub name: ServiceName,
@@ -62,7 +64,7 @@
 }
 
 /// Limits on what clients send.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct WireLimits {
     /// The largest head of a request.
     pub max_header_bytes: usize,
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -215,6 +215,10 @@
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let first = entry.heard.is_none();
         entry.note_frame(&frame, now);
+        if frame.uninformed && entry.is_briefing_due(now) {
+            self.brief(now, peer);
+        }
+        let Some(entry) = self.peers.arena.get(peer) else { return };
         if first {
             info!(target: "peer", peer:% = entry.member; "peer heard");
         }
@@ -263,6 +267,9 @@
             }
             Message::Runs(runs) => self.reconcile(now, peer, &runs, echo),
             Message::Wanted(runs) => self.keep_wanted(now, peer, &runs),
+            Message::Briefing { catalog, minions } => {
+                self.take_briefing(now, catalog, minions);
+            }
             Message::Cancel(job) => self.cancel_for_peer(now, job),
             Message::Leaving => self.peer_leaves(peer),
         }
@@ -314,7 +321,7 @@
             return Vec::new();
         }
         let rooms = self.rooms(now);
-        self.peers.take_frames(&rooms, now)
+        self.peers.take_frames(&rooms, self.catalog.version == 0, now)
     }
 
     /// Returns a summary.
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -3,11 +3,12 @@
 use log::info;
 
 use crate::assignment::{fencing_token, holder_of};
+use crate::catalog::Catalog;
 use crate::engine::Engine;
 use crate::job::TaskState;
 use crate::member::Member;
 use crate::message::Message;
-use crate::minion::MinionKey;
+use crate::minion::{Minion, MinionEntry, MinionKey};
 use crate::neighbours::neighbours;
 use crate::peer::{Peer, PeerKey};
 use crate::time::Moment;
@@ -116,8 +117,41 @@
         self.review.at = now;
         self.forget_peers(now);
         self.note_engaged();
-        if self.review.generation > 0 {
-            self.assign(now);
+        self.assign(now);
+    }
+
+    /// Tells a peer that the store does not answer what the store has told this instance.
+    pub(crate) fn brief(&mut self, now: Moment, peer: PeerKey) {
+        if self.catalog.version == 0 {
+            return;
+        }
+        let listed = |minion: &&Minion| minion.unlisted.is_none();
+        let minions = self.minions.arena.values().filter(listed);
+        let briefing = Message::Briefing {
+            catalog: Catalog::clone(&self.catalog),
+            minions: minions.map(|minion| minion.entry.clone()).collect(),
+        };
+        if let Some(peer) = self.peers.arena.get_mut(peer) {
+            info!(target: "peer", peer:% = peer.member; "peer is briefed");
+            peer.brief(now, briefing);
+        }
+    }
+
+    /// Takes what the store has told a peer, if it has told this instance nothing.
+    pub(crate) fn take_briefing(
+        &mut self,
+        now: Moment,
+        catalog: Catalog,
+        minions: Vec<MinionEntry>,
+    ) {
+        if self.catalog.version > 0 {
+            return;
+        }
+        info!(target: "config", version = catalog.version, minions = minions.len();
+            "a peer tells what the store has told it");
+        self.set_catalog(catalog);
+        if self.minions.arena.is_empty() {
+            self.list_minions(now, minions);
         }
     }
 
@@ -126,7 +160,7 @@
         let peers = self.peers.arena.iter();
         let gone: Vec<PeerKey> = peers
             .filter(|(_, peer)| {
-                let heard = peer.heard.unwrap_or_default();
+                let heard = peer.heard.unwrap_or(peer.known_since);
                 !peer.listed && now.since(heard) > PEER_MEMORY_MS
             })
             .map(|(key, _)| key)
@@ -234,10 +268,13 @@
         }
     }
 
-    /// Returns the fencing token for a minion that is to be held, or nothing while a higher
-    /// token of another instance has to be respected.
+    /// Returns the fencing token for a minion that is to be held, or nothing before the store
+    /// has given one and while a higher token of another instance has to be respected.
     fn next_token(&self, now: Moment, key: MinionKey) -> Option<u64> {
         let generation = self.review.generation;
+        if generation == 0 {
+            return None;
+        }
         let own = |attempt| fencing_token(generation, attempt, &self.member);
         let Some(lost) = self.minions.arena[key].lost else { return Some(own(0)) };
         let next = (0..=u8::MAX).map(own).find(|&token| token > lost.fencing_token)?;
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::catalog::Catalog;
 use crate::id::{JobId, MinionId, RunRef, Text};
+use crate::minion::MinionEntry;
 use crate::resources::Resources;
 
 /// A batch of messages to one peer.
@@ -17,6 +19,8 @@
     pub echo_ms: u64,
     /// Whether the sender wants to hear of the receiver's free room.
     pub wants_rooms: bool,
+    /// Whether the sender knows no configuration, because the store does not answer it.
+    pub uninformed: bool,
     /// The messages, in order.
     pub messages: Vec<Message>,
 }
@@ -70,6 +74,13 @@
     Wanted(Vec<RunRef>),
     /// Tells peers that a client has cancelled a job that the sender does not own.
     Cancel(JobId),
+    /// Tells an uninformed peer what the store has told the sender.
+    Briefing {
+        /// The configuration in force.
+        catalog: Catalog,
+        /// The list of minions.
+        minions: Vec<MinionEntry>,
+    },
     /// Tells peers that the sender gives up all its minions.
     Leaving,
     /// Tells an owner that the sender no longer holds the minion of a run.
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::clock::ClockEstimate;
@@ -20,7 +21,7 @@
 }
 
 /// A minion as the platform's list has it.
-#[derive(Debug, Clone, Eq, PartialEq)]
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct MinionEntry {
     /// The id.
     pub id: MinionId,
@@ -41,7 +42,7 @@
 }
 
 /// Whether a minion takes new work.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub enum MinionState {
     /// It takes new work.
     Ready,
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -22,6 +22,9 @@
 /// The messages that wait for one peer at the most; it gets no more until some are sent.
 pub(crate) const OUTBOX_MESSAGES: usize = 4_096;
 
+/// The time between two briefings of a peer; one is as large as the configuration.
+const BRIEFING_INTERVAL_MS: u64 = 1_000;
+
 /// A peer.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -42,6 +45,8 @@
     neighbour: bool,
     /// Whether it wants to hear of this instance's free room.
     wants_rooms: bool,
+    /// When it was last told what the store has told this instance.
+    briefed: Option<Moment>,
     /// Whether runs of one of the two are on minions of the other.
     pub(crate) engaged: bool,
     /// Whether a link to it is open; messages wait until one is.
@@ -89,6 +94,7 @@
             ended: false,
             neighbour: false,
             wants_rooms: false,
+            briefed: None,
             engaged: false,
             link_open: false,
             heard: None,
@@ -117,6 +123,19 @@
         }
     }
 
+    /// Returns whether a peer that is uninformed may be briefed, again if it still is after
+    /// some time.
+    pub(crate) fn is_briefing_due(&self, now: Moment) -> bool {
+        self.briefed.is_none_or(|briefed| now.since(briefed) >= BRIEFING_INTERVAL_MS)
+    }
+
+    /// Queues a briefing.
+    pub(crate) fn brief(&mut self, now: Moment, briefing: Message) {
+        if self.push(briefing) {
+            self.briefed = Some(now);
+        }
+    }
+
     /// Queues a message; false means that too many wait and it is not sent.
     pub(crate) fn push(&mut self, message: Message) -> bool {
         let fits = self.outbox.len() < OUTBOX_MESSAGES;
@@ -210,6 +229,7 @@
         &mut self,
         rooms: &[RoomReport],
         report_interval_ms: u64,
+        uninformed: bool,
         now: Moment,
     ) -> Option<Frame> {
         if self.frame_due(report_interval_ms) > now {
@@ -228,6 +248,7 @@
             sent_ms: now.0,
             echo_ms: self.heard_sent_ms,
             wants_rooms: self.neighbour,
+            uninformed,
             messages,
         })
     }
@@ -279,17 +300,19 @@
         due.min().unwrap_or(Moment(u64::MAX))
     }
 
-    /// Returns the frames that are due; `rooms` is the room that is reported.
+    /// Returns the frames that are due. `rooms` is the room that is reported, `uninformed`
+    /// whether this instance knows no configuration.
     pub(crate) fn take_frames(
         &mut self,
         rooms: &[RoomReport],
+        uninformed: bool,
         now: Moment,
     ) -> Vec<(PeerKey, Frame)> {
         let interval_ms = self.report_interval_ms();
         let peers = self.arena.iter_mut();
         peers
             .filter_map(|(key, peer)| {
-                Some((key, peer.take_frame(rooms, interval_ms, now)?))
+                Some((key, peer.take_frame(rooms, interval_ms, uninformed, now)?))
             })
             .collect()
     }
--- a/crates/bamboocart-jobs/tests/cancel.rs
+++ b/crates/bamboocart-jobs/tests/cancel.rs
@@ -89,7 +89,13 @@
     assert!(!asked.cancel(NOW, job()), "the asked instance does not know the job");
     let messages = cancels(&mut asked);
     assert_eq!(messages.len(), 1);
-    let frame = Frame { sent_ms: 1, echo_ms: NOW.0, wants_rooms: true, messages };
+    let frame = Frame {
+        sent_ms: 1,
+        echo_ms: NOW.0,
+        wants_rooms: true,
+        uninformed: false,
+        messages,
+    };
     owner.frame_arrived(NOW, from_asked, frame);
     let cancelled = Answer::Ended(JobState::Cancelled);
     assert_eq!(answers(&mut owner), [(RequestKey(1), cancelled)]);
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -143,6 +143,7 @@
             sent_ms: 1,
             echo_ms: self.now.0,
             wants_rooms: true,
+            uninformed: false,
             messages: vec![message],
         };
         self.engine.frame_arrived(self.now, self.peer, frame);
@@ -238,7 +239,13 @@
         engine.frame_arrived(
             now,
             peer,
-            Frame { sent_ms: 1, echo_ms: now.0, wants_rooms: true, messages },
+            Frame {
+                sent_ms: 1,
+                echo_ms: now.0,
+                wants_rooms: true,
+                uninformed: false,
+                messages,
+            },
         );
     };
     engine.link_opened(*peer);
--- a/crates/bamboocart-jobs/tests/newcomers.rs
+++ b/crates/bamboocart-jobs/tests/newcomers.rs
@@ -44,8 +44,13 @@
 /// Lets a frame of a peer arrive.
 fn hear(engine: &mut Engine, now: Moment, member: &Member) {
     let peer = engine.peer(now, member);
-    let frame =
-        Frame { sent_ms: now.0, echo_ms: now.0, wants_rooms: true, messages: vec![] };
+    let frame = Frame {
+        sent_ms: now.0,
+        echo_ms: now.0,
+        wants_rooms: true,
+        uninformed: false,
+        messages: vec![],
+    };
     engine.frame_arrived(now, peer, frame);
 }
 
