--- a/crates/bamboocart-dispatcher/tests/leaving.rs
+++ b/crates/bamboocart-dispatcher/tests/leaving.rs
@@ -173,10 +173,13 @@
     let workers = cluster.workers.members().rows();
     let gone: Vec<String> =
         gone.chain(workers.iter().map(|it| it.name.to_string())).collect();
+    // They disappear from one list to the next: a list that lacks a few is believed.
+    cluster.platform_faults(&json!({ "freeze_list": true }));
     for name in &gone {
         call("DELETE", platform, &format!("/instances/{name}"), &Value::Null);
     }
     (0..3).for_each(|index| cluster.unregister(index));
+    cluster.platform_faults(&json!({ "freeze_list": false }));
     let removed = Instant::now();
     hold(OBSERVED);
     let since = now();
--- a/crates/bamboocart-dispatcher/tests/site/jobs.rs
+++ b/crates/bamboocart-dispatcher/tests/site/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs from a client to minions and back.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use rustix::process::Signal;
 use yare::parameterized;
 
-use crate::process::Instance;
+use crate::process::{Instance, fixed_ports};
 
 /// The time after which a client sends a job again that got no answer.
 const RETRANSMIT: Duration = Duration::from_millis(1_300);
@@ -123,7 +124,11 @@
     let platform = StandIn::start(4).unwrap();
     platform.publish(1, "/q/");
     let names = ["edge-1", "edge-2"];
-    let mut instances = names.map(|name| Instance::start_ready(&platform, name));
+    let ports = names.map(|_| fixed_ports());
+    let start = |it: usize| {
+        Instance::start_with(&platform.settings(names[it], ports[it]), io::sink())
+    };
+    let mut instances = [start(0), start(1)];
     let submit_to = |front, number: u32| {
         submit(front, &format!("/q/{number:016x}"), 2, 20).unwrap().state
     };
@@ -136,7 +141,7 @@
     platform.set_store_up(false);
     instances[1].signal(Signal::KILL);
     instances[1].wait();
-    instances[1] = instances[1].start_again(&platform, "edge-2");
+    instances[1] = start(1);
     let front = instances[1].front;
     let next = || submit_to(front, 0x1000 + warm.fetch_add(1, Ordering::Relaxed));
     assert!(wait_until(|| next() == "completed"), "the instance serves nothing");
--- a/crates/bamboocart-dispatcher/tests/site/main.rs
+++ b/crates/bamboocart-dispatcher/tests/site/main.rs
@@ -2,5 +2,6 @@
 
 mod jobs;
 mod process;
+mod soak;
 mod start;
 mod stop;
--- a/crates/bamboocart-dispatcher/tests/site/process.rs
+++ b/crates/bamboocart-dispatcher/tests/site/process.rs
@@ -1,8 +1,10 @@
 //! An instance as a process.
 
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{self, BufRead, BufReader, Write};
+use std::iter;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -12,6 +14,9 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+/// The ports of instances that start again.
+const FIXED_PORTS: Range<u16> = 12_000..30_000;
+
 /// Numbers the settings files.
 static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
 
@@ -20,41 +25,36 @@
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    /// The ports for clients, readiness, peers and metrics.
-    ports: [u16; 4],
 }
 
 impl Instance {
     /// Starts an instance and waits until it listens.
     pub fn start(platform: &StandIn, name: &str) -> Self {
-        Self::start_at(platform, name, [0; 4])
-    }
-
-    /// Starts the next incarnation of an instance that has ended, at the same ports.
-    pub fn start_again(&self, platform: &StandIn, name: &str) -> Self {
-        Self::start_at(platform, name, self.ports)
+        Self::start_with(&platform.settings(name, [0; 4]), io::sink())
     }
 
-    /// Starts an instance at these ports, and waits until it listens.
-    fn start_at(platform: &StandIn, name: &str, ports: [u16; 4]) -> Self {
-        let settings = platform.settings(name, ports);
-        let mut child = command(&settings).stdout(Stdio::piped()).spawn().unwrap();
+    /// Starts an instance with these settings, and waits until it listens; its log goes to
+    /// `log`.
+    pub fn start_with(settings: &str, mut log: impl Write + Send + 'static) -> Self {
+        let mut child = command(settings).stdout(Stdio::piped()).spawn().unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let mut keep = move |line: &str| {
+            writeln!(log, "{line}").expect("the log can be written");
+        };
         let line = lines
             .by_ref()
-            .map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap())
+            .map(|line| line.unwrap())
+            .inspect(|line| keep(line))
+            .map(|line| serde_json::from_str::<Value>(&line).unwrap())
             .find(|line| line["message"] == "listening")
             .expect("the instance says where it listens");
         let address = |field: &str| -> SocketAddr {
             line[field].as_str().unwrap().parse().unwrap()
         };
         let (front, ready) = (address("front"), address("ready"));
-        let member: Vec<&str> = line["member"].as_str().unwrap().split('/').collect();
-        let peer: SocketAddr = member[2].parse().unwrap();
-        let ports = [front.port(), ready.port(), peer.port(), address("metrics").port()];
         // Reads the rest, so that the process never waits for its log.
-        thread::spawn(move || lines.for_each(drop));
-        Self { child, front, ready, ports }
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| keep(&line)));
+        Self { child, front, ready }
     }
 
     /// Starts an instance and waits until it is ready.
@@ -102,3 +102,14 @@
     command.arg("site").env("BAMBOOCART_CONFIG", path);
     command
 }
+
+/// Returns free ports for clients, readiness, peers and metrics, for an instance that starts
+/// again at the same ones. They are outside the range from which outgoing connections take
+/// theirs, one of which could otherwise stand in the way of the next start.
+pub fn fixed_ports() -> [u16; 4] {
+    [(); 4].map(|()| {
+        let free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
+        let ports = iter::repeat_with(|| rand::random_range(FIXED_PORTS));
+        ports.take(100).find(free).expect("some port is free")
+    })
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
@@ -0,0 +1,121 @@
+//! Clients that send jobs, and send them again when they get no answer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use bamboocart_site_standin::submit;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::system::Fronts;
+
+/// The clients at the same time.
+const CLIENTS: u64 = 8;
+
+/// The pause of a client after a job.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// The time after which a job without an answer is sent again.
+const RETRANSMIT: Duration = Duration::from_millis(1_300);
+
+/// The share of jobs with long tasks.
+const LONG_SHARE: f64 = 0.2;
+
+/// The attempts of a job.
+const ATTEMPTS: usize = 4;
+
+/// A job as its client saw it.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The id.
+    pub id: String,
+    /// The number of its tasks.
+    pub tasks: u16,
+    /// The outcomes of its attempts.
+    pub outcomes: Vec<Outcome>,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Outcome {
+    /// All tasks are done.
+    Completed,
+    /// The job has failed for good.
+    Failed,
+    /// Nothing of this attempt has run.
+    Refused,
+    /// No answer, or one that does not say what became of the job.
+    Unknown,
+}
+
+/// Running clients.
+pub struct Clients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<Job>>>,
+}
+
+impl Clients {
+    /// Starts clients that go on until they are stopped.
+    pub fn start(seed: u64, fronts: Fronts) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let next = Arc::new(AtomicU64::new(1));
+        let threads = (0..CLIENTS)
+            .map(|client| {
+                let (stop, next) = (Arc::clone(&stop), Arc::clone(&next));
+                let fronts = Arc::clone(&fronts);
+                let mut rng = SmallRng::seed_from_u64(seed ^ (client << 32));
+                thread::spawn(move || {
+                    let mut jobs = Vec::new();
+                    while !stop.load(Ordering::Relaxed) {
+                        let id = next.fetch_add(1, Ordering::Relaxed);
+                        jobs.push(send(format!("{id:016x}"), &fronts, &mut rng));
+                        thread::sleep(PAUSE);
+                    }
+                    jobs
+                })
+            })
+            .collect();
+        Self { stop, threads }
+    }
+
+    /// Stops the clients and returns all jobs.
+    pub fn stop(self) -> Vec<Job> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+    }
+}
+
+/// Sends a job until it has an answer.
+fn send(id: String, fronts: &Fronts, rng: &mut SmallRng) -> Job {
+    let tasks = rng.random_range(1..=5);
+    // Long tasks are still active when a job whose owner has ended is sent again.
+    let run_ms = match rng.random_bool(LONG_SHARE) {
+        true => rng.random_range(800..2_500),
+        false => rng.random_range(20..250),
+    };
+    let path = format!("/q/{id}");
+    let mut outcomes = Vec::new();
+    while outcomes.len() < ATTEMPTS {
+        let front = {
+            let fronts = fronts.lock().unwrap();
+            fronts[rng.random_range(0..fronts.len())]
+        };
+        let outcome = match submit(front, &path, tasks, run_ms) {
+            Ok(answer) => match answer.status {
+                200 if answer.state == "completed" => Outcome::Completed,
+                200 => Outcome::Failed,
+                429 | 503 => Outcome::Refused,
+                _ => Outcome::Unknown,
+            },
+            Err(_) => Outcome::Unknown,
+        };
+        outcomes.push(outcome);
+        if outcome != Outcome::Unknown {
+            break;
+        }
+        thread::sleep(RETRANSMIT);
+    }
+    Job { id, tasks, outcomes }
+}
--- /dev/null
+++ b/crates/bamboocart-dispatcher/tests/site/soak/system.rs
@@ -0,0 +1,209 @@
+//! The processes, the stand-in and the proxies between them.
+
+use std::collections::BTreeMap;
+use std::fs::{self, OpenOptions};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bamboocart_site_standin::{RunRecord, StandIn, settings, submit, wait_until};
+use rustix::process::Signal;
+
+use super::plan::{Fault, Planned};
+use super::proxy::{Mode, Proxy};
+use crate::process::{Instance, fixed_ports};
+
+/// The instances.
+pub const INSTANCES: usize = 3;
+
+/// The minions.
+pub const MINIONS: usize = 8;
+
+/// The time from a termination signal to the next start.
+const STOP_MS: u64 = 6_200;
+
+/// The addresses of the instances for clients.
+pub type Fronts = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// A system under test.
+pub struct System {
+    platform: StandIn,
+    store_paths: Vec<Proxy>,
+    minion_paths: Vec<Proxy>,
+    /// The running processes.
+    processes: Vec<Option<Instance>>,
+    ports: Vec<[u16; 4]>,
+    fronts: Fronts,
+    logs: PathBuf,
+    version: u64,
+}
+
+/// What the driver does at a time.
+#[derive(Debug, Clone)]
+enum Action {
+    Begin(Fault),
+    Start(usize),
+    Continue(usize),
+    StoreUp,
+    StorePath(usize),
+    MinionPath(usize),
+}
+
+impl System {
+    /// Starts everything and waits until all instances serve.
+    pub fn start(seed: u64) -> Self {
+        let platform = StandIn::start(MINIONS).unwrap();
+        platform.publish(1, "/q/");
+        let minions = platform.minion_addresses();
+        let minion_paths: Vec<Proxy> =
+            minions.iter().map(|&address| Proxy::start(address).unwrap()).collect();
+        for (number, path) in minion_paths.iter().enumerate() {
+            platform.move_minion(number, path.address);
+        }
+        let store = platform.store_address();
+        let store_paths = (0..INSTANCES).map(|_| Proxy::start(store).unwrap()).collect();
+        let logs =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        // Logs of an earlier run of the seed are replaced.
+        let _ = fs::remove_dir_all(&logs);
+        fs::create_dir_all(&logs).unwrap();
+        let mut system = Self {
+            platform,
+            store_paths,
+            minion_paths,
+            processes: (0..INSTANCES).map(|_| None).collect(),
+            ports: (0..INSTANCES).map(|_| fixed_ports()).collect(),
+            fronts: Fronts::default(),
+            logs,
+            version: 1,
+        };
+        (0..INSTANCES).for_each(|instance| system.start_process(instance));
+        system.await_recovery();
+        system
+    }
+
+    /// Returns the addresses of the instances; they stay the same over restarts.
+    pub fn fronts(&self) -> Fronts {
+        Arc::clone(&self.fronts)
+    }
+
+    /// Returns the runs that minions have begun.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        self.platform.runs()
+    }
+
+    /// Lets the faults of a plan happen and end.
+    pub fn play(&mut self, plan: &[Planned]) {
+        let mut agenda: BTreeMap<(u64, usize), Action> = plan
+            .iter()
+            .enumerate()
+            .map(|(number, planned)| {
+                ((planned.at_ms, number), Action::Begin(planned.fault.clone()))
+            })
+            .collect();
+        let began = Instant::now();
+        let mut number = plan.len();
+        while let Some(((at_ms, _), action)) = agenda.pop_first() {
+            let at = began + Duration::from_millis(at_ms);
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            for (delay_ms, next) in self.act(action) {
+                number += 1;
+                agenda.insert((at_ms + delay_ms, number), next);
+            }
+        }
+    }
+
+    /// Does something, and returns what follows after a delay.
+    fn act(&mut self, action: Action) -> Vec<(u64, Action)> {
+        match action {
+            Action::Begin(fault) => return self.begin(fault),
+            Action::Start(instance) => self.start_process(instance),
+            Action::Continue(instance) => self.signal(instance, Signal::CONT),
+            Action::StoreUp => self.platform.set_store_up(true),
+            Action::StorePath(instance) => self.store_paths[instance].set(Mode::Pass),
+            Action::MinionPath(minion) => self.minion_paths[minion].set(Mode::Pass),
+        }
+        Vec::new()
+    }
+
+    /// Lets a fault begin.
+    fn begin(&mut self, fault: Fault) -> Vec<(u64, Action)> {
+        match fault {
+            Fault::Kill { instance, away_ms } => {
+                self.processes[instance] = None;
+                vec![(away_ms, Action::Start(instance))]
+            }
+            Fault::KillAll { away_ms } => {
+                self.processes.fill_with(|| None);
+                (0..INSTANCES).map(|it| (away_ms, Action::Start(it))).collect()
+            }
+            Fault::Freeze { instance, for_ms } => {
+                self.signal(instance, Signal::STOP);
+                vec![(for_ms, Action::Continue(instance))]
+            }
+            Fault::Stop { instance } => {
+                self.signal(instance, Signal::TERM);
+                vec![(STOP_MS, Action::Start(instance))]
+            }
+            Fault::StoreDown { for_ms } => {
+                self.platform.set_store_up(false);
+                vec![(for_ms, Action::StoreUp)]
+            }
+            Fault::Compact => {
+                self.platform.compact();
+                Vec::new()
+            }
+            Fault::Publish => {
+                self.version += 1;
+                self.platform.publish(self.version, "/q/");
+                Vec::new()
+            }
+            Fault::StorePath { instance, mode, for_ms } => {
+                self.store_paths[instance].set(mode);
+                vec![(for_ms, Action::StorePath(instance))]
+            }
+            Fault::MinionPath { minion, mode, for_ms } => {
+                self.minion_paths[minion].set(mode);
+                vec![(for_ms, Action::MinionPath(minion))]
+            }
+        }
+    }
+
+    /// Sends a signal to a process, if it runs.
+    fn signal(&self, instance: usize, signal: Signal) {
+        if let Some(process) = &self.processes[instance] {
+            process.signal(signal);
+        }
+    }
+
+    /// Starts a process in place of the one that has ended; one that runs is ended first.
+    fn start_process(&mut self, instance: usize) {
+        self.processes[instance] = None;
+        let name = format!("edge-{instance}");
+        let store = self.store_paths[instance].address;
+        let text = settings(&name, self.ports[instance], store);
+        let log = self.logs.join(format!("{name}.log"));
+        let log = OpenOptions::new().create(true).append(true).open(log).unwrap();
+        let process = Instance::start_with(&text, log);
+        let mut fronts = self.fronts.lock().unwrap();
+        if fronts.len() <= instance {
+            fronts.push(process.front);
+        }
+        self.processes[instance] = Some(process);
+    }
+
+    /// Waits until every instance serves, within the patience of a test.
+    pub fn await_recovery(&self) {
+        for (instance, process) in self.processes.iter().enumerate() {
+            let front = process.as_ref().expect("all processes run").front;
+            let serves = || {
+                let number = rand::random::<u64>() | 1 << 63;
+                let answer = submit(front, &format!("/q/{number:016x}"), 1, 10);
+                answer.is_ok_and(|answer| answer.state == "completed")
+            };
+            assert!(wait_until(serves), "instance {instance} does not serve");
+        }
+    }
+}
--- a/crates/bamboocart-jobs/tests/briefing.rs
+++ b/crates/bamboocart-jobs/tests/briefing.rs
@@ -1,13 +1,13 @@
 //! Instances that start while the store does not answer them.
 
-use std::net::{Ipv4Addr, SocketAddr};
+mod support;
+
 use std::sync::Arc;
 
 use bamboocart_jobs::{
-    Catalog, Effect, Engine, Frame, HoldAnswer, HoldReply, Member, Message, MinionEntry,
-    MinionState, Moment, NewJob, Queue, RequestKey, Resources, Service, Step, Submission,
-    WireLimits,
+    Catalog, Engine, HoldReply, Member, Message, Moment, Service, WireLimits,
 };
+use support::{answer_hold, entry, frame, hold_of, queue, step, submission};
 
 /// Two engines with links to each other, one of which the store does not answer.
 struct Pair {
@@ -17,28 +17,13 @@
 }
 
 fn member(name: &str) -> Member {
-    Member {
-        name: name.into(),
-        failure_domain: "marka".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
-        incarnation: 1,
-    }
+    support::member(name, "marka")
 }
 
 fn catalog(version: u64) -> Catalog {
-    let queue = Queue {
-        name: "queue".into(),
-        host: "jobs.example".into(),
-        path_prefix: "/q/".into(),
-        service: "service".into(),
-        priority: 0,
-        max_attempts: 1,
-        slack_factor: 4.0,
-        target_latency_ms: 1_000,
-    };
     Catalog {
         version,
-        queues: vec![Arc::new(queue)],
+        queues: vec![Arc::new(queue())],
         services: vec![Service { name: "service".into(), admission_check: true }],
         limits: WireLimits::default(),
     }
@@ -49,26 +34,10 @@
         let now = Moment(10_000);
         let mut informed = Engine::new(member("entry-1"), 1);
         informed.set_catalog(catalog(5));
-        let minion = MinionEntry {
-            id: "m-1".into(),
-            service: "service".into(),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-            failure_domain: "marka".into(),
-            state: MinionState::Ready,
-            capacity: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
-            labels: Vec::new(),
-            incarnation: 1,
-        };
-        informed.list_minions(now, vec![minion]);
+        informed.list_minions(now, vec![entry("m-1", "marka")]);
         informed.set_members(now, 3, &[member("entry-1")]);
-        let hold = informed.take_effects().into_iter().find_map(|effect| match effect {
-            Effect::Hold(order) => Some(order),
-            _ => None,
-        });
-        let hold = hold.expect("the minion is held");
-        let reply = HoldReply { incarnation: 1, clock_ms: 1, ..HoldReply::default() };
-        let answer = HoldAnswer::Reply(reply);
-        informed.hold_answered(now, hold.target.minion, hold.number, answer);
+        let hold = hold_of(informed.take_effects());
+        answer_hold(&mut informed, now, &hold, HoldReply::default());
         let newcomer = Engine::new(member("entry-2"), 2);
         let mut pair = Self { informed, newcomer, now };
         let key = pair.informed.peer(now, &member("entry-2"));
@@ -108,21 +77,8 @@
     let mut pair = Pair::new();
     pair.exchange(500);
     assert_eq!(pair.newcomer.catalog().version, 5);
-    let job = NewJob {
-        id: "00000000000000aa".parse().unwrap(),
-        spec: "".into(),
-        steps: vec![Step {
-            count: 1,
-            need: Resources { cpu_millicores: 1_000, memory_mb: 64, gpu_count: 0 },
-            estimate_ms: 100,
-            ..Step::default()
-        }],
-        best_effort: true,
-        unsupported: None,
-    };
-    let queue = Arc::clone(&pair.newcomer.catalog().queues[0]);
-    let request = RequestKey(1);
-    let submission = Submission { request, queue, job, patience_ms: 1_500 };
+    let mut submission = submission(1, vec![step(1, &[])]);
+    submission.queue = Arc::clone(&pair.newcomer.catalog().queues[0]);
     pair.newcomer.submit(pair.now, submission);
     let sent = pair.exchange(100);
     let starts = sent.iter().filter(|it| matches!(it, Message::Start { .. })).count();
@@ -139,13 +95,6 @@
     assert_eq!(pair.newcomer.catalog().version, 7);
     let peer = pair.newcomer.peer(pair.now, &member("entry-1"));
     let briefing = Message::Briefing { catalog: catalog(9), minions: Vec::new() };
-    let frame = Frame {
-        sent_ms: 1,
-        echo_ms: 0,
-        wants_rooms: true,
-        uninformed: false,
-        messages: vec![briefing],
-    };
-    pair.newcomer.frame_arrived(pair.now, peer, frame);
+    pair.newcomer.frame_arrived(pair.now, peer, frame(pair.now, vec![briefing]));
     assert_eq!(pair.newcomer.catalog().version, 7, "the store has told it");
 }
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -1,18 +1,22 @@
 //! Runs that pass from one holder of a minion to another.
 
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+mod support;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Effect, EndedRun, Engine, Frame, HoldAnswer, HoldOrder, HoldReply,
-    JobState, Member, Message, MinionEntry, MinionState, Moment, NewJob, PeerKey, Queue,
-    RequestKey, Resources, RoomReport, RunEnd, RunRef, StartAnswer, StartOrder, Step,
-    Submission,
+    ActiveRun, Answer, Effect, EndedRun, Engine, HoldAnswer, HoldOrder, HoldReply,
+    JobState, Member, Message, Moment, PeerKey, RequestKey, Resources, RoomReport,
+    RunEnd, RunRef, StartAnswer, StartOrder, Submission,
 };
+use support::{answer_hold, entry, frame, hold_of, member, step, submission};
 use yare::parameterized;
 
 const REQUEST: RequestKey = RequestKey(1);
 
+/// Returns a request for a job of one task.
+fn job() -> Submission {
+    submission(REQUEST.0, vec![step(1, &[])])
+}
+
 /// An owner that holds the only minion, with one peer.
 struct Fixture {
     engine: Engine,
@@ -20,73 +24,11 @@
     now: Moment,
 }
 
-fn member(name: &str, failure_domain: &str) -> Member {
-    Member {
-        name: name.into(),
-        failure_domain: failure_domain.into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
-        incarnation: 1,
-    }
-}
-
-/// Returns the list's entry of a minion with room for two tasks.
-fn entry(id: &str, failure_domain: &str) -> MinionEntry {
-    MinionEntry {
-        id: id.into(),
-        service: "service".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-        failure_domain: failure_domain.into(),
-        state: MinionState::Ready,
-        capacity: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
-        labels: Vec::new(),
-        incarnation: 1,
-    }
-}
-
-fn submission() -> Submission {
-    let step = Step {
-        count: 1,
-        need: Resources { cpu_millicores: 1_000, memory_mb: 64, gpu_count: 0 },
-        estimate_ms: 300,
-        ..Step::default()
-    };
-    Submission {
-        request: REQUEST,
-        queue: Arc::new(Queue {
-            name: "queue".into(),
-            host: "jobs.example".into(),
-            path_prefix: "/q/".into(),
-            service: "service".into(),
-            priority: 0,
-            max_attempts: 2,
-            slack_factor: 4.0,
-            target_latency_ms: 100,
-        }),
-        job: NewJob {
-            id: "00000000000000aa".parse().unwrap(),
-            spec: "".into(),
-            steps: vec![step],
-            best_effort: true,
-            unsupported: None,
-        },
-        patience_ms: 1_500,
-    }
-}
-
 /// Returns the hold that was just sent.
 fn take_hold(engine: &mut Engine) -> HoldOrder {
     hold_of(engine.take_effects())
 }
 
-/// Returns the hold among effects.
-fn hold_of(effects: Vec<Effect>) -> HoldOrder {
-    let hold = effects.into_iter().find_map(|effect| match effect {
-        Effect::Hold(order) => Some(order),
-        _ => None,
-    });
-    hold.expect("a hold is sent")
-}
-
 impl Fixture {
     fn new() -> Self {
         let mut engine = Engine::new(member("entry-1", "marka"), 7);
@@ -101,18 +43,15 @@
     }
 
     /// Answers the hold that is under way.
-    fn answer_hold(&mut self, mut reply: HoldReply) {
-        reply.incarnation = 1;
-        reply.clock_ms = self.now.0;
+    fn answer_hold(&mut self, reply: HoldReply) {
         let order = take_hold(&mut self.engine);
-        let answer = HoldAnswer::Reply(reply);
-        self.engine.hold_answered(self.now, order.target.minion, order.number, answer);
+        answer_hold(&mut self.engine, self.now, &order, reply);
     }
 
     /// Starts a job of one task on the minion and keeps a hold under way.
     fn start_job(&mut self) -> StartOrder {
         let effects = self.engine.take_effects();
-        self.engine.submit(self.now, submission());
+        self.engine.submit(self.now, job());
         let start =
             self.engine.take_effects().into_iter().find_map(|effect| match effect {
                 Effect::Start(order) => Some(order),
@@ -139,13 +78,7 @@
 
     /// Takes a message of the peer.
     fn hear(&mut self, message: Message) {
-        let frame = Frame {
-            sent_ms: 1,
-            echo_ms: self.now.0,
-            wants_rooms: true,
-            uninformed: false,
-            messages: vec![message],
-        };
+        let frame = frame(self.now, vec![message]);
         self.engine.frame_arrived(self.now, self.peer, frame);
     }
 
@@ -236,21 +169,11 @@
     };
     let hear = |engine: &mut Engine, peer, now: Moment| {
         let messages = vec![Message::Rooms(vec![room("m-1"), room("m-2")])];
-        engine.frame_arrived(
-            now,
-            peer,
-            Frame {
-                sent_ms: 1,
-                echo_ms: now.0,
-                wants_rooms: true,
-                uninformed: false,
-                messages,
-            },
-        );
+        engine.frame_arrived(now, peer, frame(now, messages));
     };
     engine.link_opened(*peer);
     hear(engine, *peer, *now);
-    engine.submit(*now, submission());
+    engine.submit(*now, job());
     let local = engine.take_effects();
     let local = local.iter().any(|effect| matches!(effect, Effect::Start(_)));
     assert!(sends_start(engine, *now) && !local, "the peer gets the run");
--- a/crates/bamboocart-jobs/tests/neighbours.rs
+++ b/crates/bamboocart-jobs/tests/neighbours.rs
@@ -1,7 +1,8 @@
 //! Whose room an instance looks at, and how many frames that costs.
 
+mod support;
+
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
 
 use bamboocart_jobs::{Engine, Member, Moment};
 use yare::parameterized;
@@ -16,12 +17,8 @@
 }
 
 fn member(domain: usize, number: usize) -> Member {
-    Member {
-        name: format!("entry-{domain}-{number:02}").into(),
-        failure_domain: format!("domain-{domain}").into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
-        incarnation: 1,
-    }
+    let name = format!("entry-{domain}-{number:02}");
+    support::member(&name, &format!("domain-{domain}"))
 }
 
 /// Guards against reports that grow with the square of the instances, and against instances
--- a/crates/bamboocart-jobs/tests/newcomers.rs
+++ b/crates/bamboocart-jobs/tests/newcomers.rs
@@ -1,10 +1,9 @@
 //! Instances that have come, and when they take part.
 
-use std::net::{Ipv4Addr, SocketAddr};
+mod support;
 
-use bamboocart_jobs::{
-    Effect, Engine, Frame, Member, MinionEntry, MinionState, Moment, Resources,
-};
+use bamboocart_jobs::{Effect, Engine, Member, Moment};
+use support::{entry, frame};
 use yare::parameterized;
 
 /// When the engine is created.
@@ -20,38 +19,13 @@
 }
 
 fn member(name: &str) -> Member {
-    Member {
-        name: name.into(),
-        failure_domain: "marka".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
-        incarnation: 1,
-    }
-}
-
-fn minion() -> MinionEntry {
-    MinionEntry {
-        id: "m-1".into(),
-        service: "service".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-        failure_domain: "marka".into(),
-        state: MinionState::Ready,
-        capacity: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
-        labels: Vec::new(),
-        incarnation: 1,
-    }
+    support::member(name, "marka")
 }
 
 /// Lets a frame of a peer arrive.
 fn hear(engine: &mut Engine, now: Moment, member: &Member) {
     let peer = engine.peer(now, member);
-    let frame = Frame {
-        sent_ms: now.0,
-        echo_ms: now.0,
-        wants_rooms: true,
-        uninformed: false,
-        messages: vec![],
-    };
-    engine.frame_arrived(now, peer, frame);
+    engine.frame_arrived(now, peer, frame(now, Vec::new()));
 }
 
 /// Returns whether the engine has sent a call that holds a minion.
@@ -80,7 +54,7 @@
     let mut later = false;
     for (own, other_name) in [("entry-1", "entry-2"), ("entry-2", "entry-1")] {
         let mut engine = Engine::new(member(own), 1);
-        engine.list_minions(START, vec![minion()]);
+        engine.list_minions(START, vec![entry("m-1", "marka")]);
         let other = member(other_name);
         let mut members = Vec::new();
         if named {
@@ -109,7 +83,7 @@
 fn members_keep_their_minions_until_newcomers_are_named() {
     for (own, other_name) in [("entry-1", "entry-2"), ("entry-2", "entry-1")] {
         let mut engine = Engine::new(member(own), 1);
-        engine.list_minions(START, vec![minion()]);
+        engine.list_minions(START, vec![entry("m-1", "marka")]);
         engine.set_members(START, 1, &[member(own)]);
         assert_eq!(engine.status(START).held, 1);
         let now = START + 200;
@@ -124,7 +98,7 @@
 #[test]
 fn a_restarted_instance_takes_its_part_at_once() {
     let mut engine = Engine::new(Member { incarnation: 2, ..member("entry-1") }, 1);
-    engine.list_minions(START, vec![minion()]);
+    engine.list_minions(START, vec![entry("m-1", "marka")]);
     engine.set_members(START, 1, &[member("entry-1")]);
     assert_eq!(engine.status(START).held, 1);
 }
--- /dev/null
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -0,0 +1,129 @@
+//! What the tests of engines share. Each of them uses a part.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use bamboocart_jobs::{
+    Answer, Effect, Engine, Frame, HoldAnswer, HoldOrder, HoldReply, Member, Message,
+    MinionEntry, MinionState, Moment, NewJob, Queue, RequestKey, Resources, StartOrder,
+    Step, Submission,
+};
+
+/// The id of the job that [`submission`] gives.
+pub const JOB: &str = "00000000000000aa";
+
+/// Returns the first incarnation of an instance.
+pub fn member(name: &str, failure_domain: &str) -> Member {
+    Member {
+        name: name.into(),
+        failure_domain: failure_domain.into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
+        incarnation: 1,
+    }
+}
+
+/// Returns the list's entry of a minion with room for two tasks.
+pub fn entry(id: &str, failure_domain: &str) -> MinionEntry {
+    MinionEntry {
+        id: id.into(),
+        service: "service".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+        failure_domain: failure_domain.into(),
+        state: MinionState::Ready,
+        capacity: Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 },
+        labels: Vec::new(),
+        incarnation: 1,
+    }
+}
+
+/// Returns a queue whose tasks may fail twice.
+pub fn queue() -> Queue {
+    Queue {
+        name: "queue".into(),
+        host: "jobs.example".into(),
+        path_prefix: "/q/".into(),
+        service: "service".into(),
+        priority: 0,
+        max_attempts: 2,
+        slack_factor: 4.0,
+        target_latency_ms: 1_000,
+    }
+}
+
+/// Returns a step of tasks of which two fit on a minion.
+pub fn step(count: u16, after: &[u16]) -> Step {
+    Step {
+        count,
+        need: Resources { cpu_millicores: 1_000, memory_mb: 64, gpu_count: 0 },
+        estimate_ms: 300,
+        after: after.to_vec(),
+        ..Step::default()
+    }
+}
+
+/// Returns a request for a job of these steps.
+pub fn submission(request: u64, steps: Vec<Step>) -> Submission {
+    Submission {
+        request: RequestKey(request),
+        queue: Arc::new(queue()),
+        job: NewJob {
+            id: JOB.parse().unwrap(),
+            spec: "".into(),
+            steps,
+            best_effort: true,
+            unsupported: None,
+        },
+        patience_ms: 1_500,
+    }
+}
+
+/// Returns a frame that was sent at `now` by a peer that knows the configuration.
+pub fn frame(now: Moment, messages: Vec<Message>) -> Frame {
+    Frame {
+        sent_ms: now.0,
+        echo_ms: now.0,
+        wants_rooms: true,
+        uninformed: false,
+        messages,
+    }
+}
+
+/// Returns the hold among effects.
+pub fn hold_of(effects: Vec<Effect>) -> HoldOrder {
+    let hold = effects.into_iter().find_map(|effect| match effect {
+        Effect::Hold(order) => Some(order),
+        _ => None,
+    });
+    hold.expect("a hold is sent")
+}
+
+/// Returns the starts among effects.
+pub fn starts_of(effects: Vec<Effect>) -> Vec<StartOrder> {
+    let start = |effect| match effect {
+        Effect::Start(order) => Some(order),
+        _ => None,
+    };
+    effects.into_iter().filter_map(start).collect()
+}
+
+/// Returns the answers among effects.
+pub fn answers_of(effects: Vec<Effect>) -> Vec<(RequestKey, Answer)> {
+    let answer = |effect| match effect {
+        Effect::Answer(request, answer) => Some((request, answer)),
+        _ => None,
+    };
+    effects.into_iter().filter_map(answer).collect()
+}
+
+/// Answers a hold; the minion's clock shows `now`.
+pub fn answer_hold(
+    engine: &mut Engine,
+    now: Moment,
+    order: &HoldOrder,
+    reply: HoldReply,
+) {
+    let reply = HoldReply { incarnation: 1, clock_ms: now.0, ..reply };
+    let answer = HoldAnswer::Reply(reply);
+    engine.hold_answered(now, order.target.minion, order.number, answer);
+}
