Explain a request from log lines, spread returns, and take short jobs while stopping

`bamboocart explain ID` reads the logs of several instances, from files or from standard input, and prints the story of one request in order with a summary.

Change: it takes what can end before it stops, on the minions of peers. Cause: each refused client was told to return after 2 s, so that a burst returned as the next. Change: the wait follows the work that waits and is spread.

--- /dev/null
+++ b/crates/bamboocart-cli/src/commands/explain.rs
@@ -0,0 +1,180 @@
+//! The command `explain`.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use bpaf::Bpaf;
+use serde_json::{Map, Value, json};
+use snafu::ResultExt;
+
+use crate::error::{ReadLogSnafu, Result};
+use crate::report::{EXIT_CODES, Exit, Report};
+use crate::settings::{Common, Faults};
+
+/// The most lines of one story; a job of 240 tasks that are all tried again has fewer.
+const MAX_LINES: usize = 10_000;
+
+/// The fields that the story shows in places of their own, or not at all.
+const FRAME_FIELDS: [&str; 6] =
+    ["time", "message", "level", "target", "request_id", "instance"];
+
+/// Print the story of a request from log lines of several instances
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("explain"), footer(EXIT_CODES))]
+pub struct Explain {
+    /// Settings of every command
+    #[bpaf(external(crate::settings::common))]
+    pub common: Common,
+    /// The id of the request
+    #[bpaf(positional("ID"))]
+    id: String,
+    /// Logs of instances; without any, standard input is read
+    #[bpaf(positional("FILE"))]
+    files: Vec<PathBuf>,
+}
+
+/// A log line about the request.
+#[derive(Debug)]
+struct Line {
+    /// The instance, from what stands before the line's object or the file's name.
+    instance: String,
+    /// When it was written, in a form that sorts by time.
+    time: String,
+    fields: Map<String, Value>,
+}
+
+impl Explain {
+    /// Runs the command.
+    pub fn run(&self) -> Result<Report> {
+        let mut faults = Faults::default();
+        self.common.check(&mut faults);
+        faults.finish()?;
+        let mut lines = Vec::new();
+        if self.files.is_empty() {
+            let input = io::stdin().lock();
+            self.collect(input, "-", &mut lines)
+                .context(ReadLogSnafu { path: Path::new("-") })?;
+        }
+        for path in &self.files {
+            let name = path.file_stem().map(|stem| stem.to_string_lossy().into_owned());
+            let file = File::open(path).context(ReadLogSnafu { path })?;
+            self.collect(BufReader::new(file), &name.unwrap_or_default(), &mut lines)
+                .context(ReadLogSnafu { path })?;
+        }
+        lines.sort_by(|a, b| a.time.cmp(&b.time));
+        Ok(self.report(&lines))
+    }
+
+    /// Collects the lines about the request; others, and what is no object, are passed over.
+    fn collect(
+        &self,
+        input: impl BufRead,
+        name: &str,
+        lines: &mut Vec<Line>,
+    ) -> io::Result<()> {
+        for line in input.split(b'\n') {
+            let line = line?;
+            let text = String::from_utf8_lossy(&line);
+            if lines.len() < MAX_LINES && text.contains(&*self.id) {
+                lines.extend(Line::read(&text, name));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the story.
+    fn report(&self, lines: &[Line]) -> Report {
+        if lines.is_empty() {
+            let text = format!(
+                "no line names `{}`; give the logs of all instances of that time",
+                self.id
+            );
+            return Report::new(Exit::NoAnswer, json!({ "lines": [] }), text);
+        }
+        let mut text = String::new();
+        let width = lines.iter().map(|line| line.instance.len()).max().unwrap_or(0);
+        for line in lines {
+            let clock = line.time.split('T').next_back().unwrap_or_default();
+            let message = line.text("message");
+            let details = line.details();
+            text.push_str(&format!(
+                "{clock:16} {:width$}  {message}{details}\n",
+                line.instance
+            ));
+        }
+        let summary = summary(lines);
+        text.push_str(&summary);
+        let lines: Vec<Value> = lines.iter().map(Line::to_json).collect();
+        Report::done(json!({ "lines": lines, "summary": summary }), text)
+    }
+}
+
+impl Line {
+    /// Reads a line, with whatever stands before its object.
+    fn read(text: &str, name: &str) -> Option<Self> {
+        let (before, object) = text.split_at(text.find('{')?);
+        let fields: Map<String, Value> = serde_json::from_str(object.trim_end()).ok()?;
+        let named = fields.get("instance").and_then(Value::as_str);
+        let instance = named.or(before.split_whitespace().next_back()).unwrap_or(name);
+        let time = fields.get("time").and_then(Value::as_str)?.to_owned();
+        Some(Self { instance: instance.to_owned(), time, fields })
+    }
+
+    /// Returns a field as text.
+    fn text(&self, field: &str) -> String {
+        match self.fields.get(field) {
+            Some(Value::String(text)) => text.clone(),
+            Some(value) => value.to_string(),
+            None => String::new(),
+        }
+    }
+
+    /// Returns the fields that explain the message.
+    fn details(&self) -> String {
+        let fields = self.fields.keys().filter(|key| !FRAME_FIELDS.contains(&&***key));
+        fields.map(|key| format!(" {key}={}", self.text(key))).collect()
+    }
+
+    /// Returns the line with its instance.
+    fn to_json(&self) -> Value {
+        let mut fields = self.fields.clone();
+        fields.insert("instance".into(), json!(self.instance));
+        Value::Object(fields)
+    }
+}
+
+/// Returns what became of the request, as far as the lines say.
+fn summary(lines: &[Line]) -> String {
+    let count = |message: &str| {
+        lines.iter().filter(|line| line.text("message") == message).count()
+    };
+    let of = |message: &str| lines.iter().rfind(|line| line.text("message") == message);
+    let end = match (of("job ended"), of("job refused"), of("job accepted")) {
+        (Some(line), ..) => {
+            let (answer, why) = (line.text("answer"), line.text("why"));
+            let (done, tasks) = (line.text("done"), line.text("tasks"));
+            let answer = if answer == "None" { "no answer".to_owned() } else { answer };
+            format!(
+                "{} ended it after {} ms: {why}, {answer}, {done} of {tasks} tasks done",
+                line.instance,
+                line.text("age_ms")
+            )
+        }
+        (None, Some(line), _) => {
+            format!("{} refused it: {}", line.instance, line.text("reason"))
+        }
+        (None, None, Some(line)) => format!(
+            "{} accepted it and logged no end; it may have ended with the process",
+            line.instance
+        ),
+        (None, None, None) => "no instance logged that it took the request".to_owned(),
+    };
+    format!(
+        "accepted {}, placed {}, failed {}, void {}; {end}\n",
+        count("job accepted"),
+        count("task placed"),
+        count("run failed"),
+        count("run is void and waits again")
+    )
+}
--- a/crates/bamboocart-cli/src/commands/mod.rs
+++ b/crates/bamboocart-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod completion;
 mod diff;
 mod drain;
+mod explain;
 mod job;
 mod publish;
 mod show;
@@ -20,6 +21,7 @@
 use self::completion::{Completion, completion};
 use self::diff::{Diff, diff};
 use self::drain::{Drain, drain};
+use self::explain::{Explain, explain};
 use self::job::{Job, job};
 use self::publish::{Publish, publish};
 use self::show::{Show, show};
@@ -50,6 +52,8 @@
     Job(#[bpaf(external(job))] Job),
     /// Cancels submissions.
     Cancel(#[bpaf(external(cancel))] Cancel),
+    /// Explains a request.
+    Explain(#[bpaf(external(explain))] Explain),
     /// Works on the account.
     Account(#[bpaf(external(account))] Account),
     /// Prints a completion script.
@@ -69,6 +73,7 @@
             Self::Submit(command) => command.run(),
             Self::Job(command) => command.run(),
             Self::Cancel(command) => command.run(),
+            Self::Explain(command) => command.run(),
             Self::Account(command) => command.run(),
             Self::Completion(command) => command.run(),
         }
@@ -86,6 +91,7 @@
             Self::Submit(command) => &command.common,
             Self::Job(command) => &command.common,
             Self::Cancel(command) => &command.common,
+            Self::Explain(command) => &command.common,
             Self::Account(command) => command.common(),
             Self::Completion(command) => &command.common,
         }
--- a/crates/bamboocart-cli/src/error.rs
+++ b/crates/bamboocart-cli/src/error.rs
@@ -1,6 +1,7 @@
 //! Why a command ended early.
 
 use std::io;
+use std::path::PathBuf;
 
 use attohttpc::ErrorKind;
 use bamboocart_core::config::{EncodeError, Finding};
@@ -92,6 +93,14 @@
         #[snafu(source(from(Error, Box::new)))]
         source: Box<Error>,
     },
+    /// A log cannot be read.
+    #[snafu(display("cannot read the log {}: {source}; check the path", path.display()))]
+    ReadLog {
+        /// The path; `-` is standard input.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
     /// The parser has no completion script.
     #[snafu(display("no completion script was made; run with --json for the flag"))]
     NoCompletion,
@@ -139,6 +148,9 @@
                 let json = json!({ "error": text, "publication": publication });
                 Report::new(Exit::NoAnswer, json, text)
             }
+            Self::ReadLog { .. } => {
+                Report::new(Exit::Usage, json!({ "error": text }), text)
+            }
             _ => Report::new(Exit::NoAnswer, json!({ "error": text }), text),
         }
     }
--- a/crates/bamboocart-dispatcher/src/site/signals.rs
+++ b/crates/bamboocart-dispatcher/src/site/signals.rs
@@ -48,7 +48,8 @@
     }
 }
 
-/// Stops gracefully: no new connections, then no minions, then no new jobs.
+/// Stops gracefully: no new connections, then no minions, then only jobs that are short
+/// enough, on the minions of peers.
 ///
 /// New requests are served for as long as the grace period allows. The balancer notices only
 /// after two probes a second apart that the instance is not ready, and goes on sending
@@ -59,7 +60,7 @@
     let serve_on_ms = settings.grace_ms.saturating_sub(FINISH_MS + RESERVE_MS);
     sleep(Duration::from_millis(serve_on_ms)).await;
     shell.event(|engine, now| {
-        engine.drain();
+        engine.drain(now + FINISH_MS);
         engine.leave(now);
     });
     store::leave(shell, settings).await;
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -55,8 +55,8 @@
     pub(crate) review: Review,
     /// Whether tasks or room have come since tasks were last placed.
     pub(crate) placement_due: bool,
-    /// Whether this instance takes no new work.
-    pub(crate) draining: bool,
+    /// When this instance stops, if it does; jobs that may last longer are refused.
+    pub(crate) ends_at: Option<Moment>,
     /// The number of the last call that holds a minion.
     pub(crate) last_hold: HoldNumber,
     /// The actions that wait.
@@ -97,7 +97,7 @@
             pace: Pace::default(),
             review: Review::default(),
             placement_due: false,
-            draining: false,
+            ends_at: None,
             last_hold: HoldNumber(0),
             effects: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -275,9 +275,9 @@
         }
     }
 
-    /// Takes no new jobs from now on.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// Takes only jobs from now on that can end before `ends_at`.
+    pub fn drain(&mut self, ends_at: Moment) {
+        self.ends_at = Some(ends_at);
     }
 
     /// Does what is due.
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! assigned to it, for its own jobs and for those of its peers.
 
 mod assignment;
+mod backlog;
 mod catalog;
 mod clock;
 mod effect;
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -2,6 +2,7 @@
 
 use log::{info, warn};
 
+use crate::backlog::Backlog;
 use crate::effect::{Answer, Effect, RequestKey};
 use crate::engine::Engine;
 use crate::holder::RunOrder;
@@ -21,9 +22,6 @@
 /// The step by which run numbers rise when a minion has seen higher ones.
 const RUN_NUMBER_STEP: u64 = 16;
 
-/// The time that a refused client is asked to wait; bursts last some seconds.
-const RETRY_AFTER_S: u64 = 2;
-
 /// The time that an order to a peer takes longer than one to an own minion.
 const HOP_MS: f64 = 4.0;
 
@@ -49,6 +47,11 @@
             return self.answer(request, Answer::Unavailable);
         }
         let job = Job::new(submission, self.pace.ratio(), now);
+        if self.ends_at.is_some_and(|end| now + job.objective_ms > end) {
+            warn!(target: "job", request_id:% = id, objective_ms = job.objective_ms,
+                reason = "the instance stops before the job can end"; "job refused");
+            return self.answer(request, Answer::Unavailable);
+        }
         info!(target: "job", request_id:% = id, queue = &*job.queue.name,
             tasks = job.tasks.len(), objective_ms = job.objective_ms,
             config = self.catalog.version; "job accepted");
@@ -61,7 +64,6 @@
     /// Returns why a job cannot be taken at all.
     fn refusal(&self, submission: &Submission) -> Option<&'static str> {
         match () {
-            () if self.draining => Some("the instance is stopping"),
             () if self.jobs.len() >= MAX_JOBS => Some("too many jobs"),
             () if !submission.job.best_effort => Some("stored jobs are not supported"),
             () => submission.job.unsupported,
@@ -406,6 +408,10 @@
                 "the holder of a run is lost");
             self.requeue(run);
         }
+        if ends.is_empty() {
+            return;
+        }
+        let backlog = Backlog::of(self.jobs.values(), self.pace.ratio());
         for (id, ordered) in ends {
             match ordered {
                 true => {
@@ -413,7 +419,8 @@
                     self.end_job(now, id, answer, "deadline");
                 }
                 false => {
-                    let answer = Answer::Refused { retry_after_s: RETRY_AFTER_S };
+                    let retry_after_s = backlog.retry_after_s(&mut self.rng);
+                    let answer = Answer::Refused { retry_after_s };
                     self.end_job(now, id, Some(answer), "no room in time");
                 }
             }
--- /dev/null
+++ b/crates/bamboocart-jobs/tests/refusals.rs
@@ -0,0 +1,79 @@
+//! What is refused, and when refused clients are asked to come back.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use bamboocart_jobs::{Answer, Engine, Moment, Step, Submission};
+use support::{answers_of, member, step, submission};
+use yare::parameterized;
+
+const NOW: Moment = Moment(10_000);
+
+/// An instance without minions, on which every job waits.
+fn engine(seed: u64) -> Engine {
+    let mut engine = Engine::new(member("entry-1", "marka"), seed);
+    engine.set_members(NOW, 1, &[member("entry-1", "marka")]);
+    engine
+}
+
+/// Returns a request for a job with an id of its own.
+fn numbered(request: u64, tasks: u16, estimate_ms: u64) -> Submission {
+    let mut submission =
+        submission(request, vec![Step { estimate_ms, ..step(tasks, &[]) }]);
+    submission.job.id = format!("{request:016x}").parse().unwrap();
+    submission
+}
+
+/// Guards against a stopping instance that refuses what it could still run, or takes what it
+/// cannot end in time (503 for short jobs in the last 1.6 s of each stop).
+#[parameterized(
+    short = { 100, true },
+    long = { 900, false },
+)]
+fn a_stopping_instance_takes_short_jobs(estimate_ms: u64, taken: bool) {
+    let mut engine = engine(1);
+    engine.drain(NOW + 1_600);
+    engine.submit(NOW, numbered(1, 1, estimate_ms));
+    let answers = answers_of(engine.take_effects());
+    let refused = answers.iter().any(|&(_, answer)| answer == Answer::Unavailable);
+    assert_eq!(refused, !taken, "{answers:?}");
+    engine.submit(NOW + 1_000, numbered(2, 1, estimate_ms));
+    let answers = answers_of(engine.take_effects());
+    assert!(answers.iter().any(|&(_, answer)| answer == Answer::Unavailable));
+}
+
+/// Returns the waits that the clients of refused jobs are given.
+fn retry_waits(jobs: u64, tasks: u16) -> Vec<u64> {
+    let mut engine = engine(7);
+    for number in 0..jobs {
+        engine.submit(NOW, numbered(number, tasks, 500));
+    }
+    engine.tick(NOW + 10_000);
+    let waits: Vec<u64> = answers_of(engine.take_effects())
+        .into_iter()
+        .filter_map(|(_, answer)| match answer {
+            Answer::Refused { retry_after_s } => Some(retry_after_s),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(waits.len(), jobs as usize, "every job is refused");
+    waits
+}
+
+/// Guards against clients of a burst that are all sent back at once and return as the next
+/// burst, and against waits that do not grow with what is to be done.
+#[test]
+fn refused_clients_are_spread() {
+    let few = retry_waits(1, 1);
+    assert!(few.iter().all(|&wait| (1..=3).contains(&wait)), "{few:?}");
+    let many = retry_waits(60, 2);
+    let distinct: BTreeSet<u64> = many.iter().copied().collect();
+    assert!(distinct.iter().all(|wait| (1..=12).contains(wait)), "{distinct:?}");
+    assert!(distinct.len() > 3, "all come back after {distinct:?}");
+    let longest = many.iter().max();
+    assert!(longest > few.iter().max(), "{many:?} after {few:?}");
+    let some = retry_waits(6, 1);
+    let distinct: BTreeSet<u64> = some.iter().copied().collect();
+    assert!(distinct.len() > 1, "all come back after {some:?}");
+}
