Let a stopping instance refuse from half of the grace period on what may last longer

Ruled out: a job from before the stop (sent 4.2 s after the signal).

Change: from half of the grace period on, an instance takes only jobs whose objective fits three times into what is left, and in its last 50 ms none. The objective was compared once, and only in the last 1.6 s, before.

--- a/crates/bamboocart-dispatcher/src/site/signals.rs
+++ b/crates/bamboocart-dispatcher/src/site/signals.rs
@@ -5,12 +5,13 @@
 
 use bamboocart_adapter::Settings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::site::shell::Shell;
 use crate::site::store;
 
-/// The time that the jobs of clients that wait need at the end of a stop.
+/// The time at the end of a stop in which the instance holds no minions any more; its jobs
+/// end on those of peers.
 const FINISH_MS: u64 = 1_600;
 
 /// The time that is left for the kernel and the log at the end of the grace period.
@@ -48,8 +49,8 @@
     }
 }
 
-/// Stops gracefully: no new connections, then no minions, then only jobs that are short
-/// enough, on the minions of peers.
+/// Stops gracefully: no new connections, then only jobs that can end in time, then no
+/// minions, then no jobs.
 ///
 /// New requests are served for as long as the grace period allows. The balancer notices only
 /// after two probes a second apart that the instance is not ready, and goes on sending
@@ -57,14 +58,18 @@
 async fn stop(shell: &Shell, settings: &Settings) {
     log::info!(target: "process", requests = shell.open_requests(); "stop begins");
     shell.set_not_ready();
-    let serve_on_ms = settings.grace_ms.saturating_sub(FINISH_MS + RESERVE_MS);
-    sleep(Duration::from_millis(serve_on_ms)).await;
-    shell.event(|engine, now| {
-        engine.drain(now + FINISH_MS);
-        engine.leave(now);
-    });
+    let began = Instant::now();
+    let serve_ms = settings.grace_ms.saturating_sub(RESERVE_MS);
+    let choose_ms = serve_ms / 2;
+    sleep(Duration::from_millis(choose_ms)).await;
+    shell.event(|engine, now| engine.drain(now + (serve_ms - choose_ms)));
+    let leave_ms = serve_ms.saturating_sub(FINISH_MS).max(choose_ms);
+    sleep_until(began + Duration::from_millis(leave_ms)).await;
+    shell.event(|engine, now| engine.leave(now));
     store::leave(shell, settings).await;
-    shell.await_requests(Duration::from_millis(FINISH_MS)).await;
-    // Lets the last answers and frames leave.
+    let end = began + Duration::from_millis(serve_ms);
+    shell.await_requests(end.saturating_duration_since(Instant::now())).await;
+    // Requests that come from now on are refused, while the last answers and frames leave.
+    shell.event(|engine, now| engine.drain(now));
     sleep(Duration::from_millis(50)).await;
 }
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -22,6 +22,10 @@
 /// The step by which run numbers rise when a minion has seen higher ones.
 const RUN_NUMBER_STEP: u64 = 16;
 
+/// How many times as long as its objective a job may last that a stopping instance takes.
+/// Estimates are often off by a factor of two, and a run may have to be repeated.
+const STOP_MARGIN: u64 = 3;
+
 /// The time that an order to a peer takes longer than one to an own minion.
 const HOP_MS: f64 = 4.0;
 
@@ -47,7 +51,8 @@
             return self.answer(request, Answer::Unavailable);
         }
         let job = Job::new(submission, self.pace.ratio(), now);
-        if self.ends_at.is_some_and(|end| now + job.objective_ms > end) {
+        let longest_ms = STOP_MARGIN * job.objective_ms;
+        if self.ends_at.is_some_and(|end| now + longest_ms > end) {
             warn!(target: "job", request_id:% = id, objective_ms = job.objective_ms,
                 reason = "the instance stops before the job can end"; "job refused");
             return self.answer(request, Answer::Unavailable);
--- a/crates/bamboocart-jobs/tests/refusals.rs
+++ b/crates/bamboocart-jobs/tests/refusals.rs
@@ -26,19 +26,21 @@
 }
 
 /// Guards against a stopping instance that refuses what it could still run, or takes what it
-/// cannot end in time (503 for short jobs in the last 1.6 s of each stop).
+/// cannot end in time: a job whose run lasted twice its estimate was cut off at the end of
+/// the stop (LOST on trouble-2 of Amman).
 #[parameterized(
-    short = { 100, true },
+    short = { 20, true },
     long = { 900, false },
+    as_long_as_the_rest = { 200, false },
 )]
 fn a_stopping_instance_takes_short_jobs(estimate_ms: u64, taken: bool) {
     let mut engine = engine(1);
-    engine.drain(NOW + 1_600);
+    engine.drain(NOW + 4_000);
     engine.submit(NOW, numbered(1, 1, estimate_ms));
     let answers = answers_of(engine.take_effects());
     let refused = answers.iter().any(|&(_, answer)| answer == Answer::Unavailable);
     assert_eq!(refused, !taken, "{answers:?}");
-    engine.submit(NOW + 1_000, numbered(2, 1, estimate_ms));
+    engine.submit(NOW + 3_500, numbered(2, 1, estimate_ms));
     let answers = answers_of(engine.take_effects());
     assert!(answers.iter().any(|&(_, answer)| answer == Answer::Unavailable));
 }
