Split the holder's and the owner's files by what they do

Starts and stops, runs that pass between holders, and placement get files of their own; no behaviour changes (the emulator's outcomes are the same).

--- /dev/null
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -0,0 +1,267 @@
+//! Runs that pass to another holder, and those whose owners are gone.
+
+use std::collections::BTreeSet;
+
+use log::{info, warn};
+
+use crate::engine::Engine;
+use crate::holder::{ActiveRun, EndedRun};
+use crate::id::{MinionId, RunRef};
+use crate::job::{Holder, TaskState};
+use crate::message::{Message, RunEnd};
+use crate::minion::{MinionKey, Run, RunOwner};
+use crate::peer::PeerKey;
+use crate::resources::Resources;
+use crate::time::Moment;
+use crate::timing::{CLAIM_MS, OWNER_SILENCE_MS, RUN_GONE_MS};
+
+impl Engine {
+    /// Takes over the runs that a new holder finds, and announces them to their owners.
+    pub(crate) fn adopt(
+        &mut self,
+        now: Moment,
+        key: MinionKey,
+        active: &[ActiveRun],
+        ended: &[EndedRun],
+    ) {
+        let minion = self.minions.arena[key].entry.id.clone();
+        let Some(held) = self.minions.arena[key].held.as_mut() else { return };
+        let fencing_token = held.fencing_token;
+        info!(target: "minion", minion:% = minion, token = fencing_token,
+            runs = active.len(), ends = ended.len(); "minion held");
+        for found in active {
+            held.runs.insert(found.run.task, Run::found(found.run.run, now));
+        }
+        let active: Vec<RunRef> = active.iter().map(|found| found.run).collect();
+        let ended: Vec<_> = ended.iter().map(|end| (end.run, end.end)).collect();
+        if active.is_empty() && ended.is_empty() {
+            return;
+        }
+        self.broadcast(&Message::Adopted {
+            minion: minion.clone(),
+            fencing_token,
+            active: active.clone(),
+            ended: ended.clone(),
+        });
+        for run in active {
+            if let Some(need) = self.claim(run, None, &minion, fencing_token) {
+                self.claimed(now, key, run, RunOwner::Local, need);
+            }
+        }
+        for (run, end) in ended {
+            if self.claim(run, None, &minion, fencing_token).is_some() {
+                self.run_ended(now, Holder::Local(key), run, end);
+            }
+        }
+    }
+
+    /// Notes the owner of a run that was found on a minion.
+    pub(crate) fn claimed(
+        &mut self,
+        now: Moment,
+        key: MinionKey,
+        run: RunRef,
+        owner: RunOwner,
+        need: Resources,
+    ) -> bool {
+        let held = self.minions.arena[key].held.as_mut();
+        let entry = held.and_then(|held| held.runs.get_mut(&run.task));
+        match entry {
+            Some(entry) if entry.run == run.run && entry.owner == RunOwner::Unclaimed => {
+                entry.owner = owner;
+                entry.need = need;
+                entry.claimed = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes a peer's claim of a run that this instance found.
+    pub(crate) fn claimed_by_peer(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        minion: &MinionId,
+        run: RunRef,
+        need: Resources,
+    ) {
+        let owner = RunOwner::Peer(peer);
+        let key = self.minions.by_id.get(minion).copied();
+        if !key.is_some_and(|key| self.claimed(now, key, run, owner, need)) {
+            // Its end was sent before, or another instance holds the minion by now.
+            let claimer = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
+            info!(target: "minion", run:% = run.task, peer:? = claimer;
+                "claimed run is not here");
+            self.send(peer, Message::Released(run));
+        }
+    }
+
+    /// Stops the runs of a peer that it does not want any more, and releases those that it
+    /// wants and that are not here.
+    pub(crate) fn keep_wanted(&mut self, now: Moment, peer: PeerKey, wanted: &[RunRef]) {
+        let mut here = BTreeSet::new();
+        for key in self.minions.held_keys().to_vec() {
+            let Some(held) = self.minions.arena[key].held.as_mut() else { continue };
+            for (&task, run) in &mut held.runs {
+                let run_ref = RunRef { task, run: run.run };
+                if run.owner != RunOwner::Peer(peer) {
+                    continue;
+                }
+                here.insert(run_ref);
+                if !wanted.contains(&run_ref) && run.want_stop(now) {
+                    info!(target: "minion", run:% = task; "unwanted run is stopped");
+                }
+            }
+        }
+        for &run in wanted.iter().filter(|run| !here.contains(run)) {
+            self.send(peer, Message::Released(run));
+        }
+    }
+
+    /// Stops the runs of owners that were not heard of in time, and those that nobody has
+    /// claimed.
+    pub(crate) fn stop_orphans(&mut self, now: Moment) {
+        let peers = &self.peers.arena;
+        let silent = |peer: PeerKey, claimed: Moment| {
+            let echoed = peers.get(peer).and_then(|peer| peer.echoed);
+            now.since(echoed.unwrap_or_default().max(claimed)) > OWNER_SILENCE_MS
+        };
+        for key in self.minions.held_keys().to_vec() {
+            let Some(held) = self.minions.arena[key].held.as_mut() else { continue };
+            for (task, run) in &mut held.runs {
+                let orphan = match run.owner {
+                    RunOwner::Peer(peer) => silent(peer, run.claimed),
+                    RunOwner::Unclaimed => now.since(run.since) > CLAIM_MS,
+                    RunOwner::Local | RunOwner::Nobody => false,
+                };
+                if orphan && run.want_stop(now) {
+                    warn!(target: "minion", run:% = task, owner:? = run.owner;
+                        "run without an owner is stopped");
+                }
+            }
+        }
+    }
+
+    /// Returns the runs on held minions that belong to a peer, or may do so because nobody
+    /// has claimed them yet.
+    pub(crate) fn runs_of_peer(&self, peer: PeerKey) -> Vec<RunRef> {
+        let held = self.minions.held();
+        held.flat_map(|(_, _, held)| &held.runs)
+            .filter(|(_, run)| {
+                matches!(run.owner, RunOwner::Unclaimed)
+                    || run.owner == RunOwner::Peer(peer)
+            })
+            .map(|(&task, run)| RunRef { task, run: run.run })
+            .collect()
+    }
+
+    /// Notes that the holder of a run has lost the minion; a new one may adopt the run.
+    ///
+    /// Until then, or until the run is gone for certain, the task is not placed again.
+    pub(crate) fn holder_lost(&mut self, now: Moment, holder: Holder, run: RunRef) {
+        if let Some((job, task)) = self.current(run, holder)
+            && let TaskState::Placed(placement) = &mut job.tasks[task].state
+        {
+            placement.gone_at.get_or_insert(now + RUN_GONE_MS);
+            info!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                holder:? = holder; "the holder of a run has lost the minion");
+        }
+    }
+
+    /// Claims a run that a new holder has found, if it is current; returns what it needs.
+    ///
+    /// Announcements can arrive late: one of an earlier holder must not replace a later one,
+    /// nor this instance while it holds the minion under a higher token itself.
+    pub(crate) fn claim(
+        &mut self,
+        run: RunRef,
+        peer: Option<PeerKey>,
+        minion: &MinionId,
+        fencing_token: u64,
+    ) -> Option<Resources> {
+        let key = self.minions.by_id.get(minion).copied()?;
+        let own_token = self.minions.arena[key].held.as_ref().map(|h| h.fencing_token);
+        if own_token.is_some_and(|own_token| own_token > fencing_token) {
+            return None;
+        }
+        let (job, task) = self.placed(run)?;
+        let TaskState::Placed(placement) = &mut job.tasks[task].state else {
+            return None;
+        };
+        if placement.minion != Some(key) || placement.fencing_token > fencing_token {
+            return None;
+        }
+        placement.fencing_token = fencing_token;
+        placement.holder = peer.map_or(Holder::Local(key), Holder::Peer);
+        placement.gone_at = None;
+        Some(job.step_of(task).need)
+    }
+
+    /// Takes a peer's announcement of what it found on a minion.
+    pub(crate) fn adopted_by_peer(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        (minion, fencing_token): (&MinionId, u64),
+        active: Vec<RunRef>,
+        ended: Vec<(RunRef, RunEnd)>,
+    ) {
+        for run in active {
+            if let Some(need) = self.claim(run, Some(peer), minion, fencing_token) {
+                let minion = minion.clone();
+                self.send(peer, Message::Claimed { minion, run, need });
+            }
+        }
+        for (run, end) in ended {
+            if self.claim(run, Some(peer), minion, fencing_token).is_some() {
+                self.run_ended(now, Holder::Peer(peer), run, end);
+            }
+        }
+    }
+
+    /// Treats the runs at a holder as lost that the holder does not list, if it had the
+    /// order when it made the list.
+    pub(crate) fn reconcile(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        listed: &[RunRef],
+        echo: Moment,
+    ) {
+        let missing: Vec<RunRef> = self
+            .runs_at_peer(peer)
+            .into_iter()
+            .filter(|run| !listed.contains(run))
+            .filter(|&run| self.placed_by(run, echo))
+            .collect();
+        for run in missing {
+            self.holder_lost(now, Holder::Peer(peer), run);
+        }
+    }
+
+    /// Returns whether a run was placed at `moment` or before.
+    fn placed_by(&self, run: RunRef, moment: Moment) -> bool {
+        let job = self.jobs.get(&run.task.job);
+        let task = job.and_then(|job| Some(&job.tasks[job.position(run.task)?]));
+        task.is_some_and(|task| match task.state {
+            TaskState::Placed(placement) => placement.since <= moment,
+            TaskState::Blocked | TaskState::Waiting | TaskState::Done => false,
+        })
+    }
+
+    /// Returns the runs that are placed at a peer.
+    pub(crate) fn runs_at_peer(&self, peer: PeerKey) -> Vec<RunRef> {
+        let mut runs = Vec::new();
+        for job in self.jobs.values() {
+            for (position, task) in job.tasks.iter().enumerate() {
+                if let TaskState::Placed(placement) = task.state
+                    && placement.holder == Holder::Peer(peer)
+                {
+                    runs.push(job.run_ref(position));
+                }
+            }
+        }
+        runs
+    }
+}
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -11,13 +11,13 @@
 
 use crate::catalog::Catalog;
 use crate::effect::{Effect, HoldNumber, RequestKey};
-use crate::holder::RunOrder;
 use crate::id::{JobId, MinionId};
 use crate::job::{Holder, Job, Rank};
 use crate::member::Member;
 use crate::membership::Review;
 use crate::message::{Frame, Message};
 use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
+use crate::orders::RunOrder;
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
 use crate::peer::{PeerKey, Peers};
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! their tasks. As a *holder* it starts, renews and stops the runs on the minions that are
 //! assigned to it, for its own jobs and for those of its peers.
 
+mod adoption;
 mod assignment;
 mod backlog;
 mod catalog;
@@ -18,11 +19,13 @@
 mod message;
 mod minion;
 mod neighbours;
+mod orders;
 mod outcome;
 mod owner;
 mod pace;
 mod peer;
 mod placement;
+mod placing;
 mod resources;
 mod suspicion;
 mod time;
@@ -33,7 +36,7 @@
     Answer, Effect, HoldNumber, HoldOrder, RequestKey, StartOrder, StopOrder, Target,
 };
 pub use self::engine::{Engine, Status};
-pub use self::holder::{ActiveRun, EndedRun, HoldAnswer, HoldReply, StartAnswer};
+pub use self::holder::{ActiveRun, EndedRun, HoldAnswer, HoldReply};
 pub use self::id::{
     JobId, MemberId, MinionId, ParseIdError, RunRef, ServiceName, TaskRef,
 };
@@ -41,6 +44,7 @@
 pub use self::member::{Member, ParseMemberError};
 pub use self::message::{Frame, Message, RoomReport, RunEnd};
 pub use self::minion::{MinionEntry, MinionKey, MinionState};
+pub use self::orders::StartAnswer;
 pub use self::peer::PeerKey;
 pub use self::resources::Resources;
 pub use self::time::Moment;
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -162,6 +162,40 @@
     Nobody,
 }
 
+impl Run {
+    /// Creates a run that was found on a minion.
+    pub(crate) fn found(run: u64, now: Moment) -> Self {
+        Self {
+            run,
+            owner: RunOwner::Unclaimed,
+            need: Resources::default(),
+            estimate_ms: 0,
+            since: now,
+            claimed: Moment::default(),
+            phase: RunPhase::Active,
+            retried: false,
+            settled: Some(now),
+            lease_until_ms: 0,
+        }
+    }
+
+    /// Notes that the minion has taken the start.
+    pub(crate) fn settle(&mut self, now: Moment) {
+        self.phase = RunPhase::Active;
+        self.settled = Some(now);
+    }
+
+    /// Asks for a stop, unless one is under way, and returns whether it was needed.
+    pub(crate) fn want_stop(&mut self, now: Moment) -> bool {
+        let needed = matches!(self.phase, RunPhase::Starting | RunPhase::Active);
+        if needed {
+            self.phase = RunPhase::StopDue(now);
+            self.settled = None;
+        }
+        needed
+    }
+}
+
 impl RunOwner {
     /// Returns the peer that owns the run, if it is one.
     pub(crate) fn peer(self) -> Option<PeerKey> {
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -5,16 +5,10 @@
 use crate::backlog::Backlog;
 use crate::effect::{Answer, Effect, RequestKey};
 use crate::engine::Engine;
-use crate::holder::RunOrder;
 use crate::id::{JobId, MinionId, RunRef};
-use crate::job::{Holder, Job, JobState, Placement, Rank, Submission, TaskState};
+use crate::job::{Holder, Job, JobState, Rank, Submission, TaskState};
 use crate::message::{Message, RunEnd};
-use crate::minion::{MinionKey, RunOwner};
-use crate::peer::PeerKey;
-use crate::placement::{self, Candidate, Choice, Site};
-use crate::resources::Resources;
 use crate::time::Moment;
-use crate::timing::RUN_GONE_MS;
 
 /// The most jobs at the same time; more are refused.
 const MAX_JOBS: usize = 4_096;
@@ -26,9 +20,6 @@
 /// Estimates are often off by a factor of two, and a run may have to be repeated.
 const STOP_MARGIN: u64 = 3;
 
-/// The time that an order to a peer takes longer than one to an own minion.
-const HOP_MS: f64 = 4.0;
-
 impl Engine {
     /// Takes a request to run a job; an answer follows as an effect.
     pub fn submit(&mut self, now: Moment, submission: Submission) {
@@ -163,14 +154,18 @@
     ///
     /// A job that was sent again has runs of the same numbers under its earlier owner, so
     /// that the number alone does not tell.
-    fn current(&mut self, run: RunRef, holder: Holder) -> Option<(&mut Job, usize)> {
+    pub(crate) fn current(
+        &mut self,
+        run: RunRef,
+        holder: Holder,
+    ) -> Option<(&mut Job, usize)> {
         let (job, task) = self.placed(run)?;
         let TaskState::Placed(placement) = job.tasks[task].state else { return None };
         (placement.holder == holder).then_some((job, task))
     }
 
     /// Returns the task of a run, if its current run has this number.
-    fn placed(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
+    pub(crate) fn placed(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
         let job = self.jobs.get_mut(&run.task.job)?;
         let task = job.position(run.task)?;
         let placed = matches!(job.tasks[task].state, TaskState::Placed(_));
@@ -184,7 +179,7 @@
     }
 
     /// Lets a task wait for another placement.
-    fn requeue(&mut self, run: RunRef) {
+    pub(crate) fn requeue(&mut self, run: RunRef) {
         let Some((job, task)) = self.placed(run) else { return };
         if let TaskState::Placed(placement) = job.tasks[task].state {
             job.tasks[task].avoid = placement.minion;
@@ -272,115 +267,6 @@
         }
     }
 
-    /// Notes that the holder of a run has lost the minion; a new one may adopt the run.
-    ///
-    /// Until then, or until the run is gone for certain, the task is not placed again.
-    pub(crate) fn holder_lost(&mut self, now: Moment, holder: Holder, run: RunRef) {
-        if let Some((job, task)) = self.current(run, holder)
-            && let TaskState::Placed(placement) = &mut job.tasks[task].state
-        {
-            placement.gone_at.get_or_insert(now + RUN_GONE_MS);
-            info!(target: "job", request_id:% = run.task.job, run:% = run.task,
-                holder:? = holder; "the holder of a run has lost the minion");
-        }
-    }
-
-    /// Claims a run that a new holder has found, if it is current; returns what it needs.
-    ///
-    /// Announcements can arrive late: one of an earlier holder must not replace a later one,
-    /// nor this instance while it holds the minion under a higher token itself.
-    pub(crate) fn claim(
-        &mut self,
-        run: RunRef,
-        peer: Option<PeerKey>,
-        minion: &MinionId,
-        fencing_token: u64,
-    ) -> Option<Resources> {
-        let key = self.minions.by_id.get(minion).copied()?;
-        let own_token = self.minions.arena[key].held.as_ref().map(|h| h.fencing_token);
-        if own_token.is_some_and(|own_token| own_token > fencing_token) {
-            return None;
-        }
-        let (job, task) = self.placed(run)?;
-        let TaskState::Placed(placement) = &mut job.tasks[task].state else {
-            return None;
-        };
-        if placement.minion != Some(key) || placement.fencing_token > fencing_token {
-            return None;
-        }
-        placement.fencing_token = fencing_token;
-        placement.holder = peer.map_or(Holder::Local(key), Holder::Peer);
-        placement.gone_at = None;
-        Some(job.step_of(task).need)
-    }
-
-    /// Takes a peer's announcement of what it found on a minion.
-    pub(crate) fn adopted_by_peer(
-        &mut self,
-        now: Moment,
-        peer: PeerKey,
-        (minion, fencing_token): (&MinionId, u64),
-        active: Vec<RunRef>,
-        ended: Vec<(RunRef, RunEnd)>,
-    ) {
-        for run in active {
-            if let Some(need) = self.claim(run, Some(peer), minion, fencing_token) {
-                let minion = minion.clone();
-                self.send(peer, Message::Claimed { minion, run, need });
-            }
-        }
-        for (run, end) in ended {
-            if self.claim(run, Some(peer), minion, fencing_token).is_some() {
-                self.run_ended(now, Holder::Peer(peer), run, end);
-            }
-        }
-    }
-
-    /// Treats the runs at a holder as lost that the holder does not list, if it had the
-    /// order when it made the list.
-    pub(crate) fn reconcile(
-        &mut self,
-        now: Moment,
-        peer: PeerKey,
-        listed: &[RunRef],
-        echo: Moment,
-    ) {
-        let missing: Vec<RunRef> = self
-            .runs_at_peer(peer)
-            .into_iter()
-            .filter(|run| !listed.contains(run))
-            .filter(|&run| self.placed_by(run, echo))
-            .collect();
-        for run in missing {
-            self.holder_lost(now, Holder::Peer(peer), run);
-        }
-    }
-
-    /// Returns whether a run was placed at `moment` or before.
-    fn placed_by(&self, run: RunRef, moment: Moment) -> bool {
-        let job = self.jobs.get(&run.task.job);
-        let task = job.and_then(|job| Some(&job.tasks[job.position(run.task)?]));
-        task.is_some_and(|task| match task.state {
-            TaskState::Placed(placement) => placement.since <= moment,
-            TaskState::Blocked | TaskState::Waiting | TaskState::Done => false,
-        })
-    }
-
-    /// Returns the runs that are placed at a peer.
-    pub(crate) fn runs_at_peer(&self, peer: PeerKey) -> Vec<RunRef> {
-        let mut runs = Vec::new();
-        for job in self.jobs.values() {
-            for (position, task) in job.tasks.iter().enumerate() {
-                if let TaskState::Placed(placement) = task.state
-                    && placement.holder == Holder::Peer(peer)
-                {
-                    runs.push(job.run_ref(position));
-                }
-            }
-        }
-        runs
-    }
-
     /// Refuses, gives up and requeues what has run out of time.
     pub(crate) fn expire(&mut self, now: Moment) {
         let mut ends = Vec::new();
@@ -431,124 +317,4 @@
             }
         }
     }
-
-    /// Places the waiting tasks in the order of their jobs, if tasks or room have come since
-    /// the last time.
-    pub(crate) fn place(&mut self, now: Moment) {
-        if self.waiting.is_empty() || !self.placement_due {
-            return;
-        }
-        let mut candidates = self.candidates(now);
-        let order: Vec<JobId> = self.waiting.iter().map(|rank| rank.job).collect();
-        for id in order {
-            if candidates.is_empty() {
-                break;
-            }
-            self.place_job(now, id, &mut candidates);
-        }
-        self.placement_due = false;
-    }
-
-    /// Places the waiting tasks of a job as far as there is room. More urgent jobs come
-    /// first, so that what is left of a wide one takes the next room.
-    fn place_job(&mut self, now: Moment, id: JobId, candidates: &mut [Candidate]) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let arena = &self.minions.arena;
-        let suits = |job: &Job, task: usize, key: MinionKey| {
-            let Some(minion) = arena.get(key) else { return false };
-            let label = job.step_of(task).required_label.as_ref();
-            minion.entry.service == job.queue.service
-                && job.tasks[task].avoid != Some(key)
-                && label.is_none_or(|label| minion.entry.labels.contains(label))
-        };
-        let choices = placement::choose(job, candidates, suits, &mut self.rng, now);
-        let waiting =
-            job.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
-        if choices.len() == waiting {
-            self.waiting.remove(&job.rank());
-        }
-        for choice in choices {
-            let candidate = candidates[choice.candidate].clone();
-            self.place_task(now, id, choice, &candidate);
-        }
-    }
-
-    /// Orders a run of a task on the chosen minion.
-    fn place_task(
-        &mut self,
-        now: Moment,
-        id: JobId,
-        choice: Choice,
-        candidate: &Candidate,
-    ) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let holder = match candidate.site {
-            Site::Local => Holder::Local(candidate.minion),
-            Site::Peer(peer) => Holder::Peer(peer),
-        };
-        job.ordered = true;
-        job.tasks[choice.task].last_run += 1;
-        job.tasks[choice.task].state = TaskState::Placed(Placement {
-            holder,
-            minion: Some(candidate.minion),
-            fencing_token: 0,
-            since: now,
-            gone_at: None,
-        });
-        let run = job.run_ref(choice.task);
-        let step = job.step_of(choice.task);
-        let (need, estimate_ms) = (step.need, step.estimate_ms);
-        let spec = job.spec.clone();
-        let minion = self.minions.arena[candidate.minion].entry.id.clone();
-        info!(target: "job", request_id:% = id, run:% = run.task, number = run.run,
-            minion:% = minion, pace = candidate.pace,
-            local = candidate.site == Site::Local; "task placed");
-        match candidate.site {
-            Site::Local => {
-                let order = RunOrder { run, need, estimate_ms, spec };
-                if !self.start_run(now, candidate.minion, order, RunOwner::Local) {
-                    self.requeue(run);
-                }
-            }
-            Site::Peer(key) => {
-                if let Some(peer) = self.peers.arena.get_mut(key) {
-                    peer.offer(&minion, need, now);
-                    peer.engaged = true;
-                }
-                self.send(key, Message::Start { run, minion, need, estimate_ms, spec });
-            }
-        }
-    }
-
-    /// Returns the minions with free room, of this instance and of its peers.
-    fn candidates(&self, now: Moment) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for (key, minion, _) in self.minions.held() {
-            if let Some(free) = minion.free(now)
-                && free.cpu_millicores > 0
-            {
-                let pace = minion.pace.ratio();
-                let site = Site::Local;
-                candidates.push(Candidate { site, minion: key, free, pace, hop_ms: 0.0 });
-            }
-        }
-        for (peer_key, peer) in &self.peers.arena {
-            if !peer.is_responsive(now) {
-                continue;
-            }
-            for room in &peer.rooms {
-                let Some(&minion) = self.minions.by_id.get(&room.minion) else {
-                    continue;
-                };
-                candidates.push(Candidate {
-                    site: Site::Peer(peer_key),
-                    minion,
-                    free: room.free,
-                    pace: f64::from(room.pace_permille) / 1000.0,
-                    hop_ms: HOP_MS,
-                });
-            }
-        }
-        candidates
-    }
 }
