--- /dev/null
+++ b/crates/bamboocart-emulator/src/compare.rs
@@ -0,0 +1,135 @@
+//! Which of two versions serves better, from their outcomes with the same seeds.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::outcome::Outcomes;
+
+/// How many standard errors a difference has to exceed to count.
+const SIGNIFICANT_ERRORS: f64 = 2.0;
+
+/// The differences between two versions, a row for each day that both played.
+#[derive(Debug, Clone)]
+pub struct Comparison {
+    /// The rows in order of the days.
+    pub rows: Vec<Row>,
+}
+
+/// The difference on one day.
+#[derive(Debug, Clone)]
+pub struct Row {
+    /// The day.
+    pub day: String,
+    /// The credits of both versions with each seed that both played.
+    pub credits: Vec<(f64, f64)>,
+    /// The rules that were broken before and after.
+    pub broken: (usize, usize),
+    /// The calls to minions after, over those before.
+    pub call_ratio: f64,
+}
+
+/// What a difference says.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Verdict {
+    /// The later version serves better.
+    Better,
+    /// The later version serves worse, or breaks a rule that the earlier one kept.
+    Worse,
+    /// The difference may be chance.
+    Same,
+}
+
+impl Comparison {
+    /// Compares two versions on what both played.
+    pub fn new(before: &Outcomes, after: &Outcomes) -> Self {
+        let mut rows = Vec::new();
+        for (day, earlier) in &before.days {
+            let Some(later) = after.days.get(day) else { continue };
+            let pairs: Vec<_> = earlier
+                .iter()
+                .filter_map(|(seed, outcome)| Some((outcome, later.get(seed)?)))
+                .collect();
+            if pairs.is_empty() {
+                continue;
+            }
+            let calls_before: u64 = pairs.iter().map(|pair| pair.0.minion_calls).sum();
+            let calls_after: u64 = pairs.iter().map(|pair| pair.1.minion_calls).sum();
+            let credit = |ppm: u64| ppm as f64 / 1e6;
+            rows.push(Row {
+                day: day.clone(),
+                credits: pairs
+                    .iter()
+                    .map(|(a, b)| (credit(a.credit_ppm), credit(b.credit_ppm)))
+                    .collect(),
+                broken: (
+                    pairs.iter().map(|pair| pair.0.broken).sum(),
+                    pairs.iter().map(|pair| pair.1.broken).sum(),
+                ),
+                call_ratio: calls_after as f64 / calls_before.max(1) as f64,
+            });
+        }
+        Self { rows }
+    }
+}
+
+impl Row {
+    /// Returns the mean credits before and after.
+    pub fn means(&self) -> (f64, f64) {
+        let count = self.credits.len() as f64;
+        let before: f64 = self.credits.iter().map(|pair| pair.0).sum();
+        let after: f64 = self.credits.iter().map(|pair| pair.1).sum();
+        (before / count, after / count)
+    }
+
+    /// Returns the standard error of the mean difference; the seeds are paired, so that the
+    /// luck of a seed falls out.
+    pub fn error(&self) -> f64 {
+        let count = self.credits.len() as f64;
+        let (before, after) = self.means();
+        let mean = after - before;
+        let squares = self.credits.iter().map(|(a, b)| (b - a - mean).powi(2));
+        (squares.sum::<f64>() / (count - 1.0).max(1.0) / count).sqrt()
+    }
+
+    /// Returns what the difference says.
+    pub fn verdict(&self) -> Verdict {
+        let (before, after) = self.means();
+        let limit = SIGNIFICANT_ERRORS * self.error();
+        match after - before {
+            _ if self.broken.1 > self.broken.0 => Verdict::Worse,
+            difference if difference > limit => Verdict::Better,
+            difference if -difference > limit => Verdict::Worse,
+            _ => Verdict::Same,
+        }
+    }
+}
+
+impl Display for Comparison {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:16} {:>5} {:>8} {:>8} {:>18} {:>7} {:>9}  verdict",
+            "day", "seeds", "before", "after", "difference", "calls", "broken"
+        )?;
+        for row in &self.rows {
+            let (before, after) = row.means();
+            let verdict = match row.verdict() {
+                Verdict::Better => "better",
+                Verdict::Worse => "worse",
+                Verdict::Same => "no difference shown",
+            };
+            writeln!(
+                f,
+                "{:16} {:>5} {before:>8.4} {after:>8.4} {:>+9.4} +- {:.4} {:>6.2}x {:>4}, {:>3}  \
+                 {verdict}",
+                row.day,
+                row.credits.len(),
+                after - before,
+                row.error(),
+                row.call_ratio,
+                row.broken.0,
+                row.broken.1
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/bamboocart-emulator/src/main.rs
+++ b/crates/bamboocart-emulator/src/main.rs
@@ -1,67 +1,143 @@
-//! Plays days over seeds and prints their outcomes.
+//! Plays days over seeds, prints their outcomes, and compares those of two versions.
 
+use std::error::Error;
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use bamboocart_emulator::{Day, Report, run, trace};
+use bamboocart_emulator::{
+    Comparison, Day, Outcomes, Report, Verdict, credits_svg, run, trace,
+};
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use rayon::prelude::*;
 
+/// The result of a command: whether what it checked holds.
+type Result<T = bool, E = Box<dyn Error>> = std::result::Result<T, E>;
+
+/// The commands.
+#[derive(Debug, Clone)]
+enum Command {
+    /// Plays days.
+    Play(Play),
+    /// Compares two versions.
+    Compare(Compare),
+}
+
 /// What to play.
 #[derive(Debug, Clone)]
-struct Flags {
+struct Play {
     /// The number of seeds.
     seeds: u64,
     /// The first seed.
     first: u64,
     /// The text of the log lines to print, for example a job's id.
     trace: Option<String>,
+    /// The file for the outcomes.
+    save: Option<PathBuf>,
     /// The files with days.
     days: Vec<PathBuf>,
 }
 
+/// What to compare.
+#[derive(Debug, Clone)]
+struct Compare {
+    /// The file for the plot.
+    plot: Option<PathBuf>,
+    /// The outcomes of the earlier version.
+    before: PathBuf,
+    /// The outcomes of the later version.
+    after: PathBuf,
+}
+
 /// Returns the parser of the command line.
-fn flags() -> OptionParser<Flags> {
+fn flags() -> OptionParser<Command> {
     let seeds = long("seeds").help("The number of seeds").argument("N").fallback(5);
     let first = long("first").help("The first seed").argument("N").fallback(1);
     let trace = long("trace").help("Print log lines with this text").argument("TEXT");
     let trace = trace.optional();
+    let save = long("save").help("Write the outcomes to a file").argument("FILE");
+    let save = save.optional();
     let days = positional("DAY").help("Files with days").some("name a day");
-    construct!(Flags { seeds, first, trace, days })
+    let play = construct!(Play { seeds, first, trace, save, days })
         .to_options()
         .descr("Plays days in virtual time and checks the rules")
+        .command("play")
+        .map(Command::Play);
+    let plot = long("plot").help("Write a plot as SVG").argument("FILE").optional();
+    let before = positional("BEFORE").help("Outcomes of the earlier version");
+    let after = positional("AFTER").help("Outcomes of the later version");
+    let compare = construct!(Compare { plot, before, after })
+        .to_options()
+        .descr("Compares the outcomes of two versions; fails if a day is worse")
+        .command("compare")
+        .map(Command::Compare);
+    construct!([play, compare])
+        .to_options()
+        .descr("Plays whole systems in virtual time and compares versions")
 }
 
-/// Plays each day with each seed.
+/// Runs a command.
 fn main() -> ExitCode {
-    let flags = flags().run();
-    if let Some(needle) = flags.trace
-        && let Err(error) = trace(needle)
-    {
-        eprintln!("error: {error}");
+    let result = match flags().run() {
+        Command::Play(command) => play(&command),
+        Command::Compare(command) => compare(&command),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
     }
-    let mut broken = false;
-    for path in &flags.days {
-        let text = fs::read_to_string(path).map_err(|error| error.to_string());
-        let day = text.and_then(|t| Day::parse(&t).map_err(|error| error.to_string()));
-        let day = match day {
-            Ok(day) => day,
-            Err(error) => {
-                eprintln!("error: {}: {error}", path.display());
-                return ExitCode::FAILURE;
-            }
-        };
-        let seeds = flags.first..flags.first + flags.seeds;
+}
+
+/// Plays each day with each seed; false means that a rule was broken.
+fn play(command: &Play) -> Result {
+    if let Some(needle) = command.trace.clone() {
+        trace(needle)?;
+    }
+    let mut outcomes = Outcomes::default();
+    let mut kept = true;
+    for path in &command.days {
+        let day = read_day(path)?;
+        let seeds = command.first..command.first + command.seeds;
         let reports: Vec<(u64, Report)> =
             seeds.into_par_iter().map(|seed| (seed, run(&day, seed))).collect();
         println!("{}", path.display());
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
         for (seed, report) in &reports {
             println!("seed {seed}: {report}");
-            broken |= !report.broken.is_empty();
+            kept &= report.broken.is_empty();
+            outcomes.add(&name, *seed, report);
         }
         let mean: f64 = reports.iter().map(|(_, report)| report.credit()).sum();
         println!("mean credit {:.4}", mean / reports.len().max(1) as f64);
     }
-    if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    if let Some(path) = &command.save {
+        outcomes.write(path)?;
+    }
+    Ok(kept)
+}
+
+/// Reads a day.
+fn read_day(path: &Path) -> Result<Day> {
+    let named = |error: String| format!("{}: {error}", path.display());
+    let text = fs::read_to_string(path).map_err(|error| named(error.to_string()))?;
+    Ok(Day::parse(&text).map_err(|error| named(error.to_string()))?)
+}
+
+/// Compares two versions; false means that a day is worse.
+fn compare(command: &Compare) -> Result {
+    let before = Outcomes::read(&command.before)?;
+    let after = Outcomes::read(&command.after)?;
+    let comparison = Comparison::new(&before, &after);
+    if comparison.rows.is_empty() {
+        return Err("the files share no day and seed; play the same ones".into());
+    }
+    print!("{comparison}");
+    if let Some(path) = &command.plot {
+        fs::write(path, credits_svg(&comparison)?)?;
+    }
+    Ok(comparison.rows.iter().all(|row| row.verdict() != Verdict::Worse))
 }
