Read the settings again on a hang-up

Cause: the line `reload` said that nothing had changed without having looked. Change: the file is read and compared; the grace period counts at once, the fields that count at the next start are named, and broken settings leave the old ones in force. The test a_reload_reads_the_settings failed before.

--- a/crates/bamboocart-dispatcher/src/site/mod.rs
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -16,7 +16,7 @@
 use std::env;
 use std::fs;
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use bamboocart_adapter::{SETTINGS_VARIABLE, Settings, SettingsError};
 use bamboocart_jobs::Member;
@@ -85,8 +85,7 @@
 pub fn run() -> Result<()> {
     let path = env::var_os(SETTINGS_VARIABLE).context(NoVariableSnafu)?;
     let path = PathBuf::from(path);
-    let text = fs::read_to_string(&path).context(UnreadableSnafu { path: &path })?;
-    let settings: Settings = text.parse().context(SettingsSnafu)?;
+    let settings = read_settings(&path)?;
     let lines = output::lines().context(StartSnafu { what: "open the log" })?;
     let log_settings = LogSettings { level: LevelFilter::Info, format: LogFormat::Json };
     logs::install_buffered(log_settings, lines.clone()).context(LogsSnafu)?;
@@ -96,15 +95,22 @@
         .context(StartSnafu { what: "start the runtime" })?;
     log::info!(target: "process", instance = settings.node_name.as_str(),
         settings:% = path.display(); "instance starts");
-    let result = LocalSet::new().block_on(&runtime, serve(settings, lines.clone()));
+    let result =
+        LocalSet::new().block_on(&runtime, serve(&path, settings, lines.clone()));
     log::info!(target: "process", ok = result.is_ok(), dropped_lines = lines.dropped();
         "instance stops");
     output::write(&lines);
     result
 }
 
+/// Reads the settings file.
+fn read_settings(path: &Path) -> Result<Settings> {
+    let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+    text.parse().context(SettingsSnafu)
+}
+
 /// Opens the sockets, starts all tasks and waits for the end of the stop.
-async fn serve(settings: Settings, lines: LineBuffer) -> Result<()> {
+async fn serve(path: &Path, settings: Settings, lines: LineBuffer) -> Result<()> {
     let open = |address, what| links::listen(address).context(StartSnafu { what });
     let peer = open(settings.peer, "listen for peers")?;
     let front = open(settings.front, "listen for clients")?;
@@ -134,7 +140,7 @@
     shell.spawn(probe::accept(shell.clone(), page.clone(), ready));
     shell.spawn(probe::accept(shell.clone(), page, metrics));
     store::spawn(&shell, &settings);
-    signals.run(&shell, &settings).await;
+    signals.run(&shell, path, settings).await;
     cancel.cancel();
     Ok(())
 }
--- a/crates/bamboocart-dispatcher/src/site/signals.rs
+++ b/crates/bamboocart-dispatcher/src/site/signals.rs
@@ -1,6 +1,7 @@
 //! Signals, and the stop of the process.
 
 use std::io;
+use std::path::Path;
 use std::time::Duration;
 
 use bamboocart_adapter::Settings;
@@ -8,7 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::site::shell::Shell;
-use crate::site::store;
+use crate::site::{read_settings, store};
 
 /// The time at the end of a stop in which the instance holds no minions any more; its jobs
 /// end on those of peers.
@@ -34,18 +35,34 @@
         })
     }
 
-    /// Waits for a termination signal, then stops gracefully.
-    pub async fn run(mut self, shell: &Shell, settings: &Settings) {
+    /// Waits for a termination signal, then stops gracefully. A hang-up lets the settings be
+    /// read again.
+    pub async fn run(mut self, shell: &Shell, path: &Path, mut settings: Settings) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => break,
                 _ = self.interrupt.recv() => break,
-                _ = self.hangup.recv() => {
-                    log::info!(target: "process", changed = false; "reload");
-                }
+                _ = self.hangup.recv() => reload(path, &mut settings),
             }
         }
-        stop(shell, settings).await;
+        stop(shell, &settings).await;
+    }
+}
+
+/// Reads the settings again. The grace period counts at once, the rest at the next start.
+fn reload(path: &Path, settings: &mut Settings) {
+    match read_settings(path) {
+        Ok(read) => {
+            let changed = read != *settings;
+            let restart = settings.restart_fields(&read).join(",");
+            log::info!(target: "process", changed, grace_ms = read.grace_ms,
+                next_start = restart; "reload");
+            settings.grace_ms = read.grace_ms;
+        }
+        Err(error) => {
+            log::error!(target: "process", error:% = error;
+                "reload failed; the settings stay as they were");
+        }
     }
 }
 
--- a/crates/bamboocart-dispatcher/tests/site/process.rs
+++ b/crates/bamboocart-dispatcher/tests/site/process.rs
@@ -25,6 +25,8 @@
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// The settings file.
+    pub settings: PathBuf,
 }
 
 impl Instance {
@@ -36,7 +38,8 @@
     /// Starts an instance with these settings, and waits until it listens; its log goes to
     /// `log`.
     pub fn start_with(settings: &str, mut log: impl Write + Send + 'static) -> Self {
-        let mut child = command(settings).stdout(Stdio::piped()).spawn().unwrap();
+        let (mut command, path) = command(settings);
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let mut keep = move |line: &str| {
             writeln!(log, "{line}").expect("the log can be written");
@@ -54,7 +57,7 @@
         let (front, ready) = (address("front"), address("ready"));
         // Reads the rest, so that the process never waits for its log.
         thread::spawn(move || lines.map_while(Result::ok).for_each(|line| keep(&line)));
-        Self { child, front, ready }
+        Self { child, front, ready, settings: path }
     }
 
     /// Starts an instance and waits until it is ready.
@@ -92,15 +95,15 @@
     }
 }
 
-/// Returns the command that starts an instance with these settings.
-pub fn command(settings: &str) -> Command {
+/// Returns the command that starts an instance with these settings, and their file.
+pub fn command(settings: &str) -> (Command, PathBuf) {
     let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let path = folder.join(format!("site-{}-{number}.conf", std::process::id()));
     fs::write(&path, settings).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_bamboocart-dispatcher"));
-    command.arg("site").env("BAMBOOCART_CONFIG", path);
-    command
+    command.arg("site").env("BAMBOOCART_CONFIG", &path);
+    (command, path)
 }
 
 /// Returns free ports for clients, readiness, peers and metrics, for an instance that starts
--- a/crates/bamboocart-dispatcher/tests/site/start.rs
+++ b/crates/bamboocart-dispatcher/tests/site/start.rs
@@ -11,7 +11,7 @@
 #[test]
 fn all_faults_of_the_settings_are_reported() {
     let output =
-        command("node_name=edge-1\nzone\nplatform.address=nowhere\n").output().unwrap();
+        command("node_name=edge-1\nzone\nplatform.address=nowhere\n").0.output().unwrap();
     assert!(!output.status.success());
     let text = String::from_utf8(output.stderr).unwrap();
     for fault in ["`zone` has no `=`", "`ip`", "listen_addrs.front", "nowhere"] {
--- a/crates/bamboocart-dispatcher/tests/site/stop.rs
+++ b/crates/bamboocart-dispatcher/tests/site/stop.rs
@@ -1,5 +1,8 @@
 //! Graceful stops.
 
+use std::fs;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -34,3 +37,52 @@
     assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
     assert!(wait_until(|| warm().state == "completed"));
 }
+
+/// A log that a test reads while it is written.
+#[derive(Clone, Default)]
+struct Log(Arc<Mutex<Vec<u8>>>);
+
+impl Log {
+    /// Returns whether a line has all of these parts.
+    fn has(&self, parts: &[&str]) -> bool {
+        let text = self.0.lock().unwrap().clone();
+        let text = String::from_utf8(text).unwrap();
+        text.lines().any(|line| parts.iter().all(|part| line.contains(part)))
+    }
+}
+
+impl Write for Log {
+    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(data)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a reload that says that nothing has changed without having looked, and
+/// against one that takes broken settings.
+#[test]
+fn a_reload_reads_the_settings() {
+    let platform = StandIn::start(1).unwrap();
+    platform.publish(1, "/q/");
+    let log = Log::default();
+    let text = platform.settings("edge-1", [0; 4]);
+    let mut instance = Instance::start_with(&text, log.clone());
+    instance.signal(Signal::HUP);
+    assert!(wait_until(|| log.has(&["reload", r#""changed":false"#])));
+    let changed =
+        text.replace("zone=marka", "zone=sahab").replace("grace_s=6", "grace_s=2");
+    fs::write(&instance.settings, changed).unwrap();
+    instance.signal(Signal::HUP);
+    let parts = ["reload", r#""changed":true"#, r#""next_start":"zone""#, "2000"];
+    assert!(wait_until(|| log.has(&parts)));
+    fs::write(&instance.settings, "zone").unwrap();
+    instance.signal(Signal::HUP);
+    assert!(wait_until(|| log.has(&["reload failed", "`zone` has no `=`"])));
+    let signalled = Instant::now();
+    instance.signal(Signal::TERM);
+    assert!(instance.wait().success());
+    assert!(signalled.elapsed() < Duration::from_secs(2), "the new grace period counts");
+}
