--- a/crates/bamboocart-emulator/src/world.rs
+++ b/crates/bamboocart-emulator/src/world.rs
@@ -698,6 +698,9 @@
     fn send_frame(&mut self, node: usize, peer: PeerKey, frame: Frame) {
         self.report.frames += 1;
         let Some(&other) = self.nodes[node].links.get(&peer) else { return };
+        if !self.accepts(other, node, peer) {
+            return;
+        }
         let path = self.path_us(self.nodes[node].domain, self.nodes[other].domain);
         if let Some(delay_us) = path
             && !self.links_silent
@@ -716,7 +719,8 @@
                 continue;
             }
             for (peer, address) in self.nodes[node].engine.peers() {
-                let other = self.node_at(address);
+                let other =
+                    self.node_at(address).filter(|&it| self.accepts(it, node, peer));
                 let known = self.nodes[node].links.contains_key(&peer);
                 let path = other.and_then(|other| {
                     let from = self.nodes[node].domain;
@@ -736,7 +740,14 @@
         }
     }
 
-    /// Returns the instance that runs at an address with its current incarnation.
+    /// Returns whether an instance is the one that another means by a peer: a link is used
+    /// only if the intended incarnation accepts it.
+    fn accepts(&self, other: usize, node: usize, peer: PeerKey) -> bool {
+        let intended = self.nodes[node].engine.member_of(peer);
+        intended == Some(&self.nodes[other].member)
+    }
+
+    /// Returns the instance that runs at an address.
     fn node_at(&self, address: SocketAddr) -> Option<usize> {
         self.nodes.iter().position(|node| node.up && node.member.address == address)
     }
@@ -1137,10 +1148,9 @@
     picked
 }
 
-/// Returns a member of the group; each incarnation has an address of its own, so that links
-/// to earlier ones are recognised as gone.
+/// Returns a member of the group; the incarnations of an instance share its address.
 fn member(domain: &str, number: usize, incarnation: u64) -> Member {
-    let ip = Ipv4Addr::new(10, 0, number as u8, incarnation as u8);
+    let ip = Ipv4Addr::new(10, 0, 0, number as u8);
     Member {
         name: format!("entry-{number}").into(),
         failure_domain: domain.into(),
