--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -111,9 +111,9 @@
     pub fn event<T>(&self, event: impl FnOnce(&mut Engine, Moment) -> T) -> T {
         let now = clock::now();
         let mut engine = self.inner.engine.borrow_mut();
-        let uninformed = engine.catalog().version == 0;
+        let unconfigured = engine.catalog().version == 0;
         let result = event(&mut engine, now);
-        if uninformed && engine.catalog().version > 0 {
+        if unconfigured && engine.catalog().version > 0 {
             self.inner.catalog_known.notify_waiters();
         }
         let effects = engine.take_effects();
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -215,8 +215,8 @@
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let first = entry.heard.is_none();
         entry.note_frame(&frame, now);
-        if frame.uninformed && entry.is_briefing_due(now) {
-            self.brief(now, peer);
+        if frame.needs_state && entry.is_state_due(now) {
+            self.send_state(now, peer);
         }
         let Some(entry) = self.peers.arena.get(peer) else { return };
         if first {
@@ -267,8 +267,8 @@
             }
             Message::Runs(runs) => self.reconcile(now, peer, &runs, echo),
             Message::Wanted(runs) => self.keep_wanted(now, peer, &runs),
-            Message::Briefing { catalog, minions } => {
-                self.take_briefing(now, catalog, minions);
+            Message::StateTransfer { catalog, minions } => {
+                self.take_state(now, catalog, minions);
             }
             Message::Cancel(job) => self.cancel_for_peer(now, job),
             Message::Leaving => self.peer_leaves(peer),
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -121,24 +121,25 @@
     }
 
     /// Tells a peer that the store does not answer what the store has told this instance.
-    pub(crate) fn brief(&mut self, now: Moment, peer: PeerKey) {
+    pub(crate) fn send_state(&mut self, now: Moment, peer: PeerKey) {
         if self.catalog.version == 0 {
             return;
         }
         let listed = |minion: &&Minion| minion.unlisted.is_none();
         let minions = self.minions.arena.values().filter(listed);
-        let briefing = Message::Briefing {
+        let state = Message::StateTransfer {
             catalog: Catalog::clone(&self.catalog),
             minions: minions.map(|minion| minion.entry.clone()).collect(),
         };
         if let Some(peer) = self.peers.arena.get_mut(peer) {
-            info!(target: "peer", peer:% = peer.member; "peer is briefed");
-            peer.brief(now, briefing);
+            info!(target: "peer", peer:% = peer.member;
+                "state sent to a peer that the store does not answer");
+            peer.send_state(now, state);
         }
     }
 
     /// Takes what the store has told a peer, if it has told this instance nothing.
-    pub(crate) fn take_briefing(
+    pub(crate) fn take_state(
         &mut self,
         now: Moment,
         catalog: Catalog,
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -20,7 +20,7 @@
     /// Whether the sender wants to hear of the receiver's free room.
     pub wants_rooms: bool,
     /// Whether the sender knows no configuration, because the store does not answer it.
-    pub uninformed: bool,
+    pub needs_state: bool,
     /// The messages, in order.
     pub messages: Vec<Message>,
 }
@@ -74,8 +74,8 @@
     Wanted(Vec<RunRef>),
     /// Tells peers that a client has cancelled a job that the sender does not own.
     Cancel(JobId),
-    /// Tells an uninformed peer what the store has told the sender.
-    Briefing {
+    /// Passes what the store has told the sender on to a peer that it does not answer.
+    StateTransfer {
         /// The configuration in force.
         catalog: Catalog,
         /// The list of minions.
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -22,8 +22,8 @@
 /// The messages that wait for one peer at the most; it gets no more until some are sent.
 pub(crate) const OUTBOX_MESSAGES: usize = 4_096;
 
-/// The time between two briefings of a peer; one is as large as the configuration.
-const BRIEFING_INTERVAL_MS: u64 = 1_000;
+/// The time between two transfers of state to a peer; one is as large as the configuration.
+const STATE_INTERVAL_MS: u64 = 1_000;
 
 /// A peer.
 #[derive(Debug)]
@@ -46,7 +46,7 @@
     /// Whether it wants to hear of this instance's free room.
     wants_rooms: bool,
     /// When it was last told what the store has told this instance.
-    briefed: Option<Moment>,
+    state_sent: Option<Moment>,
     /// Whether runs of one of the two are on minions of the other.
     pub(crate) engaged: bool,
     /// Whether a link to it is open; messages wait until one is.
@@ -94,7 +94,7 @@
             ended: false,
             neighbour: false,
             wants_rooms: false,
-            briefed: None,
+            state_sent: None,
             engaged: false,
             link_open: false,
             heard: None,
@@ -123,16 +123,16 @@
         }
     }
 
-    /// Returns whether a peer that is uninformed may be briefed, again if it still is after
-    /// some time.
-    pub(crate) fn is_briefing_due(&self, now: Moment) -> bool {
-        self.briefed.is_none_or(|briefed| now.since(briefed) >= BRIEFING_INTERVAL_MS)
+    /// Returns whether state may be sent to a peer that needs it; again if it still does
+    /// after some time.
+    pub(crate) fn is_state_due(&self, now: Moment) -> bool {
+        self.state_sent.is_none_or(|sent| now.since(sent) >= STATE_INTERVAL_MS)
     }
 
-    /// Queues a briefing.
-    pub(crate) fn brief(&mut self, now: Moment, briefing: Message) {
-        if self.push(briefing) {
-            self.briefed = Some(now);
+    /// Queues a transfer of state.
+    pub(crate) fn send_state(&mut self, now: Moment, state: Message) {
+        if self.push(state) {
+            self.state_sent = Some(now);
         }
     }
 
@@ -229,7 +229,7 @@
         &mut self,
         rooms: &[RoomReport],
         report_interval_ms: u64,
-        uninformed: bool,
+        needs_state: bool,
         now: Moment,
     ) -> Option<Frame> {
         if self.frame_due(report_interval_ms) > now {
@@ -248,7 +248,7 @@
             sent_ms: now.0,
             echo_ms: self.heard_sent_ms,
             wants_rooms: self.neighbour,
-            uninformed,
+            needs_state,
             messages,
         })
     }
@@ -300,19 +300,19 @@
         due.min().unwrap_or(Moment(u64::MAX))
     }
 
-    /// Returns the frames that are due. `rooms` is the room that is reported, `uninformed`
+    /// Returns the frames that are due. `rooms` is the room that is reported, `needs_state`
     /// whether this instance knows no configuration.
     pub(crate) fn take_frames(
         &mut self,
         rooms: &[RoomReport],
-        uninformed: bool,
+        needs_state: bool,
         now: Moment,
     ) -> Vec<(PeerKey, Frame)> {
         let interval_ms = self.report_interval_ms();
         let peers = self.arena.iter_mut();
         peers
             .filter_map(|(key, peer)| {
-                Some((key, peer.take_frame(rooms, interval_ms, uninformed, now)?))
+                Some((key, peer.take_frame(rooms, interval_ms, needs_state, now)?))
             })
             .collect()
     }
--- a/crates/bamboocart-jobs/tests/briefing.rs
+++ b/crates/bamboocart-jobs/tests/state_transfer.rs
@@ -73,7 +73,7 @@
 /// it, although its peers know the configuration and hold the minions (503 for three seconds
 /// after a restart, incident 1234 of Amman).
 #[test]
-fn peers_brief_an_instance_that_the_store_does_not_answer() {
+fn peers_send_state_to_an_instance_that_the_store_does_not_answer() {
     let mut pair = Pair::new();
     pair.exchange(500);
     assert_eq!(pair.newcomer.catalog().version, 5);
@@ -86,15 +86,15 @@
     assert_eq!(pair.newcomer.status(pair.now).held, 0, "minions need a token");
 }
 
-/// Guards against a configuration that goes back, or a briefing in every frame.
+/// Guards against a configuration that goes back, or state in every frame.
 #[test]
-fn only_an_uninformed_instance_is_briefed() {
+fn only_an_instance_without_state_gets_it() {
     let mut pair = Pair::new();
     pair.newcomer.set_catalog(catalog(7));
     pair.exchange(2_000);
     assert_eq!(pair.newcomer.catalog().version, 7);
     let peer = pair.newcomer.peer(pair.now, &member("entry-1"));
-    let briefing = Message::Briefing { catalog: catalog(9), minions: Vec::new() };
-    pair.newcomer.frame_arrived(pair.now, peer, frame(pair.now, vec![briefing]));
+    let state = Message::StateTransfer { catalog: catalog(9), minions: Vec::new() };
+    pair.newcomer.frame_arrived(pair.now, peer, frame(pair.now, vec![state]));
     assert_eq!(pair.newcomer.catalog().version, 7, "the store has told it");
 }
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -84,7 +84,7 @@
         sent_ms: now.0,
         echo_ms: now.0,
         wants_rooms: true,
-        uninformed: false,
+        needs_state: false,
         messages,
     }
 }
