--- a/crates/bamboocart-dispatcher/tests/site/process.rs
+++ b/crates/bamboocart-dispatcher/tests/site/process.rs
@@ -17,6 +17,12 @@
 /// The ports of instances that start again.
 const FIXED_PORTS: Range<u16> = 12_000..30_000;
 
+/// The ports of each process of tests; at most 24 are in use at a time.
+const BLOCK_PORTS: u32 = 64;
+
+/// Numbers the ports of instances that start again.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Numbers the settings files.
 static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
 
@@ -107,12 +113,20 @@
 }
 
 /// Returns free ports for clients, readiness, peers and metrics, for an instance that starts
-/// again at the same ones. They are outside the range from which outgoing connections take
-/// theirs, one of which could otherwise stand in the way of the next start.
+/// again at the same ones.
+///
+/// They are outside the range from which outgoing connections take theirs, one of which
+/// could otherwise stand in the way of the next start. Each process has a block of its own,
+/// since a port that is free now may be bound later by another run of these tests.
 pub fn fixed_ports() -> [u16; 4] {
+    let blocks = u32::from(FIXED_PORTS.end - FIXED_PORTS.start) / BLOCK_PORTS;
+    let first = (std::process::id() % blocks) * BLOCK_PORTS;
     [(); 4].map(|()| {
+        let ports = iter::repeat_with(|| {
+            let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % BLOCK_PORTS;
+            FIXED_PORTS.start + (first + next) as u16
+        });
         let free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
-        let ports = iter::repeat_with(|| rand::random_range(FIXED_PORTS));
-        ports.take(100).find(free).expect("some port is free")
+        ports.take(BLOCK_PORTS as usize).find(free).expect("some port is free")
     })
 }
