Remove what is written and never read, and what is worked out twice

- At every event the expected end of the runs was worked out for each held minion; it is needed only when a hold is sent.
- The target of a call, a start order, the placement of a task and the time at which a job is given up were each built in several places; each has one.
- Gone: the beginning of a hold, the time of a stop, the queue in requests that do not need it, the result of putting a configuration in force, and a flag that was always the opposite of another.
The pause after a lost start had no caller any more.

--- a/crates/bamboocart-dispatcher/src/site/front.rs
+++ b/crates/bamboocart-dispatcher/src/site/front.rs
@@ -128,11 +128,11 @@
             page::record_answer(&name, answer, arrived.elapsed());
             Ok(encode_answer(answer))
         }
-        FrontRequest::State(_, id) => {
+        FrontRequest::State(id) => {
             let state = shell.read(|engine, _| engine.state(id));
             Ok(encode_answer(state.map_or(Answer::Unknown, Answer::State)))
         }
-        FrontRequest::Cancel(_, id) => {
+        FrontRequest::Cancel(id) => {
             let known = shell.event(|engine, now| engine.cancel(now, id));
             Ok(encode_answer(if known { Answer::Cancelled } else { Answer::Unknown }))
         }
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -60,9 +60,8 @@
     timer_due: Cell<Moment>,
     /// Tells the timer that it has to fire earlier.
     timer_changed: Notify,
-    /// Whether the platform may send new connections.
-    ready: Cell<bool>,
-    /// Whether connections are closed after their current request.
+    /// Whether the platform is told to send no new connections, and open ones are closed
+    /// after their current request.
     closing: Cell<bool>,
     /// Ends all tasks.
     cancel: CancellationToken,
@@ -84,7 +83,6 @@
                 catalog_known: Notify::new(),
                 timer_due: Cell::default(),
                 timer_changed: Notify::new(),
-                ready: Cell::new(true),
                 closing: Cell::new(false),
                 cancel,
             }),
@@ -183,12 +181,11 @@
     /// Returns whether the platform may send new connections.
     pub fn is_ready(&self) -> bool {
         let known = self.read(|engine, _| engine.catalog().version > 0);
-        self.inner.ready.get() && known
+        !self.is_closing() && known
     }
 
     /// Tells the platform to send no new connections.
     pub fn set_not_ready(&self) {
-        self.inner.ready.set(false);
         self.inner.closing.set(true);
     }
 
--- a/crates/bamboocart-emulator/src/world.rs
+++ b/crates/bamboocart-emulator/src/world.rs
@@ -911,9 +911,8 @@
     /// Sends a job to an instance of the client's failure domain, or to any.
     fn send_job(&mut self, job: usize) {
         let (domain, attempt) = (self.jobs[job].domain, self.jobs[job].attempt);
-        let usable = |node: &&Node| node.up;
         let all: Vec<usize> =
-            (0..self.nodes.len()).filter(|&node| usable(&&self.nodes[node])).collect();
+            (0..self.nodes.len()).filter(|&node| self.nodes[node].up).collect();
         let own: Vec<usize> =
             all.iter().copied().filter(|&n| self.nodes[n].domain == domain).collect();
         let choices = if own.is_empty() { &all } else { &own };
--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -7,7 +7,7 @@
 use crate::engine::Engine;
 use crate::holder::{ActiveRun, EndedRun};
 use crate::id::{MinionId, RunRef};
-use crate::job::{Holder, TaskState};
+use crate::job::Holder;
 use crate::message::{Message, RunEnd};
 use crate::minion::{MinionKey, Run, RunOwner};
 use crate::peer::PeerKey;
@@ -161,7 +161,7 @@
     /// Until then, or until the run is gone for certain, the task is not placed again.
     pub(crate) fn holder_lost(&mut self, now: Moment, holder: Holder, run: RunRef) {
         if let Some((job, task)) = self.current(run, holder)
-            && let TaskState::Placed(placement) = &mut job.tasks[task].state
+            && let Some(placement) = job.tasks[task].placement_mut()
         {
             placement.gone_at.get_or_insert(now + RUN_GONE_MS);
             info!(target: "job", request_id:% = run.task.job, run:% = run.task,
@@ -186,9 +186,7 @@
             return None;
         }
         let (job, task) = self.placed(run)?;
-        let TaskState::Placed(placement) = &mut job.tasks[task].state else {
-            return None;
-        };
+        let placement = job.tasks[task].placement_mut()?;
         if placement.minion != Some(key) || placement.fencing_token > fencing_token {
             return None;
         }
@@ -244,10 +242,8 @@
     fn placed_by(&self, run: RunRef, moment: Moment) -> bool {
         let job = self.jobs.get(&run.task.job);
         let task = job.and_then(|job| Some(&job.tasks[job.position(run.task)?]));
-        task.is_some_and(|task| match task.state {
-            TaskState::Placed(placement) => placement.since <= moment,
-            TaskState::Blocked | TaskState::Waiting | TaskState::Done => false,
-        })
+        let placement = task.and_then(|task| task.placement());
+        placement.is_some_and(|placement| placement.since <= moment)
     }
 
     /// Returns the runs that are placed at a peer.
@@ -255,9 +251,7 @@
         let mut runs = Vec::new();
         for job in self.jobs.values() {
             for (position, task) in job.tasks.iter().enumerate() {
-                if let TaskState::Placed(placement) = task.state
-                    && placement.holder == Holder::Peer(peer)
-                {
+                if task.placement().is_some_and(|it| it.holder == Holder::Peer(peer)) {
                     runs.push(job.run_ref(position));
                 }
             }
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -109,16 +109,14 @@
         &self.catalog
     }
 
-    /// Puts a configuration in force, unless a later one is; returns whether it did.
-    pub fn set_catalog(&mut self, catalog: Catalog) -> bool {
-        let newer = catalog.version > self.catalog.version;
-        if newer {
+    /// Puts a configuration in force, unless it or a later one is.
+    pub fn set_catalog(&mut self, catalog: Catalog) {
+        if catalog.version > self.catalog.version {
             info!(target: "config", version = catalog.version,
                 before = self.catalog.version, queues = catalog.queues.len();
                 "configuration in force");
             self.catalog = Arc::new(catalog);
         }
-        newer
     }
 
     /// Takes new entries of the list of minions.
@@ -215,13 +213,12 @@
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let first = entry.heard.is_none();
         entry.note_frame(&frame, now);
-        if frame.needs_state && entry.is_state_due(now) {
-            self.send_state(now, peer);
-        }
-        let Some(entry) = self.peers.arena.get(peer) else { return };
         if first {
             info!(target: "peer", peer:% = entry.member; "peer heard");
         }
+        if frame.needs_state && entry.is_state_due(now) {
+            self.send_state(now, peer);
+        }
         for message in messages {
             self.take_message(now, peer, Moment(frame.echo_ms), message);
         }
@@ -291,8 +288,7 @@
     pub fn next_due(&self, now: Moment) -> Moment {
         let mut due = now + TICK_MS;
         for job in self.jobs.values() {
-            let limit = if job.ordered { job.deadline } else { job.start_by() };
-            due = due.min(limit);
+            due = due.min(job.ends_by());
         }
         for (_, _, held) in self.minions.held() {
             if let HoldState::Due(at) = held.hold {
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -18,7 +18,7 @@
     HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS, LEASE_MS,
 };
 
-/// The answer to a hold or to a stop.
+/// The answer to a hold.
 #[derive(Debug, Clone)]
 pub enum HoldAnswer {
     /// The minion's runs.
@@ -262,7 +262,7 @@
         let minion = &mut self.minions.arena[key];
         warn!(target: "minion", minion:% = minion.entry.id; "minion started again");
         let Some(held) = minion.held.take() else { return };
-        let mut fresh = Held::new(held.fencing_token, held.since);
+        let mut fresh = Held::new(held.fencing_token, now);
         fresh.hold = held.hold;
         minion.held = Some(fresh);
         for (task, run) in held.runs {
@@ -325,25 +325,16 @@
     pub(crate) fn send_due(&mut self, now: Moment) {
         for key in self.minions.held_keys().to_vec() {
             let minion = &mut self.minions.arena[key];
-            let address = |token| crate::effect::Target {
-                minion: key,
-                id: minion.entry.id.clone(),
-                address: minion.entry.address,
-                fencing_token: token,
-            };
-            let pace = minion.pace.ratio();
             let Some(held) = minion.held.as_mut() else { continue };
             let token = held.fencing_token;
-            let wait_ms = held
-                .next_end_ms(pace, now)
-                .map_or(HOLD_WAIT_MS, |end_ms| HOLD_WAIT_MS.min(end_ms + HOLD_SLACK_MS));
             for (&task, run) in &mut held.runs {
                 if let RunPhase::StopDue(due) = run.phase
                     && due <= now
                 {
-                    run.phase = RunPhase::Stopping(now);
+                    run.phase = RunPhase::Stopping;
                     let run = RunRef { task, run: run.run };
-                    let order = StopOrder { target: address(token), run };
+                    let order =
+                        StopOrder { target: minion.entry.target(key, token), run };
                     self.effects.push(Effect::Stop(order));
                 }
             }
@@ -353,13 +344,17 @@
                 self.last_hold.0 += 1;
                 let number = self.last_hold;
                 held.hold = HoldState::Sent { number, at: now };
-                let first = held.incarnation.is_none();
+                let wait_ms = match held.next_end_ms(minion.pace.ratio(), now) {
+                    _ if held.incarnation.is_none() || held.missed > 0 => 0,
+                    Some(end_ms) => HOLD_WAIT_MS.min(end_ms + HOLD_SLACK_MS),
+                    None => HOLD_WAIT_MS,
+                };
                 self.effects.push(Effect::Hold(HoldOrder {
                     number,
-                    target: address(token),
+                    target: minion.entry.target(key, token),
                     lease_until_ms: held.clock.read(now).map(|clock| clock + LEASE_MS),
                     last_seen: held.last_seen,
-                    wait_ms: if first || held.missed > 0 { 0 } else { wait_ms },
+                    wait_ms,
                 }));
             }
         }
--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/job.rs
@@ -134,6 +134,24 @@
     Done,
 }
 
+impl Task {
+    /// Returns where its run is ordered, if one is.
+    pub(crate) fn placement(&self) -> Option<&Placement> {
+        match &self.state {
+            TaskState::Placed(placement) => Some(placement),
+            TaskState::Blocked | TaskState::Waiting | TaskState::Done => None,
+        }
+    }
+
+    /// Returns where its run is ordered, if one is, to change it.
+    pub(crate) fn placement_mut(&mut self) -> Option<&mut Placement> {
+        match &mut self.state {
+            TaskState::Placed(placement) => Some(placement),
+            TaskState::Blocked | TaskState::Waiting | TaskState::Done => None,
+        }
+    }
+}
+
 /// Where a run of a task is ordered.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub(crate) struct Placement {
@@ -221,6 +239,11 @@
         self.arrived + self.objective_ms / WAIT_SHARE
     }
 
+    /// Returns when the job is given up, or refused if nothing of it was ordered.
+    pub(crate) fn ends_by(&self) -> Moment {
+        if self.ordered { self.deadline } else { self.start_by() }
+    }
+
     /// Returns the place in the order of jobs that wait: more urgent queues first, then
     /// the earliest latest start.
     pub(crate) fn rank(&self) -> Rank {
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -5,7 +5,6 @@
 use crate::assignment::{fencing_token, holder_of};
 use crate::catalog::Catalog;
 use crate::engine::Engine;
-use crate::job::TaskState;
 use crate::member::Member;
 use crate::message::Message;
 use crate::minion::{Minion, MinionEntry, MinionKey};
@@ -177,10 +176,7 @@
             peer.engaged = false;
         }
         let owned = self.jobs.values().flat_map(|job| &job.tasks);
-        let owned = owned.filter_map(|task| match task.state {
-            TaskState::Placed(placement) => placement.holder.peer(),
-            TaskState::Blocked | TaskState::Waiting | TaskState::Done => None,
-        });
+        let owned = owned.filter_map(|task| task.placement()?.holder.peer());
         let held = self.minions.held().flat_map(|(_, _, held)| held.runs.values());
         let held = held.filter_map(|run| run.owner.peer());
         for key in owned.chain(held) {
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -50,6 +50,14 @@
     Draining,
 }
 
+impl MinionEntry {
+    /// Returns the address of calls to this minion.
+    pub(crate) fn target(&self, key: MinionKey, fencing_token: u64) -> Target {
+        let Self { id, address, .. } = self;
+        Target { minion: key, id: id.clone(), address: *address, fencing_token }
+    }
+}
+
 /// A minion, with what this instance knows of it as its holder.
 #[derive(Debug)]
 pub(crate) struct Minion {
@@ -81,8 +89,6 @@
 pub(crate) struct Held {
     /// The fencing token of all orders.
     pub(crate) fencing_token: u64,
-    /// When the hold began.
-    pub(crate) since: Moment,
     /// The incarnation that answered, once one has.
     pub(crate) incarnation: Option<u64>,
     /// The minion's clock.
@@ -216,7 +222,7 @@
     /// The start was not answered, or a stop is wanted; a stop is sent when due.
     StopDue(Moment),
     /// A stop was sent.
-    Stopping(Moment),
+    Stopping,
 }
 
 /// All minions.
@@ -272,16 +278,6 @@
         }
     }
 
-    /// Returns the address of calls to this minion.
-    pub(crate) fn target(&self, key: MinionKey, fencing_token: u64) -> Target {
-        Target {
-            minion: key,
-            id: self.entry.id.clone(),
-            address: self.entry.address,
-            fencing_token,
-        }
-    }
-
     /// Returns the free room for new starts, or nothing if there may be none.
     pub(crate) fn free(&self, now: Moment) -> Option<Resources> {
         let held = self.held.as_ref()?;
@@ -300,7 +296,6 @@
     pub(crate) fn new(fencing_token: u64, now: Moment) -> Self {
         Self {
             fencing_token,
-            since: now,
             incarnation: None,
             clock: ClockEstimate::default(),
             last_seen: 0,
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -61,9 +61,8 @@
         run: RunRef,
         answer: StartAnswer,
     ) {
-        let held = self.held(key, fencing_token);
-        let spec = held.and_then(|held| held.unsettled.remove(&run));
         if let Some(held) = self.held(key, fencing_token)
+            && let spec = held.unsettled.remove(&run)
             && let Some(entry) = held.runs.get_mut(&run.task)
             && entry.run == run.run
             && entry.phase == RunPhase::Starting
@@ -117,14 +116,9 @@
         entry.retried = true;
         entry.lease_until_ms = clock_ms + LEASE_MS;
         let lease_until_ms = entry.lease_until_ms;
-        let token = held.fencing_token;
-        let target = minion.target(key, token);
-        self.effects.push(Effect::Start(StartOrder {
-            target,
-            run,
-            spec,
-            lease_until_ms,
-        }));
+        let target = minion.entry.target(key, held.fencing_token);
+        let order = StartOrder { target, run, spec, lease_until_ms };
+        self.effects.push(Effect::Start(order));
     }
 
     /// Takes the answer to a stop that carried `fencing_token`.
@@ -208,15 +202,11 @@
                 lease_until_ms,
             },
         );
-        held.unsettled.insert(order.run, order.spec.clone());
-        let token = held.fencing_token;
-        let target = minion.target(key, token);
-        self.effects.push(Effect::Start(StartOrder {
-            target,
-            run: order.run,
-            spec: order.spec,
-            lease_until_ms,
-        }));
+        let RunOrder { run, spec, .. } = order;
+        held.unsettled.insert(run, spec.clone());
+        let target = minion.entry.target(key, held.fencing_token);
+        let order = StartOrder { target, run, spec, lease_until_ms };
+        self.effects.push(Effect::Start(order));
         self.rooms_changed();
         true
     }
@@ -303,12 +293,11 @@
 fn backoff_ms(answer: StartAnswer) -> u64 {
     match answer {
         StartAnswer::NoRoom | StartAnswer::Late => ROOM_BACKOFF_MS,
+        StartAnswer::Unhealthy | StartAnswer::WrongIncarnation => SUSPECT_MS,
         StartAnswer::Started
         | StartAnswer::Outdated
         | StartAnswer::Invalid
-        | StartAnswer::Fenced => 0,
-        StartAnswer::Unhealthy | StartAnswer::WrongIncarnation | StartAnswer::Lost => {
-            SUSPECT_MS
-        }
+        | StartAnswer::Fenced
+        | StartAnswer::Lost => 0,
     }
 }
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -134,7 +134,7 @@
             tasks = job.tasks.len(), age_ms = now.since(job.arrived),
             objective_ms = job.objective_ms; "job ended");
         for task in 0..job.tasks.len() {
-            if let TaskState::Placed(placement) = job.tasks[task].state {
+            if let Some(placement) = job.tasks[task].placement() {
                 let run = job.run_ref(task);
                 match placement.holder {
                     Holder::Local(key) => self.stop_run(now, key, run),
@@ -160,7 +160,7 @@
         holder: Holder,
     ) -> Option<(&mut Job, usize)> {
         let (job, task) = self.placed(run)?;
-        let TaskState::Placed(placement) = job.tasks[task].state else { return None };
+        let placement = job.tasks[task].placement()?;
         (placement.holder == holder).then_some((job, task))
     }
 
@@ -168,7 +168,7 @@
     pub(crate) fn placed(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
         let job = self.jobs.get_mut(&run.task.job)?;
         let task = job.position(run.task)?;
-        let placed = matches!(job.tasks[task].state, TaskState::Placed(_));
+        let placed = job.tasks[task].placement().is_some();
         (placed && job.tasks[task].last_run == run.run).then_some((job, task))
     }
 
@@ -181,9 +181,7 @@
     /// Lets a task wait for another placement.
     pub(crate) fn requeue(&mut self, run: RunRef) {
         let Some((job, task)) = self.placed(run) else { return };
-        if let TaskState::Placed(placement) = job.tasks[task].state {
-            job.tasks[task].avoid = placement.minion;
-        }
+        job.tasks[task].avoid = job.tasks[task].placement().and_then(|it| it.minion);
         job.tasks[task].state = TaskState::Waiting;
         let rank = job.rank();
         self.wait(rank);
@@ -239,10 +237,7 @@
     /// Takes note that a run was not started.
     pub(crate) fn run_bounced(&mut self, holder: Holder, run: RunRef, outdated: bool) {
         let Some((job, task)) = self.current(run, holder) else { return };
-        let mut minion = None;
-        if let TaskState::Placed(placement) = job.tasks[task].state {
-            minion = placement.minion;
-        }
+        let minion = job.tasks[task].placement().and_then(|it| it.minion);
         if outdated {
             job.tasks[task].last_run += RUN_NUMBER_STEP;
         }
@@ -261,7 +256,7 @@
     pub(crate) fn run_moved(&mut self, holder: Holder, run: RunRef, minion: &MinionId) {
         let key = self.minions.by_id.get(minion).copied();
         if let Some((job, task)) = self.current(run, holder)
-            && let TaskState::Placed(placement) = &mut job.tasks[task].state
+            && let Some(placement) = job.tasks[task].placement_mut()
         {
             placement.minion = key;
         }
@@ -272,16 +267,12 @@
         let mut ends = Vec::new();
         let mut gone = Vec::new();
         for job in self.jobs.values() {
-            let age_limit = if job.ordered { job.deadline } else { job.start_by() };
-            if age_limit <= now {
+            if job.ends_by() <= now {
                 ends.push((job.id, job.ordered));
                 continue;
             }
             for position in 0..job.tasks.len() {
-                let run = job.run_ref(position);
-                let TaskState::Placed(placement) = job.tasks[position].state else {
-                    continue;
-                };
+                let Some(placement) = job.tasks[position].placement() else { continue };
                 let silent = match placement.holder {
                     Holder::Peer(peer) => {
                         let peer = self.peers.arena.get(peer);
@@ -290,7 +281,7 @@
                     Holder::Local(_) => false,
                 };
                 if silent || placement.gone_at.is_some_and(|gone_at| gone_at <= now) {
-                    gone.push(run);
+                    gone.push(job.run_ref(position));
                 }
             }
         }
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -58,7 +58,7 @@
 /// How long a minion that rejected a start for want of room gets no further one.
 pub const ROOM_BACKOFF_MS: u64 = 40;
 
-/// How long a minion that refused or did not answer gets no further start.
+/// How long a minion that is not healthy or has started again gets no further start.
 pub const SUSPECT_MS: u64 = 1_000;
 
 /// How long the outcome of a finished job is remembered for copies of its request.
