--- a/crates/bamboocart-dispatcher/src/site/front.rs
+++ b/crates/bamboocart-dispatcher/src/site/front.rs
@@ -9,7 +9,7 @@
     FrontError, FrontRequest, HttpAnswer, decode_job, encode_answer, encode_error,
     encode_pending, patience_ms, read_request,
 };
-use bamboocart_jobs::{Answer, RequestKey, Submission};
+use bamboocart_jobs::Submission;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
@@ -120,21 +120,26 @@
             let patience_ms = patience_ms(&head.headers);
             let arrived = Instant::now();
             let name = queue.name.clone();
-            let (request, receiver) = shell.open_request();
-            let _guard = Guard { shell: shell.clone(), request };
-            let submission = Submission { request, queue, job, patience_ms };
-            shell.event(|engine, now| engine.submit(now, submission));
-            let answer = receiver.await.unwrap_or(Answer::GivenUp);
+            let answer = shell.request(|engine, now, request| {
+                engine.submit(now, Submission { request, queue, job, patience_ms });
+            });
+            let answer = answer.await;
             page::record_answer(&name, answer, arrived.elapsed());
             Ok(encode_answer(answer))
         }
         FrontRequest::State(id) => {
-            let state = shell.read(|engine, _| engine.state(id));
-            Ok(encode_answer(state.map_or(Answer::Unknown, Answer::State)))
+            let patience_ms = patience_ms(&head.headers);
+            let answer = shell.request(|engine, now, request| {
+                engine.query(now, request, id, patience_ms);
+            });
+            Ok(encode_answer(answer.await))
         }
         FrontRequest::Cancel(id) => {
-            let known = shell.event(|engine, now| engine.cancel(now, id));
-            Ok(encode_answer(if known { Answer::Cancelled } else { Answer::Unknown }))
+            let patience_ms = patience_ms(&head.headers);
+            let answer = shell.request(|engine, now, request| {
+                engine.cancel_request(now, request, id, patience_ms);
+            });
+            Ok(encode_answer(answer.await))
         }
         FrontRequest::Pending(queue) => {
             Ok(encode_pending(shell.read(|engine, _| engine.pending(&queue.name))))
@@ -142,18 +147,6 @@
     }
 }
 
-/// Ends a request when its handler ends, also when the client has left.
-struct Guard {
-    shell: Shell,
-    request: RequestKey,
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.shell.close_request(self.request);
-    }
-}
-
 /// Reads a body of limited size.
 async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, FrontError> {
     match Limited::new(body, limit_bytes).collect().await {
--- /dev/null
+++ b/crates/bamboocart-dispatcher/src/site/job_logs.rs
@@ -0,0 +1,89 @@
+//! The logs of stored jobs, as partitions of a topic of the store.
+
+use std::net::SocketAddr;
+
+use bamboocart_adapter::{Appended, RawPage, StoreClient, StoreError};
+use bamboocart_jobs::{AppendAnswer, LogAppend, LogPage, LogRead, LogRecord, ShardId};
+use bincode::config::{self, Configuration};
+
+/// The topic; partition N holds the log of shard N.
+const TOPIC: &str = "jobs";
+
+/// The format of records.
+const FORMAT: Configuration = config::standard();
+
+/// The calls to the logs.
+#[derive(Debug)]
+pub struct JobLogs {
+    store: StoreClient,
+}
+
+impl JobLogs {
+    /// Creates the calls to a store.
+    pub fn new(store: SocketAddr) -> Self {
+        Self { store: StoreClient::new(store) }
+    }
+
+    /// Reads records.
+    pub async fn read(&self, order: &LogRead) -> LogPage {
+        let ShardId(part) = order.shard;
+        match self.store.read_raw(TOPIC, part, order.from_offset).await {
+            Ok(RawPage::Records { records, next_offset, end_offset }) => {
+                let read = |record: &bytes::Bytes| decode(part, record);
+                let records = records.iter().filter_map(read).collect();
+                LogPage::Records { records, next_offset, end_offset }
+            }
+            Ok(RawPage::Expired { first_offset }) => LogPage::Expired { first_offset },
+            Err(error) => {
+                log::info!(target: "store", shard = part, error:% = error;
+                    "log cannot be read");
+                LogPage::Lost
+            }
+        }
+    }
+
+    /// Appends records.
+    pub async fn append(&self, order: &LogAppend) -> AppendAnswer {
+        let ShardId(part) = order.shard;
+        let records: Result<Vec<Vec<u8>>, _> = order.records.iter().map(encode).collect();
+        let records = match records {
+            Ok(records) => records,
+            Err(error) => {
+                log::error!(target: "store", shard = part, error:% = error;
+                    "record cannot be encoded");
+                return AppendAnswer::Refused;
+            }
+        };
+        match self.store.append_at(TOPIC, part, order.at_offset, &records).await {
+            Ok(Appended::Written { end_offset }) => AppendAnswer::Appended { end_offset },
+            Ok(Appended::Conflict) => AppendAnswer::Conflict,
+            Err(error) => {
+                log::info!(target: "store", shard = part, records = records.len(),
+                    error:% = error; "append without success");
+                match error {
+                    StoreError::Status { .. } => AppendAnswer::Refused,
+                    StoreError::Call { .. }
+                    | StoreError::Expired
+                    | StoreError::Unreadable { .. } => AppendAnswer::Lost,
+                }
+            }
+        }
+    }
+}
+
+/// Encodes a record.
+fn encode(record: &LogRecord) -> Result<Vec<u8>, bincode::error::EncodeError> {
+    bincode::serde::encode_to_vec(record, FORMAT)
+}
+
+/// Decodes a record; one that cannot be read is logged and passed over.
+fn decode(part: u16, record: &[u8]) -> Option<LogRecord> {
+    match bincode::serde::decode_from_slice(record, FORMAT) {
+        Ok((record, _)) => Some(record),
+        Err(error) => {
+            log::error!(target: "store", shard = part, error:% = error;
+                "unreadable record of a log is passed over");
+            None
+        }
+    }
+}
--- a/crates/bamboocart-dispatcher/src/site/mod.rs
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -5,6 +5,7 @@
 
 mod clock;
 mod front;
+mod job_logs;
 mod links;
 mod output;
 mod page;
@@ -132,7 +133,7 @@
         metrics:% = port(&metrics, "listen for metrics")?; "listening");
     let page = Page::install(lines.clone()).context(MetricsSnafu)?;
     let cancel = CancellationToken::new();
-    let shell = Shell::new(member, cancel.clone());
+    let shell = Shell::new(member, &settings, cancel.clone());
     shell.spawn(shell.clone().run_timer());
     shell.spawn(output::write_regularly(lines));
     shell.spawn(links::accept(shell.clone(), peer));
--- a/crates/bamboocart-dispatcher/src/site/page.rs
+++ b/crates/bamboocart-dispatcher/src/site/page.rs
@@ -45,6 +45,7 @@
 /// Records an answer to a job.
 pub fn record_answer(queue: &str, answer: Answer, took: Duration) {
     let outcome = match answer {
+        Answer::Accepted => "stored",
         Answer::Ended(JobState::Completed) => "completed",
         Answer::Ended(JobState::Cancelled) | Answer::Cancelled => "cancelled",
         Answer::Ended(_) => "failed",
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bamboocart_adapter::MinionClient;
+use bamboocart_adapter::{MinionClient, Settings};
 use bamboocart_jobs::{
     Answer, Catalog, Effect, Engine, Frame, Member, Moment, PeerKey, RequestKey,
 };
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::site::clock;
+use crate::site::job_logs::JobLogs;
 use crate::site::links;
 use crate::site::page;
 
@@ -38,6 +39,18 @@
     inner: Rc<Inner>,
 }
 
+/// Ends a request when its handler ends, also when the client has left.
+struct OpenRequest<'a> {
+    shell: &'a Shell,
+    key: RequestKey,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.shell.close_request(self.key);
+    }
+}
+
 /// What the clones of a shell share.
 struct Inner {
     /// This instance.
@@ -46,6 +59,8 @@
     engine: RefCell<Engine>,
     /// The calls to minions.
     minions: MinionClient,
+    /// The calls to the logs of stored jobs.
+    logs: JobLogs,
     /// The requests that wait for their answers.
     requests: RefCell<HashMap<RequestKey, oneshot::Sender<Answer>>>,
     /// The ways to peers.
@@ -69,11 +84,15 @@
 
 impl Shell {
     /// Creates the engine of an instance.
-    pub fn new(member: Member, cancel: CancellationToken) -> Self {
-        let seed = member.incarnation;
+    pub fn new(member: Member, settings: &Settings, cancel: CancellationToken) -> Self {
+        let mut engine = Engine::new(member.clone(), member.incarnation);
+        engine.set_store_limits(settings.store_limits);
+        engine.set_remote_factor(settings.remote_factor);
+        engine.set_wall_clock(clock::now(), clock::unix_ms());
         Self {
             inner: Rc::new(Inner {
-                engine: RefCell::new(Engine::new(member.clone(), seed)),
+                engine: RefCell::new(engine),
+                logs: JobLogs::new(settings.store),
                 member,
                 minions: MinionClient::default(),
                 requests: RefCell::default(),
@@ -151,23 +170,32 @@
             self.inner.timer_due.set(due);
             let wait = Duration::from_millis(due.since(now)).max(MIN_SLEEP);
             tokio::select! {
-                () = sleep(wait) => self.event(|engine, now| engine.tick(now)),
+                () = sleep(wait) => self.event(|engine, now| {
+                    engine.set_wall_clock(now, clock::unix_ms());
+                    engine.tick(now);
+                }),
                 () = self.inner.timer_changed.notified() => {}
             }
         }
     }
 
-    /// Registers a request and returns the way on which its answer comes.
-    pub fn open_request(&self) -> (RequestKey, oneshot::Receiver<Answer>) {
+    /// Passes a client's request to the engine and waits for the answer. The engine is told
+    /// when the wait ends early, because the client has left.
+    pub async fn request(
+        &self,
+        begin: impl FnOnce(&mut Engine, Moment, RequestKey),
+    ) -> Answer {
         let key = RequestKey(self.inner.next_request.get());
         self.inner.next_request.set(key.0 + 1);
         let (sender, receiver) = oneshot::channel();
         self.inner.requests.borrow_mut().insert(key, sender);
-        (key, receiver)
+        let _open = OpenRequest { shell: self, key };
+        self.event(|engine, now| begin(engine, now, key));
+        receiver.await.unwrap_or(Answer::GivenUp)
     }
 
     /// Ends a request; if it has no answer yet, its client is gone.
-    pub fn close_request(&self, key: RequestKey) {
+    fn close_request(&self, key: RequestKey) {
         if self.inner.requests.borrow_mut().remove(&key).is_some() {
             self.event(|engine, now| engine.abandon(now, key));
         }
@@ -257,6 +285,18 @@
                     engine.hold_answered(now, key, number, answer);
                 });
             }),
+            Effect::ReadLog(order) => self.spawn(async move {
+                let page = shell.inner.logs.read(&order).await;
+                shell.event(|engine, now| {
+                    engine.log_read(now, order.shard, order.ticket, page);
+                });
+            }),
+            Effect::Append(order) => self.spawn(async move {
+                let answer = shell.inner.logs.append(&order).await;
+                shell.event(|engine, now| {
+                    engine.log_appended(now, order.shard, order.ticket, answer);
+                });
+            }),
         }
     }
 
--- a/crates/bamboocart-dispatcher/src/site/store.rs
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -9,6 +9,7 @@
 use bamboocart_jobs::{Member, MinionId};
 use tokio::time::sleep;
 
+use crate::site::clock;
 use crate::site::shell::Shell;
 
 /// The group of all instances.
@@ -207,9 +208,11 @@
     let mut known = 0;
     let mut looks_left = 0;
     loop {
+        let sent = clock::now();
         match store.join(GROUP, &member, &topics, ttl_ms, generation).await {
             Ok(joined) => {
                 dependency.answered();
+                shell.event(|engine, _| engine.joined(sent));
                 generation = joined.generation;
             }
             Err(error) => dependency.failed(&error),
--- a/crates/bamboocart-emulator/src/checks.rs
+++ b/crates/bamboocart-emulator/src/checks.rs
@@ -2,7 +2,15 @@
 
 use std::collections::{HashMap, HashSet};
 
-use bamboocart_jobs::{JobId, RunRef, TaskRef};
+use bamboocart_jobs::{JobId, RunEnd, RunRef, TaskRef};
+
+use crate::minion::NotedEnd;
+
+/// How often a task may fail before its job has.
+pub(crate) const MAX_ATTEMPTS: u64 = 3;
+
+/// The time after which all instances have to know an accepted job.
+const VISIBLE_US: u64 = 3_000_000;
 
 /// Records what happens and notes each broken rule.
 #[derive(Debug, Default)]
@@ -15,6 +23,14 @@
     started: HashSet<JobId>,
     /// The jobs all of whose attempts were refused so far.
     refused: HashSet<JobId>,
+    /// When the last run of each task began.
+    last_start_us: HashMap<TaskRef, u64>,
+    /// The tasks of which a run has ended as done.
+    done: HashSet<TaskRef>,
+    /// The tasks of stored jobs of which the end as done was taken note of.
+    noted_done: HashSet<TaskRef>,
+    /// The runs that have ended as failed, by job.
+    failures: HashMap<JobId, u64>,
     /// What was broken.
     pub(crate) broken: Vec<String>,
 }
@@ -33,6 +49,10 @@
         if self.refused.contains(&run.task.job) {
             self.broken.push(format!("{at_ms} ms: {} starts though refused", run.task));
         }
+        if self.noted_done.contains(&run.task) {
+            self.broken.push(format!("{at_ms} ms: {} starts though done", run.task));
+        }
+        self.last_start_us.insert(run.task, now_us);
         self.started.insert(run.task.job);
         let active = self.active.entry(run.task).or_default();
         if let Some((other, where_)) = active.first() {
@@ -61,4 +81,71 @@
             self.refused.insert(job);
         }
     }
+
+    /// Notes how a run has ended by itself.
+    pub(crate) fn has_ended(&mut self, run: RunRef, end: RunEnd) {
+        match end {
+            RunEnd::Done => {
+                self.done.insert(run.task);
+            }
+            RunEnd::Failed => *self.failures.entry(run.task.job).or_default() += 1,
+            RunEnd::Void => {}
+        }
+    }
+
+    /// Notes that the end of a run of a stored job was taken note of.
+    pub(crate) fn noted(&mut self, now_us: u64, noted: &NotedEnd) {
+        if noted.end != RunEnd::Done {
+            return;
+        }
+        let task = noted.run.task;
+        if self.last_start_us.get(&task).is_some_and(|&start| start > noted.at_us) {
+            let at_ms = now_us / 1_000;
+            self.broken.push(format!(
+                "{at_ms} ms: {task} is noted as done and was started since"
+            ));
+        }
+        self.noted_done.insert(task);
+    }
+
+    /// Notes that a stored job was shown as completed.
+    pub(crate) fn shown_completed(
+        &mut self,
+        now_us: u64,
+        job: JobId,
+        tasks: &[(u16, u16)],
+        gang: bool,
+    ) {
+        let missing = tasks.iter().filter(|&&(step, index)| {
+            let member = |index| TaskRef { job, occurrence: 0, step, index };
+            let any =
+                || tasks.iter().any(|&(_, index)| self.done.contains(&member(index)));
+            let done = self.done.contains(&member(index)) || (gang && any());
+            !done
+        });
+        let missing = missing.count();
+        if missing > 0 {
+            let at_ms = now_us / 1_000;
+            self.broken.push(format!(
+                "{at_ms} ms: {job} is shown as completed, but {missing} tasks are not done"
+            ));
+        }
+    }
+
+    /// Notes that a stored job was shown as failed.
+    pub(crate) fn shown_failed(&mut self, now_us: u64, job: JobId) {
+        if self.failures.get(&job).is_none_or(|&failures| failures < MAX_ATTEMPTS) {
+            let at_ms = now_us / 1_000;
+            self.broken
+                .push(format!("{at_ms} ms: {job} is shown as failed without cause"));
+        }
+    }
+
+    /// Notes that an instance did not know a job that was accepted some time before.
+    pub(crate) fn shown_unknown(&mut self, now_us: u64, job: JobId, accepted_us: u64) {
+        if now_us > accepted_us + VISIBLE_US {
+            let at_ms = now_us / 1_000;
+            self.broken.push(format!("{at_ms} ms: {job} was accepted and is not known"));
+        }
+    }
 }
--- a/crates/bamboocart-emulator/src/day.rs
+++ b/crates/bamboocart-emulator/src/day.rs
@@ -42,7 +42,7 @@
     pub minions: usize,
 }
 
-/// A kind of job, of one step each.
+/// A kind of job.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct JobKind {
@@ -60,6 +60,20 @@
     pub worth: f64,
     /// The rank of the queue; 0 comes first.
     pub priority: u8,
+    /// Whether jobs are stored, and clients ask for their state.
+    #[serde(default)]
+    pub stored: bool,
+    /// Whether the tasks of a step work only together.
+    #[serde(default)]
+    pub gang: bool,
+    /// The number of steps, each of which follows the one before.
+    #[serde(default = "one")]
+    pub steps: u16,
+}
+
+/// The steps of jobs that name no number.
+fn one() -> u16 {
+    1
 }
 
 /// Something that goes wrong at a time from the start of the day.
@@ -100,6 +114,15 @@
         /// For how long.
         for_ms: u64,
     },
+    /// Appends to logs are carried out and not answered.
+    LostAppends {
+        /// When.
+        at_ms: u64,
+        /// For how long.
+        for_ms: u64,
+        /// The share of the appends.
+        share: f64,
+    },
     /// The group deals all members out anew, as if each had joined again.
     Rebalance {
         /// When.
--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bamboocart_jobs::{
-    ActiveRun, EndedRun, HoldReply, MinionId, Resources, RunEnd, RunRef, StartAnswer,
-    TaskRef,
+    ActiveRun, Checkpoint, EndedRun, HoldReply, MinionId, Resources, RunEnd, RunRef,
+    StartAnswer, TaskRef,
 };
 
 /// A minion.
@@ -27,12 +27,29 @@
     runs: BTreeMap<TaskRef, ActiveTask>,
     /// The highest run of each task that ended or was stopped here.
     closed: BTreeMap<TaskRef, u64>,
-    ended: Vec<EndedRun>,
+    ended: Vec<ListedEnd>,
     next_end: u64,
     /// The end of the lease on its clock.
     lease_until_ms: u64,
 }
 
+/// An end that was not taken note of.
+#[derive(Debug, Clone)]
+struct ListedEnd {
+    end: EndedRun,
+    at_us: u64,
+    /// Whether the lease has lapsed since, which makes the end count for nothing.
+    lapsed: bool,
+}
+
+/// An end that was taken note of.
+#[derive(Debug, Clone)]
+pub(crate) struct NotedEnd {
+    pub(crate) run: RunRef,
+    pub(crate) end: RunEnd,
+    pub(crate) at_us: u64,
+}
+
 /// A task that runs.
 #[derive(Debug, Copy, Clone)]
 struct ActiveTask {
@@ -54,7 +71,8 @@
 /// What a minion says to a hold.
 pub(crate) enum HoldOutcome {
     Fenced,
-    Taken,
+    /// These ends are taken note of.
+    Taken(Vec<NotedEnd>),
 }
 
 impl Minion {
@@ -113,6 +131,7 @@
             return StartAnswer::Fenced;
         }
         self.token = token;
+        self.notice_lapse(now_us);
         let used: u32 = self.runs.values().map(|run| run.cpu_millicores).sum();
         let known = self.runs.get(&run.task).map(|active| active.run);
         let closed = self.closed.get(&run.task).copied().unwrap_or(0);
@@ -137,14 +156,19 @@
     }
 
     /// Takes a stop, and returns whether it was accepted and whether the run was active.
-    pub(crate) fn stop(&mut self, token: u64, run: RunRef) -> (StartAnswer, bool) {
+    pub(crate) fn stop(
+        &mut self,
+        now_us: u64,
+        token: u64,
+        run: RunRef,
+    ) -> (StartAnswer, bool) {
         if token < self.token {
             return (StartAnswer::Fenced, false);
         }
         self.token = token;
         let active = self.runs.get(&run.task).is_some_and(|active| active.run == run.run);
         if active {
-            self.end(run, RunEnd::Void);
+            self.end(now_us, run, RunEnd::Void);
         } else {
             let closed = self.closed.entry(run.task).or_default();
             *closed = run.run.max(*closed);
@@ -155,6 +179,7 @@
     /// Takes a hold.
     pub(crate) fn hold(
         &mut self,
+        now_us: u64,
         token: u64,
         lease_until_ms: Option<u64>,
         last_seen: u64,
@@ -163,11 +188,26 @@
             return HoldOutcome::Fenced;
         }
         self.token = token;
+        self.notice_lapse(now_us);
         if let Some(until) = lease_until_ms {
             self.lease_until_ms = self.lease_until_ms.max(until);
         }
-        self.ended.retain(|end| end.number > last_seen);
-        HoldOutcome::Taken
+        let noted = self.ended.iter();
+        let noted = noted.filter(|it| it.end.number <= last_seen && !it.lapsed);
+        let noted = noted.map(|it| {
+            let EndedRun { run, end, .. } = it.end;
+            NotedEnd { run, end, at_us: it.at_us }
+        });
+        let noted = noted.collect();
+        self.ended.retain(|it| it.end.number > last_seen);
+        HoldOutcome::Taken(noted)
+    }
+
+    /// Notes that the lease has lapsed, if it has.
+    fn notice_lapse(&mut self, now_us: u64) {
+        if self.clock_ms(now_us) > self.lease_until_ms {
+            self.ended.iter_mut().for_each(|it| it.lapsed = true);
+        }
     }
 
     /// Returns both lists.
@@ -175,12 +215,13 @@
         let active = self.runs.iter().map(|(&task, active)| ActiveRun {
             run: RunRef { task, run: active.run },
             done_percent: active.percent(now_us),
+            checkpoint: Checkpoint::default(),
         });
         HoldReply {
             incarnation: self.born_us + 1,
             clock_ms: self.clock_ms(now_us),
             active: active.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().map(|it| it.end.clone()).collect(),
         }
     }
 
@@ -190,12 +231,14 @@
     }
 
     /// Ends a run, and returns whether it was active.
-    pub(crate) fn end(&mut self, run: RunRef, end: RunEnd) -> bool {
+    pub(crate) fn end(&mut self, now_us: u64, run: RunRef, end: RunEnd) -> bool {
         let active = self.runs.get(&run.task).is_some_and(|active| active.run == run.run);
         if active {
             self.runs.remove(&run.task);
             self.closed.insert(run.task, run.run);
-            self.ended.push(EndedRun { number: self.next_end, run, end });
+            let checkpoint = Checkpoint::default();
+            let end = EndedRun { number: self.next_end, run, end, checkpoint };
+            self.ended.push(ListedEnd { end, at_us: now_us, lapsed: false });
             self.next_end += 1;
         }
         active
@@ -209,8 +252,9 @@
         let runs = self.runs.iter();
         let lapsed: Vec<RunRef> =
             runs.map(|(&task, run)| RunRef { task, run: run.run }).collect();
+        self.notice_lapse(now_us);
         for &run in &lapsed {
-            self.end(run, RunEnd::Void);
+            self.end(now_us, run, RunEnd::Void);
         }
         lapsed
     }
--- a/crates/bamboocart-emulator/src/report.rs
+++ b/crates/bamboocart-emulator/src/report.rs
@@ -19,6 +19,8 @@
     pub frames: u64,
     /// The calls to minions.
     pub minion_calls: u64,
+    /// The appends to logs.
+    pub appends: u64,
 }
 
 /// The outcome of a kind of job.
@@ -66,12 +68,14 @@
         writeln!(f, "credit {:.3}, broken rules {}", self.credit(), self.broken.len())?;
         writeln!(
             f,
-            "runs {}, void {}, rejected starts {}, calls to minions {}, frames {}",
+            "runs {}, void {}, rejected starts {}, calls to minions {}, frames {}, \
+             appends {}",
             self.runs,
             self.void_runs,
             self.rejected_starts,
             self.minion_calls,
-            self.frames
+            self.frames,
+            self.appends
         )?;
         for kind in &self.kinds {
             writeln!(
--- /dev/null
+++ b/crates/bamboocart-emulator/src/world/clients.rs
@@ -0,0 +1,234 @@
+//! Clients: the jobs that they send, and what they do with the answers.
+
+use std::sync::Arc;
+
+use bamboocart_jobs::{
+    Answer, JobId, JobState, NewJob, RequestKey, Resources, Step, Submission,
+};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand_distr::{Distribution, Exp, LogNormal, Normal};
+
+use super::{
+    CLIENT_DELAY_US, ClientJob, ESTIMATE_SPREAD, Event, Input, LATE_LIMIT, LATE_WORTH,
+    LEAD_US, PATIENCE_MS, POLL_TIMEOUT_US, POLL_US, RETRANSMIT_US, SLACK_FACTOR,
+    TARGET_LATENCY_MS, World,
+};
+
+impl World<'_> {
+    /// Lets a client send its job again after its connection broke.
+    pub(super) fn connection_broke(&mut self, job: usize, attempt: u32) {
+        let entry = &mut self.jobs[job];
+        match () {
+            () if entry.done || entry.attempt != attempt => {}
+            () if entry.accepted_us.is_some() => self.schedule(POLL_US, Event::Poll(job)),
+            () => {
+                entry.attempt += 1;
+                self.schedule(RETRANSMIT_US, Event::Send(job));
+            }
+        }
+    }
+
+    /// Creates a job of a kind and schedules the next one.
+    pub(super) fn new_job(&mut self, kind: usize) {
+        let settings = &self.day.kinds[kind];
+        let steps = settings.steps;
+        let rate = settings.jobs_per_s * self.burst / 1_000_000.0;
+        let gap_us = Exp::new(rate).map_or(1e6, |gap| gap.sample(&mut self.rng));
+        let end_us = LEAD_US + self.day.length_ms * 1_000;
+        if self.now_us + (gap_us as u64) < end_us {
+            self.schedule(gap_us as u64 + 1, Event::NewJob(kind));
+        }
+        let spread = |mean: f64, deviation: f64, rng: &mut SmallRng| {
+            let normal = Normal::new(mean, mean * deviation).ok();
+            normal.map_or(mean, |normal| normal.sample(rng).max(mean * 0.2))
+        };
+        let count = spread(settings.tasks, 0.4, &mut self.rng).round().max(1.0) as u16;
+        let cpu = spread(settings.cpu_millicores, 0.2, &mut self.rng);
+        let cpu = cpu.min(settings.cpu_millicores * 1.47) as u32;
+        let base_ms = spread(settings.run_ms, 0.4, &mut self.rng);
+        let runs_ms: Vec<f64> =
+            (0..count).map(|_| spread(base_ms, 0.15, &mut self.rng)).collect();
+        let longest_ms = runs_ms.iter().copied().fold(0.0, f64::max);
+        let off = LogNormal::new(0.0, ESTIMATE_SPREAD)
+            .map_or(1.0, |off| off.sample(&mut self.rng));
+        let work: f64 = runs_ms.iter().sum();
+        let share = (work / (settings.tasks * settings.run_ms)).min(4.0);
+        let id: JobId = format!("{:016x}", 0x1000_0000 + self.jobs.len())
+            .parse()
+            .expect("16 hexadecimal digits are a job id");
+        self.job_of.insert(id, self.jobs.len());
+        self.checks.sent(id);
+        let domain = self.rng.random_range(0..self.day.domains.len());
+        self.jobs.push(ClientJob {
+            id,
+            kind,
+            domain,
+            first_sent_us: self.now_us,
+            count,
+            need: Resources { cpu_millicores: cpu, memory_mb: 64, gpu_count: 0 },
+            estimate_ms: (base_ms * off) as u64,
+            runs_ms,
+            objective_ms: SLACK_FACTOR * longest_ms * f64::from(steps)
+                + TARGET_LATENCY_MS as f64,
+            worth: settings.worth * (0.3 + 0.7 * share),
+            attempt: 0,
+            steps,
+            gang: settings.gang,
+            stored: settings.stored,
+            accepted_us: None,
+            done: false,
+        });
+        self.send_job(self.jobs.len() - 1);
+    }
+
+    /// Sends a job to an instance of the client's failure domain, or to any.
+    pub(super) fn send_job(&mut self, job: usize) {
+        let (domain, attempt) = (self.jobs[job].domain, self.jobs[job].attempt);
+        let Some(node) = self.pick_instance(domain) else {
+            return self.connection_broke(job, attempt);
+        };
+        let incarnation = self.nodes[node].incarnation;
+        let input = Input::Submit(job, attempt);
+        self.schedule(CLIENT_DELAY_US, Event::Input(node, incarnation, input));
+    }
+
+    /// Asks any instance for the state of a stored job.
+    pub(super) fn poll(&mut self, job: usize) {
+        let entry = &mut self.jobs[job];
+        if entry.done {
+            return;
+        }
+        entry.attempt += 1;
+        let (domain, attempt) = (entry.domain, entry.attempt);
+        if let Some(node) = self.pick_instance(domain) {
+            let incarnation = self.nodes[node].incarnation;
+            let input = Input::Query(job);
+            self.schedule(CLIENT_DELAY_US, Event::Input(node, incarnation, input));
+        }
+        self.schedule(POLL_TIMEOUT_US, Event::PollLost(job, attempt));
+    }
+
+    /// Picks an instance that is up, of a failure domain if there is one.
+    fn pick_instance(&mut self, domain: usize) -> Option<usize> {
+        let all: Vec<usize> =
+            (0..self.nodes.len()).filter(|&node| self.nodes[node].up).collect();
+        let own: Vec<usize> =
+            all.iter().copied().filter(|&n| self.nodes[n].domain == domain).collect();
+        let choices = if own.is_empty() { &all } else { &own };
+        let some = !choices.is_empty();
+        some.then(|| choices[self.rng.random_range(0..choices.len())])
+    }
+
+    /// Hands a question for a state to an engine.
+    pub(super) fn query(&mut self, node: usize, job: usize) {
+        let now = self.moment(node);
+        let entry = &mut self.nodes[node];
+        let request = RequestKey(entry.next_request);
+        entry.next_request += 1;
+        entry.requests.insert(request, (job, self.jobs[job].attempt));
+        entry.engine.query(now, request, self.jobs[job].id, PATIENCE_MS);
+    }
+
+    /// Hands a job to an engine.
+    pub(super) fn submit(&mut self, node: usize, job: usize, attempt: u32) {
+        let now = self.moment(node);
+        let entry = &mut self.nodes[node];
+        let request = RequestKey(entry.next_request);
+        entry.next_request += 1;
+        entry.requests.insert(request, (job, attempt));
+        let client = &self.jobs[job];
+        let step = |number: u16| Step {
+            count: client.count,
+            need: client.need,
+            estimate_ms: client.estimate_ms,
+            gang: client.gang,
+            after: number.checked_sub(1).into_iter().collect(),
+            ..Step::default()
+        };
+        let submission = Submission {
+            request,
+            queue: Arc::clone(&self.queues[client.kind]),
+            job: NewJob {
+                id: client.id,
+                spec: "".into(),
+                steps: (0..client.steps).map(step).collect(),
+                best_effort: !client.stored,
+                repeat: None,
+            },
+            patience_ms: PATIENCE_MS,
+        };
+        entry.engine.submit(now, submission);
+        let gone = Event::Input(node, entry.incarnation, Input::Gone(request));
+        self.schedule((PATIENCE_MS + 5) * 1_000, gone);
+    }
+
+    /// Lets a client take an answer.
+    pub(super) fn answered(&mut self, job: usize, answer: Answer, attempt: u32) {
+        let entry = &mut self.jobs[job];
+        if entry.done || entry.attempt != attempt {
+            return;
+        }
+        let report = &mut self.report.kinds[entry.kind];
+        match answer {
+            Answer::Accepted => {
+                if entry.accepted_us.is_none() {
+                    entry.accepted_us = Some(self.now_us);
+                    self.schedule(POLL_US, Event::Poll(job));
+                }
+            }
+            Answer::State(JobState::Pending | JobState::Active) => {
+                self.schedule(POLL_US, Event::Poll(job));
+            }
+            Answer::State(JobState::Failed) => {
+                entry.done = true;
+                self.checks.shown_failed(self.now_us, entry.id);
+            }
+            Answer::Ended(JobState::Completed) | Answer::State(JobState::Completed) => {
+                if entry.stored {
+                    let tasks = (0..entry.steps).flat_map(|step| {
+                        (0..entry.count).map(move |index| (step, index))
+                    });
+                    let tasks = tasks.collect::<Vec<_>>();
+                    self.checks.shown_completed(
+                        self.now_us,
+                        entry.id,
+                        &tasks,
+                        entry.gang,
+                    );
+                }
+                entry.done = true;
+                let took_ms = (self.now_us - entry.first_sent_us) / 1_000;
+                report.latencies_ms.push(took_ms);
+                let share = match took_ms as f64 / entry.objective_ms {
+                    share if share <= 1.0 => {
+                        report.in_time += 1;
+                        1.0
+                    }
+                    share if share <= LATE_LIMIT => {
+                        report.late += 1;
+                        LATE_WORTH
+                    }
+                    _ => 0.0,
+                };
+                report.earned += entry.worth * share;
+            }
+            Answer::Refused { .. } | Answer::Unavailable
+                if entry.accepted_us.is_none() =>
+            {
+                entry.done = true;
+                report.refused += 1;
+                self.checks.refused(self.now_us, entry.id, attempt == 0);
+            }
+            Answer::GivenUp | Answer::Unknown if entry.accepted_us.is_some() => {
+                let accepted_us = entry.accepted_us.unwrap_or_default();
+                if answer == Answer::Unknown {
+                    self.checks.shown_unknown(self.now_us, entry.id, accepted_us);
+                }
+                self.schedule(POLL_US, Event::Poll(job));
+            }
+            Answer::GivenUp => self.connection_broke(job, attempt),
+            _ => entry.done = true,
+        }
+    }
+}
--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -3,17 +3,29 @@
 use std::collections::BTreeSet;
 
 use log::{info, warn};
+use serde::{Deserialize, Serialize};
 
 use crate::engine::Engine;
 use crate::holder::{ActiveRun, EndedRun};
-use crate::id::{MinionId, RunRef};
-use crate::job::Holder;
+use crate::id::{Checkpoint, MinionId, RunRef};
 use crate::message::{Message, RunEnd};
 use crate::minion::{MinionKey, Run, RunOwner};
+use crate::owner::gone_after_ms;
 use crate::peer::PeerKey;
 use crate::resources::Resources;
+use crate::shard::Stage;
+use crate::task::{Holder, Placement, TaskState};
 use crate::time::Moment;
-use crate::timing::{CLAIM_MS, OWNER_SILENCE_MS, RUN_GONE_MS};
+use crate::timing::{CLAIM_MS, OWNER_SILENCE_MS};
+
+/// What the owner of a run tells its new holder.
+#[derive(Debug, Copy, Clone, Serialize, Deserialize)]
+pub struct Claim {
+    /// What the task needs.
+    pub need: Resources,
+    /// The epoch of the owner of a stored job; 0 if the job is not stored.
+    pub epoch: u64,
+}
 
 impl Engine {
     /// Takes over the runs that a new holder finds, and announces them to their owners.
@@ -30,10 +42,18 @@
         info!(target: "minion", minion:% = minion, token = fencing_token,
             runs = active.len(), ends = ended.len(); "minion held");
         for found in active {
-            held.runs.insert(found.run.task, Run::found(found.run.run, now));
+            let mut run = Run::found(found.run.run, now);
+            run.checkpoint.clone_from(&found.checkpoint);
+            held.runs.insert(found.run.task, run);
         }
         let active: Vec<RunRef> = active.iter().map(|found| found.run).collect();
-        let ended: Vec<_> = ended.iter().map(|end| (end.run, end.end)).collect();
+        let content = |end: &EndedRun| (end.run, end.end, end.checkpoint.clone());
+        if self.shards.in_use {
+            for end in ended {
+                held.unconfirmed.insert(now, end.number, content(end), false);
+            }
+        }
+        let ended: Vec<_> = ended.iter().map(content).collect();
         if active.is_empty() && ended.is_empty() {
             return;
         }
@@ -44,32 +64,34 @@
             ended: ended.clone(),
         });
         for run in active {
-            if let Some(need) = self.claim(run, None, &minion, fencing_token) {
-                self.claimed(now, key, run, RunOwner::Local, need);
+            if let Some(claim) = self.claim(run, None, &minion, fencing_token) {
+                self.run_claimed(now, key, run, RunOwner::Local, claim);
             }
         }
-        for (run, end) in ended {
+        for (run, end, checkpoint) in ended {
             if self.claim(run, None, &minion, fencing_token).is_some() {
-                self.run_ended(now, Holder::Local(key), run, end);
+                self.run_ended(now, Holder::Local(key), run, end, checkpoint);
             }
         }
+        self.report_unconfirmed(now, true);
     }
 
     /// Notes the owner of a run that was found on a minion.
-    pub(crate) fn claimed(
+    pub(crate) fn run_claimed(
         &mut self,
         now: Moment,
         key: MinionKey,
         run: RunRef,
         owner: RunOwner,
-        need: Resources,
+        claim: Claim,
     ) -> bool {
         let held = self.minions.arena[key].held.as_mut();
         let entry = held.and_then(|held| held.runs.get_mut(&run.task));
         match entry {
             Some(entry) if entry.run == run.run && entry.owner == RunOwner::Unclaimed => {
                 entry.owner = owner;
-                entry.need = need;
+                entry.need = claim.need;
+                entry.epoch = claim.epoch;
                 entry.claimed = now;
                 true
             }
@@ -84,11 +106,11 @@
         peer: PeerKey,
         minion: &MinionId,
         run: RunRef,
-        need: Resources,
+        claim: Claim,
     ) {
         let owner = RunOwner::Peer(peer);
         let key = self.minions.by_id.get(minion).copied();
-        if !key.is_some_and(|key| self.claimed(now, key, run, owner, need)) {
+        if !key.is_some_and(|key| self.run_claimed(now, key, run, owner, claim)) {
             // Its end was sent before, or another instance holds the minion by now.
             let claimer = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
             info!(target: "minion", run:% = run.task, peer:? = claimer;
@@ -161,9 +183,10 @@
     /// Until then, or until the run is gone for certain, the task is not placed again.
     pub(crate) fn holder_lost(&mut self, now: Moment, holder: Holder, run: RunRef) {
         if let Some((job, task)) = self.current(run, holder)
+            && let gone_ms = gone_after_ms(job)
             && let Some(placement) = job.tasks[task].placement_mut()
         {
-            placement.gone_at.get_or_insert(now + RUN_GONE_MS);
+            placement.gone_at.get_or_insert(now + gone_ms);
             info!(target: "job", request_id:% = run.task.job, run:% = run.task,
                 holder:? = holder; "the holder of a run has lost the minion");
         }
@@ -179,12 +202,13 @@
         peer: Option<PeerKey>,
         minion: &MinionId,
         fencing_token: u64,
-    ) -> Option<Resources> {
+    ) -> Option<Claim> {
         let key = self.minions.by_id.get(minion).copied()?;
         let own_token = self.minions.arena[key].held.as_ref().map(|h| h.fencing_token);
         if own_token.is_some_and(|own_token| own_token > fencing_token) {
             return None;
         }
+        self.expect_run(run, key);
         let (job, task) = self.placed(run)?;
         let placement = job.tasks[task].placement_mut()?;
         if placement.minion != Some(key) || placement.fencing_token > fencing_token {
@@ -193,7 +217,27 @@
         placement.fencing_token = fencing_token;
         placement.holder = peer.map_or(Holder::Local(key), Holder::Peer);
         placement.gone_at = None;
-        Some(job.step_of(task).need)
+        Some(Claim { need: job.step_of(task).need, epoch: job.epoch() })
+    }
+
+    /// Takes a run for the current one of its task while a takeover is going on, in which the
+    /// runs of the earlier owner become known.
+    fn expect_run(&mut self, run: RunRef, key: MinionKey) {
+        let id = run.task.occurrence_ref();
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_stored()) else {
+            return;
+        };
+        let shard = self.shards.owned.get(&self.shards.of(id.job));
+        let settling = shard.is_some_and(|it| matches!(it.stage, Stage::Settling(_)));
+        let Some(task) = job.position(run.task).filter(|_| settling) else { return };
+        let entry = &mut job.tasks[task];
+        if entry.state == TaskState::Waiting && run.run >= entry.last_run {
+            let placement =
+                Placement::new(Holder::Local(key), Some(key), Moment::default());
+            entry.last_run = run.run;
+            entry.state = TaskState::Placed(placement);
+            job.ordered = true;
+        }
     }
 
     /// Takes a peer's announcement of what it found on a minion.
@@ -203,17 +247,17 @@
         peer: PeerKey,
         (minion, fencing_token): (&MinionId, u64),
         active: Vec<RunRef>,
-        ended: Vec<(RunRef, RunEnd)>,
+        ended: Vec<(RunRef, RunEnd, Checkpoint)>,
     ) {
         for run in active {
-            if let Some(need) = self.claim(run, Some(peer), minion, fencing_token) {
+            if let Some(claim) = self.claim(run, Some(peer), minion, fencing_token) {
                 let minion = minion.clone();
-                self.send(peer, Message::Claimed { minion, run, need });
+                self.send(peer, Message::Claimed { minion, run, claim });
             }
         }
-        for (run, end) in ended {
+        for (run, end, checkpoint) in ended {
             if self.claim(run, Some(peer), minion, fencing_token).is_some() {
-                self.run_ended(now, Holder::Peer(peer), run, end);
+                self.run_ended(now, Holder::Peer(peer), run, end, checkpoint);
             }
         }
     }
@@ -240,7 +284,7 @@
 
     /// Returns whether a run was placed at `moment` or before.
     fn placed_by(&self, run: RunRef, moment: Moment) -> bool {
-        let job = self.jobs.get(&run.task.job);
+        let job = self.jobs.get(&run.task.occurrence_ref());
         let task = job.and_then(|job| Some(&job.tasks[job.position(run.task)?]));
         let placement = task.and_then(|task| task.placement());
         placement.is_some_and(|placement| placement.since <= moment)
--- a/crates/bamboocart-jobs/src/assignment.rs
+++ b/crates/bamboocart-jobs/src/assignment.rs
@@ -1,7 +1,8 @@
 //! Which instance holds which minion.
 
-use crate::id::MinionId;
+use crate::id::{MinionId, first_word};
 use crate::member::Member;
+use crate::shard::ShardId;
 
 /// The bits of a fencing token that follow the generation.
 const TOKEN_BITS: u32 = 24;
@@ -23,11 +24,19 @@
         members
             .iter()
             .filter(|member| !local || *member.failure_domain == *failure_domain)
-            .max_by_key(|member| (weight(minion, &member.name), member.incarnation))
+            .max_by_key(|member| {
+                (weight(minion.as_str(), &member.name), member.incarnation)
+            })
     };
     best(true).or_else(|| best(false))
 }
 
+/// Returns the owner of a shard among the members.
+pub(crate) fn shard_owner(shard: ShardId, members: &[Member]) -> Option<&Member> {
+    let name = format!("shard {}", shard.0);
+    members.iter().max_by_key(|member| (weight(&name, &member.name), member.incarnation))
+}
+
 /// Returns a fencing token: a later generation is higher, then a later attempt, and two
 /// members that act on the same generation differ.
 pub(crate) fn fencing_token(generation: u64, attempt: u8, member: &Member) -> u64 {
@@ -35,23 +44,16 @@
     (generation << TOKEN_BITS) | (u64::from(attempt) << MEMBER_BITS) | own
 }
 
-/// Returns the weight of an instance for a minion.
-fn weight(minion: &MinionId, instance: &str) -> u64 {
+/// Returns the weight of an instance for a minion or a shard.
+fn weight(name: &str, instance: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(minion.as_str().as_bytes());
+    hasher.update(name.as_bytes());
     hasher.update(&[0]);
     hasher.update(instance.as_bytes());
     first_word(&hasher.finalize())
 }
 
 /// Returns the hash of some bytes.
-fn hash(bytes: &[u8]) -> u64 {
+pub(crate) fn hash(bytes: &[u8]) -> u64 {
     first_word(&blake3::hash(bytes))
 }
-
-/// Returns the first eight bytes of a hash as a number.
-fn first_word(hash: &blake3::Hash) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
--- a/crates/bamboocart-jobs/src/backlog.rs
+++ b/crates/bamboocart-jobs/src/backlog.rs
@@ -3,7 +3,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::job::{Job, TaskState};
+use crate::job::Job;
+use crate::task::TaskState;
 
 /// The shortest time that a refused client is asked to wait.
 const MIN_RETRY_S: u64 = 1;
--- a/crates/bamboocart-jobs/src/catalog.rs
+++ b/crates/bamboocart-jobs/src/catalog.rs
@@ -20,6 +20,11 @@
 }
 
 impl Catalog {
+    /// Returns the queue with a name.
+    pub fn queue(&self, name: &str) -> Option<&Arc<Queue>> {
+        self.queues.iter().find(|queue| *queue.name == *name)
+    }
+
     /// Returns the queue of a request and the rest of the path behind the queue's prefix.
     ///
     /// Among the queues of the host, the one with the longest matching prefix wins.
--- a/crates/bamboocart-jobs/src/effect.rs
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 
-use crate::id::{MinionId, RunRef, Text};
-use crate::job::JobState;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Checkpoint, MinionId, RunRef, Text};
 use crate::minion::MinionKey;
+use crate::shard::ShardId;
+use crate::stored_job::LogRecord;
+use crate::submission::JobState;
 
 /// A client's request that waits for its answer, numbered by the caller of the engine.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
@@ -21,11 +25,17 @@
     Stop(StopOrder),
     /// Renews the lease of a minion and waits for ends.
     Hold(HoldOrder),
+    /// Reads the log of a shard.
+    ReadLog(LogRead),
+    /// Appends to the log of a shard.
+    Append(LogAppend),
 }
 
 /// The answer to a request.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
+    /// The job is stored and will run.
+    Accepted,
     /// The job has ended.
     Ended(JobState),
     /// The state of a job that is known.
@@ -69,6 +79,8 @@
     pub spec: Text,
     /// The end of the lease on the minion's clock.
     pub lease_until_ms: u64,
+    /// What an earlier run has saved.
+    pub checkpoint: Checkpoint,
 }
 
 /// An order to stop a run.
@@ -80,6 +92,34 @@
     pub run: RunRef,
 }
 
+/// The number of a call to the log of a shard, unique for an engine.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct LogTicket(pub u64);
+
+/// An order to read the log of a shard.
+#[derive(Debug, Clone)]
+pub struct LogRead {
+    /// The call, which its answer names.
+    pub ticket: LogTicket,
+    /// The shard.
+    pub shard: ShardId,
+    /// The first offset to read.
+    pub from_offset: u64,
+}
+
+/// An order to append to the log of a shard.
+#[derive(Debug, Clone)]
+pub struct LogAppend {
+    /// The call, which its answer names.
+    pub ticket: LogTicket,
+    /// The shard.
+    pub shard: ShardId,
+    /// The offset at which the log has to end, or nothing is written.
+    pub at_offset: u64,
+    /// The records.
+    pub records: Vec<LogRecord>,
+}
+
 /// The number of a call that holds a minion, unique for an engine.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub struct HoldNumber(pub u64);
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -11,16 +11,18 @@
 
 use crate::catalog::Catalog;
 use crate::effect::{Effect, HoldNumber, RequestKey};
-use crate::id::{JobId, MinionId};
-use crate::job::{Holder, Job, Rank};
+use crate::id::{MinionId, OccurrenceRef};
+use crate::job::{Job, Rank};
+use crate::job_op::{OpNumber, OpenOp, Requester};
 use crate::member::Member;
 use crate::membership::Review;
 use crate::message::{Frame, Message};
 use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
-use crate::orders::RunOrder;
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
 use crate::peer::{PeerKey, Peers};
+use crate::shard::Shards;
+use crate::task::Holder;
 use crate::time::Moment;
 
 /// The longest time between two ticks.
@@ -42,13 +44,23 @@
     /// The peers.
     pub(crate) peers: Peers,
     /// The jobs that have not ended.
-    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) jobs: BTreeMap<OccurrenceRef, Job>,
     /// The jobs with waiting tasks, in their order.
     pub(crate) waiting: BTreeSet<Rank>,
     /// The jobs of requests that wait.
-    pub(crate) job_of_request: HashMap<RequestKey, JobId>,
+    pub(crate) job_of_request: HashMap<RequestKey, OccurrenceRef>,
     /// The outcomes of jobs that have ended.
     pub(crate) outcomes: Outcomes,
+    /// The shards of stored jobs.
+    pub(crate) shards: Shards,
+    /// The operations on stored jobs that have no answer yet.
+    pub(crate) ops: BTreeMap<OpNumber, OpenOp>,
+    /// The number of the last operation.
+    pub(crate) last_op: OpNumber,
+    /// The time of day less the steady clock.
+    pub(crate) wall_offset_ms: i64,
+    /// How many times as long tasks take away from their data or from each other.
+    pub(crate) remote_factor: f64,
     /// The run times of all tasks over their estimates.
     pub(crate) pace: Pace,
     /// What members and minions were when they were last looked at.
@@ -94,6 +106,11 @@
             waiting: BTreeSet::new(),
             job_of_request: HashMap::new(),
             outcomes: Outcomes::default(),
+            shards: Shards::default(),
+            ops: BTreeMap::new(),
+            last_op: OpNumber::default(),
+            wall_offset_ms: 0,
+            remote_factor: 1.0,
             pace: Pace::default(),
             review: Review::default(),
             placement_due: false,
@@ -104,6 +121,11 @@
         }
     }
 
+    /// Sets how many times as long tasks take away from their data or from each other.
+    pub fn set_remote_factor(&mut self, remote_factor: f64) {
+        self.remote_factor = remote_factor.max(1.0);
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> &Arc<Catalog> {
         &self.catalog
@@ -181,6 +203,11 @@
             peer.open_link();
             peer.push(Message::Runs(runs));
             peer.push(Message::Wanted(wanted));
+            for (&shard, owned) in &self.shards.owned {
+                if owned.is_claimed() {
+                    peer.push(Message::ShardTaken { shard, epoch: owned.epoch });
+                }
+            }
         }
     }
 
@@ -189,7 +216,7 @@
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let unsent = entry.lose_link();
         for run in unsent {
-            self.run_bounced(Holder::Peer(peer), run, false);
+            self.run_bounced(now, Holder::Peer(peer), run, false);
         }
         self.settle(now);
     }
@@ -240,16 +267,32 @@
                     self.placement_due = true;
                 }
             }
-            Message::Start { run, minion, need, estimate_ms, spec } => {
-                let order = RunOrder { run, need, estimate_ms, spec };
-                self.start_for_peer(now, peer, &minion, order);
+            Message::Start { minion, order } => {
+                self.start_for_peer(now, peer, &minion, *order);
             }
             Message::Stop(run) => self.stop_for_peer(now, peer, run),
             Message::Bounced { run, outdated } => {
-                self.run_bounced(Holder::Peer(peer), run, outdated);
+                self.run_bounced(now, Holder::Peer(peer), run, outdated);
+            }
+            Message::Ended { run, end, checkpoint } => {
+                self.end_reported(now, Holder::Peer(peer), run, end, checkpoint);
+            }
+            Message::EndNoted(run) => self.confirm(now, run),
+            Message::EndVoid(run) => self.avoid_end(run),
+            Message::Ask { number, id, op } => {
+                self.owner_op(now, Requester::Peer(peer, number), id, op);
             }
-            Message::Ended { run, end } => {
-                self.run_ended(now, Holder::Peer(peer), run, end);
+            Message::Told { number, reply } => self.op_answered(now, number, reply),
+            Message::ShardTaken { shard, epoch } => {
+                self.shard_taken(now, peer, shard, epoch);
+            }
+            Message::ShardRuns { shard, epoch, runs } => {
+                self.shard_runs(now, peer, shard, epoch, runs);
+            }
+            Message::Pending(pending) => {
+                if let Some(peer) = self.peers.arena.get_mut(peer) {
+                    peer.pending = pending;
+                }
             }
             Message::Moved { run, minion } => {
                 self.run_moved(Holder::Peer(peer), run, &minion);
@@ -259,8 +302,8 @@
                 let held = (&minion, fencing_token);
                 self.adopted_by_peer(now, peer, held, active, ended);
             }
-            Message::Claimed { minion, run, need } => {
-                self.claimed_by_peer(now, peer, &minion, run, need);
+            Message::Claimed { minion, run, claim } => {
+                self.claimed_by_peer(now, peer, &minion, run, claim);
             }
             Message::Runs(runs) => self.reconcile(now, peer, &runs, echo),
             Message::Wanted(runs) => self.keep_wanted(now, peer, &runs),
@@ -288,8 +331,10 @@
     pub fn next_due(&self, now: Moment) -> Moment {
         let mut due = now + TICK_MS;
         for job in self.jobs.values() {
-            due = due.min(job.ends_by());
+            due = due.min(job.ends_by().unwrap_or(due));
         }
+        due = due.min(self.ops_due().unwrap_or(due));
+        due = due.min(self.shards_due().unwrap_or(due));
         for (_, _, held) in self.minions.held() {
             if let HoldState::Due(at) = held.hold {
                 due = due.min(at);
@@ -349,6 +394,11 @@
         }
     }
 
+    /// Returns whether work may be offered to a peer.
+    pub(crate) fn is_peer_responsive(&self, now: Moment, peer: PeerKey) -> bool {
+        self.peers.arena.get(peer).is_some_and(|peer| peer.is_responsive(now))
+    }
+
     /// Notes that the free room has changed.
     pub(crate) fn rooms_changed(&mut self) {
         self.placement_due = true;
@@ -363,6 +413,9 @@
         self.stop_orphans(now);
         self.expire(now);
         self.review(now);
+        self.drive_ops(now);
+        self.drive_shards(now);
+        self.report_unconfirmed(now, false);
         self.place(now);
         self.send_due(now);
     }
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -6,16 +6,17 @@
 
 use crate::effect::{Effect, HoldNumber, HoldOrder, StopOrder};
 use crate::engine::Engine;
-use crate::id::RunRef;
-use crate::job::Holder;
+use crate::id::{Checkpoint, RunRef};
 use crate::message::{Message, RoomReport, RunEnd};
 use crate::minion::{
     Held, HoldState, LostHold, Minion, MinionKey, Run, RunOwner, RunPhase,
 };
 use crate::suspicion::Progress;
+use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
-    HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS, LEASE_MS,
+    HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS, MAX_LEASE_MS,
+    UNNOTED_PAUSE_MS,
 };
 
 /// The answer to a hold.
@@ -47,16 +48,18 @@
 }
 
 /// A run that is active.
-#[derive(Debug, Copy, Clone)]
+#[derive(Debug, Clone)]
 pub struct ActiveRun {
     /// The run.
     pub run: RunRef,
     /// How much of its work is done.
     pub done_percent: u8,
+    /// What it has saved.
+    pub checkpoint: Checkpoint,
 }
 
 /// A run that has ended.
-#[derive(Debug, Copy, Clone)]
+#[derive(Debug, Clone)]
 pub struct EndedRun {
     /// The number of the end, which rises by one with each end.
     pub number: u64,
@@ -64,6 +67,8 @@
     pub run: RunRef,
     /// How it ended.
     pub end: RunEnd,
+    /// What it has saved.
+    pub checkpoint: Checkpoint,
 }
 
 impl Engine {
@@ -93,6 +98,7 @@
                         "minion answers again");
                 }
                 self.take_reply(now, key, sent, reply);
+                self.pace_holds(now, key);
             }
             HoldAnswer::Fenced => self.lose(now, key, fencing_token),
             HoldAnswer::WrongIncarnation | HoldAnswer::Unhealthy | HoldAnswer::Lost => {
@@ -135,16 +141,22 @@
         let Some(held) = self.minions.arena[key].held.as_mut() else { return };
         held.incarnation = Some(reply.incarnation);
         held.clock.observe(reply.clock_ms, now);
+        if first {
+            // An earlier holder may have renewed the lease just before.
+            held.lease_until_ms = held.lease_until_ms.max(reply.clock_ms + MAX_LEASE_MS);
+        }
         let clock_ms = reply.clock_ms;
         let mut ended = reply.ended;
-        ended.retain(|end| end.number > held.last_seen);
-        held.last_seen =
-            ended.iter().map(|end| end.number).fold(held.last_seen, u64::max);
-        if first {
-            self.adopt(now, key, &reply.active, &ended);
+        ended.sort_by_key(|end| end.number);
+        ended.retain(|end| held.unconfirmed.see(end.number));
+        for found in &reply.active {
+            if let Some(run) = held.runs.get_mut(&found.run.task) {
+                run.checkpoint.update(&found.checkpoint);
+            }
         }
-        for end in ended {
-            self.note_end(now, key, end);
+        match first {
+            true => self.adopt(now, key, &reply.active, &ended),
+            false => ended.into_iter().for_each(|end| self.note_end(now, key, end)),
         }
         self.judge_progress(now, key, &reply.active);
         self.compare(now, key, sent, clock_ms, &reply.active);
@@ -156,8 +168,15 @@
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return };
         let known = held.runs.get(&end.run.task).filter(|run| run.run == end.run.run);
-        let Some(&run) = known else { return };
-        held.runs.remove(&end.run.task);
+        let known = known.is_some().then(|| held.runs.remove(&end.run.task)).flatten();
+        let Some(run) = known else { return self.note_unknown_end(now, key, end) };
+        let stored = run.epoch > 0;
+        let nobodys = matches!(run.owner, RunOwner::Unclaimed | RunOwner::Nobody);
+        let unsure = !stored && nobodys && self.shards.in_use;
+        if stored || unsure {
+            let content = (end.run, end.end, end.checkpoint.clone());
+            held.unconfirmed.insert(now, end.number, content, stored);
+        }
         let elapsed_ms = now.since(run.since);
         match end.end {
             RunEnd::Done if run.estimate_ms > 0 => {
@@ -177,7 +196,33 @@
             }
             RunEnd::Done | RunEnd::Void => {}
         }
-        self.report_end(now, key, run.owner, end.run, end.end);
+        if !stored {
+            let ended = (end.run, end.end, end.checkpoint.clone());
+            self.report_end(now, key, run.owner, ended);
+        }
+        if stored || unsure {
+            let EndedRun { run, end, checkpoint, .. } = end;
+            self.report_stored_end(now, Holder::Local(key), run, end, checkpoint);
+        }
+    }
+
+    /// Takes note of the end of a run that is not known here; its job may be a stored one.
+    fn note_unknown_end(&mut self, now: Moment, key: MinionKey, end: EndedRun) {
+        let EndedRun { number, run, end, checkpoint } = end;
+        let held = self.minions.arena.get_mut(key).and_then(|it| it.held.as_mut());
+        let Some(held) = held.filter(|_| self.shards.in_use) else { return };
+        held.unconfirmed.insert(now, number, (run, end, checkpoint.clone()), false);
+        self.report_stored_end(now, Holder::Local(key), run, end, checkpoint);
+    }
+
+    /// Lets the next hold wait while ends are to stay on the list; it would return at once.
+    fn pace_holds(&mut self, now: Moment, key: MinionKey) {
+        let held = self.minions.arena.get_mut(key).and_then(|it| it.held.as_mut());
+        if let Some(held) = held
+            && !held.unconfirmed.is_empty()
+        {
+            held.hold = HoldState::Due(now + UNNOTED_PAUSE_MS);
+        }
     }
 
     /// Finds out whether active runs stand still or take too long. Runs that stand still are
@@ -235,7 +280,7 @@
                 run.settled = Some(now);
             }
             if run.settled.is_some_and(|settled| sent > settled) {
-                gone.push((run_ref, run.owner));
+                gone.push((run_ref, run.owner, run.checkpoint.clone()));
             }
         }
         for found in &listed {
@@ -249,25 +294,30 @@
                 warn!(target: "minion", run:% = task; "unexpected run is stopped");
             }
         }
-        for (run, owner) in gone {
+        for (run, owner, checkpoint) in gone {
             if let Some(held) = self.minions.arena[key].held.as_mut() {
                 held.runs.remove(&run.task);
             }
-            self.report_end(now, key, owner, run, RunEnd::Void);
+            self.report_end(now, key, owner, (run, RunEnd::Void, checkpoint));
         }
     }
 
     /// Forgets what an earlier incarnation of a minion ran.
+    ///
+    /// The new one is held under a higher token. A hold of before that is carried out late
+    /// would otherwise take note of ends that nobody has seen, since their numbers start anew.
     fn forget_incarnation(&mut self, now: Moment, key: MinionKey) {
         let minion = &mut self.minions.arena[key];
         warn!(target: "minion", minion:% = minion.entry.id; "minion started again");
         let Some(held) = minion.held.take() else { return };
-        let mut fresh = Held::new(held.fencing_token, now);
+        let token = self.token_above(held.fencing_token).unwrap_or(held.fencing_token);
+        let minion = &mut self.minions.arena[key];
+        let mut fresh = Held::new(token, now);
         fresh.hold = held.hold;
         minion.held = Some(fresh);
         for (task, run) in held.runs {
-            let run_ref = RunRef { task, run: run.run };
-            self.report_end(now, key, run.owner, run_ref, RunEnd::Void);
+            let ended = (run.run_ref(task), RunEnd::Void, run.checkpoint);
+            self.report_end(now, key, run.owner, ended);
         }
     }
 
@@ -277,13 +327,18 @@
         now: Moment,
         key: MinionKey,
         owner: RunOwner,
-        run: RunRef,
-        end: RunEnd,
+        (run, end, checkpoint): (RunRef, RunEnd, Checkpoint),
     ) {
         match owner {
-            RunOwner::Local => self.run_ended(now, Holder::Local(key), run, end),
-            RunOwner::Peer(peer) => self.send(peer, Message::Ended { run, end }),
-            RunOwner::Unclaimed => self.broadcast(&Message::Ended { run, end }),
+            RunOwner::Local => {
+                self.run_ended(now, Holder::Local(key), run, end, checkpoint);
+            }
+            RunOwner::Peer(peer) => {
+                self.send(peer, Message::Ended { run, end, checkpoint });
+            }
+            RunOwner::Unclaimed => {
+                self.broadcast(&Message::Ended { run, end, checkpoint });
+            }
             RunOwner::Nobody => {}
         }
     }
@@ -352,8 +407,8 @@
                 self.effects.push(Effect::Hold(HoldOrder {
                     number,
                     target: minion.entry.target(key, token),
-                    lease_until_ms: held.clock.read(now).map(|clock| clock + LEASE_MS),
-                    last_seen: held.last_seen,
+                    lease_until_ms: held.renew_lease(now),
+                    last_seen: held.unconfirmed.last_seen(),
                     wait_ms,
                 }));
             }
--- a/crates/bamboocart-jobs/src/id.rs
+++ b/crates/bamboocart-jobs/src/id.rs
@@ -53,6 +53,20 @@
 #[derive(Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
 pub struct JobId([u8; 16]);
 
+impl JobId {
+    /// Returns a number that spreads ids evenly.
+    pub(crate) fn hash(self) -> u64 {
+        first_word(&blake3::hash(&self.0))
+    }
+}
+
+/// Returns the first eight bytes of a hash as a number.
+pub(crate) fn first_word(hash: &blake3::Hash) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
+
 impl Display for JobId {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(std::str::from_utf8(&self.0).unwrap_or("?"))
@@ -76,6 +90,24 @@
     }
 }
 
+/// One occurrence of a job.
+#[derive(
+    Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+pub struct OccurrenceRef {
+    /// The job.
+    pub job: JobId,
+    /// The number of the occurrence; 0 for a job that runs once.
+    pub occurrence: u32,
+}
+
+impl From<JobId> for OccurrenceRef {
+    /// Returns the only occurrence of a job that runs once.
+    fn from(job: JobId) -> Self {
+        Self { job, occurrence: 0 }
+    }
+}
+
 /// One task of one occurrence of a job.
 #[derive(
     Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
@@ -91,6 +123,13 @@
     pub index: u16,
 }
 
+impl TaskRef {
+    /// Returns the occurrence that the task belongs to.
+    pub fn occurrence_ref(&self) -> OccurrenceRef {
+        OccurrenceRef { job: self.job, occurrence: self.occurrence }
+    }
+}
+
 impl Display for TaskRef {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
@@ -142,5 +181,29 @@
     },
 }
 
+/// What a run has saved of its work, as its minion names it; empty if it has saved nothing.
+#[derive(Debug, Clone, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Checkpoint(Box<str>);
+
+impl Checkpoint {
+    /// Returns the minion's text, if something is saved.
+    pub fn as_str(&self) -> Option<&str> {
+        (!self.0.is_empty()).then_some(&*self.0)
+    }
+
+    /// Replaces what is saved by something newer, if that is anything.
+    pub(crate) fn update(&mut self, newer: &Self) {
+        if newer.as_str().is_some() {
+            self.clone_from(newer);
+        }
+    }
+}
+
+impl From<&str> for Checkpoint {
+    fn from(text: &str) -> Self {
+        Self(text.into())
+    }
+}
+
 /// A text that is shared without being copied.
 pub(crate) type Text = Arc<str>;
--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/job.rs
@@ -1,78 +1,23 @@
-//! Jobs and their tasks, as their owner sees them.
+//! Jobs that have not ended, as their owner sees them.
 
 use std::sync::Arc;
 
 use crate::catalog::Queue;
 use crate::effect::RequestKey;
-use crate::id::{JobId, RunRef, TaskRef, Text};
-use crate::minion::MinionKey;
-use crate::peer::PeerKey;
-use crate::resources::Resources;
+use crate::id::{OccurrenceRef, RunRef, TaskRef, Text};
+use crate::submission::{JobState, Step, Submission, longest_chain_ms};
+use crate::task::{Task, TaskState, tasks_of};
 use crate::time::Moment;
 
-/// A request to run a job.
-#[derive(Debug, Clone)]
-pub struct Submission {
-    /// The request.
-    pub request: RequestKey,
-    /// The queue that it belongs to.
-    pub queue: Arc<Queue>,
-    /// The job.
-    pub job: NewJob,
-    /// How long the client waits for the answer.
-    pub patience_ms: u64,
-}
-
-/// A job as the client describes it.
-#[derive(Debug, Clone)]
-pub struct NewJob {
-    /// The id that the client chose.
-    pub id: JobId,
-    /// What every task receives.
-    pub spec: Text,
-    /// The steps; each names earlier ones only.
-    pub steps: Vec<Step>,
-    /// Whether the job is answered at its end and not stored.
-    pub best_effort: bool,
-    /// A feature that the job asks for and this version lacks.
-    pub unsupported: Option<&'static str>,
-}
-
-/// A step of a job: tasks that differ only in their number.
-#[derive(Debug, Clone, Default)]
-pub struct Step {
-    /// The number of tasks.
-    pub count: u16,
-    /// What each task needs.
-    pub need: Resources,
-    /// The client's estimate of the run time of a task.
-    pub estimate_ms: u64,
-    /// The steps whose tasks have to be done first.
-    pub after: Vec<u16>,
-    /// The label that a minion must have.
-    pub required_label: Option<Box<str>>,
-}
-
-/// The state of a job as clients see it.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-pub enum JobState {
-    /// Nothing has started.
-    Pending,
-    /// A task has started.
-    Active,
-    /// All tasks are done.
-    Completed,
-    /// A task has failed too often.
-    Failed,
-    /// The client cancelled the job.
-    Cancelled,
-}
+/// The share of the latency objective that a job may wait for its first start; what waits
+/// longer cannot meet the objective any more.
+const WAIT_SHARE: u64 = 4;
 
-/// A job that has not ended.
+/// An occurrence of a job that has not ended.
 #[derive(Debug)]
 pub(crate) struct Job {
-    /// The id.
-    pub(crate) id: JobId,
+    /// Which one.
+    pub(crate) id: OccurrenceRef,
     /// The queue.
     pub(crate) queue: Arc<Queue>,
     /// What every task receives.
@@ -83,16 +28,35 @@
     pub(crate) tasks: Vec<Task>,
     /// The requests that wait for the end.
     pub(crate) requests: Vec<RequestKey>,
-    /// When the job arrived.
+    /// When the job arrived, or was due.
     pub(crate) arrived: Moment,
     /// The latency objective.
     pub(crate) objective_ms: u64,
-    /// When the client stops waiting.
-    pub(crate) deadline: Moment,
+    /// What lasts longer than the process of its owner.
+    pub(crate) durability: Durability,
     /// Whether a start was ordered.
     pub(crate) ordered: bool,
 }
 
+/// What of a job lasts longer than the process of its owner.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub(crate) enum Durability {
+    /// Nothing; the client sends the job again.
+    BestEffort {
+        /// When the client stops waiting.
+        deadline: Moment,
+    },
+    /// The job and the ends of its runs are in the log; it never runs out of time.
+    Stored {
+        /// The epoch of its shard's owner, which orders to holders carry.
+        epoch: u64,
+    },
+}
+
+/// The numbers of runs that each owner of a shard has for itself. The runs of an earlier one
+/// may not all be known.
+const RUNS_PER_EPOCH: u64 = 1_000;
+
 /// The place of a job in the order of those that wait.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd)]
 pub(crate) struct Rank {
@@ -101,115 +65,90 @@
     /// The latest start that meets the objective.
     start_by: Moment,
     /// The job.
-    pub(crate) job: JobId,
+    pub(crate) job: OccurrenceRef,
 }
 
-/// A task of a job.
-#[derive(Debug, Clone)]
-pub(crate) struct Task {
-    /// The step.
-    pub(crate) step: u16,
-    /// The number within the step.
-    pub(crate) index: u16,
-    /// Where the task stands.
-    pub(crate) state: TaskState,
-    /// The number of its last run.
-    pub(crate) last_run: u64,
-    /// How often it ended as failed.
-    pub(crate) failures: u32,
-    /// The minion on which its last run ended without a result.
-    pub(crate) avoid: Option<MinionKey>,
-}
+impl Job {
+    /// Creates a job that is not stored from a submission; its objective follows how long
+    /// tasks usually run, over their estimates.
+    pub(crate) fn best_effort(
+        submission: Submission,
+        typical_pace: f64,
+        now: Moment,
+    ) -> Self {
+        let Submission { request, queue, job, patience_ms } = submission;
+        Self {
+            id: job.id.into(),
+            objective_ms: objective_ms(&queue, &job.steps, typical_pace),
+            queue,
+            spec: job.spec,
+            tasks: tasks_of(&job.steps),
+            steps: job.steps,
+            requests: vec![request],
+            arrived: now,
+            durability: Durability::BestEffort { deadline: now + patience_ms },
+            ordered: false,
+        }
+    }
 
-/// Where a task stands.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-pub(crate) enum TaskState {
-    /// An earlier step is not done.
-    Blocked,
-    /// It may be placed.
-    Waiting,
-    /// A run of it is ordered.
-    Placed(Placement),
-    /// It is done.
-    Done,
-}
+    /// Creates an occurrence of a stored job.
+    pub(crate) fn stored(
+        id: OccurrenceRef,
+        queue: Arc<Queue>,
+        (spec, steps, tasks): (Text, Vec<Step>, Vec<Task>),
+        typical_pace: f64,
+        arrived: Moment,
+        epoch: u64,
+    ) -> Self {
+        let mut job = Self {
+            id,
+            objective_ms: objective_ms(&queue, &steps, typical_pace),
+            queue,
+            spec,
+            steps,
+            tasks,
+            requests: Vec::new(),
+            arrived,
+            durability: Durability::Stored { epoch },
+            ordered: false,
+        };
+        job.ordered = job.tasks.iter().any(|task| task.last_run > 0);
+        job.unblock();
+        job
+    }
 
-impl Task {
-    /// Returns where its run is ordered, if one is.
-    pub(crate) fn placement(&self) -> Option<&Placement> {
-        match &self.state {
-            TaskState::Placed(placement) => Some(placement),
-            TaskState::Blocked | TaskState::Waiting | TaskState::Done => None,
-        }
+    /// Returns whether the job is stored.
+    pub(crate) fn is_stored(&self) -> bool {
+        matches!(self.durability, Durability::Stored { .. })
     }
 
-    /// Returns where its run is ordered, if one is, to change it.
-    pub(crate) fn placement_mut(&mut self) -> Option<&mut Placement> {
-        match &mut self.state {
-            TaskState::Placed(placement) => Some(placement),
-            TaskState::Blocked | TaskState::Waiting | TaskState::Done => None,
+    /// Returns the epoch that orders of the job carry; 0 if it is not stored.
+    pub(crate) fn epoch(&self) -> u64 {
+        match self.durability {
+            Durability::Stored { epoch } => epoch,
+            Durability::BestEffort { .. } => 0,
         }
     }
-}
 
-/// Where a run of a task is ordered.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-pub(crate) struct Placement {
-    /// Who holds the minion.
-    pub(crate) holder: Holder,
-    /// The minion that was chosen; the holder may have taken another.
-    pub(crate) minion: Option<MinionKey>,
-    /// The fencing token of the last holder that announced the run; 0 if none did.
-    pub(crate) fencing_token: u64,
-    /// When the run was ordered.
-    pub(crate) since: Moment,
-    /// When the run is gone for certain, if its holder is lost.
-    pub(crate) gone_at: Option<Moment>,
-}
-
-/// Who holds the minion of a run.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-pub(crate) enum Holder {
-    /// This instance.
-    Local(MinionKey),
-    /// A peer.
-    Peer(PeerKey),
-}
+    /// Returns the number of the next run of a task whose last one is known.
+    pub(crate) fn next_run(&self, last_run: u64) -> u64 {
+        let base = self.epoch().saturating_sub(1) * RUNS_PER_EPOCH;
+        last_run.max(base) + 1
+    }
 
-impl Holder {
-    /// Returns the peer that holds the minion, if it is one.
-    pub(crate) fn peer(self) -> Option<PeerKey> {
-        match self {
-            Self::Peer(peer) => Some(peer),
-            Self::Local(_) => None,
+    /// Returns when the client stops waiting, if one waits.
+    pub(crate) fn deadline(&self) -> Option<Moment> {
+        match self.durability {
+            Durability::BestEffort { deadline } => Some(deadline),
+            Durability::Stored { .. } => None,
         }
     }
-}
-
-/// The share of the latency objective that a job may wait for its first start; what waits
-/// longer cannot meet the objective any more.
-const WAIT_SHARE: u64 = 4;
 
-impl Job {
-    /// Creates a job from a submission; its objective follows how long tasks usually run,
-    /// over their estimates.
-    pub(crate) fn new(submission: Submission, typical_pace: f64, now: Moment) -> Self {
-        let Submission { request, queue, job, patience_ms } = submission;
-        let tasks = tasks_of(&job.steps);
-        let chain_ms = longest_chain_ms(&job.steps) as f64;
-        let objective_ms = (queue.slack_factor * chain_ms * typical_pace) as u64
-            + queue.target_latency_ms;
-        Self {
-            id: job.id,
-            queue,
-            spec: job.spec,
-            steps: job.steps,
-            tasks,
-            requests: vec![request],
-            arrived: now,
-            objective_ms,
-            deadline: now + patience_ms,
-            ordered: false,
+    /// Lets a further request wait for the end.
+    pub(crate) fn join(&mut self, request: RequestKey, until: Moment) {
+        self.requests.push(request);
+        if let Durability::BestEffort { deadline } = &mut self.durability {
+            *deadline = until.max(*deadline);
         }
     }
 
@@ -221,7 +160,8 @@
     /// Returns the full name of a task.
     pub(crate) fn task_ref(&self, task: usize) -> TaskRef {
         let Task { step, index, .. } = self.tasks[task];
-        TaskRef { job: self.id, occurrence: 0, step, index }
+        let OccurrenceRef { job, occurrence } = self.id;
+        TaskRef { job, occurrence, step, index }
     }
 
     /// Returns the last run of a task.
@@ -234,14 +174,34 @@
         self.tasks.iter().position(|t| t.step == task.step && t.index == task.index)
     }
 
+    /// Returns the positions of the tasks that end together with one: all of its step if
+    /// they are a gang, or else the task alone.
+    pub(crate) fn bound_to(&self, task: usize) -> Vec<usize> {
+        if !self.step_of(task).gang {
+            return vec![task];
+        }
+        let step = self.tasks[task].step;
+        (0..self.tasks.len()).filter(|&other| self.tasks[other].step == step).collect()
+    }
+
     /// Returns when the job is refused if nothing of it was ordered.
     pub(crate) fn start_by(&self) -> Moment {
         self.arrived + self.objective_ms / WAIT_SHARE
     }
 
     /// Returns when the job is given up, or refused if nothing of it was ordered.
-    pub(crate) fn ends_by(&self) -> Moment {
-        if self.ordered { self.deadline } else { self.start_by() }
+    pub(crate) fn ends_by(&self) -> Option<Moment> {
+        let deadline = self.deadline()?;
+        Some(if self.ordered { deadline } else { self.start_by() })
+    }
+
+    /// Returns the time by which a task that is placed now has to end, if there is one.
+    ///
+    /// As long as nothing has started, only minions are of use that meet the objective.
+    pub(crate) fn finish_by(&self) -> Option<Moment> {
+        let deadline = self.deadline()?;
+        let objective = self.arrived + self.objective_ms;
+        Some(if self.ordered { deadline } else { deadline.min(objective) })
     }
 
     /// Returns the place in the order of jobs that wait: more urgent queues first, then
@@ -283,30 +243,8 @@
     }
 }
 
-/// Returns the tasks of all steps; those of first steps may be placed.
-fn tasks_of(steps: &[Step]) -> Vec<Task> {
-    let mut tasks = Vec::new();
-    for (number, step) in steps.iter().enumerate() {
-        let state =
-            if step.after.is_empty() { TaskState::Waiting } else { TaskState::Blocked };
-        tasks.extend((0..step.count).map(|index| Task {
-            step: number as u16,
-            index,
-            state,
-            last_run: 0,
-            failures: 0,
-            avoid: None,
-        }));
-    }
-    tasks
-}
-
-/// Returns the longest sum of estimates along dependent steps.
-fn longest_chain_ms(steps: &[Step]) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for step in steps {
-        let start = step.after.iter().map(|&earlier| ends[usize::from(earlier)]).max();
-        ends.push(start.unwrap_or(0) + step.estimate_ms);
-    }
-    ends.into_iter().max().unwrap_or(0)
+/// Returns the latency objective of a job.
+fn objective_ms(queue: &Queue, steps: &[Step], typical_pace: f64) -> u64 {
+    let chain_ms = longest_chain_ms(steps) as f64;
+    (queue.slack_factor * chain_ms * typical_pace) as u64 + queue.target_latency_ms
 }
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -9,16 +9,20 @@
 mod backlog;
 mod catalog;
 mod clock;
+mod confirm;
 mod effect;
 mod engine;
+mod gang;
 mod holder;
 mod id;
 mod job;
+mod job_op;
 mod member;
 mod membership;
 mod message;
 mod minion;
 mod neighbours;
+mod ops;
 mod orders;
 mod outcome;
 mod owner;
@@ -27,24 +31,40 @@
 mod placement;
 mod placing;
 mod resources;
+mod shard;
+mod shard_log;
+mod stored;
+mod stored_job;
+mod submission;
 mod suspicion;
+mod takeover;
+mod task;
 mod time;
 pub mod timing;
+mod write_budget;
 
+pub use self::adoption::Claim;
 pub use self::catalog::{Catalog, Queue, Service, WireLimits};
 pub use self::effect::{
-    Answer, Effect, HoldNumber, HoldOrder, RequestKey, StartOrder, StopOrder, Target,
+    Answer, Effect, HoldNumber, HoldOrder, LogAppend, LogRead, LogTicket, RequestKey,
+    StartOrder, StopOrder, Target,
 };
 pub use self::engine::{Engine, Status};
 pub use self::holder::{ActiveRun, EndedRun, HoldAnswer, HoldReply};
 pub use self::id::{
-    JobId, MemberId, MinionId, ParseIdError, RunRef, ServiceName, TaskRef,
+    Checkpoint, JobId, MemberId, MinionId, OccurrenceRef, ParseIdError, RunRef,
+    ServiceName, TaskRef,
 };
-pub use self::job::{JobState, NewJob, Step, Submission};
+pub use self::job_op::{JobOp, OpNumber, OpReply};
 pub use self::member::{Member, ParseMemberError};
-pub use self::message::{Frame, Message, RoomReport, RunEnd};
+pub use self::message::{Frame, Message, RoomReport, RunEnd, ShardRun};
 pub use self::minion::{MinionEntry, MinionKey, MinionState};
-pub use self::orders::StartAnswer;
+pub use self::orders::{RunOrder, StartAnswer};
 pub use self::peer::PeerKey;
 pub use self::resources::Resources;
+pub use self::shard::{ShardId, StoreLimits};
+pub use self::shard_log::AppendAnswer;
+pub use self::stored_job::{LogRecord, StoredJob, TaskProgress};
+pub use self::submission::{JobState, NewJob, Repeat, Step, Submission};
+pub use self::takeover::LogPage;
 pub use self::time::Moment;
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -34,6 +34,9 @@
 /// is too dear for every event.
 const REVIEW_INTERVAL_MS: u64 = 100;
 
+/// The time between two messages on how many stored jobs have not started.
+const PENDING_INTERVAL_MS: u64 = 500;
+
 /// What the last review of members and minions was based on.
 #[derive(Debug, Default)]
 pub(crate) struct Review {
@@ -48,9 +51,13 @@
     /// Whether something has changed that calls for a review now.
     due: bool,
     /// Whether the group has named this instance as a member.
-    joined: bool,
+    pub(crate) joined: bool,
     /// Whether this instance has left the group.
     left: bool,
+    /// When peers were last told how many stored jobs have not started.
+    pending_told: Moment,
+    /// Whether that was any.
+    pending: bool,
 }
 
 impl Engine {
@@ -117,6 +124,21 @@
         self.forget_peers(now);
         self.note_engaged();
         self.assign(now);
+        self.review_shards(now);
+        self.tell_pending(now);
+    }
+
+    /// Tells peers how many stored jobs have not started, if that is not nothing.
+    fn tell_pending(&mut self, now: Moment) {
+        if now.since(self.review.pending_told) < PENDING_INTERVAL_MS {
+            return;
+        }
+        let pending = self.pending_stored();
+        if !pending.is_empty() || self.review.pending {
+            self.review.pending_told = now;
+            self.review.pending = !pending.is_empty();
+            self.broadcast(&Message::Pending(pending));
+        }
     }
 
     /// Tells a peer that the store does not answer what the store has told this instance.
@@ -193,6 +215,7 @@
         let changed = members != self.review.members || minions != self.review.minions;
         if changed {
             self.review.members = members;
+            self.shards.assign(&self.review.members);
             self.choose_neighbours();
         }
         let keys: Vec<MinionKey> = self.minions.arena.keys().collect();
@@ -272,10 +295,17 @@
         if generation == 0 {
             return None;
         }
-        let own = |attempt| fencing_token(generation, attempt, &self.member);
-        let Some(lost) = self.minions.arena[key].lost else { return Some(own(0)) };
-        let next = (0..=u8::MAX).map(own).find(|&token| token > lost.fencing_token)?;
+        let first = fencing_token(generation, 0, &self.member);
+        let Some(lost) = self.minions.arena[key].lost else { return Some(first) };
+        let next = self.token_above(lost.fencing_token)?;
         let waited = now.since(lost.at) >= RETAKE_MS;
-        (waited || next == own(0)).then_some(next)
+        (waited || next == first).then_some(next)
+    }
+
+    /// Returns the lowest fencing token of this instance above another one, if the present
+    /// generation has one left.
+    pub(crate) fn token_above(&self, token: u64) -> Option<u64> {
+        let own = |attempt| fencing_token(self.review.generation, attempt, &self.member);
+        (0..=u8::MAX).map(own).find(|&next| next > token)
     }
 }
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -2,10 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::adoption::Claim;
 use crate::catalog::Catalog;
-use crate::id::{JobId, MinionId, RunRef, Text};
+use crate::id::{Checkpoint, JobId, MinionId, RunRef};
+use crate::job_op::{JobOp, OpNumber, OpReply};
 use crate::minion::MinionEntry;
+use crate::orders::RunOrder;
 use crate::resources::Resources;
+use crate::shard::ShardId;
 
 /// A batch of messages to one peer.
 ///
@@ -32,16 +36,10 @@
     Rooms(Vec<RoomReport>),
     /// Asks the receiver to start a run on a minion that it holds.
     Start {
-        /// The run.
-        run: RunRef,
         /// The minion that the sender expects to be best.
         minion: MinionId,
-        /// What the task needs.
-        need: Resources,
-        /// The client's estimate of the run time.
-        estimate_ms: u64,
-        /// What the client sent for the task.
-        spec: Text,
+        /// The run and what it needs.
+        order: Box<RunOrder>,
     },
     /// Asks the receiver to stop a run.
     Stop(RunRef),
@@ -65,7 +63,48 @@
         run: RunRef,
         /// How it ended.
         end: RunEnd,
+        /// What it has saved.
+        checkpoint: Checkpoint,
+    },
+    /// Tells a holder that the end of a run is stored, or of no use any more.
+    EndNoted(RunRef),
+    /// Tells a holder that a run is done that was taken for lost, so that its task was started
+    /// again: its end must not be noted as long as it counts.
+    EndVoid(RunRef),
+    /// Asks the owner of a stored job for something.
+    Ask {
+        /// The operation, which its answer names.
+        number: OpNumber,
+        /// The job.
+        id: JobId,
+        /// What is asked.
+        op: JobOp,
+    },
+    /// Answers an operation.
+    Told {
+        /// The operation.
+        number: OpNumber,
+        /// The answer.
+        reply: OpReply,
+    },
+    /// Tells holders that the sender owns a shard, and asks for its runs.
+    ShardTaken {
+        /// The shard.
+        shard: ShardId,
+        /// The number of the ownership.
+        epoch: u64,
     },
+    /// Tells the new owner of a shard all its runs on minions that the sender holds.
+    ShardRuns {
+        /// The shard.
+        shard: ShardId,
+        /// The number of the ownership.
+        epoch: u64,
+        /// The runs.
+        runs: Vec<ShardRun>,
+    },
+    /// The numbers of the sender's jobs that have not started, by queue.
+    Pending(Vec<(Box<str>, u64)>),
     /// Tells an owner all of its runs on minions that the sender holds, when a new link is
     /// opened: ends and releases may be lost with the earlier one.
     Runs(Vec<RunRef>),
@@ -94,7 +133,7 @@
         /// The runs that are active.
         active: Vec<RunRef>,
         /// The runs that have ended.
-        ended: Vec<(RunRef, RunEnd)>,
+        ended: Vec<(RunRef, RunEnd, Checkpoint)>,
     },
     /// Tells a new holder that a run belongs to the sender.
     Claimed {
@@ -102,11 +141,22 @@
         minion: MinionId,
         /// The run.
         run: RunRef,
-        /// What the task needs.
-        need: Resources,
+        /// What it needs, and under which epoch.
+        claim: Claim,
     },
 }
 
+/// A run of a stored job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ShardRun {
+    /// The run.
+    pub run: RunRef,
+    /// Where it is.
+    pub minion: MinionId,
+    /// What it has saved.
+    pub checkpoint: Checkpoint,
+}
+
 /// The free room of one minion.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct RoomReport {
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -7,13 +7,18 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::clock::ClockEstimate;
+use crate::confirm::Unconfirmed;
 use crate::effect::{HoldNumber, Target};
-use crate::id::{MinionId, RunRef, ServiceName, TaskRef, Text};
+use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, TaskRef, Text};
 use crate::pace::Pace;
 use crate::peer::PeerKey;
 use crate::resources::Resources;
 use crate::suspicion::Suspicion;
 use crate::time::Moment;
+use crate::timing::LEASE_MS;
+
+/// The position of the rack among the labels.
+const RACK_LABEL: usize = 1;
 
 new_key_type! {
     /// A minion that is or was in the platform's list.
@@ -35,7 +40,7 @@
     pub state: MinionState,
     /// What it has.
     pub capacity: Resources,
-    /// Its kind and its rack.
+    /// Its kind and its rack, in this order.
     pub labels: Vec<Box<str>>,
     /// When its process started, in milliseconds since the Unix epoch.
     pub incarnation: u64,
@@ -51,6 +56,11 @@
 }
 
 impl MinionEntry {
+    /// Returns the rack, if the entry names one.
+    pub(crate) fn rack(&self) -> Option<&str> {
+        self.labels.get(RACK_LABEL).map(|label| &**label)
+    }
+
     /// Returns the address of calls to this minion.
     pub(crate) fn target(&self, key: MinionKey, fencing_token: u64) -> Target {
         let Self { id, address, .. } = self;
@@ -93,12 +103,14 @@
     pub(crate) incarnation: Option<u64>,
     /// The minion's clock.
     pub(crate) clock: ClockEstimate,
-    /// The number of the last end that was taken note of.
-    pub(crate) last_seen: u64,
+    /// The ends that were looked at, and those that are to stay on the minion's list.
+    pub(crate) unconfirmed: Unconfirmed,
     /// The runs whose room is taken.
     pub(crate) runs: BTreeMap<TaskRef, Run>,
     /// What the client sent for tasks whose starts may have to be sent again.
-    pub(crate) unsettled: BTreeMap<RunRef, Text>,
+    pub(crate) unsettled: BTreeMap<RunRef, (Text, Checkpoint)>,
+    /// The latest end of a lease that was asked for, on the minion's clock.
+    pub(crate) lease_until_ms: u64,
     /// The call that holds the minion.
     pub(crate) hold: HoldState,
     /// No start is sent before.
@@ -130,7 +142,7 @@
 }
 
 /// A run on a minion, as its holder sees it.
-#[derive(Debug, Copy, Clone)]
+#[derive(Debug, Clone)]
 pub(crate) struct Run {
     /// The number of the run.
     pub(crate) run: u64,
@@ -153,6 +165,10 @@
     pub(crate) settled: Option<Moment>,
     /// The lease that its start carried, on the minion's clock.
     pub(crate) lease_until_ms: u64,
+    /// The epoch of its owner, if it belongs to a stored job; 0 otherwise.
+    pub(crate) epoch: u64,
+    /// What it has saved.
+    pub(crate) checkpoint: Checkpoint,
 }
 
 /// The owner of a run.
@@ -182,9 +198,16 @@
             retried: false,
             settled: Some(now),
             lease_until_ms: 0,
+            epoch: 0,
+            checkpoint: Checkpoint::default(),
         }
     }
 
+    /// Returns the full name of the run of a task.
+    pub(crate) fn run_ref(&self, task: TaskRef) -> RunRef {
+        RunRef { task, run: self.run }
+    }
+
     /// Notes that the minion has taken the start.
     pub(crate) fn settle(&mut self, now: Moment) {
         self.phase = RunPhase::Active;
@@ -285,6 +308,7 @@
             && held.incarnation.is_some()
             && held.missed == 0
             && !held.unanswered
+            && !held.unconfirmed.needs_lapse()
             && now >= held.blocked_until
             && held.suspicion.allows(held.runs.len(), now);
         usable.then(|| self.entry.capacity.minus(held.used()))
@@ -298,9 +322,10 @@
             fencing_token,
             incarnation: None,
             clock: ClockEstimate::default(),
-            last_seen: 0,
+            unconfirmed: Unconfirmed::default(),
             runs: BTreeMap::new(),
             unsettled: BTreeMap::new(),
+            lease_until_ms: 0,
             hold: HoldState::Due(now),
             blocked_until: Moment::default(),
             answered: Moment::default(),
@@ -321,6 +346,25 @@
         left_ms.min()
     }
 
+    /// Returns the end of the lease that is asked for now, if the minion's clock is known and
+    /// the lease is to be renewed.
+    ///
+    /// The lease of a minion without runs is left to lapse where ends are on its list that
+    /// count as long as it has not.
+    pub(crate) fn renew_lease(&mut self, now: Moment) -> Option<u64> {
+        let clock_ms = self.clock.read(now)?;
+        if self.unconfirmed.needs_lapse() && self.runs.is_empty() {
+            // The clock is estimated too low rather than too high.
+            if clock_ms > self.lease_until_ms {
+                self.unconfirmed.note_lapse();
+            }
+            return None;
+        }
+        let until_ms = clock_ms + LEASE_MS;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        Some(until_ms)
+    }
+
     /// Returns the room that runs take.
     pub(crate) fn used(&self) -> Resources {
         self.runs.values().fold(Resources::default(), |sum, run| sum.plus(run.need))
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -1,15 +1,16 @@
 //! Starts and stops of runs on the minions that this instance holds.
 
 use log::info;
+use serde::{Deserialize, Serialize};
 
 use crate::effect::{Effect, StartOrder};
 use crate::engine::Engine;
-use crate::id::{MinionId, RunRef, ServiceName, Text};
-use crate::job::Holder;
+use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, Text};
 use crate::message::{Message, RunEnd};
 use crate::minion::{MinionKey, Run, RunOwner, RunPhase};
 use crate::peer::PeerKey;
 use crate::resources::Resources;
+use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
     HOLD_RETRY_MS, LEASE_MS, OWNER_SILENCE_MS, ROOM_BACKOFF_MS, SUSPECT_MS,
@@ -39,16 +40,22 @@
 }
 
 /// A run that a minion is to start.
-#[derive(Debug, Clone)]
-pub(crate) struct RunOrder {
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunOrder {
     /// The run.
-    pub(crate) run: RunRef,
+    pub run: RunRef,
     /// What the task needs.
-    pub(crate) need: Resources,
-    /// The client's estimate of the run time.
-    pub(crate) estimate_ms: u64,
+    pub need: Resources,
+    /// The client's estimate of the run time; 0 where progress is not judged.
+    pub estimate_ms: u64,
     /// What the client sent for the task.
-    pub(crate) spec: Text,
+    pub spec: Text,
+    /// What an earlier run has saved.
+    pub checkpoint: Checkpoint,
+    /// The epoch of the owner of a stored job; 0 if the job is not stored.
+    pub epoch: u64,
+    /// Whether only the chosen minion will do.
+    pub pinned: bool,
 }
 
 impl Engine {
@@ -62,7 +69,7 @@
         answer: StartAnswer,
     ) {
         if let Some(held) = self.held(key, fencing_token)
-            && let spec = held.unsettled.remove(&run)
+            && let content = held.unsettled.remove(&run)
             && let Some(entry) = held.runs.get_mut(&run.task)
             && entry.run == run.run
             && entry.phase == RunPhase::Starting
@@ -74,7 +81,7 @@
                 StartAnswer::Outdated if entry.retried => entry.settle(now),
                 StartAnswer::Lost => {
                     held.unanswered |= held.answered <= entry.since;
-                    self.retry_start(now, key, run, spec);
+                    self.retry_start(now, key, run, content);
                 }
                 _ => {
                     held.runs.remove(&run.task);
@@ -104,20 +111,22 @@
         now: Moment,
         key: MinionKey,
         run: RunRef,
-        spec: Option<Text>,
+        content: Option<(Text, Checkpoint)>,
     ) {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return };
         let Some(entry) = held.runs.get_mut(&run.task) else { return };
-        let (Some(spec), Some(clock_ms)) = (spec, held.clock.read(now)) else {
+        let (Some(content), Some(clock_ms)) = (content, held.clock.read(now)) else {
             entry.phase = RunPhase::StopDue(now);
             return;
         };
+        let lease_until_ms = clock_ms + LEASE_MS;
         entry.retried = true;
-        entry.lease_until_ms = clock_ms + LEASE_MS;
-        let lease_until_ms = entry.lease_until_ms;
+        entry.lease_until_ms = lease_until_ms;
+        held.lease_until_ms = held.lease_until_ms.max(lease_until_ms);
         let target = minion.entry.target(key, held.fencing_token);
-        let order = StartOrder { target, run, spec, lease_until_ms };
+        let (spec, checkpoint) = content;
+        let order = StartOrder { target, run, spec, lease_until_ms, checkpoint };
         self.effects.push(Effect::Start(order));
     }
 
@@ -160,10 +169,11 @@
         let outdated = answer == StartAnswer::Outdated;
         match (owner, answer) {
             (_, StartAnswer::Invalid) => {
-                self.report_end(now, key, owner, run, RunEnd::Failed);
+                let ended = (run, RunEnd::Failed, Checkpoint::default());
+                self.report_end(now, key, owner, ended);
             }
             (RunOwner::Local, _) => {
-                self.run_bounced(Holder::Local(key), run, outdated);
+                self.run_bounced(now, Holder::Local(key), run, outdated);
             }
             (RunOwner::Peer(peer), _) => {
                 self.send(peer, Message::Bounced { run, outdated });
@@ -186,7 +196,9 @@
         if held.runs.contains_key(&order.run.task) {
             return false;
         }
+        self.shards.in_use |= order.epoch > 0;
         let lease_until_ms = clock_ms + LEASE_MS;
+        held.lease_until_ms = held.lease_until_ms.max(lease_until_ms);
         held.runs.insert(
             order.run.task,
             Run {
@@ -200,17 +212,27 @@
                 retried: false,
                 settled: None,
                 lease_until_ms,
+                epoch: order.epoch,
+                checkpoint: order.checkpoint.clone(),
             },
         );
-        let RunOrder { run, spec, .. } = order;
-        held.unsettled.insert(run, spec.clone());
+        let RunOrder { run, spec, checkpoint, .. } = order;
+        held.unsettled.insert(run, (spec.clone(), checkpoint.clone()));
         let target = minion.entry.target(key, held.fencing_token);
-        let order = StartOrder { target, run, spec, lease_until_ms };
+        let order = StartOrder { target, run, spec, lease_until_ms, checkpoint };
         self.effects.push(Effect::Start(order));
         self.rooms_changed();
         true
     }
 
+    /// Stops a run wherever it is.
+    pub(crate) fn stop_at(&mut self, now: Moment, holder: Holder, run: RunRef) {
+        match holder {
+            Holder::Local(key) => self.stop_run(now, key, run),
+            Holder::Peer(peer) => self.send(peer, Message::Stop(run)),
+        }
+    }
+
     /// Stops a run on a held minion.
     pub(crate) fn stop_run(&mut self, now: Moment, key: MinionKey, run: RunRef) {
         let held = self.minions.arena.get_mut(key).and_then(|m| m.held.as_mut());
@@ -234,7 +256,9 @@
         let run = order.run;
         // An order that has waited in a buffer may be older than the owner's patience.
         let echoed = self.peers.arena.get(peer).and_then(|peer| peer.echoed);
-        if echoed.is_none_or(|echoed| now.since(echoed) > OWNER_SILENCE_MS) {
+        let shard = self.shards.of(run.task.job);
+        let outdated = order.epoch > 0 && !self.shards.note_epoch(shard, order.epoch);
+        if outdated || echoed.is_none_or(|echoed| now.since(echoed) > OWNER_SILENCE_MS) {
             return self.send(peer, Message::Bounced { run, outdated: false });
         }
         let named = self.minions.by_id.get(minion).copied();
@@ -244,7 +268,7 @@
             free.is_some_and(|free| order.need.fits(free))
         };
         let chosen = named.filter(fits).or_else(|| {
-            let service = service.as_ref()?;
+            let service = service.as_ref().filter(|_| !order.pinned)?;
             self.fastest_with_room(now, service, order.need)
         });
         let started = chosen
--- a/crates/bamboocart-jobs/src/outcome.rs
+++ b/crates/bamboocart-jobs/src/outcome.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::id::JobId;
-use crate::job::JobState;
+use crate::submission::JobState;
 use crate::time::Moment;
 use crate::timing::REMEMBER_MS;
 
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -5,10 +5,14 @@
 use crate::backlog::Backlog;
 use crate::effect::{Answer, Effect, RequestKey};
 use crate::engine::Engine;
-use crate::id::{JobId, MinionId, RunRef};
-use crate::job::{Holder, Job, JobState, Rank, Submission, TaskState};
+use crate::id::{Checkpoint, JobId, MinionId, OccurrenceRef, RunRef};
+use crate::job::{Job, Rank};
 use crate::message::{Message, RunEnd};
+use crate::stored::submit_op;
+use crate::submission::{JobState, Submission};
+use crate::task::{Holder, TaskState};
 use crate::time::Moment;
+use crate::timing::{RUN_GONE_MS, STORED_RUN_GONE_MS};
 
 /// The most jobs at the same time; more are refused.
 const MAX_JOBS: usize = 4_096;
@@ -25,23 +29,28 @@
     pub fn submit(&mut self, now: Moment, submission: Submission) {
         let request = submission.request;
         let id = submission.job.id;
+        if !submission.job.best_effort {
+            let op = submit_op(&submission.queue, submission.job);
+            self.ask(now, request, id, op, submission.patience_ms);
+            return self.settle(now);
+        }
         if let Some(outcome) = self.outcomes.of(id) {
             info!(target: "job", request_id:% = id, outcome:? = outcome;
                 "repeated request gets the known outcome");
             return self.answer(request, Answer::Ended(outcome));
         }
-        if let Some(job) = self.jobs.get_mut(&id) {
+        if let Some(job) = self.jobs.get_mut(&id.into()) {
             info!(target: "job", request_id:% = id; "repeated request joins the job");
-            job.requests.push(request);
-            job.deadline = job.deadline.max(now + submission.patience_ms);
-            self.job_of_request.insert(request, id);
+            job.join(request, now + submission.patience_ms);
+            self.job_of_request.insert(request, id.into());
             return;
         }
-        if let Some(reason) = self.refusal(&submission) {
+        if self.jobs.len() >= MAX_JOBS {
+            let reason = "too many jobs";
             warn!(target: "job", request_id:% = id, reason; "job refused");
             return self.answer(request, Answer::Unavailable);
         }
-        let job = Job::new(submission, self.pace.ratio(), now);
+        let job = Job::best_effort(submission, self.pace.ratio(), now);
         let longest_ms = STOP_MARGIN * job.objective_ms;
         if self.ends_at.is_some_and(|end| now + longest_ms > end) {
             warn!(target: "job", request_id:% = id, objective_ms = job.objective_ms,
@@ -51,23 +60,15 @@
         info!(target: "job", request_id:% = id, queue = &*job.queue.name,
             tasks = job.tasks.len(), objective_ms = job.objective_ms,
             config = self.catalog.version; "job accepted");
-        self.job_of_request.insert(request, id);
+        self.job_of_request.insert(request, job.id);
         self.wait(job.rank());
-        self.jobs.insert(id, job);
+        self.jobs.insert(job.id, job);
         self.settle(now);
     }
 
-    /// Returns why a job cannot be taken at all.
-    fn refusal(&self, submission: &Submission) -> Option<&'static str> {
-        match () {
-            () if self.jobs.len() >= MAX_JOBS => Some("too many jobs"),
-            () if !submission.job.best_effort => Some("stored jobs are not supported"),
-            () => submission.job.unsupported,
-        }
-    }
-
     /// Notes that the client of a request is gone.
     pub fn abandon(&mut self, now: Moment, request: RequestKey) {
+        self.abandon_op(request);
         let Some(id) = self.job_of_request.remove(&request) else { return };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.requests.retain(|&waiting| waiting != request);
@@ -99,49 +100,42 @@
 
     /// Cancels a job of this instance, and returns whether it has not ended before.
     fn cancel_own(&mut self, now: Moment, id: JobId) -> bool {
-        let active = self.jobs.contains_key(&id);
+        let key = OccurrenceRef::from(id);
+        let active = self.jobs.get(&key).is_some_and(|job| !job.is_stored());
         if active {
             let outcome = Some(Answer::Ended(JobState::Cancelled));
-            self.end_job(now, id, outcome, "cancelled");
+            self.end_job(now, key, outcome, "cancelled");
             self.outcomes.record(now, id, JobState::Cancelled);
         }
         active
     }
 
-    /// Returns the state of a job, if it is known.
+    /// Returns the state of a job of this instance that is not stored, if it is known.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        let active = self.jobs.get(&id).map(Job::state);
-        active.or_else(|| self.outcomes.of_owned(id))
-    }
-
-    /// Returns how many jobs of a queue have not started.
-    pub fn pending(&self, queue: &str) -> usize {
-        let pending = |job: &&Job| !job.ordered && *job.queue.name == *queue;
-        self.jobs.values().filter(pending).count()
+        let active = self.jobs.get(&id.into()).filter(|job| !job.is_stored());
+        active.map(Job::state).or_else(|| self.outcomes.of_owned(id))
     }
 
     /// Queues an answer.
-    fn answer(&mut self, request: RequestKey, answer: Answer) {
+    pub(crate) fn answer(&mut self, request: RequestKey, answer: Answer) {
         self.effects.push(Effect::Answer(request, answer));
     }
 
     /// Ends a job: stops what runs and answers its requests.
-    fn end_job(&mut self, now: Moment, id: JobId, answer: Option<Answer>, why: &str) {
+    fn end_job(
+        &mut self,
+        now: Moment,
+        id: OccurrenceRef,
+        answer: Option<Answer>,
+        why: &str,
+    ) {
         let Some(job) = self.jobs.remove(&id) else { return };
         self.waiting.remove(&job.rank());
         let done = job.tasks.iter().filter(|t| t.state == TaskState::Done).count();
-        info!(target: "job", request_id:% = id, why, answer:? = answer, done,
+        info!(target: "job", request_id:% = id.job, why, answer:? = answer, done,
             tasks = job.tasks.len(), age_ms = now.since(job.arrived),
             objective_ms = job.objective_ms; "job ended");
-        for task in 0..job.tasks.len() {
-            if let Some(placement) = job.tasks[task].placement() {
-                let run = job.run_ref(task);
-                match placement.holder {
-                    Holder::Local(key) => self.stop_run(now, key, run),
-                    Holder::Peer(peer) => self.send(peer, Message::Stop(run)),
-                }
-            }
-        }
+        self.stop_runs(now, &job);
         for request in job.requests {
             self.job_of_request.remove(&request);
             if let Some(answer) = answer {
@@ -150,6 +144,15 @@
         }
     }
 
+    /// Stops all runs of a job.
+    pub(crate) fn stop_runs(&mut self, now: Moment, job: &Job) {
+        for task in 0..job.tasks.len() {
+            if let Some(placement) = job.tasks[task].placement() {
+                self.stop_at(now, placement.holder, job.run_ref(task));
+            }
+        }
+    }
+
     /// Returns the task of a run, if the run is its current one at this holder.
     ///
     /// A job that was sent again has runs of the same numbers under its earlier owner, so
@@ -166,25 +169,45 @@
 
     /// Returns the task of a run, if its current run has this number.
     pub(crate) fn placed(&mut self, run: RunRef) -> Option<(&mut Job, usize)> {
-        let job = self.jobs.get_mut(&run.task.job)?;
+        let job = self.jobs.get_mut(&run.task.occurrence_ref())?;
         let task = job.position(run.task)?;
         let placed = job.tasks[task].placement().is_some();
         (placed && job.tasks[task].last_run == run.run).then_some((job, task))
     }
 
     /// Lets a job wait for the placement of tasks.
-    fn wait(&mut self, rank: Rank) {
+    pub(crate) fn wait(&mut self, rank: Rank) {
         self.waiting.insert(rank);
         self.placement_due = true;
     }
 
     /// Lets a task wait for another placement.
-    pub(crate) fn requeue(&mut self, run: RunRef) {
+    pub(crate) fn requeue(&mut self, now: Moment, run: RunRef) {
         let Some((job, task)) = self.placed(run) else { return };
         job.tasks[task].avoid = job.tasks[task].placement().and_then(|it| it.minion);
         job.tasks[task].state = TaskState::Waiting;
         let rank = job.rank();
         self.wait(rank);
+        self.break_gang(now, run);
+    }
+
+    /// Takes a holder's report of the end of a run.
+    pub(crate) fn end_reported(
+        &mut self,
+        now: Moment,
+        holder: Holder,
+        run: RunRef,
+        end: RunEnd,
+        checkpoint: Checkpoint,
+    ) {
+        let job = self.jobs.get(&run.task.occurrence_ref());
+        match job.is_some_and(|job| !job.is_stored()) {
+            true => self.run_ended(now, holder, run, end, checkpoint),
+            false if self.shards.in_use => {
+                self.stored_run_ended(now, holder, run, end, checkpoint);
+            }
+            false => {}
+        }
     }
 
     /// Takes the end of a run of an own job.
@@ -194,16 +217,25 @@
         holder: Holder,
         run: RunRef,
         end: RunEnd,
+        checkpoint: Checkpoint,
     ) {
+        let stored =
+            self.jobs.get(&run.task.occurrence_ref()).is_some_and(Job::is_stored);
+        if stored {
+            return self.stored_run_ended(now, holder, run, end, checkpoint);
+        }
         let Some((job, task)) = self.current(run, holder) else { return };
+        job.tasks[task].checkpoint.update(&checkpoint);
         match end {
             RunEnd::Done => {
-                job.tasks[task].state = TaskState::Done;
+                for member in job.bound_to(task) {
+                    job.tasks[member].state = TaskState::Done;
+                }
                 if job.is_done() {
                     let id = job.id;
                     let answer = Some(Answer::Ended(JobState::Completed));
                     self.end_job(now, id, answer, "all tasks are done");
-                    self.outcomes.record(now, id, JobState::Completed);
+                    self.outcomes.record(now, id.job, JobState::Completed);
                 } else {
                     job.unblock();
                     let rank = job.rank();
@@ -213,7 +245,8 @@
                 }
             }
             RunEnd::Failed => {
-                job.tasks[task].failures += 1;
+                let members = job.bound_to(task);
+                members.into_iter().for_each(|member| job.tasks[member].failures += 1);
                 let failures = job.tasks[task].failures;
                 info!(target: "job", request_id:% = run.task.job, run:% = run.task,
                     failures, limit = job.queue.max_attempts; "run failed");
@@ -221,21 +254,27 @@
                     let id = job.id;
                     let answer = Some(Answer::Ended(JobState::Failed));
                     self.end_job(now, id, answer, "a task failed too often");
-                    self.outcomes.record(now, id, JobState::Failed);
+                    self.outcomes.record(now, id.job, JobState::Failed);
                 } else {
-                    self.requeue(run);
+                    self.requeue(now, run);
                 }
             }
             RunEnd::Void => {
                 info!(target: "job", request_id:% = run.task.job, run:% = run.task;
                     "run is void and waits again");
-                self.requeue(run);
+                self.requeue(now, run);
             }
         }
     }
 
     /// Takes note that a run was not started.
-    pub(crate) fn run_bounced(&mut self, holder: Holder, run: RunRef, outdated: bool) {
+    pub(crate) fn run_bounced(
+        &mut self,
+        now: Moment,
+        holder: Holder,
+        run: RunRef,
+        outdated: bool,
+    ) {
         let Some((job, task)) = self.current(run, holder) else { return };
         let minion = job.tasks[task].placement().and_then(|it| it.minion);
         if outdated {
@@ -250,6 +289,7 @@
         {
             peer.forget_room(&minion.entry.id);
         }
+        self.break_gang(now, run);
     }
 
     /// Takes note that a holder has started a run on another minion than the named one.
@@ -267,7 +307,7 @@
         let mut ends = Vec::new();
         let mut gone = Vec::new();
         for job in self.jobs.values() {
-            if job.ends_by() <= now {
+            if job.ends_by().is_some_and(|end| end <= now) {
                 ends.push((job.id, job.ordered));
                 continue;
             }
@@ -276,7 +316,8 @@
                 let silent = match placement.holder {
                     Holder::Peer(peer) => {
                         let peer = self.peers.arena.get(peer);
-                        peer.is_none_or(|peer| peer.is_gone(now))
+                        let silence_ms = gone_after_ms(job);
+                        peer.is_none_or(|peer| peer.is_gone(silence_ms, now))
                     }
                     Holder::Local(_) => false,
                 };
@@ -288,7 +329,8 @@
         for run in gone {
             warn!(target: "job", request_id:% = run.task.job, run:% = run.task;
                 "the holder of a run is lost");
-            self.requeue(run);
+            self.note_superseded(run);
+            self.requeue(now, run);
         }
         if ends.is_empty() {
             return;
@@ -309,3 +351,9 @@
         }
     }
 }
+
+/// Returns after which silence of a holder none of its runs of a job is left, or can still be
+/// found to be done.
+pub(crate) fn gone_after_ms(job: &Job) -> u64 {
+    if job.is_stored() { STORED_RUN_GONE_MS } else { RUN_GONE_MS }
+}
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -11,7 +11,7 @@
 use crate::time::Moment;
 use crate::timing::{
     FRAME_INTERVAL_MS, HOLDER_SILENCE_MS, IDLE_FRAME_INTERVAL_MS, REPORT_INTERVAL_MS,
-    REPORTS_PER_S, RUN_GONE_MS,
+    REPORTS_PER_S,
 };
 
 new_key_type! {
@@ -59,6 +59,8 @@
     pub(crate) echoed: Option<Moment>,
     /// The room that it reported, less what was offered since.
     pub(crate) rooms: Vec<RoomReport>,
+    /// Its stored jobs that have not started, by queue.
+    pub(crate) pending: Vec<(Box<str>, u64)>,
     /// What was offered and may not be part of the last report yet.
     offers: Vec<Offer>,
     /// The messages that wait.
@@ -101,6 +103,7 @@
             heard_sent_ms: 0,
             echoed: None,
             rooms: Vec::new(),
+            pending: Vec::new(),
             offers: Vec::new(),
             outbox: Vec::new(),
             sent: None,
@@ -115,6 +118,11 @@
             && self.heard.is_some_and(|heard| now.since(heard) < HOLDER_SILENCE_MS)
     }
 
+    /// Returns whether the peer takes part: the group names it, or it is heard.
+    pub(crate) fn is_present(&self, now: Moment) -> bool {
+        self.listed || self.is_responsive(now)
+    }
+
     /// Notes whether this instance looks at the peer's free room.
     pub(crate) fn set_neighbour(&mut self, neighbour: bool) {
         self.neighbour = neighbour;
@@ -192,8 +200,8 @@
         self.offers.clear();
         let mut unsent = Vec::new();
         self.outbox.retain(|message| match message {
-            Message::Start { run, .. } => {
-                unsent.push(*run);
+            Message::Start { order, .. } => {
+                unsent.push(order.run);
                 false
             }
             _ => true,
@@ -203,8 +211,8 @@
 
     /// Returns whether none of the runs that this peer started can be left: it has been
     /// silent for so long that it has stopped them or that their leases have lapsed.
-    pub(crate) fn is_gone(&self, now: Moment) -> bool {
-        now.since(self.heard.unwrap_or_default()) > RUN_GONE_MS
+    pub(crate) fn is_gone(&self, silence_ms: u64, now: Moment) -> bool {
+        now.since(self.heard.unwrap_or_default()) > silence_ms
     }
 
     /// Returns when the next frame is due.
@@ -323,6 +331,11 @@
         (receivers as u64 * 1_000 / REPORTS_PER_S).max(REPORT_INTERVAL_MS)
     }
 
+    /// Returns the peer that a member is.
+    pub(crate) fn key_of(&self, member: &Member) -> Option<PeerKey> {
+        self.by_id.get(&member.id()).copied()
+    }
+
     /// Removes a peer.
     pub(crate) fn remove(&mut self, key: PeerKey) {
         if let Some(peer) = self.arena.remove(key) {
--- a/crates/bamboocart-jobs/src/placing.rs
+++ b/crates/bamboocart-jobs/src/placing.rs
@@ -2,13 +2,15 @@
 
 use log::info;
 
+use crate::assignment::hash;
 use crate::engine::Engine;
-use crate::id::JobId;
-use crate::job::{Holder, Job, Placement, TaskState};
+use crate::id::OccurrenceRef;
+use crate::job::Job;
 use crate::message::Message;
 use crate::minion::{MinionKey, RunOwner};
 use crate::orders::RunOrder;
-use crate::placement::{self, Candidate, Choice, Site};
+use crate::placement::{Candidate, Choice, Chooser, Site, Suitability};
+use crate::task::{Holder, Placement, TaskState};
 use crate::time::Moment;
 
 /// The time that an order to a peer takes longer than one to an own minion.
@@ -22,34 +24,51 @@
             return;
         }
         let mut candidates = self.candidates(now);
-        let order: Vec<JobId> = self.waiting.iter().map(|rank| rank.job).collect();
+        let order: Vec<OccurrenceRef> =
+            self.waiting.iter().map(|rank| rank.job).collect();
         for id in order {
             if candidates.is_empty() {
                 break;
             }
-            self.place_job(now, id, &mut candidates);
+            if self.may_place(now, id) {
+                self.place_job(now, id, &mut candidates);
+            }
         }
         self.placement_due = false;
     }
 
     /// Places the waiting tasks of a job as far as there is room. More urgent jobs come
     /// first, so that what is left of a wide one takes the next room.
-    fn place_job(&mut self, now: Moment, id: JobId, candidates: &mut [Candidate]) {
+    fn place_job(
+        &mut self,
+        now: Moment,
+        id: OccurrenceRef,
+        candidates: &mut [Candidate],
+    ) {
         let Some(job) = self.jobs.get(&id) else { return };
         let arena = &self.minions.arena;
+        let remote_factor = self.remote_factor;
         let suits = |job: &Job, task: usize, key: MinionKey| {
-            let Some(minion) = arena.get(key) else { return false };
-            let label = job.step_of(task).required_label.as_ref();
-            minion.entry.service == job.queue.service
+            let entry = &arena.get(key)?.entry;
+            let step = job.step_of(task);
+            let label = step.required_label.as_ref();
+            let usable = entry.service == job.queue.service
                 && job.tasks[task].avoid != Some(key)
-                && label.is_none_or(|label| minion.entry.labels.contains(label))
+                && label.is_none_or(|label| entry.labels.contains(label));
+            let data_rack = step.data_rack.as_ref();
+            let near = data_rack.is_none_or(|rack| entry.labels.contains(rack));
+            let distance_factor = if near { 1.0 } else { remote_factor };
+            let rack = entry.rack().map(|rack| hash(rack.as_bytes()));
+            usable.then_some(Suitability { distance_factor, rack })
         };
-        let choices = placement::choose(job, candidates, suits, &mut self.rng, now);
+        let rng = &mut self.rng;
+        let choices = Chooser { job, candidates, suits, rng, now }.choose();
         let waiting =
             job.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
         if choices.len() == waiting {
             self.waiting.remove(&job.rank());
         }
+        self.align_gangs(id, &choices);
         for choice in choices {
             let candidate = candidates[choice.candidate].clone();
             self.place_task(now, id, choice, &candidate);
@@ -60,7 +79,7 @@
     fn place_task(
         &mut self,
         now: Moment,
-        id: JobId,
+        id: OccurrenceRef,
         choice: Choice,
         candidate: &Candidate,
     ) {
@@ -70,27 +89,29 @@
             Site::Peer(peer) => Holder::Peer(peer),
         };
         job.ordered = true;
-        job.tasks[choice.task].last_run += 1;
-        job.tasks[choice.task].state = TaskState::Placed(Placement {
-            holder,
-            minion: Some(candidate.minion),
-            fencing_token: 0,
-            since: now,
-            gone_at: None,
-        });
+        job.tasks[choice.task].last_run = job.next_run(job.tasks[choice.task].last_run);
+        let placement = Placement::new(holder, Some(candidate.minion), now);
+        job.tasks[choice.task].state = TaskState::Placed(placement);
         let run = job.run_ref(choice.task);
         let step = job.step_of(choice.task);
-        let (need, estimate_ms) = (step.need, step.estimate_ms);
-        let spec = job.spec.clone();
+        let need = step.need;
+        let order = RunOrder {
+            run,
+            need,
+            estimate_ms: step.judged_estimate_ms(),
+            spec: job.spec.clone(),
+            checkpoint: job.tasks[choice.task].checkpoint.clone(),
+            epoch: job.epoch(),
+            pinned: step.is_pinned(),
+        };
         let minion = self.minions.arena[candidate.minion].entry.id.clone();
-        info!(target: "job", request_id:% = id, run:% = run.task, number = run.run,
+        info!(target: "job", request_id:% = id.job, run:% = run.task, number = run.run,
             minion:% = minion, pace = candidate.pace,
             local = candidate.site == Site::Local; "task placed");
         match candidate.site {
             Site::Local => {
-                let order = RunOrder { run, need, estimate_ms, spec };
                 if !self.start_run(now, candidate.minion, order, RunOwner::Local) {
-                    self.requeue(run);
+                    self.requeue(now, run);
                 }
             }
             Site::Peer(key) => {
@@ -98,7 +119,7 @@
                     peer.offer(&minion, need, now);
                     peer.engaged = true;
                 }
-                self.send(key, Message::Start { run, minion, need, estimate_ms, spec });
+                self.send(key, Message::Start { minion, order: Box::new(order) });
             }
         }
     }
--- /dev/null
+++ b/crates/bamboocart-jobs/src/stored.rs
@@ -0,0 +1,450 @@
+//! The owner's part for stored jobs: what clients ask, and what the log has taken.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+
+use crate::effect::Answer;
+use crate::engine::Engine;
+use crate::id::{Checkpoint, JobId, OccurrenceRef, RunRef};
+use crate::job::Job;
+use crate::job_op::{JobOp, OpReply, Requester};
+use crate::message::{Message, RunEnd};
+use crate::shard::{Shard, ShardId, Stage, StoredEntry};
+use crate::stored_job::{LogRecord, StoredJob};
+use crate::submission::{JobState, NewJob};
+use crate::task::{Holder, Placement, TaskState, tasks_of};
+use crate::time::Moment;
+
+/// The most jobs of a shard that have not ended; more are refused.
+const MAX_OPEN_JOBS: usize = 4_096;
+
+/// The operations that wait for the end of a takeover; more are turned away.
+const MAX_WAITING_OPS: usize = 1_024;
+
+/// When a client may come back that was refused because too many jobs are open.
+const FULL_RETRY_S: u64 = 2;
+
+impl Engine {
+    /// Does what a client asks of the owner of a job, now or at the end of the takeover.
+    pub(crate) fn owner_op(
+        &mut self,
+        now: Moment,
+        requester: Requester,
+        id: JobId,
+        op: JobOp,
+    ) {
+        self.shards.in_use = true;
+        let shard_id = self.shards.of(id);
+        let authority = self.has_authority(now);
+        let Some(shard) = self.shards.owned.get_mut(&shard_id).filter(|_| authority)
+        else {
+            return self.tell(now, requester, None);
+        };
+        match shard.stage {
+            Stage::Settling(_) | Stage::Open => self.perform(now, requester, id, op),
+            _ if shard.ops.len() >= MAX_WAITING_OPS => self.tell(now, requester, None),
+            Stage::Dormant => {
+                shard.ops.push((requester, id, op));
+                self.claim_shard(shard_id);
+            }
+            Stage::Reading(_) | Stage::Claiming => shard.ops.push((requester, id, op)),
+        }
+    }
+
+    /// Does what a client asks of the owner of a job.
+    pub(crate) fn perform(
+        &mut self,
+        now: Moment,
+        requester: Requester,
+        id: JobId,
+        op: JobOp,
+    ) {
+        let live = self.live_state(id);
+        let cancelled_before = self.outcomes.of(id) == Some(JobState::Cancelled);
+        let unix_ms = self.unix_ms(now);
+        let shard_id = self.shards.of(id);
+        let Some(shard) = self.shards.owned.get_mut(&shard_id) else { return };
+        let reply = match op {
+            JobOp::State => {
+                let known = shard.jobs.get(&id).map(|entry| entry.job.state());
+                let state = known.map(|state| match live {
+                    Some(live) if !state.is_final() => live,
+                    _ => state,
+                });
+                let state = state.map_or(Answer::Unknown, Answer::State);
+                return self.tell(now, requester, Some(state));
+            }
+            JobOp::Cancel => shard.cancel(requester, id),
+            JobOp::Submit { queue, job } => {
+                let stored = StoredJob::new(*queue, *job, unix_ms);
+                shard.submit(requester, stored, cancelled_before)
+            }
+        };
+        if reply == Some(Answer::Unknown) {
+            // A job that was cancelled before it arrived must not run.
+            self.outcomes.record_cancelled(now, id);
+        }
+        if reply.is_some() {
+            self.tell(now, requester, reply);
+        }
+    }
+
+    /// Answers an operation.
+    pub(crate) fn tell(&mut self, now: Moment, requester: Requester, reply: OpReply) {
+        match requester {
+            Requester::Local(number) => self.op_answered(now, number, reply),
+            Requester::Peer(peer, number) => {
+                self.send(peer, Message::Told { number, reply });
+            }
+        }
+    }
+
+    /// Takes note of records that the log has taken.
+    pub(crate) fn commit(&mut self, now: Moment, id: ShardId, records: Vec<LogRecord>) {
+        for record in records {
+            match record {
+                LogRecord::Owned { .. } => self.claimed(now, id),
+                LogRecord::Job(job) => self.job_stored(now, id, *job),
+                LogRecord::Ended { run, end, checkpoint } => {
+                    self.end_stored(now, id, run, end, &checkpoint);
+                }
+                LogRecord::Cancelled(job) => self.cancel_stored(now, id, job),
+            }
+        }
+    }
+
+    /// Takes note of a job that the log has taken.
+    fn job_stored(&mut self, now: Moment, id: ShardId, job: StoredJob) {
+        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
+        let job_id = job.job.id;
+        if let Some(entry) = shard.jobs.get_mut(&job_id) {
+            entry.written_at = now;
+            return;
+        }
+        info!(target: "job", request_id:% = job_id, queue = &*job.queue.name, shard = id.0,
+            steps = job.job.steps.len(); "job stored");
+        shard.jobs.insert(job_id, StoredEntry::new(job, now));
+        let requesters = shard.accepts.remove(&job_id).unwrap_or_default();
+        self.begin_stored(now, id, job_id);
+        for requester in requesters {
+            self.tell(now, requester, Some(Answer::Accepted));
+        }
+    }
+
+    /// Lets the tasks of a stored job wait for their placement, or for their time.
+    pub(crate) fn begin_stored(&mut self, now: Moment, id: ShardId, job_id: JobId) {
+        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
+        let Some(entry) = shard.jobs.get(&job_id) else { return };
+        match entry.job.job.repeat {
+            _ if entry.job.outcome.is_some() => {}
+            Some(repeat) => {
+                let due_unix_ms = repeat.due_unix_ms(entry.next_occurrence);
+                shard.schedule.insert((due_unix_ms, job_id));
+            }
+            None => self.begin_occurrence(now, id, job_id, 0),
+        }
+    }
+
+    /// Begins the occurrences that are due.
+    pub(crate) fn begin_due(&mut self, now: Moment, id: ShardId) {
+        let unix_ms = self.unix_ms(now);
+        loop {
+            let Some(shard) = self.shards.owned.get_mut(&id) else { return };
+            let Some(&(due_unix_ms, job_id)) = shard.schedule.first() else { return };
+            if due_unix_ms > unix_ms {
+                return;
+            }
+            shard.schedule.pop_first();
+            let Some(entry) = shard.jobs.get_mut(&job_id) else { continue };
+            let occurrence = entry.next_occurrence;
+            let Some(repeat) = entry.job.job.repeat else { continue };
+            if entry.job.outcome.is_some() || occurrence >= repeat.count {
+                continue;
+            }
+            entry.next_occurrence += 1;
+            let next = entry.next_occurrence;
+            if next < repeat.count {
+                shard.schedule.insert((repeat.due_unix_ms(next), job_id));
+            }
+            self.begin_occurrence(now, id, job_id, occurrence);
+        }
+    }
+
+    /// Lets the tasks of one occurrence wait for their placement.
+    fn begin_occurrence(
+        &mut self,
+        now: Moment,
+        id: ShardId,
+        job_id: JobId,
+        occurrence: u32,
+    ) {
+        let unix_ms = self.unix_ms(now);
+        let Some(shard) = self.shards.owned.get(&id) else { return };
+        let Some(entry) = shard.jobs.get(&job_id) else { return };
+        let stored = &entry.job;
+        if stored.is_occurrence_done(occurrence) {
+            return;
+        }
+        let began_unix_ms = match stored.job.repeat {
+            Some(repeat) => repeat.due_unix_ms(occurrence),
+            None => stored.accepted_unix_ms,
+        };
+        let age_ms = unix_ms.saturating_sub(began_unix_ms);
+        let arrived = Moment(now.0.saturating_sub(age_ms));
+        let queue = self.catalog.queue(&stored.queue.name).cloned();
+        let queue = queue.unwrap_or_else(|| Arc::new(stored.queue.clone()));
+        let mut tasks = tasks_of(&stored.job.steps);
+        if let Some(progress) = stored.progress.get(&occurrence) {
+            for (task, known) in tasks.iter_mut().zip(progress) {
+                if known.done {
+                    task.state = TaskState::Done;
+                }
+                task.failures = known.failures;
+                task.last_run = known.last_run;
+                task.checkpoint.clone_from(&known.checkpoint);
+            }
+        }
+        let occurrence = OccurrenceRef { job: job_id, occurrence };
+        let content = (stored.job.spec.clone(), stored.job.steps.clone(), tasks);
+        let pace = self.pace.ratio();
+        let epoch = shard.epoch;
+        let job = Job::stored(occurrence, queue, content, pace, arrived, epoch);
+        self.wait(job.rank());
+        self.jobs.insert(occurrence, job);
+    }
+
+    /// Takes the end of a run of a stored job; what must not be lost goes to the log first.
+    ///
+    /// The holder keeps the end on the minion's list until it hears that it is noted: once it
+    /// is off the list, nobody could find out any more that the task is done.
+    pub(crate) fn stored_run_ended(
+        &mut self,
+        now: Moment,
+        holder: Holder,
+        run: RunRef,
+        end: RunEnd,
+        checkpoint: Checkpoint,
+    ) {
+        let shard_id = self.shards.of(run.task.job);
+        let Some(shard) = self.shards.owned.get_mut(&shard_id) else { return };
+        if matches!(shard.stage, Stage::Dormant) {
+            // Another owner may have written to the log since it was read.
+            return self.claim_shard(shard_id);
+        }
+        if !shard.is_claimed() || !shard.log.has_room() {
+            return;
+        }
+        if let Some(reporter) = shard.reporters.get_mut(&run) {
+            *reporter = holder;
+            return;
+        }
+        let job = self.jobs.get_mut(&run.task.occurrence_ref());
+        let job = job.filter(|job| job.is_stored());
+        let found = job.and_then(|job| Some((job.position(run.task)?, job)));
+        let Some((task, job)) = found else {
+            return match end == RunEnd::Done && shard.superseded.contains(&run) {
+                true => self.end_void(holder, run),
+                false => self.end_noted(now, holder, run),
+            };
+        };
+        let lasts = job.step_of(task).long_running;
+        let entry = &mut job.tasks[task];
+        entry.checkpoint.update(&checkpoint);
+        let current = entry.last_run == run.run;
+        match end {
+            RunEnd::Done if !lasts && run.run < entry.last_run => {
+                warn!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                    number = run.run, current = entry.last_run;
+                    "a run is done that was taken for lost");
+                shard.superseded.insert(run);
+                self.end_void(holder, run);
+            }
+            _ if entry.state == TaskState::Done => self.end_noted(now, holder, run),
+            RunEnd::Done | RunEnd::Failed if !lasts => {
+                if current {
+                    // A task that waits again must not be placed while its end is written.
+                    let placement = Placement::new(holder, None, now);
+                    let known = entry.placement().copied().unwrap_or(placement);
+                    entry.state = TaskState::Placed(Placement { ending: true, ..known });
+                }
+                shard.reporters.insert(run, holder);
+                shard.log.push(LogRecord::Ended { run, end, checkpoint });
+            }
+            RunEnd::Done | RunEnd::Failed | RunEnd::Void => {
+                info!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                    end:? = end; "run waits again");
+                if current {
+                    self.requeue(now, run);
+                }
+                self.end_noted(now, holder, run);
+            }
+        }
+    }
+
+    /// Tells a holder that an end must not leave the minion's list as long as it counts.
+    fn end_void(&mut self, holder: Holder, run: RunRef) {
+        match holder {
+            Holder::Local(_) => self.avoid_end(run),
+            Holder::Peer(peer) => self.send(peer, Message::EndVoid(run)),
+        }
+    }
+
+    /// Tells a holder that an end may leave the minion's list.
+    pub(crate) fn end_noted(&mut self, now: Moment, holder: Holder, run: RunRef) {
+        match holder {
+            Holder::Local(_) => self.confirm(now, run),
+            Holder::Peer(peer) => self.send(peer, Message::EndNoted(run)),
+        }
+    }
+
+    /// Takes note of the end of a run that the log has taken.
+    fn end_stored(
+        &mut self,
+        now: Moment,
+        id: ShardId,
+        run: RunRef,
+        end: RunEnd,
+        checkpoint: &Checkpoint,
+    ) {
+        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
+        let reporter = shard.reporters.remove(&run);
+        let outcome = shard.jobs.get_mut(&run.task.job).and_then(|entry| {
+            entry.apply_end(now, run, end, checkpoint);
+            entry.job.outcome
+        });
+        if let Some(holder) = reporter {
+            self.end_noted(now, holder, run);
+        }
+        match outcome {
+            Some(outcome) => {
+                info!(target: "job", request_id:% = run.task.job, outcome:? = outcome;
+                    "stored job ended");
+                self.drop_live(now, run.task.job, true);
+            }
+            None => self.end_live_run(now, run, end),
+        }
+    }
+
+    /// Brings a job in memory up to the end of a run.
+    fn end_live_run(&mut self, now: Moment, run: RunRef, end: RunEnd) {
+        let occurrence = run.task.occurrence_ref();
+        let Some(job) = self.jobs.get_mut(&occurrence) else { return };
+        let Some(task) = job.position(run.task) else { return };
+        match end {
+            RunEnd::Done => {
+                for task in job.bound_to(task) {
+                    job.tasks[task].state = TaskState::Done;
+                }
+                job.unblock();
+                let rank = job.rank();
+                match () {
+                    () if job.is_done() => {
+                        self.waiting.remove(&rank);
+                        self.jobs.remove(&occurrence);
+                    }
+                    () if job.is_waiting() => self.wait(rank),
+                    () => {}
+                }
+            }
+            RunEnd::Failed | RunEnd::Void => {
+                job.tasks[task].failures += 1;
+                self.requeue(now, run);
+            }
+        }
+    }
+
+    /// Takes note of a cancel that the log has taken.
+    fn cancel_stored(&mut self, now: Moment, id: ShardId, job: JobId) {
+        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
+        if let Some(entry) = shard.jobs.get_mut(&job) {
+            entry.close(now, JobState::Cancelled);
+        }
+        let requesters = shard.cancels.remove(&job).unwrap_or_default();
+        info!(target: "job", request_id:% = job; "stored job cancelled");
+        self.drop_live(now, job, true);
+        for requester in requesters {
+            self.tell(now, requester, Some(Answer::Cancelled));
+        }
+    }
+
+    /// Drops all occurrences of a stored job, and stops their runs if that is wanted.
+    pub(crate) fn drop_live(&mut self, now: Moment, id: JobId, stop: bool) {
+        let first = OccurrenceRef { job: id, occurrence: 0 };
+        let last = OccurrenceRef { job: id, occurrence: u32::MAX };
+        let live: Vec<OccurrenceRef> =
+            self.jobs.range(first..=last).map(|(&key, _)| key).collect();
+        for key in live {
+            let Some(job) = self.jobs.remove(&key) else { continue };
+            self.waiting.remove(&job.rank());
+            if stop {
+                self.stop_runs(now, &job);
+            }
+        }
+    }
+
+    /// Returns the state of a stored job from its occurrences in memory.
+    fn live_state(&self, id: JobId) -> Option<JobState> {
+        let first = OccurrenceRef { job: id, occurrence: 0 };
+        let last = OccurrenceRef { job: id, occurrence: u32::MAX };
+        let states = self.jobs.range(first..=last).map(|(_, job)| job.state());
+        states.max_by_key(|&state| state == JobState::Active)
+    }
+
+    /// Returns the time of day, in milliseconds since the Unix epoch.
+    pub(crate) fn unix_ms(&self, now: Moment) -> u64 {
+        now.0.saturating_add_signed(self.wall_offset_ms)
+    }
+}
+
+impl Shard {
+    /// Begins to cancel a job, and returns the answer if that needs no write.
+    fn cancel(&mut self, requester: Requester, id: JobId) -> OpReply {
+        match self.jobs.get(&id) {
+            Some(entry) if entry.job.outcome.is_some() => Some(Answer::Cancelled),
+            None if !self.accepts.contains_key(&id) => Some(Answer::Unknown),
+            Some(_) | None => {
+                let waiting = self.cancels.entry(id).or_default();
+                if waiting.is_empty() {
+                    self.log.push(LogRecord::Cancelled(id));
+                }
+                waiting.push(requester);
+                None
+            }
+        }
+    }
+
+    /// Begins to store a job, and returns the answer if that needs no write.
+    fn submit(
+        &mut self,
+        requester: Requester,
+        stored: StoredJob,
+        cancelled_before: bool,
+    ) -> OpReply {
+        let id = stored.job.id;
+        if self.jobs.contains_key(&id) {
+            info!(target: "job", request_id:% = id; "stored job is handed in again");
+            return Some(Answer::Accepted);
+        }
+        if let Some(waiting) = self.accepts.get_mut(&id) {
+            waiting.push(requester);
+            return None;
+        }
+        let open = self.jobs.values().filter(|entry| entry.job.outcome.is_none()).count();
+        if open + self.accepts.len() >= MAX_OPEN_JOBS || !self.log.has_room() {
+            warn!(target: "job", request_id:% = id, open; "too many stored jobs are open");
+            return Some(Answer::Refused { retry_after_s: FULL_RETRY_S });
+        }
+        self.accepts.insert(id, vec![requester]);
+        self.log.push(LogRecord::Job(Box::new(stored)));
+        if cancelled_before {
+            self.log.push(LogRecord::Cancelled(id));
+        }
+        None
+    }
+}
+
+/// Returns the operation that stores a job.
+pub(crate) fn submit_op(queue: &crate::catalog::Queue, job: NewJob) -> JobOp {
+    JobOp::Submit { queue: Box::new(queue.clone()), job: Box::new(job) }
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/src/stored_job.rs
@@ -0,0 +1,167 @@
+//! Stored jobs, and the records of the log that they are rebuilt from.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::Queue;
+use crate::id::{Checkpoint, JobId, MemberId, RunRef, TaskRef};
+use crate::message::RunEnd;
+use crate::submission::{JobState, NewJob};
+
+/// A record of a shard's log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum LogRecord {
+    /// An instance has become the owner of the shard.
+    Owned {
+        /// The number of the ownership, one above the last.
+        epoch: u64,
+        /// The owner.
+        owner: MemberId,
+    },
+    /// A job, with all that is known of it; a later one replaces an earlier one.
+    Job(Box<StoredJob>),
+    /// A run has ended as done or failed.
+    Ended {
+        /// The run.
+        run: RunRef,
+        /// How it ended.
+        end: RunEnd,
+        /// What it has saved.
+        checkpoint: Checkpoint,
+    },
+    /// A job was cancelled.
+    Cancelled(JobId),
+}
+
+/// A job that lasts longer than the process of its owner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoredJob {
+    /// The queue when the job was accepted.
+    pub queue: Queue,
+    /// The job; without steps once it has ended.
+    pub job: NewJob,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_unix_ms: u64,
+    /// The first occurrence that has not ended.
+    pub first_open: u32,
+    /// The tasks of occurrences of which runs have ended, unless all earlier ones are done.
+    pub progress: BTreeMap<u32, Vec<TaskProgress>>,
+    /// How the job has ended, if it has.
+    pub outcome: Option<JobState>,
+}
+
+/// What is known of a task from the ends of its runs.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// Whether it is done.
+    pub done: bool,
+    /// How often it ended as failed.
+    pub failures: u32,
+    /// The highest run that has ended.
+    pub last_run: u64,
+    /// What its runs have saved.
+    pub checkpoint: Checkpoint,
+}
+
+impl StoredJob {
+    /// Creates a job that was just accepted.
+    pub(crate) fn new(queue: Queue, job: NewJob, accepted_unix_ms: u64) -> Self {
+        Self {
+            queue,
+            job,
+            accepted_unix_ms,
+            first_open: 0,
+            progress: BTreeMap::new(),
+            outcome: None,
+        }
+    }
+
+    /// Returns how often the steps run.
+    pub(crate) fn occurrences(&self) -> u32 {
+        self.job.repeat.map_or(1, |repeat| repeat.count)
+    }
+
+    /// Returns the state as far as ends of runs show it.
+    pub(crate) fn state(&self) -> JobState {
+        let started = self.first_open > 0 || !self.progress.is_empty();
+        let open = if started { JobState::Active } else { JobState::Pending };
+        self.outcome.unwrap_or(open)
+    }
+
+    /// Returns whether an occurrence is done.
+    pub(crate) fn is_occurrence_done(&self, occurrence: u32) -> bool {
+        let done = |tasks: &Vec<TaskProgress>| tasks.iter().all(|task| task.done);
+        occurrence < self.first_open || self.progress.get(&occurrence).is_some_and(done)
+    }
+
+    /// Ends the job and drops what only its tasks need.
+    pub(crate) fn close(&mut self, outcome: JobState) {
+        self.outcome = Some(outcome);
+        self.job.steps = Vec::new();
+        self.job.spec = "".into();
+        self.progress.clear();
+    }
+
+    /// Takes the end of a run; of a gang, one end stands for all members.
+    pub(crate) fn apply_end(
+        &mut self,
+        run: RunRef,
+        end: RunEnd,
+        checkpoint: &Checkpoint,
+    ) {
+        let occurrence = run.task.occurrence;
+        let step = self.job.steps.get(usize::from(run.task.step));
+        let Some(step) = step.filter(|_| occurrence >= self.first_open) else { return };
+        let (gang, lasts) = (step.gang, step.long_running);
+        let Some(position) = self.position(run.task) else { return };
+        let first = position - usize::from(run.task.index);
+        let members = if gang {
+            first..first + usize::from(step.count)
+        } else {
+            position..position + 1
+        };
+        let count = self.job.steps.iter().map(|step| usize::from(step.count)).sum();
+        let tasks = self.progress.entry(occurrence);
+        let tasks = tasks.or_insert_with(|| vec![TaskProgress::default(); count]);
+        let mut failures = 0;
+        for task in &mut tasks[members] {
+            task.last_run = task.last_run.max(run.run);
+            task.checkpoint.update(checkpoint);
+            match end {
+                // Tasks that last are started again however they end.
+                _ if lasts => {}
+                RunEnd::Done => task.done = true,
+                RunEnd::Failed => task.failures += 1,
+                RunEnd::Void => {}
+            }
+            failures = failures.max(task.failures);
+        }
+        match () {
+            () if failures >= self.queue.max_attempts => self.close(JobState::Failed),
+            () => self.advance(),
+        }
+    }
+
+    /// Returns the position of a task among all tasks of an occurrence.
+    fn position(&self, task: TaskRef) -> Option<usize> {
+        let steps = &self.job.steps;
+        let step = steps.get(usize::from(task.step))?;
+        let earlier = &steps[..usize::from(task.step)];
+        let before: usize = earlier.iter().map(|step| usize::from(step.count)).sum();
+        (task.index < step.count).then(|| before + usize::from(task.index))
+    }
+
+    /// Passes over the occurrences that are done, and ends the job with the last one.
+    fn advance(&mut self) {
+        while self.first_open < self.occurrences()
+            && self.is_occurrence_done(self.first_open)
+        {
+            self.progress.remove(&self.first_open);
+            self.first_open += 1;
+        }
+        if self.first_open >= self.occurrences() {
+            self.close(JobState::Completed);
+        }
+    }
+}
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -7,6 +7,9 @@
 /// How long a lease lasts from the moment it is ordered, on the minion's clock.
 pub const LEASE_MS: u64 = 600;
 
+/// The longest lease that minions grant.
+pub const MAX_LEASE_MS: u64 = 1_000;
+
 /// How long a hold waits for a run to end before it returns and is sent again.
 pub const HOLD_WAIT_MS: u64 = 250;
 
@@ -39,6 +42,31 @@
 /// them after `OWNER_SILENCE_MS`, or is frozen and their leases lapse.
 pub const RUN_GONE_MS: u64 = 1_200;
 
+/// How long an instance may act as the owner of shards after a join that the store has
+/// answered. The group names it for longer, so that no other instance takes them.
+pub const JOIN_AUTHORITY_MS: u64 = 1_000;
+
+/// How long an owner without authority keeps its runs, before it stops them and gives its
+/// shards up. It looks at its authority every 100 ms.
+pub const AUTHORITY_GRACE_MS: u64 = 400;
+
+/// How long the new owner of a shard waits for members that do not tell their runs.
+pub const SETTLE_LIMIT_MS: u64 = 6_000;
+
+/// The time after the last frame of a holder at which another one has announced the ends that
+/// it found on the minions. A stored task is not started again before.
+pub const STORED_RUN_GONE_MS: u64 = 2_500;
+
+/// How long a minion's list keeps an end that no owner has noted.
+pub const UNCLAIMED_END_MS: u64 = 3_000;
+
+/// The time between two reports of an end to the owner of its shard.
+pub const END_REPORT_INTERVAL_MS: u64 = 400;
+
+/// The pause before a minion is held again on whose list are ends that are not noted yet. A
+/// hold would return at once.
+pub const UNNOTED_PAUSE_MS: u64 = 25;
+
 /// The longest time between two frames to a peer that runs or room are shared with.
 pub const FRAME_INTERVAL_MS: u64 = 100;
 
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Effect, EndedRun, Engine, HoldAnswer, HoldOrder, HoldReply,
-    JobState, Member, Message, Moment, PeerKey, RequestKey, Resources, RoomReport,
-    RunEnd, RunRef, StartAnswer, StartOrder, Submission,
+    Answer, Checkpoint, Effect, Engine, HoldAnswer, HoldOrder, HoldReply, JobState,
+    Member, Message, Moment, PeerKey, RequestKey, Resources, RoomReport, RunEnd, RunRef,
+    StartAnswer, StartOrder, Submission,
 };
 use support::{answer_hold, entry, frame, hold_of, member, step, submission};
 use yare::parameterized;
@@ -68,7 +68,7 @@
         self.now = self.now + 100;
         // The hold from before the job ends without news, and the next one is sent.
         let order = hold_of(effects);
-        let active = vec![ActiveRun { run: start.run, done_percent: 30 }];
+        let active = vec![support::active(start.run, 30)];
         let reply =
             HoldReply { incarnation: 1, clock_ms: self.now.0, active, ended: Vec::new() };
         let answer = HoldAnswer::Reply(reply);
@@ -85,7 +85,7 @@
     /// Lets the run end on the minion and returns the answer to the client.
     fn end_run(&mut self, run: RunRef) -> Option<Answer> {
         self.now = self.now + 100;
-        let ended = vec![EndedRun { number: 1, run, end: RunEnd::Done }];
+        let ended = vec![support::ended(1, run, RunEnd::Done)];
         self.answer_hold(HoldReply { ended, ..HoldReply::default() });
         self.engine.take_effects().into_iter().find_map(|effect| match effect {
             Effect::Answer(REQUEST, answer) => Some(answer),
@@ -120,7 +120,11 @@
 fn an_end_at_another_holder_changes_nothing() {
     let mut fixture = Fixture::new();
     let start = fixture.start_job();
-    fixture.hear(Message::Ended { run: start.run, end: RunEnd::Void });
+    fixture.hear(Message::Ended {
+        run: start.run,
+        end: RunEnd::Void,
+        checkpoint: Checkpoint::default(),
+    });
     let answer = fixture.end_run(start.run);
     assert_eq!(answer, Some(Answer::Ended(JobState::Completed)));
 }
@@ -223,7 +227,7 @@
     let again = fixture.engine.take_effects();
     assert!(again.is_empty(), "after an old answer: {again:?}");
     let current = hold_of(effects);
-    let ended = vec![EndedRun { number: 1, run: start.run, end: RunEnd::Done }];
+    let ended = vec![support::ended(1, start.run, RunEnd::Done)];
     let clock_ms = fixture.now.0;
     let reply = HoldReply { incarnation: 1, clock_ms, active: Vec::new(), ended };
     let answer = HoldAnswer::Reply(reply);
--- a/crates/bamboocart-jobs/tests/lost_orders.rs
+++ b/crates/bamboocart-jobs/tests/lost_orders.rs
@@ -79,7 +79,7 @@
     );
     // This hold was sent before the answer, so that only ends in its list count.
     fixture.now = fixture.now + 10;
-    let ended = ends.into_iter().map(|end| EndedRun { number: 1, run, end }).collect();
+    let ended = ends.into_iter().map(|end| support::ended(1, run, end)).collect();
     let effects = fixture.list(Vec::new(), ended);
     let expected = outcome.map(|it| (RequestKey(1), Answer::Ended(it)));
     assert_eq!(answers_of(effects.clone()), Vec::from_iter(expected));
@@ -95,7 +95,7 @@
 #[test]
 fn a_listed_run_needs_no_answer() {
     let mut fixture = Fixture::new();
-    let active = vec![ActiveRun { run: fixture.start.run, done_percent: 10 }];
+    let active = vec![support::active(fixture.start.run, 10)];
     fixture.list(active, Vec::new());
     assert!(starts_of(fixture.answer(StartAnswer::Lost)).is_empty(), "it is active");
     let other = "00000000000000bb".parse().unwrap();
--- a/crates/bamboocart-jobs/tests/orders.rs
+++ b/crates/bamboocart-jobs/tests/orders.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Effect, EndedRun, Engine, HoldOrder, HoldReply, JobState,
-    MinionState, Moment, RequestKey, RunEnd, RunRef, StartAnswer, StartOrder, Step,
+    ActiveRun, Answer, Effect, Engine, HoldOrder, HoldReply, JobState, MinionState,
+    Moment, RequestKey, RunEnd, RunRef, StartAnswer, StartOrder, Step,
 };
 use support::{
     answer_hold, answers_of, entry, hold_of, member, starts_of, step, submission,
@@ -74,10 +74,9 @@
         let at = self.holds.iter().position(|it| it.target.minion == minion).unwrap();
         let hold = self.holds.remove(at);
         let same = self.active.iter().filter(|it| it.target.minion == minion);
-        let active: Vec<ActiveRun> =
-            same.map(|it| ActiveRun { run: it.run, done_percent: 50 }).collect();
+        let active: Vec<ActiveRun> = same.map(|it| support::active(it.run, 50)).collect();
         self.ends += 1;
-        let ended = vec![EndedRun { number: self.ends, run, end }];
+        let ended = vec![support::ended(self.ends, run, end)];
         let reply = HoldReply { active, ended, ..HoldReply::default() };
         answer_hold(&mut self.engine, self.now, &hold, reply);
         self.collect()
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use bamboocart_jobs::{
-    Answer, Effect, Engine, Frame, HoldAnswer, HoldOrder, HoldReply, Member, Message,
-    MinionEntry, MinionState, Moment, NewJob, Queue, RequestKey, Resources, StartOrder,
-    Step, Submission,
+    ActiveRun, Answer, Checkpoint, Effect, EndedRun, Engine, Frame, HoldAnswer,
+    HoldOrder, HoldReply, Member, Message, MinionEntry, MinionState, Moment, NewJob,
+    Queue, RequestKey, Resources, RunEnd, RunRef, StartOrder, Step, Submission,
 };
 
 /// The id of the job that [`submission`] gives.
@@ -72,7 +72,7 @@
             spec: "".into(),
             steps,
             best_effort: true,
-            unsupported: None,
+            repeat: None,
         },
         patience_ms: 1_500,
     }
@@ -89,6 +89,16 @@
     }
 }
 
+/// Returns a run that is active and has saved nothing.
+pub fn active(run: RunRef, done_percent: u8) -> ActiveRun {
+    ActiveRun { run, done_percent, checkpoint: Checkpoint::default() }
+}
+
+/// Returns a run that has ended and has saved nothing.
+pub fn ended(number: u64, run: RunRef, end: RunEnd) -> EndedRun {
+    EndedRun { number, run, end, checkpoint: Checkpoint::default() }
+}
+
 /// Returns the hold among effects.
 pub fn hold_of(effects: Vec<Effect>) -> HoldOrder {
     let hold = effects.into_iter().find_map(|effect| match effect {
