--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard.rs
@@ -25,7 +25,7 @@
 const MAX_SHARDS: u16 = 64;
 
 /// The share of the store's writes that appends of all instances may use.
-const WRITE_SHARE: f64 = 0.35;
+const WRITE_SHARE: f64 = 0.5;
 
 /// The writes of the store in a second where the platform names none.
 const DEFAULT_WRITES_PER_S: u64 = 600;
@@ -285,10 +285,11 @@
     /// Returns the append that is due, if one is.
     pub(crate) fn take_append(
         &mut self,
+        now: Moment,
         id: ShardId,
         ticket: LogTicket,
     ) -> Option<LogAppend> {
-        self.log.take_append(id, ticket)
+        self.log.take_append(now, id, ticket)
     }
 
     /// Returns whether an append is due.
--- a/crates/bamboocart-jobs/src/shard_log.rs
+++ b/crates/bamboocart-jobs/src/shard_log.rs
@@ -58,6 +58,8 @@
     in_flight: Option<InFlight>,
     /// The next append is not sent before.
     not_before: Moment,
+    /// When the last append was sent.
+    sent_at: Moment,
 }
 
 /// An append that is under way.
@@ -80,6 +82,11 @@
         self.queued.len() < MAX_QUEUED
     }
 
+    /// Returns when the last append was sent.
+    pub(crate) fn sent_at(&self) -> Moment {
+        self.sent_at
+    }
+
     /// Queues a record.
     pub(crate) fn push(&mut self, record: LogRecord) {
         self.queued.push(record);
@@ -100,10 +107,12 @@
     /// Returns the append to send, if there is one.
     pub(crate) fn take_append(
         &mut self,
+        now: Moment,
         shard: ShardId,
         ticket: LogTicket,
     ) -> Option<LogAppend> {
         self.due()?;
+        self.sent_at = now;
         if self.in_flight.is_none() {
             let count = self.queued.len().min(MAX_BATCH);
             let records = self.queued.drain(..count).collect();
--- a/crates/bamboocart-jobs/src/stored.rs
+++ b/crates/bamboocart-jobs/src/stored.rs
@@ -262,8 +262,10 @@
             }
             _ if entry.state == TaskState::Done => self.end_noted(now, holder, run),
             RunEnd::Done | RunEnd::Failed if !lasts => {
-                if current {
-                    // A task that waits again must not be placed while its end is written.
+                if run.run >= entry.last_run {
+                    // The task must not be placed while its end is being written, even if
+                    // this owner has not known the run.
+                    entry.last_run = run.run;
                     let placement = Placement::new(holder, None, now);
                     let known = entry.placement().copied().unwrap_or(placement);
                     entry.state = TaskState::Placed(Placement { ending: true, ..known });
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -151,10 +151,14 @@
     /// Makes the calls to logs that are due, and lets tasks be placed where the takeover has
     /// ended.
     pub(crate) fn drive_shards(&mut self, now: Moment) {
-        let ids: Vec<ShardId> = self.shards.owned.keys().copied().collect();
+        // The log that has waited longest comes first, or some would never get a turn.
+        let owned = self.shards.owned.iter();
+        let mut waits: Vec<(Moment, ShardId)> =
+            owned.map(|(&id, shard)| (shard.log.sent_at(), id)).collect();
+        waits.sort_unstable();
         let rate_per_s = self.shards.appends_per_s();
         self.shards.budget.refill(now, rate_per_s);
-        for id in ids {
+        for (_, id) in waits {
             let ticket = self.shards.next_ticket();
             let Some(shard) = self.shards.owned.get_mut(&id) else { continue };
             if let Some(from_offset) = shard.take_read(now, ticket) {
@@ -162,7 +166,7 @@
                 self.effects.push(Effect::ReadLog(read));
             } else if shard.is_append_due(now)
                 && self.shards.budget.take()
-                && let Some(append) = shard.take_append(id, ticket)
+                && let Some(append) = shard.take_append(now, id, ticket)
             {
                 self.effects.push(Effect::Append(append));
             }
