Count a reported failure once, and keep ends of superseded runs from being noted

Cause: a holder reports an end again until it hears that it is noted; a failure that was reported twice counted twice, and the job was shown as failed after one attempt of two (LOST). An end behind a cut was noted after its task had been started again by a new owner that did not know the run (TWICE).

--- a/crates/bamboocart-emulator/src/checks.rs
+++ b/crates/bamboocart-emulator/src/checks.rs
@@ -29,8 +29,8 @@
     done: HashSet<TaskRef>,
     /// The tasks of stored jobs of which the end as done was taken note of.
     noted_done: HashSet<TaskRef>,
-    /// The runs that have ended as failed, by job.
-    failures: HashMap<JobId, u64>,
+    /// The runs of each task that have ended as failed.
+    failures: HashMap<TaskRef, u64>,
     /// What was broken.
     pub(crate) broken: Vec<String>,
 }
@@ -88,7 +88,7 @@
             RunEnd::Done => {
                 self.done.insert(run.task);
             }
-            RunEnd::Failed => *self.failures.entry(run.task.job).or_default() += 1,
+            RunEnd::Failed => *self.failures.entry(run.task).or_default() += 1,
             RunEnd::Void => {}
         }
     }
@@ -134,7 +134,8 @@
 
     /// Notes that a stored job was shown as failed.
     pub(crate) fn shown_failed(&mut self, now_us: u64, job: JobId) {
-        if self.failures.get(&job).is_none_or(|&failures| failures < MAX_ATTEMPTS) {
+        let failures = self.failures.iter().filter(|(task, _)| task.job == job);
+        if failures.map(|(_, &failures)| failures).max() < Some(MAX_ATTEMPTS) {
             let at_ms = now_us / 1_000;
             self.broken
                 .push(format!("{at_ms} ms: {job} is shown as failed without cause"));
--- a/crates/bamboocart-jobs/src/stored.rs
+++ b/crates/bamboocart-jobs/src/stored.rs
@@ -243,7 +243,10 @@
         let job = job.filter(|job| job.is_stored());
         let found = job.and_then(|job| Some((job.position(run.task)?, job)));
         let Some((task, job)) = found else {
-            return match end == RunEnd::Done && shard.superseded.contains(&run) {
+            let known = shard.jobs.get(&run.task.job);
+            let superseded = shard.superseded.contains(&run)
+                || known.is_some_and(|entry| entry.job.is_superseded(run));
+            return match end == RunEnd::Done && superseded {
                 true => self.end_void(holder, run),
                 false => self.end_noted(now, holder, run),
             };
@@ -261,6 +264,9 @@
                 self.end_void(holder, run);
             }
             _ if entry.state == TaskState::Done => self.end_noted(now, holder, run),
+            RunEnd::Failed if run.run < entry.last_run => {
+                self.end_noted(now, holder, run)
+            }
             RunEnd::Done | RunEnd::Failed if !lasts => {
                 if run.run >= entry.last_run {
                     // The task must not be placed while its end is being written, even if
--- a/crates/bamboocart-jobs/src/stored_job.rs
+++ b/crates/bamboocart-jobs/src/stored_job.rs
@@ -9,6 +9,9 @@
 use crate::message::RunEnd;
 use crate::submission::{JobState, NewJob};
 
+/// The occurrences of which it is known which runs have done their tasks.
+const KEPT_OCCURRENCES: u32 = 3;
+
 /// A record of a shard's log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum LogRecord {
@@ -49,6 +52,8 @@
     pub progress: BTreeMap<u32, Vec<TaskProgress>>,
     /// How the job has ended, if it has.
     pub outcome: Option<JobState>,
+    /// The runs that have done the tasks of the last occurrences, once the job is completed.
+    pub done_runs: BTreeMap<TaskRef, u64>,
 }
 
 /// What is known of a task from the ends of its runs.
@@ -74,6 +79,7 @@
             first_open: 0,
             progress: BTreeMap::new(),
             outcome: None,
+            done_runs: BTreeMap::new(),
         }
     }
 
@@ -95,6 +101,12 @@
         occurrence < self.first_open || self.progress.get(&occurrence).is_some_and(done)
     }
 
+    /// Returns whether the end of a run that is reported now counts for nothing, although the
+    /// run is done: its task is done by another run, since it was taken for lost.
+    pub(crate) fn is_superseded(&self, run: RunRef) -> bool {
+        self.done_runs.get(&run.task).is_some_and(|&done| done != run.run)
+    }
+
     /// Ends the job and drops what only its tasks need.
     pub(crate) fn close(&mut self, outcome: JobState) {
         self.outcome = Some(outcome);
@@ -126,7 +138,11 @@
         let tasks = tasks.or_insert_with(|| vec![TaskProgress::default(); count]);
         let mut failures = 0;
         for task in &mut tasks[members] {
-            task.last_run = task.last_run.max(run.run);
+            // An end may be reported again before its holder hears that it is noted.
+            if run.run <= task.last_run {
+                continue;
+            }
+            task.last_run = run.run;
             task.checkpoint.update(checkpoint);
             match end {
                 // Tasks that last are started again however they end.
@@ -152,11 +168,27 @@
         (task.index < step.count).then(|| before + usize::from(task.index))
     }
 
+    /// Notes which runs have done the tasks of the first occurrence that is open.
+    fn note_done_runs(&mut self) {
+        let Some(tasks) = self.progress.get(&self.first_open) else { return };
+        let counts = self.job.steps.iter().map(|step| step.count);
+        let places = (0..)
+            .zip(counts)
+            .flat_map(|(step, count)| (0..count).map(move |index| (step, index)));
+        let (job, occurrence) = (self.job.id, self.first_open);
+        self.done_runs.retain(|task, _| task.occurrence + KEPT_OCCURRENCES > occurrence);
+        for ((step, index), task) in places.zip(tasks) {
+            self.done_runs
+                .insert(TaskRef { job, occurrence, step, index }, task.last_run);
+        }
+    }
+
     /// Passes over the occurrences that are done, and ends the job with the last one.
     fn advance(&mut self) {
         while self.first_open < self.occurrences()
             && self.is_occurrence_done(self.first_open)
         {
+            self.note_done_runs();
             self.progress.remove(&self.first_open);
             self.first_open += 1;
         }
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -34,6 +34,9 @@
 /// How long the outcome of a stored job is known.
 const OUTCOME_MEMORY_MS: u64 = 180_000;
 
+/// How long the runs are known that have done the tasks of a job that has ended.
+const DONE_RUNS_MEMORY_MS: u64 = 30_000;
+
 /// The most runs of a shard that are remembered as taken for lost.
 const MAX_SUPERSEDED: usize = 2_048;
 
@@ -498,6 +501,9 @@
             entry.closed_at.is_none_or(|at| now.since(at) < OUTCOME_MEMORY_MS)
         });
         for entry in shard.jobs.values_mut() {
+            if entry.closed_at.is_some_and(|at| now.since(at) >= DONE_RUNS_MEMORY_MS) {
+                entry.job.done_runs.clear();
+            }
             if now.since(entry.written_at) >= rewrite_ms {
                 entry.written_at = now;
                 shard.log.push(LogRecord::Job(Box::new(entry.job.clone())));
