--- a/crates/bamboocart-dispatcher/src/site/page.rs
+++ b/crates/bamboocart-dispatcher/src/site/page.rs
@@ -67,6 +67,7 @@
         StartAnswer::Outdated => "outdated",
         StartAnswer::Late => "late",
         StartAnswer::NoRoom => "no room",
+        StartAnswer::BadTicket => "bad ticket",
         StartAnswer::Unhealthy => "unhealthy",
         StartAnswer::WrongIncarnation => "wrong incarnation",
         StartAnswer::Invalid => "invalid",
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bamboocart_adapter::{MinionClient, Settings};
+use bamboocart_adapter::{AdviceClient, MinionClient, Settings};
 use bamboocart_jobs::{
-    Answer, Catalog, Effect, Engine, Frame, Member, Moment, PeerKey, RequestKey,
+    AdviceAnswer, Answer, Catalog, Effect, Engine, Frame, Member, Moment, PeerKey,
+    RequestKey,
 };
 use bamboocart_telemetry::job_metrics::{FRAMES_LOST, FRAMES_SENT};
 use metrics::counter;
@@ -61,6 +62,8 @@
     minions: MinionClient,
     /// The calls to the logs of stored jobs.
     logs: JobLogs,
+    /// The calls to the advice service, if there is one.
+    advice: Option<AdviceClient>,
     /// The requests that wait for their answers.
     requests: RefCell<HashMap<RequestKey, oneshot::Sender<Answer>>>,
     /// The ways to peers.
@@ -93,6 +96,7 @@
             inner: Rc::new(Inner {
                 engine: RefCell::new(engine),
                 logs: JobLogs::new(settings.store),
+                advice: settings.advice.map(AdviceClient::new),
                 member,
                 minions: MinionClient::default(),
                 requests: RefCell::default(),
@@ -285,6 +289,14 @@
                     engine.hold_answered(now, key, number, answer);
                 });
             }),
+            Effect::Advise(order) => self.spawn(async move {
+                let answer = match &shell.inner.advice {
+                    Some(advice) => advice.advise(&order).await,
+                    None => AdviceAnswer::Lost,
+                };
+                let number = order.number;
+                shell.event(|engine, now| engine.advised(now, number, answer));
+            }),
             Effect::ReadLog(order) => self.spawn(async move {
                 let page = shell.inner.logs.read(&order).await;
                 shell.event(|engine, now| {
--- a/crates/bamboocart-emulator/src/world.rs
+++ b/crates/bamboocart-emulator/src/world.rs
@@ -320,6 +320,7 @@
                 max_attempts: 3,
                 slack_factor: SLACK_FACTOR,
                 target_latency_ms: TARGET_LATENCY_MS,
+                advice: None,
             }));
             let report = KindReport { name: kind.name.clone(), ..KindReport::default() };
             world.report.kinds.push(report);
--- a/crates/bamboocart-emulator/src/world/instances.rs
+++ b/crates/bamboocart-emulator/src/world/instances.rs
@@ -121,6 +121,8 @@
             }
             Effect::ReadLog(read) => self.send_read(node, read),
             Effect::Append(append) => self.send_append(node, append),
+            // No queue of the emulator takes advice.
+            Effect::Advise(_) => {}
         }
     }
 
--- a/crates/bamboocart-jobs/src/catalog.rs
+++ b/crates/bamboocart-jobs/src/catalog.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::advice::AdviceRules;
 use crate::id::ServiceName;
 
 /// All objects of one configuration version.
@@ -57,6 +58,8 @@
     pub slack_factor: f64,
     /// The part of the latency objective that does not depend on run times.
     pub target_latency_ms: u64,
+    /// How it takes advice on the minions to use, if it does.
+    pub advice: Option<AdviceRules>,
 }
 
 /// A service.
--- a/crates/bamboocart-jobs/src/effect.rs
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::advice::AdviceOrder;
 use crate::id::{Checkpoint, MinionId, RunRef, Text};
 use crate::minion::MinionKey;
 use crate::shard::ShardId;
@@ -29,6 +30,8 @@
     ReadLog(LogRead),
     /// Appends to the log of a shard.
     Append(LogAppend),
+    /// Asks which minions may run a step.
+    Advise(AdviceOrder),
 }
 
 /// The answer to a request.
@@ -81,6 +84,8 @@
     pub lease_until_ms: u64,
     /// What an earlier run has saved.
     pub checkpoint: Checkpoint,
+    /// The ticket that allows the run, if its queue needs one.
+    pub ticket: Option<Text>,
 }
 
 /// An order to stop a run.
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::advice::Advisor;
 use crate::catalog::Catalog;
 use crate::effect::{Effect, HoldNumber, RequestKey};
 use crate::id::{MinionId, OccurrenceRef};
@@ -57,6 +58,8 @@
     pub(crate) ops: BTreeMap<OpNumber, OpenOp>,
     /// The number of the last operation.
     pub(crate) last_op: OpNumber,
+    /// The calls for advice.
+    pub(crate) advisor: Advisor,
     /// The time of day less the steady clock.
     pub(crate) wall_offset_ms: i64,
     /// How many times as long tasks take away from their data or from each other.
@@ -109,6 +112,7 @@
             shards: Shards::default(),
             ops: BTreeMap::new(),
             last_op: OpNumber::default(),
+            advisor: Advisor::default(),
             wall_offset_ms: 0,
             remote_factor: 1.0,
             pace: Pace::default(),
@@ -335,6 +339,7 @@
         }
         due = due.min(self.ops_due().unwrap_or(due));
         due = due.min(self.shards_due().unwrap_or(due));
+        due = due.min(self.advisor.due().unwrap_or(due));
         for (_, _, held) in self.minions.held() {
             if let HoldState::Due(at) = held.hold {
                 due = due.min(at);
@@ -417,6 +422,7 @@
         self.drive_shards(now);
         self.report_unconfirmed(now, false);
         self.place(now);
+        self.drive_advice(now);
         self.send_due(now);
     }
 }
--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/job.rs
@@ -1,10 +1,13 @@
 //! Jobs that have not ended, as their owner sees them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::advice::StepAdvice;
 use crate::catalog::Queue;
 use crate::effect::RequestKey;
 use crate::id::{OccurrenceRef, RunRef, TaskRef, Text};
+use crate::minion::MinionKey;
 use crate::submission::{JobState, Step, Submission, longest_chain_ms};
 use crate::task::{Task, TaskState, tasks_of};
 use crate::time::Moment;
@@ -36,6 +39,8 @@
     pub(crate) durability: Durability,
     /// Whether a start was ordered.
     pub(crate) ordered: bool,
+    /// What is known of the minions for the steps of queues that take advice.
+    pub(crate) advice: BTreeMap<u16, StepAdvice>,
 }
 
 /// What of a job lasts longer than the process of its owner.
@@ -88,6 +93,7 @@
             arrived: now,
             durability: Durability::BestEffort { deadline: now + patience_ms },
             ordered: false,
+            advice: BTreeMap::new(),
         }
     }
 
@@ -111,6 +117,7 @@
             arrived,
             durability: Durability::Stored { epoch },
             ordered: false,
+            advice: BTreeMap::new(),
         };
         job.ordered = job.tasks.iter().any(|task| task.last_run > 0);
         job.unblock();
@@ -157,6 +164,17 @@
         &self.steps[usize::from(self.tasks[task].step)]
     }
 
+    /// Returns the ticket that a run of a task on a minion needs, if one is needed and known.
+    pub(crate) fn ticket(
+        &self,
+        task: usize,
+        minion: MinionKey,
+        now: Moment,
+    ) -> Option<Text> {
+        let advice = self.advice.get(&self.tasks[task].step)?;
+        advice.ticket(minion, now).cloned()
+    }
+
     /// Returns the full name of a task.
     pub(crate) fn task_ref(&self, task: usize) -> TaskRef {
         let Task { step, index, .. } = self.tasks[task];
@@ -212,7 +230,7 @@
 
     /// Returns whether a task may be placed.
     pub(crate) fn is_waiting(&self) -> bool {
-        self.tasks.iter().any(|task| task.state == TaskState::Waiting)
+        self.tasks.iter().any(Task::is_waiting)
     }
 
     /// Returns whether all tasks are done.
@@ -248,3 +266,8 @@
     let chain_ms = longest_chain_ms(steps) as f64;
     (queue.slack_factor * chain_ms * typical_pace) as u64 + queue.target_latency_ms
 }
+
+/// Returns how long a job may wait for its first start.
+pub(crate) fn wait_limit_ms(queue: &Queue, steps: &[Step], typical_pace: f64) -> u64 {
+    objective_ms(queue, steps, typical_pace) / WAIT_SHARE
+}
--- a/crates/bamboocart-jobs/src/job_op.rs
+++ b/crates/bamboocart-jobs/src/job_op.rs
@@ -55,8 +55,17 @@
     pub(crate) op: JobOp,
     /// When it is sent again; owners answer an operation that comes again as before.
     pub(crate) retry_at: Moment,
+    /// When it is given up if no owner could be asked.
+    pub(crate) unsent_until: Moment,
     /// When it is given up.
     pub(crate) until: Moment,
     /// Whether an owner may have carried it out.
     pub(crate) uncertain: bool,
 }
+
+impl OpenOp {
+    /// Returns when it is given up as things stand.
+    pub(crate) fn ends_at(&self) -> Moment {
+        if self.uncertain { self.until } else { self.unsent_until.min(self.until) }
+    }
+}
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! assigned to it, for its own jobs and for those of its peers.
 
 mod adoption;
+mod advice;
 mod assignment;
 mod backlog;
 mod catalog;
@@ -44,6 +45,7 @@
 mod write_budget;
 
 pub use self::adoption::Claim;
+pub use self::advice::{AdviceAnswer, AdviceNumber, AdviceOrder, AdviceRules, StepRef};
 pub use self::catalog::{Catalog, Queue, Service, WireLimits};
 pub use self::effect::{
     Answer, Effect, HoldNumber, HoldOrder, LogAppend, LogRead, LogTicket, RequestKey,
--- a/crates/bamboocart-jobs/src/ops.rs
+++ b/crates/bamboocart-jobs/src/ops.rs
@@ -5,6 +5,7 @@
 use crate::effect::{Answer, RequestKey};
 use crate::engine::Engine;
 use crate::id::JobId;
+use crate::job::wait_limit_ms;
 use crate::job_op::{JobOp, OpNumber, OpReply, OpenOp, Requester};
 use crate::message::Message;
 use crate::submission::JobState;
@@ -20,6 +21,9 @@
 /// is not the owner. Members agree on the owner within some hundred milliseconds.
 const REDIRECT_MS: u64 = 60;
 
+/// The shortest time for which a job waits for an owner that it can be sent to.
+const MIN_UNSENT_PATIENCE_MS: u64 = 300;
+
 /// The longest time that an operation is tried.
 const MAX_PATIENCE_MS: u64 = 4_000;
 
@@ -70,13 +74,37 @@
         }
         self.last_op.0 += 1;
         let until = now + patience_ms.min(MAX_PATIENCE_MS);
-        let op = OpenOp { request, id, op, retry_at: now, until, uncertain: false };
+        let unsent_until = now + self.unsent_patience_ms(&op);
+        let op = OpenOp {
+            request,
+            id,
+            op,
+            retry_at: now,
+            unsent_until,
+            until,
+            uncertain: false,
+        };
         self.ops.insert(self.last_op, op);
     }
 
+    /// Returns how long an operation may wait for an owner that it can be sent to.
+    ///
+    /// Answers the time after the loss of an instance in which its shards have no owner: a
+    /// client learns while it still has time that the job has not run.
+    fn unsent_patience_ms(&self, op: &JobOp) -> u64 {
+        match op {
+            JobOp::Submit { queue, job } => {
+                let pace = self.pace.ratio();
+                let wait_ms = wait_limit_ms(queue, &job.steps, pace);
+                wait_ms.max(MIN_UNSENT_PATIENCE_MS)
+            }
+            JobOp::State | JobOp::Cancel => MAX_PATIENCE_MS,
+        }
+    }
+
     /// Sends operations that are due to their owners, and gives up those out of time.
     pub(crate) fn drive_ops(&mut self, now: Moment) {
-        let due = |op: &OpenOp| op.retry_at <= now || op.until <= now;
+        let due = |op: &OpenOp| op.retry_at <= now || op.ends_at() <= now;
         let numbers: Vec<OpNumber> = self
             .ops
             .iter()
@@ -85,7 +113,7 @@
             .collect();
         for number in numbers {
             let Some(op) = self.ops.get_mut(&number) else { continue };
-            if op.until <= now {
+            if op.ends_at() <= now {
                 self.give_up_op(number);
                 continue;
             }
@@ -114,7 +142,7 @@
 
     /// Returns when [`Engine::drive_ops`] has something to do.
     pub(crate) fn ops_due(&self) -> Option<Moment> {
-        self.ops.values().map(|op| op.retry_at.min(op.until)).min()
+        self.ops.values().map(|op| op.retry_at.min(op.ends_at())).min()
     }
 
     /// Takes the answer to an operation.
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -3,7 +3,7 @@
 use log::info;
 use serde::{Deserialize, Serialize};
 
-use crate::effect::{Effect, StartOrder};
+use crate::effect::{Effect, StartOrder, Target};
 use crate::engine::Engine;
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, Text};
 use crate::message::{Message, RunEnd};
@@ -29,6 +29,8 @@
     Late,
     /// The task does not fit.
     NoRoom,
+    /// The ticket is missing or not valid for this minion.
+    BadTicket,
     /// The minion is not healthy and has done nothing.
     Unhealthy,
     /// Another incarnation answered and has done nothing.
@@ -56,6 +58,27 @@
     pub epoch: u64,
     /// Whether only the chosen minion will do.
     pub pinned: bool,
+    /// The ticket that allows the run there, if its queue needs one.
+    pub ticket: Option<Text>,
+}
+
+/// What a start carries for its task.
+#[derive(Debug, Clone)]
+pub(crate) struct StartContent {
+    /// What the client sent for the task.
+    spec: Text,
+    /// What an earlier run has saved.
+    checkpoint: Checkpoint,
+    /// The ticket that allows the run, if its queue needs one.
+    ticket: Option<Text>,
+}
+
+impl StartContent {
+    /// Returns the start of a run.
+    fn order(self, target: Target, run: RunRef, lease_until_ms: u64) -> StartOrder {
+        let Self { spec, checkpoint, ticket } = self;
+        StartOrder { target, run, spec, lease_until_ms, checkpoint, ticket }
+    }
 }
 
 impl Engine {
@@ -111,7 +134,7 @@
         now: Moment,
         key: MinionKey,
         run: RunRef,
-        content: Option<(Text, Checkpoint)>,
+        content: Option<StartContent>,
     ) {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return };
@@ -125,8 +148,7 @@
         entry.lease_until_ms = lease_until_ms;
         held.lease_until_ms = held.lease_until_ms.max(lease_until_ms);
         let target = minion.entry.target(key, held.fencing_token);
-        let (spec, checkpoint) = content;
-        let order = StartOrder { target, run, spec, lease_until_ms, checkpoint };
+        let order = content.order(target, run, lease_until_ms);
         self.effects.push(Effect::Start(order));
     }
 
@@ -216,10 +238,11 @@
                 checkpoint: order.checkpoint.clone(),
             },
         );
-        let RunOrder { run, spec, checkpoint, .. } = order;
-        held.unsettled.insert(run, (spec.clone(), checkpoint.clone()));
+        let RunOrder { run, spec, checkpoint, ticket, .. } = order;
+        let content = StartContent { spec, checkpoint, ticket };
+        held.unsettled.insert(run, content.clone());
         let target = minion.entry.target(key, held.fencing_token);
-        let order = StartOrder { target, run, spec, lease_until_ms, checkpoint };
+        let order = content.order(target, run, lease_until_ms);
         self.effects.push(Effect::Start(order));
         self.rooms_changed();
         true
@@ -317,6 +340,8 @@
 fn backoff_ms(answer: StartAnswer) -> u64 {
     match answer {
         StartAnswer::NoRoom | StartAnswer::Late => ROOM_BACKOFF_MS,
+        // The room is there for others.
+        StartAnswer::BadTicket => 0,
         StartAnswer::Unhealthy | StartAnswer::WrongIncarnation => SUSPECT_MS,
         StartAnswer::Started
         | StartAnswer::Outdated
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -280,6 +280,11 @@
         if outdated {
             job.tasks[task].last_run += RUN_NUMBER_STEP;
         }
+        // The minion may have rejected the ticket.
+        let step = job.tasks[task].step;
+        if let (Some(minion), Some(advice)) = (minion, job.advice.get_mut(&step)) {
+            advice.forget(minion);
+        }
         job.tasks[task].state = TaskState::Waiting;
         let rank = job.rank();
         self.wait(rank);
--- a/crates/bamboocart-jobs/src/placing.rs
+++ b/crates/bamboocart-jobs/src/placing.rs
@@ -52,7 +52,10 @@
             let entry = &arena.get(key)?.entry;
             let step = job.step_of(task);
             let label = step.required_label.as_ref();
-            let usable = entry.service == job.queue.service
+            let allowed =
+                job.queue.advice.is_none() || job.ticket(task, key, now).is_some();
+            let usable = allowed
+                && entry.service == job.queue.service
                 && job.tasks[task].avoid != Some(key)
                 && label.is_none_or(|label| entry.labels.contains(label));
             let data_rack = step.data_rack.as_ref();
@@ -63,10 +66,12 @@
         };
         let rng = &mut self.rng;
         let choices = Chooser { job, candidates, suits, rng, now }.choose();
-        let waiting =
-            job.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
-        if choices.len() == waiting {
-            self.waiting.remove(&job.rank());
+        let waiting = job.tasks.iter().filter(|task| task.is_waiting()).count();
+        match choices.len() == waiting {
+            true => {
+                self.waiting.remove(&job.rank());
+            }
+            false => self.want_advice(id),
         }
         self.align_gangs(id, &choices);
         for choice in choices {
@@ -102,7 +107,8 @@
             spec: job.spec.clone(),
             checkpoint: job.tasks[choice.task].checkpoint.clone(),
             epoch: job.epoch(),
-            pinned: step.is_pinned(),
+            pinned: step.is_pinned() || job.queue.advice.is_some(),
+            ticket: job.ticket(choice.task, candidate.minion, now),
         };
         let minion = self.minions.arena[candidate.minion].entry.id.clone();
         info!(target: "job", request_id:% = id.job, run:% = run.task, number = run.run,
--- a/crates/bamboocart-jobs/src/task.rs
+++ b/crates/bamboocart-jobs/src/task.rs
@@ -39,6 +39,11 @@
 }
 
 impl Task {
+    /// Returns whether it may be placed.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.state == TaskState::Waiting
+    }
+
     /// Returns where its run is ordered, if one is.
     pub(crate) fn placement(&self) -> Option<&Placement> {
         match &self.state {
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -48,6 +48,7 @@
         max_attempts: 2,
         slack_factor: 4.0,
         target_latency_ms: 1_000,
+        advice: None,
     }
 }
 
