Judge an order's age by its own frame, and keep ends until it is known whether jobs are stored

Changes: the age of an order is that of the echo in its frame. A marker in the store tells new instances whether jobs are stored; until they know, they note no ends that they find. Test: late_orders_are_not_carried_out, which failed before.

--- a/crates/bamboocart-dispatcher/src/site/job_logs.rs
+++ b/crates/bamboocart-dispatcher/src/site/job_logs.rs
@@ -1,14 +1,25 @@
 //! The logs of stored jobs, as partitions of a topic of the store.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bamboocart_adapter::{Appended, RawPage, StoreClient, StoreError};
 use bamboocart_jobs::{AppendAnswer, LogAppend, LogPage, LogRead, LogRecord, ShardId};
 use bincode::config::{self, Configuration};
+use tokio::time::sleep;
 
 /// The topic; partition N holds the log of shard N.
 const TOPIC: &str = "jobs";
 
+/// The topic that has a record once there are stored jobs.
+const USE_TOPIC: &str = "jobs-use";
+
+/// The record of that topic.
+const USE_RECORD: &[u8] = b"stored jobs are in use";
+
+/// The pause before a call about the use is made again.
+const USE_RETRY: Duration = Duration::from_millis(200);
+
 /// The format of records.
 const FORMAT: Configuration = config::standard();
 
@@ -24,6 +35,37 @@
         Self { store: StoreClient::new(store) }
     }
 
+    /// Notes in the store that there are stored jobs.
+    pub async fn mark_use(&self) {
+        let records = [USE_RECORD.to_vec()];
+        loop {
+            match self.store.append_at(USE_TOPIC, 0, 0, &records).await {
+                // A conflict means that another instance has noted it.
+                Ok(Appended::Written { .. } | Appended::Conflict) => return,
+                Err(error) => {
+                    log::info!(target: "store", error:% = error;
+                        "the use of stored jobs cannot be noted");
+                    sleep(USE_RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// Returns whether there are stored jobs, once the store tells.
+    pub async fn find_use(&self) -> bool {
+        loop {
+            match self.store.read_raw(USE_TOPIC, 0, 0).await {
+                Ok(RawPage::Records { end_offset, .. }) => return end_offset > 0,
+                Ok(RawPage::Expired { .. }) => return true,
+                Err(error) => {
+                    log::debug!(target: "store", error:% = error;
+                        "the use of stored jobs cannot be read");
+                    sleep(USE_RETRY).await;
+                }
+            }
+        }
+    }
+
     /// Reads records.
     pub async fn read(&self, order: &LogRead) -> LogPage {
         let ShardId(part) = order.shard;
--- a/crates/bamboocart-dispatcher/src/site/mod.rs
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -135,6 +135,7 @@
     let cancel = CancellationToken::new();
     let shell = Shell::new(member, &settings, cancel.clone());
     shell.spawn(shell.clone().run_timer());
+    shell.spawn(shell.clone().find_stored_use());
     shell.spawn(output::write_regularly(lines));
     shell.spawn(links::accept(shell.clone(), peer));
     shell.spawn(front::accept(shell.clone(), front));
--- a/crates/bamboocart-dispatcher/src/site/shell.rs
+++ b/crates/bamboocart-dispatcher/src/site/shell.rs
@@ -166,6 +166,12 @@
         current()
     }
 
+    /// Finds out whether jobs are stored.
+    pub async fn find_stored_use(self) {
+        let used = self.inner.logs.find_use().await;
+        self.event(|engine, now| engine.stored_use_known(now, used));
+    }
+
     /// Calls the engine whenever something is due.
     pub async fn run_timer(self) {
         loop {
@@ -289,6 +295,9 @@
                     engine.hold_answered(now, key, number, answer);
                 });
             }),
+            Effect::MarkUse => {
+                self.spawn(async move { shell.inner.logs.mark_use().await })
+            }
             Effect::Advise(order) => self.spawn(async move {
                 let answer = match &shell.inner.advice {
                     Some(advice) => advice.advise(&order).await,
--- a/crates/bamboocart-emulator/src/world/instances.rs
+++ b/crates/bamboocart-emulator/src/world/instances.rs
@@ -121,6 +121,8 @@
             }
             Effect::ReadLog(read) => self.send_read(node, read),
             Effect::Append(append) => self.send_append(node, append),
+            // All instances know from the day whether jobs are stored.
+            Effect::MarkUse => {}
             // No queue of the emulator takes advice.
             Effect::Advise(_) => {}
         }
@@ -208,6 +210,8 @@
         entry.next_tick_us = u64::MAX;
         entry.engine = Engine::new(entry.member.clone(), now_us ^ node as u64);
         entry.engine.set_catalog(catalog);
+        let used = self.day.kinds.iter().any(|kind| kind.stored);
+        entry.engine.stored_use_known(Moment(entry.clock_offset_ms), used);
         let offset_ms = entry.clock_offset_ms;
         entry.engine.set_wall_clock(Moment(offset_ms), UNIX_START_MS);
         let now = self.moment(node);
--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -48,7 +48,7 @@
         }
         let active: Vec<RunRef> = active.iter().map(|found| found.run).collect();
         let content = |end: &EndedRun| (end.run, end.end, end.checkpoint.clone());
-        if self.shards.in_use {
+        if self.shards.may_be_used() {
             for end in ended {
                 held.unconfirmed.insert(now, end.number, content(end), false);
             }
--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/confirm.rs
@@ -108,6 +108,11 @@
         self.ends.retain(|_, end| !end.void);
     }
 
+    /// Notes all ends.
+    fn note_all(&mut self) {
+        self.ends.clear();
+    }
+
     /// Notes the ends that nobody claims, and the oldest if too many wait.
     fn expire(&mut self, now: Moment) {
         self.ends.retain(|_, end| {
@@ -146,6 +151,15 @@
         }
     }
 
+    /// Notes all ends that wait because it was not known whether jobs are stored.
+    pub(crate) fn confirm_all(&mut self) {
+        for key in self.minions.held_keys().to_vec() {
+            if let Some(held) = self.minions.arena[key].held.as_mut() {
+                held.unconfirmed.note_all();
+            }
+        }
+    }
+
     /// Keeps an end from being noted as long as it counts.
     pub(crate) fn avoid_end(&mut self, run: RunRef) {
         for key in self.minions.held_keys().to_vec() {
@@ -157,7 +171,7 @@
 
     /// Tells the owners of shards of the ends that wait.
     pub(crate) fn report_unconfirmed(&mut self, now: Moment, all: bool) {
-        if !self.shards.in_use {
+        if !self.shards.are_used() {
             return;
         }
         for key in self.minions.held_keys().to_vec() {
--- a/crates/bamboocart-jobs/src/effect.rs
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -30,6 +30,8 @@
     ReadLog(LogRead),
     /// Appends to the log of a shard.
     Append(LogAppend),
+    /// Tells the store that there are stored jobs, for instances that start later.
+    MarkUse,
     /// Asks which minions may run a step.
     Advise(AdviceOrder),
 }
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -272,7 +272,7 @@
                 }
             }
             Message::Start { minion, order } => {
-                self.start_for_peer(now, peer, &minion, *order);
+                self.start_for_peer(now, peer, echo, &minion, *order);
             }
             Message::Stop(run) => self.stop_for_peer(now, peer, run),
             Message::Bounced { run, outdated } => {
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -172,7 +172,7 @@
         let Some(run) = known else { return self.note_unknown_end(now, key, end) };
         let stored = run.epoch > 0;
         let nobodys = matches!(run.owner, RunOwner::Unclaimed | RunOwner::Nobody);
-        let unsure = !stored && nobodys && self.shards.in_use;
+        let unsure = !stored && nobodys && self.shards.may_be_used();
         if stored || unsure {
             let content = (end.run, end.end, end.checkpoint.clone());
             held.unconfirmed.insert(now, end.number, content, stored);
@@ -210,7 +210,7 @@
     fn note_unknown_end(&mut self, now: Moment, key: MinionKey, end: EndedRun) {
         let EndedRun { number, run, end, checkpoint } = end;
         let held = self.minions.arena.get_mut(key).and_then(|it| it.held.as_mut());
-        let Some(held) = held.filter(|_| self.shards.in_use) else { return };
+        let Some(held) = held.filter(|_| self.shards.may_be_used()) else { return };
         held.unconfirmed.insert(now, number, (run, end, checkpoint.clone()), false);
         self.report_stored_end(now, Holder::Local(key), run, end, checkpoint);
     }
--- a/crates/bamboocart-jobs/src/ops.rs
+++ b/crates/bamboocart-jobs/src/ops.rs
@@ -67,7 +67,9 @@
         op: JobOp,
         patience_ms: u64,
     ) {
-        self.shards.in_use |= matches!(op, JobOp::Submit { .. });
+        if matches!(op, JobOp::Submit { .. }) {
+            self.shards.note_use();
+        }
         if self.ops.len() >= MAX_OPEN_OPS {
             warn!(target: "job", request_id:% = id; "too many operations are open");
             return self.answer(request, Answer::Unavailable);
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -218,7 +218,9 @@
         if held.runs.contains_key(&order.run.task) {
             return false;
         }
-        self.shards.in_use |= order.epoch > 0;
+        if order.epoch > 0 {
+            self.shards.note_use();
+        }
         let lease_until_ms = clock_ms + LEASE_MS;
         held.lease_until_ms = held.lease_until_ms.max(lease_until_ms);
         held.runs.insert(
@@ -273,15 +275,17 @@
         &mut self,
         now: Moment,
         peer: PeerKey,
+        echo: Moment,
         minion: &MinionId,
         order: RunOrder,
     ) {
         let run = order.run;
-        // An order that has waited in a buffer may be older than the owner's patience.
-        let echoed = self.peers.arena.get(peer).and_then(|peer| peer.echoed);
+        // An order that has waited in a buffer may be older than the owner's patience. Only
+        // the echo of its own frame tells: later frames may come first on a new connection.
+        let late = now.since(echo) > OWNER_SILENCE_MS;
         let shard = self.shards.of(run.task.job);
         let outdated = order.epoch > 0 && !self.shards.note_epoch(shard, order.epoch);
-        if outdated || echoed.is_none_or(|echoed| now.since(echoed) > OWNER_SILENCE_MS) {
+        if outdated || late {
             return self.send(peer, Message::Bounced { run, outdated: false });
         }
         let named = self.minions.by_id.get(minion).copied();
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -203,7 +203,7 @@
         let job = self.jobs.get(&run.task.occurrence_ref());
         match job.is_some_and(|job| !job.is_stored()) {
             true => self.run_ended(now, holder, run, end, checkpoint),
-            false if self.shards.in_use => {
+            false if self.shards.are_used() => {
                 self.stored_run_ended(now, holder, run, end, checkpoint);
             }
             false => {}
--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard.rs
@@ -75,8 +75,10 @@
     pub(crate) claimers: BTreeMap<ShardId, PeerKey>,
     /// When shards were last lost to other instances.
     pub(crate) lost: BTreeMap<ShardId, Moment>,
-    /// Whether any stored job was heard of. Until then, ends need no confirmation.
-    pub(crate) in_use: bool,
+    /// Whether there are stored jobs.
+    stored_use: StoredUse,
+    /// Whether this instance has told the store that there are.
+    pub(crate) marked: bool,
     /// The last call to a log.
     last_ticket: LogTicket,
     /// The appends that may be sent.
@@ -96,7 +98,8 @@
             epochs: BTreeMap::new(),
             claimers: BTreeMap::new(),
             lost: BTreeMap::new(),
-            in_use: false,
+            stored_use: StoredUse::Unknown,
+            marked: false,
             last_ticket: LogTicket(0),
             budget: WriteBudget::default(),
             joined_at: None,
@@ -105,7 +108,42 @@
     }
 }
 
+/// Whether there are stored jobs. As long as there are none, no end needs a confirmation.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum StoredUse {
+    /// The store has not told yet.
+    Unknown,
+    /// None was ever stored.
+    Unused,
+    /// Some were.
+    Used,
+}
+
 impl Shards {
+    /// Returns whether there are stored jobs for certain.
+    pub(crate) fn are_used(&self) -> bool {
+        self.stored_use == StoredUse::Used
+    }
+
+    /// Returns whether there may be stored jobs.
+    pub(crate) fn may_be_used(&self) -> bool {
+        self.stored_use != StoredUse::Unused
+    }
+
+    /// Notes that there are stored jobs.
+    pub(crate) fn note_use(&mut self) {
+        self.stored_use = StoredUse::Used;
+    }
+
+    /// Notes that the store has never had stored jobs, and returns whether this is news.
+    pub(crate) fn note_no_use(&mut self) -> bool {
+        let news = self.stored_use == StoredUse::Unknown;
+        if news {
+            self.stored_use = StoredUse::Unused;
+        }
+        news
+    }
+
     /// Sets what the store allows; all instances have to use the same number of shards.
     pub(crate) fn set_limits(&mut self, limits: StoreLimits) {
         let partitions = limits.partitions.clamp(1, MAX_SHARDS);
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -83,6 +83,19 @@
         self.shards.joined_at = self.shards.joined_at.max(Some(sent));
     }
 
+    /// Takes whether the store has ever had stored jobs, as far as it remembers.
+    ///
+    /// Until this is known, the ends that are found on minions are not noted: they may be all
+    /// that is left of tasks that are done.
+    pub fn stored_use_known(&mut self, now: Moment, used: bool) {
+        match used {
+            true => self.shards.note_use(),
+            false if self.shards.note_no_use() => self.confirm_all(),
+            false => {}
+        }
+        self.settle(now);
+    }
+
     /// Returns whether this instance may act as the owner of its shards.
     ///
     /// No other instance takes them while the group names this one, or while all members hear
@@ -220,8 +233,10 @@
 
     /// Goes on when the log was read to its end.
     fn log_known(&mut self, id: ShardId, end_offset: u64) {
+        if end_offset > 0 {
+            self.shards.note_use();
+        }
         let Some(shard) = self.shards.owned.get_mut(&id) else { return };
-        self.shards.in_use |= end_offset > 0;
         shard.log = ShardLog::new(end_offset);
         shard.stage = Stage::Dormant;
         let open = shard.jobs.values().any(|entry| entry.job.outcome.is_none());
@@ -311,7 +326,11 @@
         let ops = mem::take(&mut shard.ops);
         info!(target: "shard", shard = id.0, epoch, jobs = shard.jobs.len(),
             open = open.len(); "shard owned");
-        self.shards.in_use = true;
+        self.shards.note_use();
+        if !self.shards.marked {
+            self.shards.marked = true;
+            self.effects.push(Effect::MarkUse);
+        }
         self.shards.note_epoch(id, epoch);
         self.shards.claimers.remove(&id);
         for job in open {
@@ -335,7 +354,7 @@
         shard: ShardId,
         epoch: u64,
     ) {
-        self.shards.in_use = true;
+        self.shards.note_use();
         if !self.shards.note_epoch(shard, epoch) {
             return;
         }
--- a/crates/bamboocart-jobs/tests/orders.rs
+++ b/crates/bamboocart-jobs/tests/orders.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Effect, Engine, HoldOrder, HoldReply, JobState, MinionState,
-    Moment, RequestKey, RunEnd, RunRef, StartAnswer, StartOrder, Step,
+    ActiveRun, Answer, Checkpoint, Effect, Engine, HoldOrder, HoldReply, JobState,
+    Message, MinionState, Moment, RequestKey, RunEnd, RunOrder, RunRef, StartAnswer,
+    StartOrder, Step,
 };
 use support::{
     answer_hold, answers_of, entry, hold_of, member, starts_of, step, submission,
@@ -147,3 +148,34 @@
     let small = Step { required_label: Some("large".into()), ..step(1, &[]) };
     assert!(Fixture::new().submit(vec![small]).is_empty(), "no minion has the label");
 }
+
+/// Guards against an order that has waited in a buffer through a cut and is carried out when
+/// the cut heals, because a later frame on a new connection came before it: its task had
+/// been started again elsewhere (TWICE on trouble-1 of Thailand with stored jobs, seed
+/// 396390813279).
+#[parameterized(
+    in_time = { 400, true },
+    late = { 700, false },
+)]
+fn late_orders_are_not_carried_out(age_ms: u64, started: bool) {
+    let mut fixture = Fixture::new();
+    let owner = fixture.engine.peer(fixture.now, &member("entry-2", "marka"));
+    let order = RunOrder {
+        run: RunRef { task: "00000000000000aa.0.0.0".parse().unwrap(), run: 1 },
+        need: step(1, &[]).need,
+        estimate_ms: 300,
+        spec: "".into(),
+        checkpoint: Checkpoint::default(),
+        epoch: 0,
+        pinned: false,
+        ticket: None,
+    };
+    let sent = fixture.now;
+    fixture.now = fixture.now + age_ms;
+    let fresh = support::frame(fixture.now, Vec::new());
+    fixture.engine.frame_arrived(fixture.now, owner, fresh);
+    let start = Message::Start { minion: "m-1".into(), order: Box::new(order) };
+    fixture.engine.frame_arrived(fixture.now, owner, support::frame(sent, vec![start]));
+    fixture.collect();
+    assert_eq!(!fixture.active.is_empty(), started);
+}
