--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bamboocart_jobs::{
-    ActiveRun, Checkpoint, EndedRun, HoldReply, MinionId, Resources, RunEnd, RunRef,
-    StartAnswer, TaskRef,
+    ActiveRun, Checkpoint, EndReport, EndedRun, HoldReply, MinionId, Resources, RunEnd,
+    RunRef, StartAnswer, TaskRef,
 };
 
 /// A minion.
@@ -195,7 +195,7 @@
         let noted = self.ended.iter();
         let noted = noted.filter(|it| it.end.number <= last_seen && !it.lapsed);
         let noted = noted.map(|it| {
-            let EndedRun { run, end, .. } = it.end;
+            let EndReport { run, end, .. } = it.end.report;
             NotedEnd { run, end, at_us: it.at_us }
         });
         let noted = noted.collect();
@@ -237,7 +237,8 @@
             self.runs.remove(&run.task);
             self.closed.insert(run.task, run.run);
             let checkpoint = Checkpoint::default();
-            let end = EndedRun { number: self.next_end, run, end, checkpoint };
+            let report = EndReport { run, end, checkpoint };
+            let end = EndedRun { number: self.next_end, report };
             self.ended.push(ListedEnd { end, at_us: now_us, lapsed: false });
             self.next_end += 1;
         }
--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -7,8 +7,8 @@
 
 use crate::engine::Engine;
 use crate::holder::{ActiveRun, EndedRun};
-use crate::id::{Checkpoint, MinionId, RunRef};
-use crate::message::{Message, RunEnd};
+use crate::id::{MinionId, RunRef};
+use crate::message::{EndReport, Message};
 use crate::minion::{MinionKey, Run, RunOwner};
 use crate::owner::gone_after_ms;
 use crate::peer::PeerKey;
@@ -47,13 +47,12 @@
             held.runs.insert(found.run.task, run);
         }
         let active: Vec<RunRef> = active.iter().map(|found| found.run).collect();
-        let content = |end: &EndedRun| (end.run, end.end, end.checkpoint.clone());
         if self.shards.may_be_used() {
             for end in ended {
-                held.unconfirmed.insert(now, end.number, content(end), false);
+                held.unconfirmed.insert(now, end.number, end.report.clone(), false);
             }
         }
-        let ended: Vec<_> = ended.iter().map(content).collect();
+        let ended: Vec<EndReport> = ended.iter().map(|end| end.report.clone()).collect();
         if active.is_empty() && ended.is_empty() {
             return;
         }
@@ -68,9 +67,9 @@
                 self.run_claimed(now, key, run, RunOwner::Local, claim);
             }
         }
-        for (run, end, checkpoint) in ended {
-            if self.claim(run, None, &minion, fencing_token).is_some() {
-                self.run_ended(now, Holder::Local(key), run, end, checkpoint);
+        for report in ended {
+            if self.claim(report.run, None, &minion, fencing_token).is_some() {
+                self.run_ended(now, Holder::Local(key), report);
             }
         }
         self.report_unconfirmed(now, true);
@@ -247,7 +246,7 @@
         peer: PeerKey,
         (minion, fencing_token): (&MinionId, u64),
         active: Vec<RunRef>,
-        ended: Vec<(RunRef, RunEnd, Checkpoint)>,
+        ended: Vec<EndReport>,
     ) {
         for run in active {
             if let Some(claim) = self.claim(run, Some(peer), minion, fencing_token) {
@@ -255,9 +254,9 @@
                 self.send(peer, Message::Claimed { minion, run, claim });
             }
         }
-        for (run, end, checkpoint) in ended {
-            if self.claim(run, Some(peer), minion, fencing_token).is_some() {
-                self.run_ended(now, Holder::Peer(peer), run, end, checkpoint);
+        for report in ended {
+            if self.claim(report.run, Some(peer), minion, fencing_token).is_some() {
+                self.run_ended(now, Holder::Peer(peer), report);
             }
         }
     }
--- /dev/null
+++ b/crates/bamboocart-jobs/src/authority.rs
@@ -0,0 +1,57 @@
+//! Whether an instance may act as the owner of its shards.
+
+use crate::engine::Engine;
+use crate::peer::Peer;
+use crate::shard::Shard;
+use crate::time::Moment;
+use crate::timing::{AUTHORITY_GRACE_MS, JOIN_AUTHORITY_MS, OWNER_SILENCE_MS};
+
+/// The pause before a shard that another instance has taken is taken back.
+const RETAKE_MS: u64 = 1_000;
+
+impl Engine {
+    /// Returns whether this instance may act as the owner of its shards.
+    ///
+    /// No other instance takes them while the group names this one, or while all members hear
+    /// it: the latter lets jobs go on while the store is away.
+    pub(crate) fn has_authority(&self, now: Moment) -> bool {
+        let Some(joined_at) = self.shards.joined_at else { return false };
+        let members = self.peers.arena.values();
+        let mut members =
+            members.filter(|peer| peer.listed && !peer.ended && !peer.leaving);
+        let heard = |peer: &Peer| {
+            peer.echoed.is_some_and(|echoed| now.since(echoed) < OWNER_SILENCE_MS)
+        };
+        self.review.joined
+            && (now.since(joined_at) < JOIN_AUTHORITY_MS || members.all(heard))
+    }
+
+    /// Takes and gives up shards, as the members decide.
+    pub(crate) fn review_shards(&mut self, now: Moment) {
+        // An instance that was suspended has to take its shards over again, whether or not it
+        // has authority by now: others may have taken note of the ends of its runs.
+        if now.since(self.shards.authority_at) >= AUTHORITY_GRACE_MS {
+            for id in self.shards.ids() {
+                self.drop_shard(now, id, true);
+            }
+        }
+        if !self.has_authority(now) {
+            return;
+        }
+        self.shards.authority_at = now;
+        for id in self.shards.ids() {
+            let own = self.shards.owner(id) == Some(&self.member);
+            let lost_at = self.shards.lost.get(&id);
+            let resting = lost_at.is_some_and(|&at| now.since(at) < RETAKE_MS);
+            match (own, self.shards.owned.contains_key(&id)) {
+                (true, false) if resting => {}
+                (true, false) => {
+                    self.shards.owned.insert(id, Shard::new(0, now));
+                }
+                (false, true) => self.drop_shard(now, id, false),
+                (true, true) => self.keep_records(now, id),
+                (false, false) => {}
+            }
+        }
+    }
+}
--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/confirm.rs
@@ -5,8 +5,8 @@
 use log::warn;
 
 use crate::engine::Engine;
-use crate::id::{Checkpoint, RunRef};
-use crate::message::{Message, RunEnd};
+use crate::id::RunRef;
+use crate::message::{EndReport, Message};
 use crate::minion::HoldState;
 use crate::peer::PeerKey;
 use crate::shard::Shard;
@@ -30,12 +30,8 @@
 /// An end that waits to be noted.
 #[derive(Debug, Clone)]
 struct UnconfirmedEnd {
-    /// The run.
-    run: RunRef,
-    /// How it ended.
-    end: RunEnd,
-    /// What it has saved.
-    checkpoint: Checkpoint,
+    /// What is reported.
+    report: EndReport,
     /// When it was found.
     since: Moment,
     /// When the owner was last told.
@@ -60,18 +56,11 @@
         &mut self,
         now: Moment,
         number: u64,
-        (run, end, checkpoint): (RunRef, RunEnd, Checkpoint),
+        report: EndReport,
         stored: bool,
     ) {
-        let end = UnconfirmedEnd {
-            run,
-            end,
-            checkpoint,
-            since: now,
-            reported: now,
-            stored,
-            void: false,
-        };
+        let end =
+            UnconfirmedEnd { report, since: now, reported: now, stored, void: false };
         self.ends.insert(number, end);
     }
 
@@ -88,13 +77,13 @@
     /// Notes an end, and returns whether it has waited.
     fn confirm(&mut self, run: RunRef) -> bool {
         let before = self.ends.len();
-        self.ends.retain(|_, end| end.run != run || end.void);
+        self.ends.retain(|_, end| end.report.run != run || end.void);
         self.ends.len() < before
     }
 
     /// Notes that an end must not be noted before the lease has lapsed.
     fn avoid(&mut self, run: RunRef) {
-        let ends = self.ends.values_mut().filter(|end| end.run == run);
+        let ends = self.ends.values_mut().filter(|end| end.report.run == run);
         ends.for_each(|end| end.void = true);
     }
 
@@ -181,8 +170,7 @@
             }
             held.unconfirmed.expire(now);
             for end in held.unconfirmed.take_due(now, all) {
-                let UnconfirmedEnd { run, end, checkpoint, .. } = end;
-                self.report_stored_end(now, Holder::Local(key), run, end, checkpoint);
+                self.report_stored_end(now, Holder::Local(key), end.report);
             }
         }
     }
@@ -192,11 +180,9 @@
         &mut self,
         now: Moment,
         holder: Holder,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: Checkpoint,
+        report: EndReport,
     ) {
-        let shard = self.shards.of(run.task.job);
+        let shard = self.shards.of(report.run.task.job);
         let owner = self.shards.owner(shard);
         // The one that the log names comes first: members may not agree yet on the next one.
         let claimer = self.shards.claimers.get(&shard).copied();
@@ -207,9 +193,9 @@
             || self.shards.owned.get(&shard).is_some_and(Shard::is_claimed);
         match peer {
             Some(peer) if !own || claimer == Some(peer) => {
-                self.send(peer, Message::Ended { run, end, checkpoint });
+                self.send(peer, Message::Ended(report));
             }
-            _ if own => self.stored_run_ended(now, holder, run, end, checkpoint),
+            _ if own => self.stored_run_ended(now, holder, report),
             _ => {}
         }
     }
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -279,8 +279,8 @@
             Message::Bounced { run, outdated } => {
                 self.run_bounced(now, Holder::Peer(peer), run, outdated);
             }
-            Message::Ended { run, end, checkpoint } => {
-                self.end_reported(now, Holder::Peer(peer), run, end, checkpoint);
+            Message::Ended(report) => {
+                self.end_reported(now, Holder::Peer(peer), report);
             }
             Message::EndNoted(run) => self.confirm(now, run),
             Message::EndVoid(run) => self.avoid_end(run),
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -7,7 +7,7 @@
 use crate::effect::{Effect, HoldNumber, HoldOrder, StopOrder};
 use crate::engine::Engine;
 use crate::id::{Checkpoint, RunRef};
-use crate::message::{Message, RoomReport, RunEnd};
+use crate::message::{EndReport, Message, RoomReport, RunEnd};
 use crate::minion::{
     Held, HoldState, LostHold, Minion, MinionKey, Run, RunOwner, RunPhase,
 };
@@ -63,12 +63,8 @@
 pub struct EndedRun {
     /// The number of the end, which rises by one with each end.
     pub number: u64,
-    /// The run.
-    pub run: RunRef,
-    /// How it ended.
-    pub end: RunEnd,
-    /// What it has saved.
-    pub checkpoint: Checkpoint,
+    /// What the list tells of it.
+    pub report: EndReport,
 }
 
 impl Engine {
@@ -167,18 +163,21 @@
     fn note_end(&mut self, now: Moment, key: MinionKey, end: EndedRun) {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return };
-        let known = held.runs.get(&end.run.task).filter(|run| run.run == end.run.run);
-        let known = known.is_some().then(|| held.runs.remove(&end.run.task)).flatten();
+        let known = held
+            .runs
+            .get(&end.report.run.task)
+            .filter(|run| run.run == end.report.run.run);
+        let known =
+            known.is_some().then(|| held.runs.remove(&end.report.run.task)).flatten();
         let Some(run) = known else { return self.note_unknown_end(now, key, end) };
         let stored = run.epoch > 0;
         let nobodys = matches!(run.owner, RunOwner::Unclaimed | RunOwner::Nobody);
         let unsure = !stored && nobodys && self.shards.may_be_used();
         if stored || unsure {
-            let content = (end.run, end.end, end.checkpoint.clone());
-            held.unconfirmed.insert(now, end.number, content, stored);
+            held.unconfirmed.insert(now, end.number, end.report.clone(), stored);
         }
         let elapsed_ms = now.since(run.since);
-        match end.end {
+        match end.report.end {
             RunEnd::Done if run.estimate_ms > 0 => {
                 let expected_ms = run.estimate_ms as f64 * minion.pace.ratio();
                 let progress = Progress { elapsed_ms, expected_ms, done_percent: 100 };
@@ -189,7 +188,7 @@
                 self.pace.observe(elapsed_ms, run.estimate_ms);
             }
             RunEnd::Failed => {
-                if held.suspicion.note_failure(end.run.task.job, now) {
+                if held.suspicion.note_failure(end.report.run.task.job, now) {
                     warn!(target: "minion", minion:% = minion.entry.id;
                         "minion fails runs of several jobs; it gets no work for a while");
                 }
@@ -197,22 +196,20 @@
             RunEnd::Done | RunEnd::Void => {}
         }
         if !stored {
-            let ended = (end.run, end.end, end.checkpoint.clone());
-            self.report_end(now, key, run.owner, ended);
+            self.report_end(now, key, run.owner, end.report.clone());
         }
         if stored || unsure {
-            let EndedRun { run, end, checkpoint, .. } = end;
-            self.report_stored_end(now, Holder::Local(key), run, end, checkpoint);
+            self.report_stored_end(now, Holder::Local(key), end.report);
         }
     }
 
     /// Takes note of the end of a run that is not known here; its job may be a stored one.
     fn note_unknown_end(&mut self, now: Moment, key: MinionKey, end: EndedRun) {
-        let EndedRun { number, run, end, checkpoint } = end;
+        let EndedRun { number, report } = end;
         let held = self.minions.arena.get_mut(key).and_then(|it| it.held.as_mut());
         let Some(held) = held.filter(|_| self.shards.may_be_used()) else { return };
-        held.unconfirmed.insert(now, number, (run, end, checkpoint.clone()), false);
-        self.report_stored_end(now, Holder::Local(key), run, end, checkpoint);
+        held.unconfirmed.insert(now, number, report.clone(), false);
+        self.report_stored_end(now, Holder::Local(key), report);
     }
 
     /// Lets the next hold wait while ends are to stay on the list; it would return at once.
@@ -298,7 +295,12 @@
             if let Some(held) = self.minions.arena[key].held.as_mut() {
                 held.runs.remove(&run.task);
             }
-            self.report_end(now, key, owner, (run, RunEnd::Void, checkpoint));
+            self.report_end(
+                now,
+                key,
+                owner,
+                EndReport { run, end: RunEnd::Void, checkpoint },
+            );
         }
     }
 
@@ -316,8 +318,9 @@
         fresh.hold = held.hold;
         minion.held = Some(fresh);
         for (task, run) in held.runs {
-            let ended = (run.run_ref(task), RunEnd::Void, run.checkpoint);
-            self.report_end(now, key, run.owner, ended);
+            let (end, checkpoint) = (RunEnd::Void, run.checkpoint.clone());
+            let report = EndReport { run: run.run_ref(task), end, checkpoint };
+            self.report_end(now, key, run.owner, report);
         }
     }
 
@@ -327,18 +330,14 @@
         now: Moment,
         key: MinionKey,
         owner: RunOwner,
-        (run, end, checkpoint): (RunRef, RunEnd, Checkpoint),
+        report: EndReport,
     ) {
         match owner {
             RunOwner::Local => {
-                self.run_ended(now, Holder::Local(key), run, end, checkpoint);
-            }
-            RunOwner::Peer(peer) => {
-                self.send(peer, Message::Ended { run, end, checkpoint });
-            }
-            RunOwner::Unclaimed => {
-                self.broadcast(&Message::Ended { run, end, checkpoint });
+                self.run_ended(now, Holder::Local(key), report);
             }
+            RunOwner::Peer(peer) => self.send(peer, Message::Ended(report)),
+            RunOwner::Unclaimed => self.broadcast(&Message::Ended(report)),
             RunOwner::Nobody => {}
         }
     }
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -7,6 +7,7 @@
 mod adoption;
 mod advice;
 mod assignment;
+mod authority;
 mod backlog;
 mod catalog;
 mod clock;
@@ -33,8 +34,10 @@
 mod placement;
 mod placing;
 mod resources;
+mod retention;
 mod shard;
 mod shard_log;
+mod shard_runs;
 mod stored;
 mod stored_job;
 mod submission;
@@ -60,7 +63,7 @@
 };
 pub use self::job_op::{JobOp, OpNumber, OpReply};
 pub use self::member::{Member, ParseMemberError};
-pub use self::message::{Frame, Message, RoomReport, RunEnd, ShardRun};
+pub use self::message::{EndReport, Frame, Message, RoomReport, RunEnd, ShardRun};
 pub use self::minion::{MinionEntry, MinionKey, MinionState};
 pub use self::orders::{RunOrder, StartAnswer};
 pub use self::peer::PeerKey;
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -58,14 +58,7 @@
         minion: MinionId,
     },
     /// Tells an owner how a run ended.
-    Ended {
-        /// The run.
-        run: RunRef,
-        /// How it ended.
-        end: RunEnd,
-        /// What it has saved.
-        checkpoint: Checkpoint,
-    },
+    Ended(EndReport),
     /// Tells a holder that the end of a run is stored, or of no use any more.
     EndNoted(RunRef),
     /// Tells a holder that a run is done that was taken for lost, so that its task was started
@@ -133,7 +126,7 @@
         /// The runs that are active.
         active: Vec<RunRef>,
         /// The runs that have ended.
-        ended: Vec<(RunRef, RunEnd, Checkpoint)>,
+        ended: Vec<EndReport>,
     },
     /// Tells a new holder that a run belongs to the sender.
     Claimed {
@@ -168,6 +161,17 @@
     pub pace_permille: u32,
 }
 
+/// The end of a run, as its holder reports it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndReport {
+    /// The run.
+    pub run: RunRef,
+    /// How it ended.
+    pub end: RunEnd,
+    /// What it has saved.
+    pub checkpoint: Checkpoint,
+}
+
 /// How a run ended.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub enum RunEnd {
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -6,7 +6,7 @@
 use crate::effect::{Effect, StartOrder, Target};
 use crate::engine::Engine;
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, Text};
-use crate::message::{Message, RunEnd};
+use crate::message::{EndReport, Message, RunEnd};
 use crate::minion::{MinionKey, Run, RunOwner, RunPhase};
 use crate::peer::PeerKey;
 use crate::resources::Resources;
@@ -191,8 +191,8 @@
         let outdated = answer == StartAnswer::Outdated;
         match (owner, answer) {
             (_, StartAnswer::Invalid) => {
-                let ended = (run, RunEnd::Failed, Checkpoint::default());
-                self.report_end(now, key, owner, ended);
+                let (end, checkpoint) = (RunEnd::Failed, Checkpoint::default());
+                self.report_end(now, key, owner, EndReport { run, end, checkpoint });
             }
             (RunOwner::Local, _) => {
                 self.run_bounced(now, Holder::Local(key), run, outdated);
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -5,9 +5,9 @@
 use crate::backlog::Backlog;
 use crate::effect::{Answer, Effect, RequestKey};
 use crate::engine::Engine;
-use crate::id::{Checkpoint, JobId, MinionId, OccurrenceRef, RunRef};
+use crate::id::{JobId, MinionId, OccurrenceRef, RunRef};
 use crate::job::{Job, Rank};
-use crate::message::{Message, RunEnd};
+use crate::message::{EndReport, Message, RunEnd};
 use crate::stored::submit_op;
 use crate::submission::{JobState, Submission};
 use crate::task::{Holder, TaskState};
@@ -196,34 +196,25 @@
         &mut self,
         now: Moment,
         holder: Holder,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: Checkpoint,
+        report: EndReport,
     ) {
-        let job = self.jobs.get(&run.task.occurrence_ref());
+        let job = self.jobs.get(&report.run.task.occurrence_ref());
         match job.is_some_and(|job| !job.is_stored()) {
-            true => self.run_ended(now, holder, run, end, checkpoint),
+            true => self.run_ended(now, holder, report),
             false if self.shards.are_used() => {
-                self.stored_run_ended(now, holder, run, end, checkpoint);
+                self.stored_run_ended(now, holder, report);
             }
             false => {}
         }
     }
 
     /// Takes the end of a run of an own job.
-    pub(crate) fn run_ended(
-        &mut self,
-        now: Moment,
-        holder: Holder,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: Checkpoint,
-    ) {
-        let stored =
-            self.jobs.get(&run.task.occurrence_ref()).is_some_and(Job::is_stored);
-        if stored {
-            return self.stored_run_ended(now, holder, run, end, checkpoint);
+    pub(crate) fn run_ended(&mut self, now: Moment, holder: Holder, report: EndReport) {
+        let job = self.jobs.get(&report.run.task.occurrence_ref());
+        if job.is_some_and(Job::is_stored) {
+            return self.stored_run_ended(now, holder, report);
         }
+        let EndReport { run, end, checkpoint } = report;
         let Some((job, task)) = self.current(run, holder) else { return };
         job.tasks[task].checkpoint.update(&checkpoint);
         match end {
--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard.rs
@@ -6,10 +6,10 @@
 
 use crate::assignment::shard_owner;
 use crate::effect::{LogAppend, LogTicket};
-use crate::id::{Checkpoint, JobId, RunRef};
+use crate::id::{JobId, RunRef};
 use crate::job_op::{JobOp, Requester};
 use crate::member::Member;
-use crate::message::RunEnd;
+use crate::message::EndReport;
 use crate::peer::PeerKey;
 use crate::shard_log::ShardLog;
 use crate::stored_job::{LogRecord, StoredJob};
@@ -361,9 +361,9 @@
                 let entry = self.jobs.entry(job.job.id);
                 entry.or_insert_with(|| StoredEntry::new(StoredJob::clone(job), now));
             }
-            LogRecord::Ended { run, end, checkpoint } => {
-                if let Some(entry) = self.jobs.get_mut(&run.task.job) {
-                    entry.apply_end(now, *run, *end, checkpoint);
+            LogRecord::Ended(report) => {
+                if let Some(entry) = self.jobs.get_mut(&report.run.task.job) {
+                    entry.apply_end(now, report);
                 }
             }
             LogRecord::Cancelled(id) => {
@@ -399,14 +399,8 @@
     }
 
     /// Takes the end of a run.
-    pub(crate) fn apply_end(
-        &mut self,
-        now: Moment,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: &Checkpoint,
-    ) {
-        self.job.apply_end(run, end, checkpoint);
+    pub(crate) fn apply_end(&mut self, now: Moment, report: &EndReport) {
+        self.job.apply_end(report);
         if self.job.outcome.is_some() {
             self.closed_at.get_or_insert(now);
         }
--- /dev/null
+++ b/crates/bamboocart-jobs/src/shard_runs.rs
@@ -0,0 +1,129 @@
+//! The runs of a shard, which pass from one owner to the next.
+
+use log::warn;
+
+use crate::engine::Engine;
+use crate::message::{Message, ShardRun};
+use crate::minion::RunOwner;
+use crate::peer::PeerKey;
+use crate::shard::{ShardId, Stage};
+use crate::task::{Holder, Placement, TaskState};
+use crate::time::Moment;
+
+impl Engine {
+    /// Takes note of a new owner of a shard, and tells it the runs of the shard.
+    pub(crate) fn shard_taken(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        shard: ShardId,
+        epoch: u64,
+    ) {
+        self.shards.note_use();
+        if !self.shards.note_epoch(shard, epoch) {
+            return;
+        }
+        if self
+            .shards
+            .owned
+            .get(&shard)
+            .is_some_and(|it| it.is_claimed() && it.epoch < epoch)
+        {
+            self.lose_shard(now, shard);
+        }
+        self.shards.claimers.insert(shard, peer);
+        let runs = self.runs_of_shard(now, shard, epoch, RunOwner::Peer(peer));
+        let runs = runs.into_iter().map(|(_, run)| run).collect();
+        self.send(peer, Message::ShardRuns { shard, epoch, runs });
+        self.report_unconfirmed(now, true);
+    }
+
+    /// Gives all runs of a shard on held minions to its new owner, and returns them.
+    pub(crate) fn runs_of_shard(
+        &mut self,
+        now: Moment,
+        shard: ShardId,
+        epoch: u64,
+        owner: RunOwner,
+    ) -> Vec<(Holder, ShardRun)> {
+        let mut found = Vec::new();
+        for key in self.minions.held_keys().to_vec() {
+            let minion = &mut self.minions.arena[key];
+            let Some(held) = minion.held.as_mut() else { continue };
+            for (&task, run) in &mut held.runs {
+                let stored = run.epoch > 0 && run.epoch <= epoch;
+                if !stored || self.shards.of(task.job) != shard {
+                    continue;
+                }
+                run.owner = owner;
+                run.epoch = epoch;
+                run.claimed = now;
+                let run = ShardRun {
+                    run: run.run_ref(task),
+                    minion: minion.entry.id.clone(),
+                    checkpoint: run.checkpoint.clone(),
+                };
+                found.push((Holder::Local(key), run));
+            }
+        }
+        found
+    }
+
+    /// Takes what a holder has told of the runs of a shard.
+    pub(crate) fn shard_runs(
+        &mut self,
+        now: Moment,
+        peer: PeerKey,
+        id: ShardId,
+        epoch: u64,
+        runs: Vec<ShardRun>,
+    ) {
+        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
+        if shard.epoch != epoch {
+            return;
+        }
+        if let Stage::Settling(settling) = &mut shard.stage {
+            settling.awaited.remove(&peer);
+        }
+        for run in runs {
+            self.take_run(now, Holder::Peer(peer), run);
+        }
+    }
+
+    /// Takes over a run that an earlier owner has ordered, or stops it if it is of no use.
+    pub(crate) fn take_run(&mut self, now: Moment, holder: Holder, found: ShardRun) {
+        let ShardRun { run, minion, checkpoint } = found;
+        let key = self.minions.by_id.get(&minion).copied();
+        let job = self.jobs.get_mut(&run.task.occurrence_ref());
+        let task = job.and_then(|job| Some((job.position(run.task)?, job)));
+        let wanted = match task {
+            Some((task, job)) => {
+                let entry = &mut job.tasks[task];
+                entry.checkpoint.update(&checkpoint);
+                match &mut entry.state {
+                    TaskState::Placed(placement) if entry.last_run == run.run => {
+                        placement.holder = holder;
+                        true
+                    }
+                    TaskState::Waiting | TaskState::Blocked => {
+                        entry.last_run = entry.last_run.max(run.run);
+                        let usable = entry.last_run == run.run;
+                        if usable {
+                            let placement = Placement::new(holder, key, now);
+                            entry.state = TaskState::Placed(placement);
+                            job.ordered = true;
+                        }
+                        usable
+                    }
+                    TaskState::Placed(_) | TaskState::Done => false,
+                }
+            }
+            None => false,
+        };
+        if !wanted {
+            warn!(target: "job", request_id:% = run.task.job, run:% = run.task;
+                "run of an earlier owner is stopped");
+            self.stop_at(now, holder, run);
+        }
+    }
+}
--- a/crates/bamboocart-jobs/src/stored.rs
+++ b/crates/bamboocart-jobs/src/stored.rs
@@ -6,10 +6,10 @@
 
 use crate::effect::Answer;
 use crate::engine::Engine;
-use crate::id::{Checkpoint, JobId, OccurrenceRef, RunRef};
+use crate::id::{JobId, OccurrenceRef, RunRef};
 use crate::job::Job;
 use crate::job_op::{JobOp, OpReply, Requester};
-use crate::message::{Message, RunEnd};
+use crate::message::{EndReport, Message, RunEnd};
 use crate::shard::{Shard, ShardId, Stage, StoredEntry};
 use crate::stored_job::{LogRecord, StoredJob};
 use crate::submission::{JobState, NewJob};
@@ -106,9 +106,7 @@
             match record {
                 LogRecord::Owned { .. } => self.claimed(now, id),
                 LogRecord::Job(job) => self.job_stored(now, id, *job),
-                LogRecord::Ended { run, end, checkpoint } => {
-                    self.end_stored(now, id, run, end, &checkpoint);
-                }
+                LogRecord::Ended(report) => self.end_stored(now, id, &report),
                 LogRecord::Cancelled(job) => self.cancel_stored(now, id, job),
             }
         }
@@ -222,10 +220,9 @@
         &mut self,
         now: Moment,
         holder: Holder,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: Checkpoint,
+        report: EndReport,
     ) {
+        let EndReport { run, end, .. } = report;
         let shard_id = self.shards.of(run.task.job);
         let Some(shard) = self.shards.owned.get_mut(&shard_id) else { return };
         if matches!(shard.stage, Stage::Dormant) {
@@ -253,7 +250,7 @@
         };
         let lasts = job.step_of(task).long_running;
         let entry = &mut job.tasks[task];
-        entry.checkpoint.update(&checkpoint);
+        entry.checkpoint.update(&report.checkpoint);
         let current = entry.last_run == run.run;
         match end {
             RunEnd::Done if !lasts && run.run < entry.last_run => {
@@ -277,7 +274,7 @@
                     entry.state = TaskState::Placed(Placement { ending: true, ..known });
                 }
                 shard.reporters.insert(run, holder);
-                shard.log.push(LogRecord::Ended { run, end, checkpoint });
+                shard.log.push(LogRecord::Ended(report));
             }
             RunEnd::Done | RunEnd::Failed | RunEnd::Void => {
                 info!(target: "job", request_id:% = run.task.job, run:% = run.task,
@@ -307,18 +304,12 @@
     }
 
     /// Takes note of the end of a run that the log has taken.
-    fn end_stored(
-        &mut self,
-        now: Moment,
-        id: ShardId,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: &Checkpoint,
-    ) {
+    fn end_stored(&mut self, now: Moment, id: ShardId, report: &EndReport) {
+        let EndReport { run, end, .. } = *report;
         let Some(shard) = self.shards.owned.get_mut(&id) else { return };
         let reporter = shard.reporters.remove(&run);
         let outcome = shard.jobs.get_mut(&run.task.job).and_then(|entry| {
-            entry.apply_end(now, run, end, checkpoint);
+            entry.apply_end(now, report);
             entry.job.outcome
         });
         if let Some(holder) = reporter {
--- a/crates/bamboocart-jobs/src/stored_job.rs
+++ b/crates/bamboocart-jobs/src/stored_job.rs
@@ -6,7 +6,7 @@
 
 use crate::catalog::Queue;
 use crate::id::{Checkpoint, JobId, MemberId, RunRef, TaskRef};
-use crate::message::RunEnd;
+use crate::message::{EndReport, RunEnd};
 use crate::submission::{JobState, NewJob};
 
 /// The occurrences of which it is known which runs have done their tasks.
@@ -25,14 +25,7 @@
     /// A job, with all that is known of it; a later one replaces an earlier one.
     Job(Box<StoredJob>),
     /// A run has ended as done or failed.
-    Ended {
-        /// The run.
-        run: RunRef,
-        /// How it ended.
-        end: RunEnd,
-        /// What it has saved.
-        checkpoint: Checkpoint,
-    },
+    Ended(EndReport),
     /// A job was cancelled.
     Cancelled(JobId),
 }
@@ -116,12 +109,9 @@
     }
 
     /// Takes the end of a run; of a gang, one end stands for all members.
-    pub(crate) fn apply_end(
-        &mut self,
-        run: RunRef,
-        end: RunEnd,
-        checkpoint: &Checkpoint,
-    ) {
+    pub(crate) fn apply_end(&mut self, report: &EndReport) {
+        let EndReport { run, end, checkpoint } = report;
+        let (run, end) = (*run, *end);
         let occurrence = run.task.occurrence;
         let step = self.job.steps.get(usize::from(run.task.step));
         let Some(step) = step.filter(|_| occurrence >= self.first_open) else { return };
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -11,41 +11,20 @@
 
 use crate::effect::{Effect, LogRead, LogTicket};
 use crate::engine::Engine;
-use crate::id::{JobId, OccurrenceRef, RunRef};
-use crate::message::{Message, ShardRun};
+use crate::id::{JobId, OccurrenceRef};
+use crate::message::Message;
 use crate::minion::RunOwner;
 use crate::peer::{Peer, PeerKey};
 use crate::shard::{Check, Reading, Settling, Shard, ShardId, Stage, StoreLimits};
 use crate::shard_log::{AppendAnswer, AppendOutcome, ShardLog};
 use crate::stored_job::LogRecord;
 use crate::submission::JobState;
-use crate::task::{Holder, Placement, TaskState};
 use crate::time::Moment;
-use crate::timing::{
-    AUTHORITY_GRACE_MS, JOIN_AUTHORITY_MS, OWNER_SILENCE_MS, RUN_GONE_MS, SETTLE_LIMIT_MS,
-};
-
-/// The pause before a shard that another instance has taken is taken back.
-const RETAKE_MS: u64 = 1_000;
+use crate::timing::{RUN_GONE_MS, SETTLE_LIMIT_MS};
 
 /// The pause before a read of a log that was not answered is sent again.
 const READ_RETRY_MS: u64 = 200;
 
-/// How long the outcome of a stored job is known.
-const OUTCOME_MEMORY_MS: u64 = 180_000;
-
-/// How long the runs are known that have done the tasks of a job that has ended.
-const DONE_RUNS_MEMORY_MS: u64 = 30_000;
-
-/// The most runs of a shard that are remembered as taken for lost.
-const MAX_SUPERSEDED: usize = 2_048;
-
-/// The time between two looks for jobs whose records in the log would expire.
-const UPKEEP_INTERVAL_MS: u64 = 5_000;
-
-/// The share of the time for which records are kept after which a job is written again.
-const REWRITE_SHARE: u64 = 3;
-
 /// What a read of a log has returned.
 #[derive(Debug, Clone)]
 pub enum LogPage {
@@ -96,51 +75,6 @@
         self.settle(now);
     }
 
-    /// Returns whether this instance may act as the owner of its shards.
-    ///
-    /// No other instance takes them while the group names this one, or while all members hear
-    /// it: the latter lets jobs go on while the store is away.
-    pub(crate) fn has_authority(&self, now: Moment) -> bool {
-        let Some(joined_at) = self.shards.joined_at else { return false };
-        let members = self.peers.arena.values();
-        let mut members =
-            members.filter(|peer| peer.listed && !peer.ended && !peer.leaving);
-        let heard = |peer: &Peer| {
-            peer.echoed.is_some_and(|echoed| now.since(echoed) < OWNER_SILENCE_MS)
-        };
-        self.review.joined
-            && (now.since(joined_at) < JOIN_AUTHORITY_MS || members.all(heard))
-    }
-
-    /// Takes and gives up shards, as the members decide.
-    pub(crate) fn review_shards(&mut self, now: Moment) {
-        // An instance that was suspended has to take its shards over again, whether or not it
-        // has authority by now: others may have taken note of the ends of its runs.
-        if now.since(self.shards.authority_at) >= AUTHORITY_GRACE_MS {
-            for id in self.shards.ids() {
-                self.drop_shard(now, id, true);
-            }
-        }
-        if !self.has_authority(now) {
-            return;
-        }
-        self.shards.authority_at = now;
-        for id in self.shards.ids() {
-            let own = self.shards.owner(id) == Some(&self.member);
-            let lost_at = self.shards.lost.get(&id);
-            let resting = lost_at.is_some_and(|&at| now.since(at) < RETAKE_MS);
-            match (own, self.shards.owned.contains_key(&id)) {
-                (true, false) if resting => {}
-                (true, false) => {
-                    self.shards.owned.insert(id, Shard::new(0, now));
-                }
-                (false, true) => self.drop_shard(now, id, false),
-                (true, true) => self.keep_records(now, id),
-                (false, false) => {}
-            }
-        }
-    }
-
     /// Gives up a shard. Its runs go on for the next owner, unless they are to be stopped.
     pub(crate) fn drop_shard(&mut self, now: Moment, id: ShardId, stop_runs: bool) {
         let Some(mut shard) = self.shards.owned.remove(&id) else { return };
@@ -159,7 +93,7 @@
 
     /// Gives up a shard that another instance owns. Members may not agree yet on whose it is;
     /// it is not taken back at once, or two of them would take it in turn.
-    fn lose_shard(&mut self, now: Moment, id: ShardId) {
+    pub(crate) fn lose_shard(&mut self, now: Moment, id: ShardId) {
         self.drop_shard(now, id, false);
         self.shards.lost.insert(id, now);
     }
@@ -346,122 +280,6 @@
         }
     }
 
-    /// Takes note of a new owner of a shard, and tells it the runs of the shard.
-    pub(crate) fn shard_taken(
-        &mut self,
-        now: Moment,
-        peer: PeerKey,
-        shard: ShardId,
-        epoch: u64,
-    ) {
-        self.shards.note_use();
-        if !self.shards.note_epoch(shard, epoch) {
-            return;
-        }
-        if self
-            .shards
-            .owned
-            .get(&shard)
-            .is_some_and(|it| it.is_claimed() && it.epoch < epoch)
-        {
-            self.lose_shard(now, shard);
-        }
-        self.shards.claimers.insert(shard, peer);
-        let runs = self.runs_of_shard(now, shard, epoch, RunOwner::Peer(peer));
-        let runs = runs.into_iter().map(|(_, run)| run).collect();
-        self.send(peer, Message::ShardRuns { shard, epoch, runs });
-        self.report_unconfirmed(now, true);
-    }
-
-    /// Gives all runs of a shard on held minions to its new owner, and returns them.
-    fn runs_of_shard(
-        &mut self,
-        now: Moment,
-        shard: ShardId,
-        epoch: u64,
-        owner: RunOwner,
-    ) -> Vec<(Holder, ShardRun)> {
-        let mut found = Vec::new();
-        for key in self.minions.held_keys().to_vec() {
-            let minion = &mut self.minions.arena[key];
-            let Some(held) = minion.held.as_mut() else { continue };
-            for (&task, run) in &mut held.runs {
-                let stored = run.epoch > 0 && run.epoch <= epoch;
-                if !stored || self.shards.of(task.job) != shard {
-                    continue;
-                }
-                run.owner = owner;
-                run.epoch = epoch;
-                run.claimed = now;
-                let run = ShardRun {
-                    run: run.run_ref(task),
-                    minion: minion.entry.id.clone(),
-                    checkpoint: run.checkpoint.clone(),
-                };
-                found.push((Holder::Local(key), run));
-            }
-        }
-        found
-    }
-
-    /// Takes what a holder has told of the runs of a shard.
-    pub(crate) fn shard_runs(
-        &mut self,
-        now: Moment,
-        peer: PeerKey,
-        id: ShardId,
-        epoch: u64,
-        runs: Vec<ShardRun>,
-    ) {
-        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
-        if shard.epoch != epoch {
-            return;
-        }
-        if let Stage::Settling(settling) = &mut shard.stage {
-            settling.awaited.remove(&peer);
-        }
-        for run in runs {
-            self.take_run(now, Holder::Peer(peer), run);
-        }
-    }
-
-    /// Takes over a run that an earlier owner has ordered, or stops it if it is of no use.
-    fn take_run(&mut self, now: Moment, holder: Holder, found: ShardRun) {
-        let ShardRun { run, minion, checkpoint } = found;
-        let key = self.minions.by_id.get(&minion).copied();
-        let job = self.jobs.get_mut(&run.task.occurrence_ref());
-        let task = job.and_then(|job| Some((job.position(run.task)?, job)));
-        let wanted = match task {
-            Some((task, job)) => {
-                let entry = &mut job.tasks[task];
-                entry.checkpoint.update(&checkpoint);
-                match &mut entry.state {
-                    TaskState::Placed(placement) if entry.last_run == run.run => {
-                        placement.holder = holder;
-                        true
-                    }
-                    TaskState::Waiting | TaskState::Blocked => {
-                        entry.last_run = entry.last_run.max(run.run);
-                        let usable = entry.last_run == run.run;
-                        if usable {
-                            let placement = Placement::new(holder, key, now);
-                            entry.state = TaskState::Placed(placement);
-                            job.ordered = true;
-                        }
-                        usable
-                    }
-                    TaskState::Placed(_) | TaskState::Done => false,
-                }
-            }
-            None => false,
-        };
-        if !wanted {
-            warn!(target: "job", request_id:% = run.task.job, run:% = run.task;
-                "run of an earlier owner is stopped");
-            self.stop_at(now, holder, run);
-        }
-    }
-
     /// Lets the tasks of a shard be placed once holders have told their runs and those of
     /// lost holders are gone.
     fn open_settled(&mut self, now: Moment, id: ShardId) {
@@ -494,42 +312,6 @@
             && self.has_authority(now)
     }
 
-    /// Remembers a run of a stored job that is taken for lost. If it is done nevertheless, its
-    /// end must not be noted.
-    pub(crate) fn note_superseded(&mut self, run: RunRef) {
-        let id = self.shards.of(run.task.job);
-        if let Some(shard) = self.shards.owned.get_mut(&id) {
-            shard.superseded.insert(run);
-            while shard.superseded.len() > MAX_SUPERSEDED {
-                shard.superseded.pop_first();
-            }
-        }
-    }
-
-    /// Writes jobs again before their records expire, and forgets old outcomes.
-    fn keep_records(&mut self, now: Moment, id: ShardId) {
-        let rewrite_ms = self.shards.keep_ms() / REWRITE_SHARE;
-        let Some(shard) = self.shards.owned.get_mut(&id) else { return };
-        // A record that is written again must not lack an end that is being written.
-        let idle = shard.is_claimed() && shard.log.is_idle();
-        if !idle || now.since(shard.kept_at) < UPKEEP_INTERVAL_MS {
-            return;
-        }
-        shard.kept_at = now;
-        shard.jobs.retain(|_, entry| {
-            entry.closed_at.is_none_or(|at| now.since(at) < OUTCOME_MEMORY_MS)
-        });
-        for entry in shard.jobs.values_mut() {
-            if entry.closed_at.is_some_and(|at| now.since(at) >= DONE_RUNS_MEMORY_MS) {
-                entry.job.done_runs.clear();
-            }
-            if now.since(entry.written_at) >= rewrite_ms {
-                entry.written_at = now;
-                shard.log.push(LogRecord::Job(Box::new(entry.job.clone())));
-            }
-        }
-    }
-
     /// Returns the jobs of queues that have not started, among the stored ones here.
     pub(crate) fn pending_stored(&self) -> Vec<(Box<str>, u64)> {
         let mut pending: Vec<(Box<str>, u64)> = Vec::new();
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    Answer, Checkpoint, Effect, Engine, HoldAnswer, HoldOrder, HoldReply, JobState,
-    Member, Message, Moment, PeerKey, RequestKey, Resources, RoomReport, RunEnd, RunRef,
-    StartAnswer, StartOrder, Submission,
+    Answer, Checkpoint, Effect, EndReport, Engine, HoldAnswer, HoldOrder, HoldReply,
+    JobState, Member, Message, Moment, PeerKey, RequestKey, Resources, RoomReport,
+    RunEnd, RunRef, StartAnswer, StartOrder, Submission,
 };
 use support::{answer_hold, entry, frame, hold_of, member, step, submission};
 use yare::parameterized;
@@ -120,11 +120,11 @@
 fn an_end_at_another_holder_changes_nothing() {
     let mut fixture = Fixture::new();
     let start = fixture.start_job();
-    fixture.hear(Message::Ended {
+    fixture.hear(Message::Ended(EndReport {
         run: start.run,
         end: RunEnd::Void,
         checkpoint: Checkpoint::default(),
-    });
+    }));
     let answer = fixture.end_run(start.run);
     assert_eq!(answer, Some(Answer::Ended(JobState::Completed)));
 }
--- a/crates/bamboocart-jobs/tests/stored.rs
+++ b/crates/bamboocart-jobs/tests/stored.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    Answer, AppendAnswer, Checkpoint, Effect, Engine, JobId, JobState, LogAppend,
-    LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, RequestKey, Resources,
-    RoomReport, RunEnd, RunRef, Submission,
+    Answer, AppendAnswer, Checkpoint, Effect, EndReport, Engine, JobId, JobState,
+    LogAppend, LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, RequestKey,
+    Resources, RoomReport, RunEnd, RunRef, Submission,
 };
 use support::{answers_of, entry, frame, member, step, submission};
 use yare::parameterized;
@@ -218,7 +218,7 @@
     /// Reports the end of a run.
     fn report(&self, fixture: &mut Fixture, run: RunRef, end: RunEnd) {
         let checkpoint = Checkpoint::default();
-        self.send(fixture, Message::Ended { run, end, checkpoint });
+        self.send(fixture, Message::Ended(EndReport { run, end, checkpoint }));
     }
 }
 
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Checkpoint, Effect, EndedRun, Engine, Frame, HoldAnswer,
-    HoldOrder, HoldReply, Member, Message, MinionEntry, MinionState, Moment, NewJob,
-    Queue, RequestKey, Resources, RunEnd, RunRef, StartOrder, Step, Submission,
+    ActiveRun, Answer, Checkpoint, Effect, EndReport, EndedRun, Engine, Frame,
+    HoldAnswer, HoldOrder, HoldReply, Member, Message, MinionEntry, MinionState, Moment,
+    NewJob, Queue, RequestKey, Resources, RunEnd, RunRef, StartOrder, Step, Submission,
 };
 
 /// The id of the job that [`submission`] gives.
@@ -97,7 +97,8 @@
 
 /// Returns a run that has ended and has saved nothing.
 pub fn ended(number: u64, run: RunRef, end: RunEnd) -> EndedRun {
-    EndedRun { number, run, end, checkpoint: Checkpoint::default() }
+    let checkpoint = Checkpoint::default();
+    EndedRun { number, report: EndReport { run, end, checkpoint } }
 }
 
 /// Returns the hold among effects.
