Let only instances that reach the store own shards, and keep unclaimed ends for a minute

Change: frames tell how old the last answered join is; a member that is heard and has not reached the store for 3 s owns no shards while another reaches it. Unclaimed ends wait for 60 s. Test: an_instance_without_the_store_gives_its_shards_up.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -22,7 +22,7 @@
 use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
-use crate::peer::{PeerKey, Peers};
+use crate::peer::{PeerKey, Peers, Standing};
 use crate::shard::Shards;
 use crate::task::Holder;
 use crate::time::Moment;
@@ -368,7 +368,9 @@
             return Vec::new();
         }
         let rooms = self.rooms(now);
-        self.peers.take_frames(&rooms, self.catalog.version == 0, now)
+        let needs_state = self.catalog.version == 0;
+        let standing = Standing { needs_state, joined_at: self.shards.joined_at };
+        self.peers.take_frames(&rooms, standing, now)
     }
 
     /// Returns a summary.
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -23,6 +23,13 @@
 /// generation of the group.
 const RETAKE_MS: u64 = 1_000;
 
+/// The age of a join below which an instance certainly reaches the store.
+const STORE_REACHED_MS: u64 = 1_000;
+
+/// The age of a join from which on an instance does not reach the store. All lose it within
+/// half a second of each other when it is away for all.
+const STORE_LOST_MS: u64 = 3_000;
+
 /// How long a newcomer waits to hear of the members that the group names, before it takes
 /// minions without them. Opening a link takes some tens of milliseconds.
 const FIRST_CONTACT_MS: u64 = 400;
@@ -44,6 +51,8 @@
     generation: u64,
     /// The members that minions were last assigned to, in order.
     members: Vec<Member>,
+    /// The members that shards were last assigned to, in order.
+    shard_members: Vec<Member>,
     /// The number of minions when they were last assigned.
     minions: usize,
     /// When the last review was.
@@ -216,9 +225,13 @@
         let changed = members != self.review.members || minions != self.review.minions;
         if changed {
             self.review.members = members;
-            self.shards.assign(&self.review.members);
             self.choose_neighbours();
         }
+        let owners = self.shard_members(now);
+        if owners != self.review.shard_members {
+            self.shards.assign(&owners);
+            self.review.shard_members = owners;
+        }
         let keys: Vec<MinionKey> = self.minions.arena.keys().collect();
         for key in keys {
             self.assign_minion(now, key, changed);
@@ -253,6 +266,31 @@
         members
     }
 
+    /// Returns the members that may own shards: those that reach the store, unless none does.
+    ///
+    /// Answers single instances that the store does not answer: their jobs could not go on,
+    /// and new ones not be accepted. While the store is away for all, all stay what they are.
+    fn shard_members(&self, now: Moment) -> Vec<Member> {
+        // One that is not heard may reach the store from behind a cut, and act as an owner.
+        let age_ms = |member: &Member| {
+            let joined_at = match *member == self.member {
+                true => self.shards.joined_at,
+                false => {
+                    let peer = self.peers.arena.get(self.peers.key_of(member)?)?;
+                    peer.joined_at.filter(|_| peer.is_responsive(now))
+                }
+            };
+            joined_at.map(|at| now.since(at))
+        };
+        let members = &self.review.members;
+        let reaches = |age_ms: u64| age_ms < STORE_REACHED_MS;
+        let any_reaches = members.iter().any(|it| age_ms(it).is_some_and(reaches));
+        let lost = |member: &Member| {
+            any_reaches && age_ms(member).is_some_and(|age_ms| age_ms >= STORE_LOST_MS)
+        };
+        members.iter().filter(|member| !lost(member)).cloned().collect()
+    }
+
     /// Chooses the peers whose room this instance looks at.
     fn choose_neighbours(&mut self) {
         let chosen = neighbours(&self.member, &self.review.members);
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -25,6 +25,9 @@
     pub wants_rooms: bool,
     /// Whether the sender knows no configuration, because the store does not answer it.
     pub needs_state: bool,
+    /// How long ago the sender made the last join that the store has answered, in
+    /// milliseconds; none if there was none.
+    pub join_age_ms: Option<u64>,
     /// The messages, in order.
     pub messages: Vec<Message>,
 }
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -45,6 +45,8 @@
     neighbour: bool,
     /// Whether it wants to hear of this instance's free room.
     wants_rooms: bool,
+    /// When it made the last join that the store has answered.
+    pub(crate) joined_at: Option<Moment>,
     /// When it was last told what the store has told this instance.
     state_sent: Option<Moment>,
     /// Whether runs of one of the two are on minions of the other.
@@ -73,6 +75,15 @@
     pub(crate) report_due: bool,
 }
 
+/// How this instance stands with the store, as its frames tell.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct Standing {
+    /// Whether it knows no configuration.
+    pub(crate) needs_state: bool,
+    /// When it made the last join that the store has answered.
+    pub(crate) joined_at: Option<Moment>,
+}
+
 /// Room that was offered to a task.
 #[derive(Debug)]
 struct Offer {
@@ -96,6 +107,7 @@
             ended: false,
             neighbour: false,
             wants_rooms: false,
+            joined_at: None,
             state_sent: None,
             engaged: false,
             link_open: false,
@@ -165,6 +177,9 @@
         self.heard_sent_ms = frame.sent_ms;
         self.report_due |= frame.wants_rooms && !self.wants_rooms;
         self.wants_rooms = frame.wants_rooms;
+        let joined_at =
+            frame.join_age_ms.map(|age_ms| Moment(now.0.saturating_sub(age_ms)));
+        self.joined_at = joined_at.or(self.joined_at);
         let echo = Moment(frame.echo_ms);
         if frame.echo_ms > 0 && echo <= now {
             self.echoed = self.echoed.max(Some(echo));
@@ -237,7 +252,7 @@
         &mut self,
         rooms: &[RoomReport],
         report_interval_ms: u64,
-        needs_state: bool,
+        standing: Standing,
         now: Moment,
     ) -> Option<Frame> {
         if self.frame_due(report_interval_ms) > now {
@@ -256,7 +271,8 @@
             sent_ms: now.0,
             echo_ms: self.heard_sent_ms,
             wants_rooms: self.neighbour,
-            needs_state,
+            needs_state: standing.needs_state,
+            join_age_ms: standing.joined_at.map(|at| now.since(at)),
             messages,
         })
     }
@@ -308,19 +324,18 @@
         due.min().unwrap_or(Moment(u64::MAX))
     }
 
-    /// Returns the frames that are due. `rooms` is the room that is reported, `needs_state`
-    /// whether this instance knows no configuration.
+    /// Returns the frames that are due. `rooms` is the room that is reported.
     pub(crate) fn take_frames(
         &mut self,
         rooms: &[RoomReport],
-        needs_state: bool,
+        standing: Standing,
         now: Moment,
     ) -> Vec<(PeerKey, Frame)> {
         let interval_ms = self.report_interval_ms();
         let peers = self.arena.iter_mut();
         peers
             .filter_map(|(key, peer)| {
-                Some((key, peer.take_frame(rooms, interval_ms, needs_state, now)?))
+                Some((key, peer.take_frame(rooms, interval_ms, standing, now)?))
             })
             .collect()
     }
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -57,8 +57,9 @@
 /// it found on the minions. A stored task is not started again before.
 pub const STORED_RUN_GONE_MS: u64 = 2_500;
 
-/// How long a minion's list keeps an end that no owner has noted.
-pub const UNCLAIMED_END_MS: u64 = 3_000;
+/// How long a minion's list keeps an end that no owner has noted and that may be one of a
+/// stored job. The owner of its shard may not reach the store for as long.
+pub const UNCLAIMED_END_MS: u64 = 60_000;
 
 /// The time between two reports of an end to the owner of its shard.
 pub const END_REPORT_INTERVAL_MS: u64 = 400;
--- a/crates/bamboocart-jobs/tests/stored.rs
+++ b/crates/bamboocart-jobs/tests/stored.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bamboocart_jobs::{
-    Answer, AppendAnswer, Checkpoint, Effect, EndReport, Engine, JobId, JobState,
+    Answer, AppendAnswer, Checkpoint, Effect, EndReport, Engine, Frame, JobId, JobState,
     LogAppend, LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, RequestKey,
     Resources, RoomReport, RunEnd, RunRef, Submission,
 };
@@ -47,8 +47,13 @@
 
     /// Lets time pass, and answers reads; appends stay open.
     fn pass(&mut self, duration_ms: u64) {
+        self.engine.joined(self.now + duration_ms);
+        self.pass_without_join(duration_ms);
+    }
+
+    /// The same while the store does not answer.
+    fn pass_without_join(&mut self, duration_ms: u64) {
         self.now = self.now + duration_ms;
-        self.engine.joined(self.now);
         self.engine.tick(self.now);
         self.collect();
     }
@@ -283,3 +288,41 @@
         |message: &Message| matches!(message, Message::EndVoid(it) if *it == earlier);
     assert!(sent.iter().any(void), "{sent:?}");
 }
+
+/// The jobs that are handed in to see whose shards they belong to.
+const JOBS: u64 = 24;
+
+/// Guards against shards whose owner does not reach the store, so that their jobs stand still
+/// and new ones are refused, although others reach it (12 s on scale-2 of Thailand with stored
+/// jobs, seed 963456090858); and against shards that move when the store is away for all.
+#[parameterized(
+    others_reach_it = { Some(0), false },
+    nobody_reaches_it = { Some(3_200), true },
+)]
+fn an_instance_without_the_store_gives_its_shards_up(
+    join_age_ms: Option<u64>,
+    keeps: bool,
+) {
+    let mut fixture = Fixture::new(Vec::new());
+    let other = member("entry-2", "marka");
+    let members = [member("entry-1", "marka"), other.clone()];
+    fixture.engine.set_members(fixture.now, 2, &members);
+    let peer = fixture.engine.peer(fixture.now, &other);
+    fixture.engine.link_opened(peer);
+    for _ in 0..32 {
+        fixture.now = fixture.now + 100;
+        let age_ms = join_age_ms.map(|age_ms| age_ms.min(fixture.now.since(START)));
+        let frame = Frame { join_age_ms: age_ms, ..frame(fixture.now, Vec::new()) };
+        fixture.engine.frame_arrived(fixture.now, peer, frame);
+    }
+    for number in 0..JOBS {
+        let id = format!("{number:016x}").parse().unwrap();
+        let job = stored(number);
+        let job = Submission { job: NewJob { id, ..job.job }, ..job };
+        fixture.engine.submit(fixture.now, job);
+    }
+    fixture.pass_without_join(10);
+    let sent = messages(&mut fixture);
+    let asked = sent.iter().filter(|it| matches!(it, Message::Ask { .. })).count() as u64;
+    assert_eq!(asked < JOBS, keeps, "{asked} of {JOBS} jobs go to the peer");
+}
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -86,6 +86,7 @@
         echo_ms: now.0,
         wants_rooms: true,
         needs_state: false,
+        join_age_ms: Some(0),
         messages,
     }
 }
