--- a/crates/bamboocart-dispatcher/tests/site/soak/checks.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/checks.rs
@@ -46,6 +46,9 @@
         if job.outcomes.contains(&Outcome::Completed) && !done {
             broken.push(format!("{job:?} is completed, and a task is not done"));
         }
+        if job.outcomes.last() == Some(&Outcome::Accepted) {
+            broken.push(format!("{job:?} was accepted and is lost"));
+        }
         let refused = job.outcomes.iter().all(|&outcome| outcome == Outcome::Refused);
         if refused && (0..job.tasks).any(|index| of_task(index).is_some()) {
             broken.push(format!("{job:?} was refused, and a task has started"));
@@ -62,11 +65,12 @@
     let count =
         |wanted| jobs.iter().filter(|job| job.outcomes.last() == Some(&wanted)).count();
     format!(
-        "{} completed, {} refused, {} unknown, {} sent again",
+        "{} completed, {} of them stored, {} refused, {} unknown, {} sent again",
         count(Outcome::Completed),
+        jobs.iter().filter(|it| it.stored && it.outcomes.len() > 1).count(),
         count(Outcome::Refused),
         count(Outcome::Unknown),
-        jobs.iter().filter(|job| job.outcomes.len() > 1).count()
+        jobs.iter().filter(|job| !job.stored && job.outcomes.len() > 1).count()
     )
 }
 
--- a/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
@@ -5,9 +5,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use bamboocart_site_standin::submit;
+use bamboocart_site_standin::{query, submit, submit_body, wait_until};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde_json::json;
 
 use super::system::Fronts;
 
@@ -23,6 +24,9 @@
 /// The share of jobs with long tasks.
 const LONG_SHARE: f64 = 0.2;
 
+/// The share of jobs that are stored.
+const STORED_SHARE: f64 = 0.3;
+
 /// The attempts of a job.
 const ATTEMPTS: usize = 4;
 
@@ -33,13 +37,17 @@
     pub id: String,
     /// The number of its tasks.
     pub tasks: u16,
-    /// The outcomes of its attempts.
+    /// Whether it is stored.
+    pub stored: bool,
+    /// The outcomes of its attempts, and of a stored job that was accepted.
     pub outcomes: Vec<Outcome>,
 }
 
 /// How an attempt ended.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum Outcome {
+    /// The job is stored.
+    Accepted,
     /// All tasks are done.
     Completed,
     /// The job has failed for good.
@@ -87,6 +95,19 @@
     }
 }
 
+/// Waits for the ends of the stored jobs that were accepted.
+pub fn await_stored(jobs: &mut [Job], fronts: &Fronts) {
+    let front = fronts.lock().unwrap()[0];
+    for job in jobs.iter_mut().filter(|job| job.outcomes.contains(&Outcome::Accepted)) {
+        let path = format!("/q/{}", job.id);
+        let ended =
+            || query(front, &path).is_ok_and(|answer| answer.state == "completed");
+        if wait_until(ended) {
+            job.outcomes.push(Outcome::Completed);
+        }
+    }
+}
+
 /// Sends a job until it has an answer.
 fn send(id: String, fronts: &Fronts, rng: &mut SmallRng) -> Job {
     let tasks = rng.random_range(1..=5);
@@ -95,6 +116,7 @@
         true => rng.random_range(800..2_500),
         false => rng.random_range(20..250),
     };
+    let stored = rng.random_bool(STORED_SHARE);
     let path = format!("/q/{id}");
     let mut outcomes = Vec::new();
     while outcomes.len() < ATTEMPTS {
@@ -102,8 +124,19 @@
             let fronts = fronts.lock().unwrap();
             fronts[rng.random_range(0..fronts.len())]
         };
-        let outcome = match submit(front, &path, tasks, run_ms) {
+        let answer = match stored {
+            true => {
+                let step = json!({
+                    "count": tasks, "cpu": 1_000, "mem_mb": 64, "est_runtime_ms": run_ms,
+                });
+                let body = json!({ "job_spec": run_ms.to_string(), "steps": [step] });
+                submit_body(front, &path, &body)
+            }
+            false => submit(front, &path, tasks, run_ms),
+        };
+        let outcome = match answer {
             Ok(answer) => match answer.status {
+                200 if stored => Outcome::Accepted,
                 200 if answer.state == "completed" => Outcome::Completed,
                 200 => Outcome::Failed,
                 429 | 503 => Outcome::Refused,
@@ -117,5 +150,5 @@
         }
         thread::sleep(RETRANSMIT);
     }
-    Job { id, tasks, outcomes }
+    Job { id, tasks, stored, outcomes }
 }
--- a/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
@@ -27,8 +27,9 @@
     let mut system = System::start(seed);
     let clients = clients::Clients::start(seed, system.fronts());
     system.play(&faults);
-    let jobs = clients.stop();
+    let mut jobs = clients.stop();
     system.await_recovery();
+    clients::await_stored(&mut jobs, &system.fronts());
     let broken = checks::broken(&jobs, &system.runs());
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
     eprintln!("seed {seed}: {} jobs, {}", jobs.len(), checks::summary(&jobs));
