Take claims of runs only from the present owner of their shard, and ask nobody where nothing is stored

Cause: a new holder found a run, the next owner of the shard asked for its runs before the earlier one had claimed it, and the earlier claim was accepted: the next owner did not know the run and started the task again (TWICE, soak seed 1103). Change: claims carry the epoch. Questions about jobs claimed shards where no job was ever stored. Tests: a_claim_counts_only_for_the_present_owner, questions_claim_nothing_where_no_job_is_stored.

--- a/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
@@ -17,8 +17,11 @@
 /// The seeds of a run that names none.
 const DEFAULT_SEEDS: u64 = 2;
 
-/// The seeds that once failed, which every run plays again. None has yet.
-const FAILED_SEEDS: &[u64] = &[];
+/// The seeds that once failed, which every run plays again.
+///
+/// 1103: an earlier owner of a shard claimed a run at its new holder after the next owner had
+/// asked for the shard's runs, and the task ran twice.
+const FAILED_SEEDS: &[u64] = &[1_103];
 
 /// Plays one plan and checks what was seen.
 fn soak(seed: u64) {
--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -84,6 +84,11 @@
         owner: RunOwner,
         claim: Claim,
     ) -> bool {
+        // A later owner of the shard was not told of this run, and starts the task again.
+        let shard = self.shards.of(run.task.job);
+        if claim.epoch > 0 && !self.shards.note_epoch(shard, claim.epoch) {
+            return false;
+        }
         let held = self.minions.arena[key].held.as_mut();
         let entry = held.and_then(|held| held.runs.get_mut(&run.task));
         match entry {
--- a/crates/bamboocart-jobs/src/ops.rs
+++ b/crates/bamboocart-jobs/src/ops.rs
@@ -67,8 +67,13 @@
         op: JobOp,
         patience_ms: u64,
     ) {
-        if matches!(op, JobOp::Submit { .. }) {
-            self.shards.note_use();
+        match op {
+            JobOp::Submit { .. } => self.shards.note_use(),
+            // Where no job was ever stored, no owner has to be asked.
+            JobOp::State | JobOp::Cancel if !self.shards.may_be_used() => {
+                return self.answer(request, Answer::Unknown);
+            }
+            JobOp::State | JobOp::Cancel => {}
         }
         if self.ops.len() >= MAX_OPEN_OPS {
             warn!(target: "job", request_id:% = id; "too many operations are open");
--- a/crates/bamboocart-jobs/src/stored.rs
+++ b/crates/bamboocart-jobs/src/stored.rs
@@ -34,7 +34,9 @@
         id: JobId,
         op: JobOp,
     ) {
-        self.shards.note_use();
+        if matches!(op, JobOp::Submit { .. }) {
+            self.shards.note_use();
+        }
         let shard_id = self.shards.of(id);
         let authority = self.has_authority(now);
         let Some(shard) = self.shards.owned.get_mut(&shard_id).filter(|_| authority)
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    Answer, Checkpoint, Effect, EndReport, Engine, HoldAnswer, HoldOrder, HoldReply,
-    JobState, Member, Message, Moment, PeerKey, RequestKey, Resources, RoomReport,
-    RunEnd, RunRef, StartAnswer, StartOrder, Submission,
+    Answer, Checkpoint, Claim, Effect, EndReport, Engine, HoldAnswer, HoldOrder,
+    HoldReply, JobState, Member, Message, Moment, PeerKey, RequestKey, Resources,
+    RoomReport, RunEnd, RunRef, ShardId, StartAnswer, StartOrder, Submission,
 };
 use support::{answer_hold, entry, frame, hold_of, member, step, submission};
 use yare::parameterized;
@@ -236,3 +236,35 @@
     let effects = fixture.engine.take_effects();
     assert!(effects.iter().any(|it| format!("{it:?}") == format!("{done:?}")));
 }
+
+/// Guards against a run that an earlier owner of its shard claims after the next one has asked
+/// for the shard's runs: the next one was not told of it, and started the task again (TWICE in
+/// the soak, seed 1103).
+#[parameterized(
+    present_owner = { 4, false },
+    earlier_owner = { 3, true },
+)]
+fn a_claim_counts_only_for_the_present_owner(epoch: u64, stopped: bool) {
+    let now = Moment(10_000);
+    let mut engine = Engine::new(member("entry-1", "marka"), 7);
+    engine.list_minions(now, vec![entry("m-1", "marka")]);
+    let members = ["entry-1", "entry-2"].map(|name| member(name, "marka"));
+    engine.set_members(now, 5, &members[..1]);
+    let hold = take_hold(&mut engine);
+    let task = "00000000000000aa.0.0.0".parse().unwrap();
+    let run = RunRef { task, run: 2_001 };
+    let active = vec![support::active(run, 10)];
+    answer_hold(&mut engine, now, &hold, HoldReply { active, ..HoldReply::default() });
+    let peer = engine.peer(now, &members[1]);
+    let mut messages: Vec<Message> =
+        (0..24).map(|id| Message::ShardTaken { shard: ShardId(id), epoch: 4 }).collect();
+    let claim = Claim { need: Resources::default(), epoch };
+    messages.push(Message::Claimed { minion: "m-1".into(), run, claim });
+    engine.frame_arrived(now, peer, frame(now, messages));
+    engine.take_effects();
+    let later = now + 400;
+    engine.frame_arrived(later, peer, frame(later, Vec::new()));
+    let stops = engine.take_effects();
+    let stops = stops.iter().filter(|effect| matches!(effect, Effect::Stop(_))).count();
+    assert_eq!(stops, usize::from(stopped));
+}
--- a/crates/bamboocart-jobs/tests/stored.rs
+++ b/crates/bamboocart-jobs/tests/stored.rs
@@ -326,3 +326,18 @@
     let asked = sent.iter().filter(|it| matches!(it, Message::Ask { .. })).count() as u64;
     assert_eq!(asked < JOBS, keeps, "{asked} of {JOBS} jobs go to the peer");
 }
+
+/// Guards against shards that are claimed, and instances that wait for confirmations, because
+/// clients ask about jobs that are not stored where none is.
+#[test]
+fn questions_claim_nothing_where_no_job_is_stored() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.engine.stored_use_known(fixture.now, false);
+    fixture.engine.query(fixture.now, RequestKey(1), job(), 1_000);
+    fixture.engine.cancel_request(fixture.now, RequestKey(2), job(), 1_000);
+    fixture.collect();
+    let answers: Vec<Answer> =
+        fixture.answers.iter().map(|(_, answer)| *answer).collect();
+    assert_eq!(answers, [Answer::Unknown; 2]);
+    assert!(fixture.appends.is_empty(), "{:?}", fixture.appends);
+}
