Tell ends of runs from each other by their minions

Change: reports name the minion. Test: the_end_of_another_minion_changes_nothing, which failed before.

--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/confirm.rs
@@ -7,7 +7,7 @@
 use crate::engine::Engine;
 use crate::id::RunRef;
 use crate::message::{EndReport, Message};
-use crate::minion::HoldState;
+use crate::minion::{HoldState, MinionKey};
 use crate::peer::PeerKey;
 use crate::shard::Shard;
 use crate::task::Holder;
@@ -170,7 +170,7 @@
             }
             held.unconfirmed.expire(now);
             for end in held.unconfirmed.take_due(now, all) {
-                self.report_stored_end(now, Holder::Local(key), end.report);
+                self.report_stored_end(now, key, end.report);
             }
         }
     }
@@ -179,7 +179,7 @@
     pub(crate) fn report_stored_end(
         &mut self,
         now: Moment,
-        holder: Holder,
+        key: MinionKey,
         report: EndReport,
     ) {
         let shard = self.shards.of(report.run.task.job);
@@ -193,9 +193,10 @@
             || self.shards.owned.get(&shard).is_some_and(Shard::is_claimed);
         match peer {
             Some(peer) if !own || claimer == Some(peer) => {
-                self.send(peer, Message::Ended(report));
+                let minion = self.minions.arena[key].entry.id.clone();
+                self.send(peer, Message::Ended { minion, report });
             }
-            _ if own => self.stored_run_ended(now, holder, report),
+            _ if own => self.stored_run_ended(now, Holder::Local(key), report),
             _ => {}
         }
     }
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -279,8 +279,8 @@
             Message::Bounced { run, outdated } => {
                 self.run_bounced(now, Holder::Peer(peer), run, outdated);
             }
-            Message::Ended(report) => {
-                self.end_reported(now, Holder::Peer(peer), report);
+            Message::Ended { minion, report } => {
+                self.end_reported(now, peer, &minion, report);
             }
             Message::EndNoted(run) => self.confirm(now, run),
             Message::EndVoid(run) => self.avoid_end(run),
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -199,7 +199,7 @@
             self.report_end(now, key, run.owner, end.report.clone());
         }
         if stored || unsure {
-            self.report_stored_end(now, Holder::Local(key), end.report);
+            self.report_stored_end(now, key, end.report);
         }
     }
 
@@ -209,7 +209,7 @@
         let held = self.minions.arena.get_mut(key).and_then(|it| it.held.as_mut());
         let Some(held) = held.filter(|_| self.shards.may_be_used()) else { return };
         held.unconfirmed.insert(now, number, report.clone(), false);
-        self.report_stored_end(now, Holder::Local(key), report);
+        self.report_stored_end(now, key, report);
     }
 
     /// Lets the next hold wait while ends are to stay on the list; it would return at once.
@@ -336,8 +336,14 @@
             RunOwner::Local => {
                 self.run_ended(now, Holder::Local(key), report);
             }
-            RunOwner::Peer(peer) => self.send(peer, Message::Ended(report)),
-            RunOwner::Unclaimed => self.broadcast(&Message::Ended(report)),
+            RunOwner::Peer(peer) => {
+                let minion = self.minions.arena[key].entry.id.clone();
+                self.send(peer, Message::Ended { minion, report });
+            }
+            RunOwner::Unclaimed => {
+                let minion = self.minions.arena[key].entry.id.clone();
+                self.broadcast(&Message::Ended { minion, report });
+            }
             RunOwner::Nobody => {}
         }
     }
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -61,7 +61,13 @@
         minion: MinionId,
     },
     /// Tells an owner how a run ended.
-    Ended(EndReport),
+    Ended {
+        /// Where the run was. A job that was sent again has runs of the same numbers under its
+        /// earlier owner, possibly on other minions of the same holder.
+        minion: MinionId,
+        /// How it ended.
+        report: EndReport,
+    },
     /// Tells a holder that the end of a run is stored, or of no use any more.
     EndNoted(RunRef),
     /// Tells a holder that a run is done that was taken for lost, so that its task was started
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -8,6 +8,7 @@
 use crate::id::{JobId, MinionId, OccurrenceRef, RunRef};
 use crate::job::{Job, Rank};
 use crate::message::{EndReport, Message, RunEnd};
+use crate::peer::PeerKey;
 use crate::stored::submit_op;
 use crate::submission::{JobState, Submission};
 use crate::task::{Holder, TaskState};
@@ -191,15 +192,26 @@
         self.break_gang(now, run);
     }
 
-    /// Takes a holder's report of the end of a run.
+    /// Takes a peer's report of the end of a run on a minion.
     pub(crate) fn end_reported(
         &mut self,
         now: Moment,
-        holder: Holder,
+        peer: PeerKey,
+        minion: &MinionId,
         report: EndReport,
     ) {
+        let holder = Holder::Peer(peer);
         let job = self.jobs.get(&report.run.task.occurrence_ref());
-        match job.is_some_and(|job| !job.is_stored()) {
+        let job = job.filter(|job| !job.is_stored());
+        let task = job.and_then(|job| Some(&job.tasks[job.position(report.run.task)?]));
+        let placed_on = task.and_then(|task| task.placement()?.minion);
+        let key = self.minions.by_id.get(minion).copied();
+        match job.is_some() {
+            true if placed_on.is_some() && placed_on != key => {
+                info!(target: "job", request_id:% = report.run.task.job,
+                    run:% = report.run.task, minion:% = minion;
+                    "the end of a run of an earlier owner is passed over");
+            }
             true => self.run_ended(now, holder, report),
             false if self.shards.are_used() => {
                 self.stored_run_ended(now, holder, report);
--- a/crates/bamboocart-jobs/tests/handover.rs
+++ b/crates/bamboocart-jobs/tests/handover.rs
@@ -120,11 +120,14 @@
 fn an_end_at_another_holder_changes_nothing() {
     let mut fixture = Fixture::new();
     let start = fixture.start_job();
-    fixture.hear(Message::Ended(EndReport {
-        run: start.run,
-        end: RunEnd::Void,
-        checkpoint: Checkpoint::default(),
-    }));
+    fixture.hear(Message::Ended {
+        minion: "m-1".into(),
+        report: EndReport {
+            run: start.run,
+            end: RunEnd::Void,
+            checkpoint: Checkpoint::default(),
+        },
+    });
     let answer = fixture.end_run(start.run);
     assert_eq!(answer, Some(Answer::Ended(JobState::Completed)));
 }
@@ -268,3 +271,32 @@
     let stops = stops.iter().filter(|effect| matches!(effect, Effect::Stop(_))).count();
     assert_eq!(stops, usize::from(stopped));
 }
+
+/// Guards against the end of a run of a job's earlier owner that is taken for that of the
+/// present run, because both have the same number and their minions the same holder: the task
+/// was started again (TWICE in the soak, seed 1306).
+#[parameterized(
+    same_minion = { "m-1", false },
+    other_minion = { "m-2", true },
+)]
+fn the_end_of_another_minion_changes_nothing(minion: &str, active: bool) {
+    let now = Moment(10_000);
+    let mut engine = Engine::new(member("entry-1", "marka"), 7);
+    let minions = ["m-1", "m-2"].map(|id| entry(id, "sahab"));
+    engine.list_minions(now, minions.to_vec());
+    let members = [member("entry-1", "marka"), member("entry-2", "sahab")];
+    engine.set_members(now, 5, &members);
+    let peer = engine.peer(now, &members[1]);
+    engine.link_opened(peer);
+    let free = Resources { cpu_millicores: 1_000, memory_mb: 4_096, gpu_count: 0 };
+    let room = RoomReport { minion: "m-1".into(), free, pace_permille: 1_000 };
+    engine.frame_arrived(now, peer, frame(now, vec![Message::Rooms(vec![room])]));
+    engine.submit(now, job());
+    assert!(sends_start(&mut engine, now), "the peer gets the run");
+    let run = RunRef { task: "00000000000000aa.0.0.0".parse().unwrap(), run: 1 };
+    let report = EndReport { run, end: RunEnd::Done, checkpoint: Checkpoint::default() };
+    let message = Message::Ended { minion: minion.into(), report };
+    engine.frame_arrived(now, peer, frame(now, vec![message]));
+    let answers = support::answers_of(engine.take_effects());
+    assert_eq!(answers.is_empty(), active, "{answers:?}");
+}
--- a/crates/bamboocart-jobs/tests/stored.rs
+++ b/crates/bamboocart-jobs/tests/stored.rs
@@ -223,7 +223,13 @@
     /// Reports the end of a run.
     fn report(&self, fixture: &mut Fixture, run: RunRef, end: RunEnd) {
         let checkpoint = Checkpoint::default();
-        self.send(fixture, Message::Ended(EndReport { run, end, checkpoint }));
+        self.send(
+            fixture,
+            Message::Ended {
+                minion: "m-1".into(),
+                report: EndReport { run, end, checkpoint },
+            },
+        );
     }
 }
 
