--- a/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
@@ -5,10 +5,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use bamboocart_site_standin::{query, submit, submit_body, wait_until};
+use bamboocart_site_standin::{JobSpec, StepSpec, query, submit, submit_job, wait_until};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
 
 use super::system::Fronts;
 
@@ -126,11 +125,8 @@
         };
         let answer = match stored {
             true => {
-                let step = json!({
-                    "count": tasks, "cpu": 1_000, "mem_mb": 64, "est_runtime_ms": run_ms,
-                });
-                let body = json!({ "job_spec": run_ms.to_string(), "steps": [step] });
-                submit_body(front, &path, &body)
+                let step = StepSpec { tasks, ..StepSpec::default() };
+                submit_job(front, &path, &JobSpec::stored(run_ms, step))
             }
             false => submit(front, &path, tasks, run_ms),
         };
--- a/crates/bamboocart-dispatcher/tests/site/stored.rs
+++ b/crates/bamboocart-dispatcher/tests/site/stored.rs
@@ -2,21 +2,20 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bamboocart_site_standin::{StandIn, cancel, query, submit_body, wait_until};
+use bamboocart_site_standin::{
+    JobSpec, StandIn, StepSpec, cancel, query, submit_job, wait_until,
+};
 use rustix::process::Signal;
-use serde_json::{Value, json};
 use yare::parameterized;
 
 use crate::process::Instance;
 
-/// Returns a job of one step.
-fn job(step: Value) -> Value {
-    json!({ "job_spec": "100", "steps": [step] })
-}
+/// The run time of tasks.
+const RUN_MS: u64 = 100;
 
-/// Returns a step of tasks that run for 100 ms.
-fn step(tasks: u16) -> Value {
-    json!({ "count": tasks, "cpu": 1_000, "mem_mb": 64, "est_runtime_ms": 100 })
+/// Returns a step of some tasks.
+fn step(tasks: u16) -> StepSpec {
+    StepSpec { tasks, ..StepSpec::default() }
 }
 
 /// Starts a platform with instances.
@@ -29,9 +28,9 @@
 }
 
 /// Hands a job in until it is accepted.
-fn accept(instance: &Instance, path: &str, body: &Value) {
+fn accept(instance: &Instance, path: &str, job: &JobSpec) {
     let accepted =
-        || submit_body(instance.front, path, body).is_ok_and(|it| it.status == 200);
+        || submit_job(instance.front, path, job).is_ok_and(|it| it.status == 200);
     assert!(wait_until(accepted), "{path} is not accepted");
 }
 
@@ -49,19 +48,21 @@
 /// Guards against an accepted job that only one instance knows, that runs again when its
 /// request comes again, and against shapes that leave tasks out or run them twice.
 #[parameterized(
-    plain = { step(4), 4 },
-    gang = { json!({ "count": 4, "cpu": 1_000, "est_runtime_ms": 100, "gang_scheduled": true }), 4 },
-    one_per_minion = { json!({ "count": 4, "cpu": 1_000, "est_runtime_ms": 100, "max_per_server": 1 }), 4 },
-    on_a_rack = { json!({ "count": 3, "cpu": 1_000, "est_runtime_ms": 100, "data_rack": "r1-1" }), 3 },
+    plain = { step(4) },
+    gang = { StepSpec { gang: true, ..step(4) } },
+    one_per_minion = { StepSpec { per_minion: 1, ..step(4) } },
+    on_a_rack = { StepSpec { data_rack: "r1-1", ..step(3) } },
 )]
-fn a_stored_job_ends(step: Value, tasks: usize) {
+fn a_stored_job_ends(step: StepSpec) {
+    let tasks = usize::from(step.tasks);
+    let job = JobSpec::stored(RUN_MS, step);
     let (platform, instances) = start(&["edge-1", "edge-2", "edge-3"]);
     let path = "/q/00000000000000aa";
-    accept(&instances[0], path, &job(step.clone()));
+    accept(&instances[0], path, &job);
     for instance in &instances {
         await_state(instance, path, "completed");
     }
-    accept(&instances[1], path, &job(step));
+    accept(&instances[1], path, &job);
     await_state(&instances[1], path, "completed");
     // Members of a gang may be stopped before all are there; none is done twice.
     let done = platform.runs().iter().filter(|run| run.done).count();
@@ -75,13 +76,8 @@
 #[test]
 fn a_stored_job_outlasts_all_instances() {
     let (platform, instances) = start(&["edge-1", "edge-2"]);
-    let chain = json!({
-        "job_spec": "400",
-        "steps": [
-            { "count": 2, "cpu": 1_000, "est_runtime_ms": 400 },
-            { "count": 2, "cpu": 1_000, "est_runtime_ms": 400, "after": [0] },
-        ],
-    });
+    let steps = vec![step(2), StepSpec { after: vec![0], ..step(2) }];
+    let chain = JobSpec { run_ms: 400, steps, ..JobSpec::default() };
     let path = "/q/00000000000000aa";
     accept(&instances[0], path, &chain);
     let second_step = || runs_of(&platform, "00000000000000aa.0.1.") > 0;
@@ -107,7 +103,7 @@
     let (platform, instances) = start(&["edge-1"]);
     platform.lose_appends(2);
     let path = "/q/00000000000000aa";
-    accept(&instances[0], path, &job(step(2)));
+    accept(&instances[0], path, &JobSpec::stored(RUN_MS, step(2)));
     await_state(&instances[0], path, "completed");
     assert_eq!(runs_of(&platform, "00000000000000aa"), 2);
 }
@@ -118,8 +114,8 @@
 fn a_lasting_job_runs_until_it_is_cancelled() {
     let (platform, instances) = start(&["edge-1", "edge-2"]);
     let path = "/q/00000000000000aa";
-    let lasting = json!({ "count": 2, "cpu": 1_000, "long_running": true });
-    accept(&instances[0], path, &job(lasting));
+    let lasting = StepSpec { lasting: true, ..step(2) };
+    accept(&instances[0], path, &JobSpec::stored(RUN_MS, lasting));
     let again = || runs_of(&platform, "00000000000000aa") >= 6;
     assert!(wait_until(again), "tasks are not started again: {:?}", platform.runs());
     let answer = cancel(instances[1].front, path).unwrap();
@@ -142,10 +138,8 @@
         since.as_millis() as u64
     };
     let first_ms = unix_ms() + 1_500;
-    let mut repeated = job(step(1));
-    repeated["repeat_count"] = json!(3);
-    repeated["first_run_ms"] = json!(first_ms);
-    repeated["interval_ms"] = json!(400);
+    let repeat = Some((3, first_ms, 400));
+    let repeated = JobSpec { repeat, ..JobSpec::stored(RUN_MS, step(1)) };
     accept(&instances[0], path, &repeated);
     assert!(wait_until(|| runs_of(&platform, "00000000000000aa") > 0));
     assert!(unix_ms() >= first_ms, "the first occurrence starts early");
