Log lease renewals with unsettled runs, and settled adoptions

A holder renews the lease of a whole minion, also while nobody has claimed the runs that it found there or a stop is not confirmed. One line says so until all runs are settled, and another one when the last found run is claimed or stopped.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -27,6 +27,17 @@
     pub epoch: u64,
 }
 
+/// The runs that were found on a minion when it was first held.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct Adoption {
+    /// When the runs were found.
+    at: Moment,
+    /// The number of runs that were found.
+    found: usize,
+    /// The number of them that were claimed.
+    claimed: usize,
+}
+
 impl Engine {
     /// Adopts the runs on a newly held minion and announces them to their owners.
     pub(crate) fn adopt(
@@ -46,6 +57,11 @@
             run.checkpoint.clone_from(&found.checkpoint);
             held.runs.insert(found.run.task, run);
         }
+        held.adoption = (!active.is_empty()).then_some(Adoption {
+            at: now,
+            found: active.len(),
+            claimed: 0,
+        });
         let active: Vec<RunRef> = active.iter().map(|found| found.run).collect();
         if self.shards.may_have_stored_jobs() {
             for end in ended {
@@ -93,20 +109,37 @@
         if claim.epoch > 0 && !self.shards.note_epoch(shard, claim.epoch) {
             return false;
         }
-        let held = self.minions.arena[key].held.as_mut();
-        let entry = held.and_then(|held| held.runs.get_mut(&run.task));
-        match entry {
+        let Some(held) = self.minions.arena[key].held.as_mut() else { return false };
+        match held.runs.get_mut(&run.task) {
             Some(entry) if entry.run == run.run && entry.owner == RunOwner::Unclaimed => {
                 entry.owner = owner;
                 entry.need = claim.need;
                 entry.epoch = claim.epoch;
                 entry.claimed = now;
+                if let Some(adoption) = &mut held.adoption {
+                    adoption.claimed += 1;
+                }
                 true
             }
             _ => false,
         }
     }
 
+    /// Logs the adoptions of which every run has been claimed or stopped, or has ended.
+    pub(crate) fn log_settled_adoptions(&mut self, now: Moment) {
+        for key in self.minions.held_keys().to_vec() {
+            let minion = &mut self.minions.arena[key];
+            let Some(held) = minion.held.as_mut() else { continue };
+            let Some(Adoption { at, found, claimed }) = held.adoption else { continue };
+            if held.unsettled_runs().unclaimed == 0 {
+                held.adoption = None;
+                info!(target: "minion", minion:% = minion.entry.id,
+                    token = held.fencing_token, claimed, unclaimed = found - claimed,
+                    after_ms = now.since(at); "found runs settled");
+            }
+        }
+    }
+
     /// Handles a peer's claim to a run that this instance found.
     pub(crate) fn claimed_by_peer(
         &mut self,
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -426,6 +426,7 @@
     /// suspension stops them before it renews any lease.
     pub(crate) fn advance(&mut self, now: Moment) {
         self.stop_orphans(now);
+        self.log_settled_adoptions(now);
         self.expire(now);
         self.review(now);
         self.drive_ops(now);
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -1,15 +1,17 @@
 //! The holder role: leases, runs and their ends on the minions that this instance holds.
 
 use std::collections::BTreeSet;
+use std::mem;
 
 use log::{info, warn};
 
 use crate::effect::{Effect, HoldNumber, HoldOrder, StopOrder};
 use crate::engine::Engine;
-use crate::id::{Checkpoint, RunRef};
+use crate::id::{Checkpoint, MinionId, RunRef};
 use crate::message::{CapacityReport, EndReport, Message, RunEnd};
 use crate::minion::{
     HeldMinion, HoldState, LostHold, Minion, MinionKey, Run, RunOwner, RunPhase,
+    UnsettledRuns,
 };
 use crate::suspicion::Progress;
 use crate::task::Holder;
@@ -419,6 +421,8 @@
                 self.last_hold.0 += 1;
                 let number = self.last_hold;
                 held.hold = HoldState::Sent { number, at: now };
+                let lease_until_ms = held.renew_lease(now);
+                log_unsettled(now, &minion.entry.id, held, lease_until_ms);
                 let wait_ms = match held.next_end_ms(minion.pace.ratio(), now) {
                     _ if held.incarnation.is_none() || held.missed_holds > 0 => 0,
                     Some(end_ms) => HOLD_WAIT_MS.min(end_ms + HOLD_SLACK_MS),
@@ -427,7 +431,7 @@
                 self.effects.push(Effect::Hold(HoldOrder {
                     number,
                     target: minion.entry.target(key, token),
-                    lease_until_ms: held.renew_lease(now),
+                    lease_until_ms,
                     last_seen: held.unconfirmed.last_seen(),
                     wait_ms,
                 }));
@@ -448,3 +452,22 @@
         self.minions.held().filter_map(report).collect()
     }
 }
+
+/// Logs the first renewal of a lease while runs are unclaimed or being stopped.
+fn log_unsettled(
+    now: Moment,
+    minion: &MinionId,
+    held: &mut HeldMinion,
+    lease_until_ms: Option<u64>,
+) {
+    let unsettled = held.unsettled_runs();
+    let logged = mem::replace(&mut held.unsettled_logged, !unsettled.is_empty());
+    if logged || unsettled.is_empty() {
+        return;
+    }
+    let UnsettledRuns { unclaimed, stopping } = unsettled;
+    let clock_ms = held.clock.read(now).unwrap_or_default();
+    let lease_ms = lease_until_ms.map(|until_ms| until_ms.saturating_sub(clock_ms));
+    info!(target: "minion", minion:% = minion, token = held.fencing_token, unclaimed,
+        stopping, lease_ms; "lease renewed with unsettled runs");
+}
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::adoption::Adoption;
 use crate::clock::ClockEstimate;
 use crate::confirm::UnconfirmedEnds;
 use crate::effect::{HoldNumber, Target};
@@ -108,6 +109,12 @@
     pub(crate) unconfirmed: UnconfirmedEnds,
     /// The runs that take capacity.
     pub(crate) runs: BTreeMap<TaskRef, Run>,
+    /// The runs that were found at the first answer, until all of them are claimed or
+    /// stopped.
+    pub(crate) adoption: Option<Adoption>,
+    /// Whether the renewals with unsettled runs were logged, which is done once until
+    /// all runs are settled.
+    pub(crate) unsettled_logged: bool,
     /// The contents of start requests that may have to be sent again.
     pub(crate) retryable_starts: BTreeMap<RunRef, StartPayload>,
     /// The latest end of a lease that was requested, on the minion's clock.
@@ -128,6 +135,22 @@
     pub(crate) suspicion: Suspicion,
 }
 
+/// The number of runs on a minion that no live owner is known to want.
+#[derive(Debug, Default, Copy, Clone, Eq, PartialEq)]
+pub(crate) struct UnsettledRuns {
+    /// The found runs that no owner has claimed.
+    pub(crate) unclaimed: usize,
+    /// The runs whose stop is due or was sent, and not confirmed by the minion.
+    pub(crate) stopping: usize,
+}
+
+impl UnsettledRuns {
+    /// Returns whether there are none.
+    pub(crate) fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+}
+
 /// The state of the hold call to a minion.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub(crate) enum HoldState {
@@ -326,6 +349,8 @@
             clock: ClockEstimate::default(),
             unconfirmed: UnconfirmedEnds::default(),
             runs: BTreeMap::new(),
+            adoption: None,
+            unsettled_logged: false,
             retryable_starts: BTreeMap::new(),
             lease_until_ms: 0,
             hold: HoldState::Due(now),
@@ -368,6 +393,22 @@
         Some(until_ms)
     }
 
+    /// Counts the runs that are unclaimed or being stopped.
+    pub(crate) fn unsettled_runs(&self) -> UnsettledRuns {
+        let mut count = UnsettledRuns::default();
+        for run in self.runs.values() {
+            match run.phase {
+                RunPhase::StopDue(_) => count.stopping += 1,
+                RunPhase::Stopping if run.listed_since.is_none() => count.stopping += 1,
+                RunPhase::Active if run.owner == RunOwner::Unclaimed => {
+                    count.unclaimed += 1;
+                }
+                RunPhase::Starting | RunPhase::Active | RunPhase::Stopping => {}
+            }
+        }
+        count
+    }
+
     /// Returns the resources that the runs take.
     pub(crate) fn used(&self) -> Resources {
         self.runs.values().fold(Resources::default(), |sum, run| sum.plus(run.need))
