--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -192,12 +192,14 @@
     /// has claimed in time.
     pub(crate) fn stop_orphans(&mut self, now: Moment) {
         let peers = &self.peers.arena;
+        let last_echo = |peer: PeerKey| peers.get(peer).and_then(|it| it.last_echoed_at);
         let silent = |peer: PeerKey, claimed: Moment| {
-            let echoed = peers.get(peer).and_then(|peer| peer.last_echoed_at);
-            now.since(echoed.unwrap_or_default().max(claimed)) > OWNER_SILENCE_MS
+            let echoed = last_echo(peer).unwrap_or_default();
+            now.since(echoed.max(claimed)) > OWNER_SILENCE_MS
         };
         for key in self.minions.held_keys().to_vec() {
-            let Some(held) = self.minions.arena[key].held.as_mut() else { continue };
+            let minion = &mut self.minions.arena[key];
+            let Some(held) = minion.held.as_mut() else { continue };
             for (task, run) in &mut held.runs {
                 let orphan = match run.owner {
                     RunOwner::Peer(peer) => silent(peer, run.claimed),
@@ -205,7 +207,11 @@
                     RunOwner::Local | RunOwner::Nobody => false,
                 };
                 if orphan && run.request_stop(now) {
-                    warn!(target: "minion", run:% = task, owner:? = run.owner;
+                    let echo = run.owner.peer().and_then(last_echo);
+                    let echo_age_ms = echo.map(|echo| now.since(echo));
+                    warn!(target: "minion", minion:% = minion.entry.id, run:% = task,
+                        number = run.run, owner:? = run.owner, echo_age_ms,
+                        age_ms = now.since(run.since);
                         "stopping a run without a live owner");
                 }
             }
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -267,7 +267,8 @@
         clock_ms: u64,
         active: &[ActiveRun],
     ) {
-        let Some(held) = self.minions.arena[key].held.as_mut() else { return };
+        let minion = &mut self.minions.arena[key];
+        let Some(held) = minion.held.as_mut() else { return };
         let listed: BTreeSet<RunRef> = active.iter().map(|found| found.run).collect();
         let mut gone = Vec::new();
         for (&task, run) in &mut held.runs {
@@ -294,7 +295,8 @@
                 stray.owner = RunOwner::Nobody;
                 stray.phase = RunPhase::StopDue(now);
                 held.runs.insert(task, stray);
-                warn!(target: "minion", run:% = task; "stopping an unexpected run");
+                warn!(target: "minion", minion:% = minion.entry.id, run:% = task,
+                    number = found.run; "stopping an unexpected run");
             }
         }
         for (run, owner, checkpoint) in gone {
@@ -409,6 +411,7 @@
                     && due <= now
                 {
                     run.phase = RunPhase::Stopping;
+                    run.stop_sent.get_or_insert(now);
                     let run = RunRef { task, run: run.run };
                     let order =
                         StopOrder { target: minion.entry.target(key, token), run };
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -182,6 +182,10 @@
     /// When its owner claimed it, if it was found on the minion.
     pub(crate) claimed: Moment,
     pub(crate) phase: RunPhase,
+    /// When its stop was first sent.
+    pub(crate) stop_sent: Option<Moment>,
+    /// The number of stops that were not answered or were rejected.
+    pub(crate) failed_stops: u32,
     /// Whether the start request was sent a second time.
     pub(crate) retried: bool,
     /// When the minion's list became authoritative for this run: if the answer to a later
@@ -219,6 +223,8 @@
             since: now,
             claimed: Moment::default(),
             phase: RunPhase::Active,
+            stop_sent: None,
+            failed_stops: 0,
             retried: false,
             listed_since: Some(now),
             lease_until_ms: 0,
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -1,6 +1,6 @@
 //! Starting and stopping runs on the minions that this instance holds.
 
-use log::info;
+use log::{info, warn};
 use serde::{Deserialize, Serialize};
 
 use crate::effect::{Effect, StartOrder, Target};
@@ -168,10 +168,28 @@
             && let Some(entry) = held.runs.get_mut(&run.task)
             && entry.run == run.run
         {
+            let failed = entry.failed_stops;
+            let since_ms = now.since(entry.stop_sent.unwrap_or(now));
             if answer == StartAnswer::Started {
                 entry.listed_since = Some(now);
+                entry.failed_stops = 0;
             } else {
                 entry.phase = RunPhase::StopDue(now + HOLD_RETRY_MS);
+                entry.failed_stops += 1;
+            }
+            // One line for the first of several failures, and one for the success.
+            let minion = self.minions.arena[key].entry.id.as_str();
+            match answer {
+                StartAnswer::Started if failed > 0 => {
+                    info!(target: "minion", minion, run:% = run.task, number = run.run,
+                        failed, since_ms; "repeated stop is confirmed");
+                }
+                StartAnswer::Started => {}
+                _ if failed == 0 => {
+                    warn!(target: "minion", minion, run:% = run.task, number = run.run,
+                        answer:? = answer, since_ms; "stop not taken; repeating it");
+                }
+                _ => {}
             }
         }
         if answer == StartAnswer::Fenced {
@@ -239,6 +257,8 @@
                 since: now,
                 claimed: Moment::default(),
                 phase: RunPhase::Starting,
+                stop_sent: None,
+                failed_stops: 0,
                 retried: false,
                 listed_since: None,
                 lease_until_ms,
