--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -249,7 +249,7 @@
             self.highest_closed.insert(run.task, run.run);
             let checkpoint = Checkpoint::default();
             let report = EndReport { run, end, checkpoint };
-            let end = EndedRun { number: self.next_end, report };
+            let end = EndedRun { number: self.next_end, report, lease_expired: false };
             self.ended.push(UnconfirmedEnd { end, at_us: now_us, lease_expired: false });
             self.next_end += 1;
         }
@@ -267,6 +267,9 @@
         self.mark_expired_ends(now_us);
         for &run in &expired {
             self.end(now_us, run, RunEnd::Void);
+            if let Some(last) = self.ended.last_mut() {
+                last.end.lease_expired = true;
+            }
         }
         expired
     }
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -67,6 +67,8 @@
     pub number: u64,
     /// Which run ended, and how.
     pub report: EndReport,
+    /// Whether the minion ended it because the lease had expired.
+    pub lease_expired: bool,
 }
 
 impl Engine {
@@ -136,7 +138,10 @@
         if restarted {
             self.end_incarnation(now, key);
         }
-        let Some(held) = self.minions.arena[key].held.as_mut() else { return };
+        let minion = &mut self.minions.arena[key];
+        let (minion, Some(held)) = (&minion.entry.id, minion.held.as_mut()) else {
+            return;
+        };
         held.incarnation = Some(reply.incarnation);
         held.clock.observe(reply.clock_ms, now);
         if first {
@@ -147,6 +152,11 @@
         let mut ended = reply.ended;
         ended.sort_by_key(|end| end.number);
         ended.retain(|end| held.unconfirmed.observe(end.number));
+        for end in ended.iter().filter(|end| end.lease_expired) {
+            let run = end.report.run;
+            info!(target: "minion", minion:% = minion, run:% = run.task,
+                number = run.run; "run ended because its lease expired");
+        }
         for found in &reply.active {
             if let Some(run) = held.runs.get_mut(&found.run.task) {
                 run.checkpoint.update(&found.checkpoint);
@@ -207,7 +217,7 @@
 
     /// Records the end of a run that is not known here; its job may be a stored one.
     fn record_unknown_end(&mut self, now: Moment, key: MinionKey, end: EndedRun) {
-        let EndedRun { number, report } = end;
+        let EndedRun { number, report, .. } = end;
         let held = self.minions.arena.get_mut(key).and_then(|it| it.held.as_mut());
         let Some(held) = held.filter(|_| self.shards.may_have_stored_jobs()) else {
             return;
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -99,7 +99,7 @@
 /// Returns an ended run without a checkpoint.
 pub fn ended(number: u64, run: RunRef, end: RunEnd) -> EndedRun {
     let checkpoint = Checkpoint::default();
-    EndedRun { number, report: EndReport { run, end, checkpoint } }
+    EndedRun { number, report: EndReport { run, end, checkpoint }, lease_expired: false }
 }
 
 /// Returns the first hold order among effects.
