--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -154,7 +154,8 @@
         if !key.is_some_and(|key| self.run_claimed(now, key, run, owner, claim)) {
             // The run's end was sent before, or another instance holds the minion by now.
             let claimer = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
-            info!(target: "minion", run:% = run.task, peer:? = claimer;
+            info!(target: "minion", minion:% = minion, run:% = run.task,
+                number = run.run, peer:? = claimer;
                 "claimed run is not here; releasing it");
             self.send(peer, Message::Released(run));
         }
@@ -184,6 +185,9 @@
             }
         }
         for &run in wanted.iter().filter(|run| !here.contains(run)) {
+            let owner = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
+            info!(target: "minion", run:% = run.task, number = run.run, peer:? = owner;
+                "wanted run is not here; releasing it");
             self.send(peer, Message::Released(run));
         }
     }
@@ -241,8 +245,16 @@
             && let Some(placement) = job.tasks[task].placement_mut()
         {
             placement.gone_at.get_or_insert(now + gone_ms);
+            let minion = placement.minion.and_then(|key| self.minions.arena.get(key));
+            let minion = minion.map(|minion| minion.entry.id.as_str());
+            let peer = match holder {
+                Holder::Peer(peer) => self.peers.arena.get(peer),
+                Holder::Local(_) => None,
+            };
+            let peer = peer.map(|peer| peer.member.to_string());
             info!(target: "job", request_id:% = run.task.job, run:% = run.task,
-                holder:? = holder; "the holder of a run has lost the minion");
+                number = run.run, minion, peer:? = peer;
+                "the holder of a run has lost the minion");
         }
     }
 
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -364,7 +364,12 @@
             Some(key) => self.stop_run(now, key, run),
             // The run may be active under another holder, so it must not be reported as
             // void.
-            None => self.send(peer, Message::Released(run)),
+            None => {
+                let owner = self.peers.arena.get(peer).map(|it| it.member.to_string());
+                info!(target: "minion", run:% = run.task, number = run.run,
+                    peer:? = owner; "run to stop is not here; releasing it");
+                self.send(peer, Message::Released(run));
+            }
         }
     }
 }
