--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -392,11 +392,8 @@
 
     /// Queues a message to a peer for the next frame; it is dropped if the queue is full.
     pub(crate) fn send(&mut self, peer: PeerKey, message: Message) {
-        if let Some(peer) = self.peers.arena.get_mut(peer)
-            && !peer.push(message)
-        {
-            log::error!(target: "peer", peer:% = peer.member;
-                "outgoing queue is full; message dropped");
+        if let Some(peer) = self.peers.arena.get_mut(peer) {
+            peer.push(message);
         }
     }
 
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use log::{error, warn};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::id::{MemberId, MinionId, RunRef};
@@ -70,6 +71,8 @@
     reservations: Vec<Reservation>,
     /// The queued messages.
     outbox: Vec<Message>,
+    /// The number of messages dropped since the last frame because the queue was full.
+    dropped_messages: u64,
     /// When the last frame was sent to it.
     sent: Option<Moment>,
     /// When the last report of free capacity was sent to it.
@@ -120,6 +123,7 @@
             pending: Vec::new(),
             reservations: Vec::new(),
             outbox: Vec::new(),
+            dropped_messages: 0,
             sent: None,
             reported: None,
             report_due: true,
@@ -162,12 +166,20 @@
     }
 
     /// Queues a message; returns false if the queue is full and the message is dropped.
+    ///
+    /// The first drop is logged here, and the number of all drops with the next frame.
     pub(crate) fn push(&mut self, message: Message) -> bool {
         let fits = self.outbox.len() < OUTBOX_MESSAGES;
         if fits {
             self.outbox.push(message);
+            return true;
+        }
+        if self.dropped_messages == 0 {
+            error!(target: "peer", peer:% = self.member;
+                "outgoing queue is full; message dropped");
         }
-        fits
+        self.dropped_messages += 1;
+        false
     }
 
     /// Reserves capacity on a minion of the peer for a task that is ordered there.
@@ -270,6 +282,11 @@
             return None;
         }
         let mut messages = std::mem::take(&mut self.outbox);
+        let dropped = std::mem::take(&mut self.dropped_messages);
+        if dropped > 0 {
+            warn!(target: "peer", peer:% = self.member, dropped;
+                "messages were dropped before this frame");
+        }
         let last_report = self.reported.unwrap_or_default();
         let report = self.report_due && self.wants_capacity;
         if report && now.since(last_report) >= report_interval_ms {
