Show that a rejected repeat of a start frees its task

A start without an answer is sent again. If the minion rejects the repetition, or if the second connection fails, the task is placed elsewhere at once, although the first order may have been carried out or may still be.

--- /dev/null
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -0,0 +1,63 @@
+//! Second runs of a task while an earlier run is active and its lease is renewed.
+
+mod support;
+
+use bamboocart_jobs::{Engine, HoldOrder, HoldReply, Moment, RunRef, StartAnswer};
+use support::{active, answer_hold, entry, hold_of, member, starts_of, step, submission};
+use yare::parameterized;
+
+const START: Moment = Moment(10_000);
+
+/// A holder of minions.
+struct HolderFixture {
+    engine: Engine,
+    now: Moment,
+}
+
+impl HolderFixture {
+    /// Creates a holder that finds these runs on the first of its minions.
+    fn new(minions: &[&str], found: &[RunRef]) -> Self {
+        let mut engine = Engine::new(member("entry-1", "marka"), 7);
+        let entries = minions.iter().map(|id| entry(id, "marka")).collect();
+        engine.update_minions(START, entries);
+        engine.set_members(START, 5, &[member("entry-1", "marka")]);
+        let mut fixture = Self { engine, now: START };
+        let effects = fixture.engine.take_effects();
+        for effect in effects {
+            let order = hold_of(vec![effect]);
+            let runs = if order.target.id.as_str() == minions[0] { found } else { &[] };
+            fixture.answer_hold(&order, runs);
+        }
+        fixture
+    }
+
+    /// Answers a hold with a list of active runs.
+    fn answer_hold(&mut self, order: &HoldOrder, runs: &[RunRef]) {
+        let active = runs.iter().map(|&run| active(run, 10)).collect();
+        let reply = HoldReply { active, ..HoldReply::default() };
+        answer_hold(&mut self.engine, self.now, order, reply);
+    }
+}
+
+/// Guards against a second run of a task whose first start request was not answered and
+/// is carried out after the minion has rejected its repetition.
+#[parameterized(
+    no_room = { StartAnswer::NoRoom },
+    unhealthy = { StartAnswer::Unhealthy },
+    bad_ticket = { StartAnswer::BadTicket },
+    fenced = { StartAnswer::Fenced },
+)]
+fn a_rejected_repeat_does_not_free_its_task(answer: StartAnswer) {
+    let mut fixture = HolderFixture::new(&["m-1", "m-2"], &[]);
+    fixture.engine.take_effects();
+    fixture.engine.submit(START, submission(1, vec![step(1, &[])]));
+    let first = starts_of(fixture.engine.take_effects()).remove(0);
+    let (key, token) = (first.target.minion, first.target.fencing_token);
+    for answer in [StartAnswer::Lost, answer] {
+        fixture.now = fixture.now + 120;
+        fixture.engine.start_answered(fixture.now, key, token, first.run, answer);
+    }
+    let started = starts_of(fixture.engine.take_effects());
+    let again = started.into_iter().find(|start| start.run != first.run);
+    assert!(again.is_none(), "while the first start may be carried out: {again:?}");
+}
