Show that a late claim renews a run of an ended owner

The silence of an owner counts from the arrival of its claim, not from the frame that the claim echoes.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -2,15 +2,41 @@
 
 mod support;
 
-use bamboocart_jobs::{Engine, HoldOrder, HoldReply, Moment, RunRef, StartAnswer};
-use support::{active, answer_hold, entry, hold_of, member, starts_of, step, submission};
+use bamboocart_jobs::{
+    Claim, Effect, Engine, Frame, HoldOrder, HoldReply, Message, Moment, PeerKey, RunRef,
+    StartAnswer,
+};
+use support::{
+    active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
+};
 use yare::parameterized;
 
 const START: Moment = Moment(10_000);
 
-/// A holder of minions.
+/// Returns the run of the only task of the job with this number.
+fn run(number: u64) -> RunRef {
+    RunRef { task: format!("{}.0.0.0", support::JOB).parse().unwrap(), run: number }
+}
+
+/// Returns a claim to the first run on the minion m-1.
+fn claim_message(epoch: u64) -> Message {
+    let claim = Claim { need: step(1, &[]).need, epoch };
+    Message::Claimed { minion: "m-1".into(), run: run(1), claim }
+}
+
+/// Returns the runs among effects that are to be stopped.
+fn stops_of(effects: &[Effect]) -> Vec<RunRef> {
+    let stop = |effect: &Effect| match effect {
+        Effect::Stop(order) => Some(order.run),
+        _ => None,
+    };
+    effects.iter().filter_map(stop).collect()
+}
+
+/// A holder of minions with a link to the owner of their runs.
 struct HolderFixture {
     engine: Engine,
+    owner: PeerKey,
     now: Moment,
 }
 
@@ -21,7 +47,9 @@
         let entries = minions.iter().map(|id| entry(id, "marka")).collect();
         engine.update_minions(START, entries);
         engine.set_members(START, 5, &[member("entry-1", "marka")]);
-        let mut fixture = Self { engine, now: START };
+        let owner = engine.peer(START, &member("entry-2", "marka"));
+        engine.link_opened(owner);
+        let mut fixture = Self { engine, owner, now: START };
         let effects = fixture.engine.take_effects();
         for effect in effects {
             let order = hold_of(vec![effect]);
@@ -37,6 +65,11 @@
         let reply = HoldReply { active, ..HoldReply::default() };
         answer_hold(&mut self.engine, self.now, order, reply);
     }
+
+    /// Delivers a frame of the owner.
+    fn deliver(&mut self, frame: Frame) {
+        self.engine.frame_arrived(self.now, self.owner, frame);
+    }
 }
 
 /// Guards against a second run of a task whose first start request was not answered and
@@ -61,3 +94,17 @@
     let again = started.into_iter().find(|start| start.run != first.run);
     assert!(again.is_none(), "while the first start may be carried out: {again:?}");
 }
+
+/// Guards against a run that is renewed beyond the time after which it counts as gone,
+/// because the claim of an owner that has ended since arrives late.
+#[test]
+fn a_claim_is_as_old_as_its_echo() {
+    let mut fixture = HolderFixture::new(&["m-1"], &[run(1)]);
+    fixture.now = START + 290;
+    fixture.deliver(frame(START, vec![claim_message(0)]));
+    fixture.engine.take_effects();
+    fixture.now = START + 560;
+    fixture.engine.tick(fixture.now);
+    let stops = stops_of(&fixture.engine.take_effects());
+    assert_eq!(stops, [run(1)], "560 ms after the last sign of the owner");
+}
