Show that a start is repeated for an owner that is silent

After a pause, the answer to a start is processed before runs without an owner are stopped, so the start is sent again with a new lease.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use bamboocart_jobs::{
-    Claim, Effect, Engine, Frame, HoldOrder, HoldReply, Message, Moment, PeerKey, RunRef,
-    StartAnswer,
+    Checkpoint, Claim, Effect, Engine, Frame, HoldOrder, HoldReply, Message, Moment,
+    PeerKey, RunOrder, RunRef, StartAnswer,
 };
 use support::{
     active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
@@ -18,6 +18,21 @@
     RunRef { task: format!("{}.0.0.0", support::JOB).parse().unwrap(), run: number }
 }
 
+/// Returns an order to start the first run on the minion m-1.
+fn start_message() -> Message {
+    let order = RunOrder {
+        run: run(1),
+        need: step(1, &[]).need,
+        estimate_ms: 0,
+        spec: "".into(),
+        checkpoint: Checkpoint::default(),
+        epoch: 0,
+        pinned: false,
+        ticket: None,
+    };
+    Message::Start { minion: "m-1".into(), order: Box::new(order) }
+}
+
 /// Returns a claim to the first run on the minion m-1.
 fn claim_message(epoch: u64) -> Message {
     let claim = Claim { need: step(1, &[]).need, epoch };
@@ -108,3 +123,19 @@
     let stops = stops_of(&fixture.engine.take_effects());
     assert_eq!(stops, [run(1)], "560 ms after the last sign of the owner");
 }
+
+/// Guards against a start request with a new lease that an instance sends after a pause,
+/// before it notices that the owner of the run has been silent for too long.
+#[test]
+fn a_silent_owner_gets_no_repeated_start() {
+    let mut fixture = HolderFixture::new(&["m-1"], &[]);
+    fixture.engine.take_effects();
+    fixture.deliver(frame(START, vec![start_message()]));
+    let first = starts_of(fixture.engine.take_effects()).remove(0);
+    let (key, token) = (first.target.minion, first.target.fencing_token);
+    fixture.now = START + 700;
+    let answer = StartAnswer::Lost;
+    fixture.engine.start_answered(fixture.now, key, token, first.run, answer);
+    let started = starts_of(fixture.engine.take_effects());
+    assert!(started.is_empty(), "700 ms after the owner's last frame: {started:?}");
+}
