Show that a second claim of a run by its owner is answered with its release

The owner then counts the run as lost and starts the task again, while the holder goes on with the run.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use bamboocart_jobs::{
-    Checkpoint, Claim, Effect, Engine, Frame, HoldOrder, HoldReply, Message, Moment,
-    PeerKey, RunOrder, RunRef, StartAnswer,
+    Checkpoint, Claim, Effect, Engine, Frame, HoldAnswer, HoldOrder, HoldReply, Message,
+    Moment, PeerKey, RunOrder, RunRef, ShardId, StartAnswer,
 };
 use support::{
     active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
@@ -13,6 +13,9 @@
 
 const START: Moment = Moment(10_000);
 
+/// The number of shards of stored jobs without a configuration.
+const SHARDS: u16 = 24;
+
 /// Returns the run of the only task of the job with this number.
 fn run(number: u64) -> RunRef {
     RunRef { task: format!("{}.0.0.0", support::JOB).parse().unwrap(), run: number }
@@ -39,6 +42,12 @@
     Message::Claimed { minion: "m-1".into(), run: run(1), claim }
 }
 
+/// Returns the announcements of a new owner of all shards.
+fn shards_taken(epoch: u64) -> Vec<Message> {
+    let taken = |shard| Message::ShardTaken { shard: ShardId(shard), epoch };
+    (0..SHARDS).map(taken).collect()
+}
+
 /// Returns the runs among effects that are to be stopped.
 fn stops_of(effects: &[Effect]) -> Vec<RunRef> {
     let stop = |effect: &Effect| match effect {
@@ -85,6 +94,17 @@
     fn deliver(&mut self, frame: Frame) {
         self.engine.frame_arrived(self.now, self.owner, frame);
     }
+
+    /// Returns the messages to the owner that are due.
+    fn sent(&mut self) -> Vec<Message> {
+        let frames = self.engine.take_frames(self.now);
+        frames.into_iter().flat_map(|(_, frame)| frame.messages).collect()
+    }
+
+    /// Returns whether the messages to the owner contain the release of a run.
+    fn sends_release(&mut self) -> bool {
+        self.sent().iter().any(|message| matches!(message, Message::Released(_)))
+    }
 }
 
 /// Guards against a second run of a task whose first start request was not answered and
@@ -139,3 +159,33 @@
     let started = starts_of(fixture.engine.take_effects());
     assert!(started.is_empty(), "700 ms after the owner's last frame: {started:?}");
 }
+
+/// Guards against the release of a run that goes on: its owner starts the task again
+/// 1,200 ms later, or 2,500 ms for a stored job.
+#[parameterized(
+    after_a_second_hold = { 0 },
+    after_the_shard_was_taken = { 4 },
+)]
+fn a_repeated_claim_is_not_released(epoch: u64) {
+    let mut fixture = HolderFixture::new(&["m-1"], &[run(1)]);
+    match epoch {
+        0 => {
+            let hold = hold_of(fixture.engine.take_effects());
+            let (key, number) = (hold.target.minion, hold.number);
+            fixture.engine.hold_answered(START, key, number, HoldAnswer::Fenced);
+            fixture.engine.set_members(START, 6, &[member("entry-1", "marka")]);
+            let hold = hold_of(fixture.engine.take_effects());
+            fixture.answer_hold(&hold, &[run(1)]);
+            fixture.deliver(frame(START, vec![claim_message(epoch)]));
+        }
+        _ => {
+            let mut messages = vec![claim_message(epoch)];
+            messages.extend(shards_taken(epoch));
+            fixture.deliver(frame(START, messages));
+        }
+    }
+    assert!(!fixture.sends_release(), "after the first claim");
+    fixture.now = START + 5;
+    fixture.deliver(frame(fixture.now, vec![claim_message(epoch)]));
+    assert!(!fixture.sends_release(), "the run is here and has its owner");
+}
