--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    Checkpoint, Claim, Effect, Engine, Frame, HoldAnswer, HoldOrder, HoldReply, Message,
-    Moment, PeerKey, RunOrder, RunRef, ShardId, StartAnswer,
+    CapacityReport, Checkpoint, Claim, Effect, Engine, Frame, HoldAnswer, HoldOrder,
+    HoldReply, Message, Moment, PeerKey, RunOrder, RunRef, ShardId, StartAnswer,
+    Submission,
 };
 use support::{
     active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
@@ -16,6 +17,15 @@
 /// The number of shards of stored jobs without a configuration.
 const SHARDS: u16 = 24;
 
+/// The interval of the frames with which the holder shows that it is alive.
+const FRAME_MS: u64 = 100;
+
+/// The time after which a run whose holder has lost it is started again, and some frames.
+const GONE_MS: u64 = 1_500;
+
+/// How long the client waits for the job.
+const TIMEOUT_MS: u64 = 5_000;
+
 /// Returns the run of the only task of the job with this number.
 fn run(number: u64) -> RunRef {
     RunRef { task: format!("{}.0.0.0", support::JOB).parse().unwrap(), run: number }
@@ -107,6 +117,76 @@
     }
 }
 
+/// An owner whose task is placed on the minion of a peer.
+struct OwnerFixture {
+    engine: Engine,
+    holder: PeerKey,
+    now: Moment,
+    /// The messages to the holder.
+    sent: Vec<Message>,
+}
+
+impl OwnerFixture {
+    fn new() -> Self {
+        let mut engine = Engine::new(member("entry-1", "marka"), 7);
+        let members = [member("entry-1", "marka"), member("entry-2", "sahab")];
+        engine.update_minions(START, ["m-1", "m-2"].map(|id| entry(id, "sahab")).into());
+        engine.set_members(START, 5, &members);
+        let holder = engine.peer(START, &members[1]);
+        engine.link_opened(holder);
+        let mut fixture = Self { engine, holder, now: START, sent: Vec::new() };
+        fixture.submit(1);
+        fixture
+    }
+
+    /// Submits the job while only the minion m-1 has room for its task.
+    fn submit(&mut self, request: u64) {
+        self.report_room("m-1");
+        let submission = submission(request, vec![step(1, &[])]);
+        let submission = Submission { timeout_ms: TIMEOUT_MS, ..submission };
+        self.engine.submit(self.now, submission);
+        self.collect();
+        assert_eq!(self.starts(), [run(1)]);
+    }
+
+    /// Delivers a report that only this minion has room for a task.
+    fn report_room(&mut self, minion: &str) {
+        let free = step(1, &[]).need;
+        let report = CapacityReport { minion: minion.into(), free, pace_permille: 1_000 };
+        self.deliver(frame(self.now, vec![Message::FreeCapacity(vec![report])]));
+    }
+
+    /// Delivers a frame of the holder.
+    fn deliver(&mut self, frame: Frame) {
+        self.engine.frame_arrived(self.now, self.holder, frame);
+        self.collect();
+    }
+
+    /// Collects the messages that are due.
+    fn collect(&mut self) {
+        let frames = self.engine.take_frames(self.now);
+        self.sent.extend(frames.into_iter().flat_map(|(_, frame)| frame.messages));
+    }
+
+    /// Advances the time while the holder sends frames and has room on the other minion.
+    fn advance(&mut self, duration_ms: u64) {
+        let end = self.now + duration_ms;
+        while self.now < end {
+            self.now = self.now + FRAME_MS;
+            self.report_room("m-2");
+        }
+    }
+
+    /// Returns the runs whose starts were sent to the holder.
+    fn starts(&self) -> Vec<RunRef> {
+        let start = |message: &Message| match message {
+            Message::Start { order, .. } => Some(order.run),
+            _ => None,
+        };
+        self.sent.iter().filter_map(start).collect()
+    }
+}
+
 /// Guards against a second run of a task whose first start request was not answered and
 /// is carried out after the minion has rejected its repetition.
 #[parameterized(
@@ -189,3 +269,21 @@
     fixture.deliver(frame(fixture.now, vec![claim_message(epoch)]));
     assert!(!fixture.sends_release(), "the run is here and has its owner");
 }
+
+/// Guards against a run that goes on beside its successor because its holder, which sends
+/// frames, is not told that the owner has given it up.
+#[parameterized(
+    released = { Message::Released(run(1)) },
+    not_listed = { Message::HeldRuns(Vec::new()) },
+)]
+fn a_run_that_counts_as_lost_is_stopped(message: Message) {
+    let mut fixture = OwnerFixture::new();
+    fixture.deliver(frame(fixture.now, vec![message]));
+    fixture.advance(GONE_MS);
+    assert_eq!(fixture.starts(), [run(1), run(2)]);
+    let stopped = fixture
+        .sent
+        .iter()
+        .any(|it| matches!(it, Message::Stop(stopped) if *stopped == run(1)));
+    assert!(stopped, "the holder gets no stop of the first run");
+}
