Show that an order is carried out after its owner was told otherwise

A frame of an older connection can arrive after the new one has settled which runs are here. Its start is carried out, although the owner counts the run as lost or has stopped it.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -270,6 +270,38 @@
     assert!(!fixture.sends_release(), "the run is here and has its owner");
 }
 
+/// Guards against a run that its owner counts as lost or does not want any more, because
+/// the order to start it arrives on an older connection than the answer to the owner.
+#[parameterized(
+    wanted_and_released = { vec![Message::WantedRuns(vec![run(1)])], false },
+    not_listed = { vec![], true },
+    stopped = { vec![Message::Stop(run(1))], false },
+)]
+fn an_order_is_not_carried_out_after_its_answer(
+    messages: Vec<Message>,
+    link_reopened: bool,
+) {
+    let mut fixture = HolderFixture::new(&["m-1"], &[]);
+    fixture.sent();
+    fixture.now = START + 300;
+    fixture.deliver(frame(fixture.now, messages));
+    if link_reopened {
+        fixture.engine.link_lost(fixture.now, fixture.owner);
+        fixture.engine.link_opened(fixture.owner);
+    }
+    let answered = fixture.sent().into_iter().any(|message| match message {
+        Message::Released(_) => true,
+        Message::HeldRuns(runs) => runs.is_empty(),
+        _ => false,
+    });
+    assert!(answered, "the owner is told that the run is not here");
+    fixture.engine.take_effects();
+    fixture.now = START + 310;
+    fixture.deliver(frame(START, vec![start_message()]));
+    let started = starts_of(fixture.engine.take_effects());
+    assert!(started.is_empty(), "{started:?}");
+}
+
 /// Guards against a run that goes on beside its successor because its holder, which sends
 /// frames, is not told that the owner has given it up.
 #[parameterized(
