Show that a run is released while its claim is on its way

The list of wanted runs on a new connection names a run that was found and not claimed yet. It is released, and a claim from the older connection is accepted afterwards.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -302,6 +302,18 @@
     assert!(started.is_empty(), "{started:?}");
 }
 
+/// Guards against the release of a run whose claim is on its way on an older connection.
+/// The claim is accepted afterwards, and the owner starts the task again.
+#[test]
+fn a_wanted_run_is_not_released_before_its_claim() {
+    let mut fixture = HolderFixture::new(&["m-1"], &[run(1)]);
+    fixture.sent();
+    fixture.now = START + 50;
+    let wanted = Message::WantedRuns(vec![run(1)]);
+    fixture.deliver(frame(fixture.now, vec![wanted]));
+    assert!(!fixture.sends_release(), "the run is on the minion");
+}
+
 /// Guards against a run that goes on beside its successor because its holder, which sends
 /// frames, is not told that the owner has given it up.
 #[parameterized(
