Show that a release from an older connection outdates an adoption

A holder that loses a minion and finds its runs again sends a release and an announcement. If the release arrives last, the task is started again.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -314,6 +314,25 @@
     assert!(!fixture.sends_release(), "the run is on the minion");
 }
 
+/// Guards against the release by an earlier hold that arrives on an older connection,
+/// after the same holder has announced that it found the run again.
+#[test]
+fn a_release_from_before_an_adoption_changes_nothing() {
+    let mut fixture = OwnerFixture::new();
+    let before = fixture.now + 100;
+    fixture.advance(300);
+    let adopted = Message::Adopted {
+        minion: "m-1".into(),
+        fencing_token: 9,
+        active: vec![run(1)],
+        ended: Vec::new(),
+    };
+    fixture.deliver(frame(fixture.now, vec![adopted]));
+    fixture.deliver(frame(before, vec![Message::Released(run(1))]));
+    fixture.advance(GONE_MS);
+    assert_eq!(fixture.starts(), [run(1)]);
+}
+
 /// Guards against a run that goes on beside its successor because its holder, which sends
 /// frames, is not told that the owner has given it up.
 #[parameterized(
