Show that a message about a run of an earlier submission counts for the present one

Run numbers start again when the client sends a job again to the same owner. A message that was sent before the holder had the present order is taken for one about the present run.

--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use bamboocart_jobs::{
-    CapacityReport, Checkpoint, Claim, Effect, Engine, Frame, HoldAnswer, HoldOrder,
-    HoldReply, Message, Moment, PeerKey, RunOrder, RunRef, ShardId, StartAnswer,
-    Submission,
+    CapacityReport, Checkpoint, Claim, Effect, EndReport, Engine, Frame, HoldAnswer,
+    HoldOrder, HoldReply, Message, Moment, PeerKey, RequestKey, RunEnd, RunOrder, RunRef,
+    ShardId, StartAnswer, Submission,
 };
 use support::{
     active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
@@ -314,6 +314,36 @@
     assert!(!fixture.sends_release(), "the run is on the minion");
 }
 
+/// Guards against a second run of a task whose job was sent again to the same owner: its
+/// first run has the number of one that was ordered before, and the holder's message is
+/// about that one.
+#[parameterized(
+    rejected = { Message::StartRejected { run: run(1), outdated: false } },
+    released = { Message::Released(run(1)) },
+    ended = {
+        Message::Ended {
+            minion: "m-1".into(),
+            report: EndReport {
+                run: run(1),
+                end: RunEnd::Void,
+                checkpoint: Checkpoint::default(),
+            },
+        }
+    },
+)]
+fn a_message_from_before_an_order_changes_nothing(message: Message) {
+    let mut fixture = OwnerFixture::new();
+    let before = fixture.now + 10;
+    fixture.engine.abandon(before, RequestKey(1));
+    fixture.sent.clear();
+    fixture.now = fixture.now + 1_310;
+    fixture.submit(2);
+    fixture.now = fixture.now + 10;
+    fixture.deliver(frame(before, vec![message]));
+    fixture.advance(GONE_MS);
+    assert_eq!(fixture.starts(), [run(1)]);
+}
+
 /// Guards against the release by an earlier hold that arrives on an older connection,
 /// after the same holder has announced that it found the run again.
 #[test]
