--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -4,8 +4,8 @@
 
 use bamboocart_jobs::{
     CapacityReport, Checkpoint, Claim, Effect, EndReport, Engine, Frame, HoldAnswer,
-    HoldOrder, HoldReply, Message, Moment, PeerKey, RequestKey, RunEnd, RunOrder, RunRef,
-    ShardId, StartAnswer, Submission,
+    HoldOrder, HoldReply, Message, MinionState, Moment, PeerKey, RequestKey, RunEnd,
+    RunOrder, RunRef, ShardId, StartAnswer, Submission,
 };
 use support::{
     active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
@@ -380,3 +380,23 @@
         .any(|it| matches!(it, Message::Stop(stopped) if *stopped == run(1)));
     assert!(stopped, "the holder gets no stop of the first run");
 }
+
+/// Guards against an owner that does not know the minion of a run: it refuses the run to
+/// the next holder and ignores its end, and starts the task again.
+#[test]
+fn a_move_is_reported_again_on_a_new_link() {
+    let mut fixture = HolderFixture::new(&["m-1", "m-2"], &[]);
+    let mut draining = entry("m-1", "marka");
+    draining.state = MinionState::Draining;
+    fixture.engine.update_minions(START, vec![draining]);
+    fixture.deliver(frame(START, vec![start_message()]));
+    let moved = |fixture: &mut HolderFixture| {
+        let sent = fixture.sent();
+        sent.iter().any(|message| matches!(message, Message::Moved { .. }))
+    };
+    assert!(moved(&mut fixture), "the run is started on the other minion");
+    fixture.now = START + 10;
+    fixture.engine.link_lost(fixture.now, fixture.owner);
+    fixture.engine.link_opened(fixture.owner);
+    assert!(moved(&mut fixture), "the first report may be lost with its link");
+}
