--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -400,3 +400,23 @@
     fixture.engine.link_opened(fixture.owner);
     assert!(moved(&mut fixture), "the first report may be lost with its link");
 }
+
+/// Guards against a new link that starts without the lists of runs because messages to
+/// the peer have filled the queue. What was lost with the old link is then never noticed.
+#[test]
+fn a_full_queue_does_not_drop_the_lists_of_runs() {
+    let mut fixture = HolderFixture::new(&["m-1"], &[run(1)]);
+    fixture.sent();
+    fixture.engine.link_lost(START, fixture.owner);
+    for id in 0..5_000 {
+        let id = format!("{id:016x}").parse().unwrap();
+        fixture.engine.cancel(START, id);
+    }
+    fixture.now = START + 10;
+    fixture.engine.link_opened(fixture.owner);
+    let sent = fixture.sent();
+    let lists = sent.iter().filter(|message| {
+        matches!(message, Message::HeldRuns(_) | Message::WantedRuns(_))
+    });
+    assert_eq!(lists.count(), 2);
+}
