--- a/crates/bamboocart-jobs/tests/orders.rs
+++ b/crates/bamboocart-jobs/tests/orders.rs
@@ -3,9 +3,8 @@
 mod support;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Checkpoint, Effect, Engine, HoldOrder, HoldReply, JobState,
-    Message, MinionState, Moment, RequestKey, RunEnd, RunOrder, RunRef, StartAnswer,
-    StartOrder, Step,
+    ActiveRun, Answer, Effect, Engine, HoldOrder, HoldReply, JobState, Message,
+    MinionState, Moment, RequestKey, RunEnd, RunRef, StartAnswer, StartOrder, Step,
 };
 use support::{
     answer_hold, answers_of, entry, hold_of, member, starts_of, step, submission,
@@ -161,16 +160,8 @@
 fn late_orders_are_not_carried_out(age_ms: u64, started: bool) {
     let mut fixture = Fixture::new();
     let owner = fixture.engine.peer(fixture.now, &member("entry-2", "marka"));
-    let order = RunOrder {
-        run: RunRef { task: "00000000000000aa.0.0.0".parse().unwrap(), run: 1 },
-        need: step(1, &[]).need,
-        estimate_ms: 300,
-        spec: "".into(),
-        checkpoint: Checkpoint::default(),
-        epoch: 0,
-        pinned: false,
-        ticket: None,
-    };
+    let run = RunRef { task: "00000000000000aa.0.0.0".parse().unwrap(), run: 1 };
+    let order = support::run_order(run);
     let sent = fixture.now;
     fixture.now = fixture.now + age_ms;
     let fresh = support::frame(fixture.now, Vec::new());
--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -5,7 +5,7 @@
 use bamboocart_jobs::{
     CapacityReport, Checkpoint, Claim, Effect, EndReport, Engine, Frame, HoldAnswer,
     HoldOrder, HoldReply, Message, MinionState, Moment, PeerKey, RequestKey, RunEnd,
-    RunOrder, RunRef, ShardId, StartAnswer, Submission,
+    RunRef, ShardId, StartAnswer, Submission,
 };
 use support::{
     active, answer_hold, entry, frame, hold_of, member, starts_of, step, submission,
@@ -33,16 +33,7 @@
 
 /// Returns an order to start the first run on the minion m-1.
 fn start_message() -> Message {
-    let order = RunOrder {
-        run: run(1),
-        need: step(1, &[]).need,
-        estimate_ms: 0,
-        spec: "".into(),
-        checkpoint: Checkpoint::default(),
-        epoch: 0,
-        pinned: false,
-        ticket: None,
-    };
+    let order = support::run_order(run(1));
     Message::Start { minion: "m-1".into(), order: Box::new(order) }
 }
 
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -7,7 +7,8 @@
 use bamboocart_jobs::{
     ActiveRun, Answer, Checkpoint, Effect, EndReport, EndedRun, Engine, Frame,
     HoldAnswer, HoldOrder, HoldReply, Member, Message, MinionEntry, MinionState, Moment,
-    NewJob, Queue, RequestKey, Resources, RunEnd, RunRef, StartOrder, Step, Submission,
+    NewJob, Queue, RequestKey, Resources, RunEnd, RunOrder, RunRef, StartOrder, Step,
+    Submission,
 };
 
 /// The id of the jobs that [`submission`] creates.
@@ -140,3 +141,17 @@
     let answer = HoldAnswer::Reply(reply);
     engine.hold_answered(now, order.target.minion, order.number, answer);
 }
+
+/// Returns the order to start a run of a best-effort job.
+pub fn run_order(run: RunRef) -> RunOrder {
+    RunOrder {
+        run,
+        need: Resources { cpu_millicores: 1_000, memory_mb: 64, gpu_count: 0 },
+        estimate_ms: 300,
+        spec: "".into(),
+        checkpoint: Checkpoint::default(),
+        epoch: 0,
+        pinned: false,
+        ticket: None,
+    }
+}
