Extend a lease only while all runs on the minion have a live owner

Callers saw a task run twice (TWICE): a job was sent again 1,300 ms after its connection had broken, while a run of its earlier owner was active.

Cause: a lease covers all runs on a minion, and the holder renewed it for whatever it had found there. The sum of silence and lease that timing.rs promises then began anew with each holder: the owner and the holder die, the run is adopted up to 612 ms later, and the new holder, which asks for another 600 ms at once, dies or is late within its 300 ms for claims. In the same way, a stop that was lost had no effect on the renewals.

Change: a hold or a start extends the lease only if no run on the minion is unclaimed and none waits for the confirmation of a stop. Such a minion gets no start meanwhile, and its holds wait 50 ms at most, so that the lease is renewed as soon as the last run is claimed.

--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -18,7 +18,7 @@
 use crate::time::Moment;
 use crate::timing::{
     HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS, MAX_LEASE_MS,
-    UNCONFIRMED_PAUSE_MS,
+    UNCONFIRMED_PAUSE_MS, UNEXTENDED_WAIT_MS,
 };
 
 /// The answer to a hold.
@@ -435,9 +435,10 @@
                 let number = self.last_hold;
                 held.hold = HoldState::Sent { number, at: now };
                 let lease_until_ms = held.renew_lease(now);
-                log_unsettled(now, &minion.entry.id, held, lease_until_ms);
+                log_unsettled(&minion.entry.id, held);
                 let wait_ms = match held.next_end_ms(minion.pace.ratio(), now) {
                     _ if held.incarnation.is_none() || held.missed_holds > 0 => 0,
+                    _ if !held.may_extend_lease() => UNEXTENDED_WAIT_MS,
                     Some(end_ms) => HOLD_WAIT_MS.min(end_ms + HOLD_SLACK_MS),
                     None => HOLD_WAIT_MS,
                 };
@@ -466,21 +467,15 @@
     }
 }
 
-/// Logs the first renewal of a lease while runs are unclaimed or being stopped.
-fn log_unsettled(
-    now: Moment,
-    minion: &MinionId,
-    held: &mut HeldMinion,
-    lease_until_ms: Option<u64>,
-) {
+/// Logs the first hold that withholds the renewal of a lease because runs are unclaimed or
+/// being stopped.
+fn log_unsettled(minion: &MinionId, held: &mut HeldMinion) {
     let unsettled = held.unsettled_runs();
     let logged = mem::replace(&mut held.unsettled_logged, !unsettled.is_empty());
     if logged || unsettled.is_empty() {
         return;
     }
     let UnsettledRuns { unclaimed, stopping } = unsettled;
-    let clock_ms = held.clock.read(now).unwrap_or_default();
-    let lease_ms = lease_until_ms.map(|until_ms| until_ms.saturating_sub(clock_ms));
     info!(target: "minion", minion:% = minion, token = held.fencing_token, unclaimed,
-        stopping, lease_ms; "lease renewed with unsettled runs");
+        stopping; "lease renewal withheld because of unsettled runs");
 }
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -340,6 +340,7 @@
             && held.missed_holds == 0
             && !held.start_unanswered
             && !held.unconfirmed.awaits_lease_expiry()
+            && held.may_extend_lease()
             && now >= held.blocked_until
             && held.suspicion.allows(held.runs.len(), now);
         usable.then(|| self.entry.capacity.minus(held.used()))
@@ -379,8 +380,8 @@
         left_ms.min()
     }
 
-    /// Returns the end of the lease to request now; none if the minion's clock is unknown
-    /// or the lease must not be renewed.
+    /// Returns the end of the lease that a hold requests now; none if the minion's clock
+    /// is unknown or the lease must not be extended.
     ///
     /// The lease of a minion without runs is left to expire if its list has ends that
     /// count for as long as the lease lasts.
@@ -394,11 +395,29 @@
             }
             return None;
         }
-        let until_ms = clock_ms + LEASE_MS;
+        self.extend_lease(now)
+    }
+
+    /// Returns the end of a lease that begins now; none if the minion's clock is unknown
+    /// or a run on the minion must not be extended.
+    pub(crate) fn extend_lease(&mut self, now: Moment) -> Option<u64> {
+        let until_ms = self.clock.read(now)? + LEASE_MS;
+        if !self.may_extend_lease() {
+            return None;
+        }
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
         Some(until_ms)
     }
 
+    /// Returns whether the lease may be extended.
+    ///
+    /// A lease covers all runs on the minion, so each of them has to have an owner that
+    /// is known to be alive and to want it. Runs of a dead owner would otherwise outlast
+    /// the time after which its clients send their jobs again.
+    pub(crate) fn may_extend_lease(&self) -> bool {
+        self.unsettled_runs().is_empty()
+    }
+
     /// Counts the runs that are unclaimed or being stopped.
     pub(crate) fn unsettled_runs(&self) -> UnsettledRuns {
         let mut count = UnsettledRuns::default();
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -13,7 +13,7 @@
 use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
-    HOLD_RETRY_MS, LEASE_MS, NO_ROOM_BACKOFF_MS, OWNER_SILENCE_MS, UNHEALTHY_BACKOFF_MS,
+    HOLD_RETRY_MS, NO_ROOM_BACKOFF_MS, OWNER_SILENCE_MS, UNHEALTHY_BACKOFF_MS,
 };
 
 /// A minion's answer to a start or stop order.
@@ -139,15 +139,14 @@
     ) {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return };
+        let lease_until_ms = held.extend_lease(now);
         let Some(entry) = held.runs.get_mut(&run.task) else { return };
-        let (Some(payload), Some(clock_ms)) = (payload, held.clock.read(now)) else {
+        let (Some(payload), Some(lease_until_ms)) = (payload, lease_until_ms) else {
             entry.phase = RunPhase::StopDue(now);
             return;
         };
-        let lease_until_ms = clock_ms + LEASE_MS;
         entry.retried = true;
         entry.lease_until_ms = lease_until_ms;
-        held.lease_until_ms = held.lease_until_ms.max(lease_until_ms);
         let target = minion.entry.target(key, held.fencing_token);
         let order = payload.order(target, run, lease_until_ms);
         self.effects.push(Effect::Start(order));
@@ -227,8 +226,8 @@
 
     /// Starts a run on a minion.
     ///
-    /// Returns false if the minion is not held, its clock is not known yet, or a run of
-    /// the task is already on it.
+    /// Returns false if the minion is not held, its clock is not known yet, its lease must
+    /// not be extended, or a run of the task is already on it.
     pub(crate) fn start_run(
         &mut self,
         now: Moment,
@@ -238,15 +237,13 @@
     ) -> bool {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return false };
-        let Some(clock_ms) = held.clock.read(now) else { return false };
         if held.runs.contains_key(&order.run.task) {
             return false;
         }
+        let Some(lease_until_ms) = held.extend_lease(now) else { return false };
         if order.epoch > 0 {
             self.shards.note_stored_jobs();
         }
-        let lease_until_ms = clock_ms + LEASE_MS;
-        held.lease_until_ms = held.lease_until_ms.max(lease_until_ms);
         held.runs.insert(
             order.run.task,
             Run {
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -1,9 +1,10 @@
 //! Time spans on which the safety of the engine depends, in milliseconds.
 //!
 //! A client may send a job to another instance 1,300 ms after its first connection broke.
-//! By then, the runs of the first owner have to be gone, even if their holder stops
-//! responding too. That takes the sum of `OWNER_SILENCE_MS`, `LEASE_MS` on a clock that
-//! is 2 % slow, and the time of a stop.
+//! By then, the runs of the first owner have to be gone, whatever becomes of the holder of
+//! their minion and of those that hold it next. A lease is therefore only extended while
+//! each run on the minion has an owner that was alive within `OWNER_SILENCE_MS`, so it ends
+//! at the latest after the sum of that and of `LEASE_MS` on a clock that is 2 % slow.
 
 /// Duration of a lease from the moment it is ordered, on the minion's clock.
 pub const LEASE_MS: u64 = 600;
@@ -15,6 +16,10 @@
 /// before it returns and is sent again.
 pub const HOLD_WAIT_MS: u64 = 250;
 
+/// How long a hold waits that does not renew the lease because it is not known whether
+/// all runs on the minion are wanted. The next hold renews the lease if they are.
+pub const UNEXTENDED_WAIT_MS: u64 = 50;
+
 /// How long a hold waits beyond the expected end of a run. If the hold that waits for the
 /// end is lost, the end is noticed late.
 pub const HOLD_SLACK_MS: u64 = 60;
--- a/crates/bamboocart-jobs/tests/log_lines.rs
+++ b/crates/bamboocart-jobs/tests/log_lines.rs
@@ -103,10 +103,10 @@
     stop.expect("a stop is sent")
 }
 
-/// Guards against logs that do not tell whether a lease was renewed while nobody had
+/// Guards against logs that do not tell that a lease is not renewed because nobody has
 /// claimed the runs on the minion, and against a line for each hold.
 #[test]
-fn renewals_with_unclaimed_runs_are_logged_once() {
+fn withheld_renewals_are_logged_once() {
     let mut fixture = Fixture::new();
     for _ in 0..3 {
         let hold = hold_of(fixture.engine.take_effects());
@@ -115,10 +115,10 @@
     }
     let token = fixture.token;
     let line = format!(
-        "lease renewed with unsettled runs minion=m-1 token={token} unclaimed=1 \
-        stopping=0 lease_ms=600"
+        "lease renewal withheld because of unsettled runs minion=m-1 token={token} \
+        unclaimed=1 stopping=0"
     );
-    assert_eq!(lines("lease renewed"), [line]);
+    assert_eq!(lines("lease renewal"), [line]);
     fixture.outlast_claim_window();
     let line = format!(
         "found runs settled minion=m-1 token={token} claimed=0 unclaimed=1 after_ms=451"
