Count the age of an owner from its last echo, not from its claim

Cause: a claim counted as a sign of life of the owner at the time when it arrived. It may have been sent up to 300 ms earlier, and later if the minion was held twice, so that the run of an owner that had ended since was renewed beyond the time after which its job is sent again.

Change: only the echo counts, which the frame of a claim always carries since the owner has received the announcement. The time of a takeover of a shard is kept, as the first frames of a new owner may echo none.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -80,7 +80,7 @@
         });
         for run in active {
             if let Some(claim) = self.claim(run, None, &minion, fencing_token) {
-                self.run_claimed(now, key, run, RunOwner::Local, claim);
+                self.run_claimed(key, run, RunOwner::Local, claim);
             }
         }
         for report in ended {
@@ -97,7 +97,6 @@
     /// an outdated epoch.
     pub(crate) fn run_claimed(
         &mut self,
-        now: Moment,
         key: MinionKey,
         run: RunRef,
         owner: RunOwner,
@@ -115,7 +114,6 @@
                 entry.owner = owner;
                 entry.need = claim.need;
                 entry.epoch = claim.epoch;
-                entry.claimed = now;
                 if let Some(adoption) = &mut held.adoption {
                     adoption.claimed += 1;
                 }
@@ -143,7 +141,6 @@
     /// Handles a peer's claim to a run that this instance found.
     pub(crate) fn claimed_by_peer(
         &mut self,
-        now: Moment,
         peer: PeerKey,
         minion: &MinionId,
         run: RunRef,
@@ -151,7 +148,7 @@
     ) {
         let owner = RunOwner::Peer(peer);
         let key = self.minions.by_id.get(minion).copied();
-        if !key.is_some_and(|key| self.run_claimed(now, key, run, owner, claim)) {
+        if !key.is_some_and(|key| self.run_claimed(key, run, owner, claim)) {
             // The run's end was sent before, or another instance holds the minion by now.
             let claimer = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
             info!(target: "minion", minion:% = minion, run:% = run.task,
@@ -197,16 +194,16 @@
     pub(crate) fn stop_orphans(&mut self, now: Moment) {
         let peers = &self.peers.arena;
         let last_echo = |peer: PeerKey| peers.get(peer).and_then(|it| it.last_echoed_at);
-        let silent = |peer: PeerKey, claimed: Moment| {
+        let silent = |peer: PeerKey, reassigned: Moment| {
             let echoed = last_echo(peer).unwrap_or_default();
-            now.since(echoed.max(claimed)) > OWNER_SILENCE_MS
+            now.since(echoed.max(reassigned)) > OWNER_SILENCE_MS
         };
         for key in self.minions.held_keys().to_vec() {
             let minion = &mut self.minions.arena[key];
             let Some(held) = minion.held.as_mut() else { continue };
             for (task, run) in &mut held.runs {
                 let orphan = match run.owner {
-                    RunOwner::Peer(peer) => silent(peer, run.claimed),
+                    RunOwner::Peer(peer) => silent(peer, run.reassigned),
                     RunOwner::Unclaimed => now.since(run.since) > CLAIM_WINDOW_MS,
                     RunOwner::Local | RunOwner::Nobody => false,
                 };
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -312,7 +312,7 @@
                 self.adopted_by_peer(now, peer, held, active, ended);
             }
             Message::Claimed { minion, run, claim } => {
-                self.claimed_by_peer(now, peer, &minion, run, claim);
+                self.claimed_by_peer(peer, &minion, run, claim);
             }
             Message::HeldRuns(runs) => self.reconcile(now, peer, &runs, echo),
             Message::WantedRuns(runs) => self.stop_unwanted(now, peer, &runs),
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -179,8 +179,9 @@
     pub(crate) estimate_ms: u64,
     /// When its start was requested, or when it was found on the minion.
     pub(crate) since: Moment,
-    /// When its owner claimed it, if it was found on the minion.
-    pub(crate) claimed: Moment,
+    /// When the present owner took over its shard. The owner counts as alive at this
+    /// time, since its first frames may echo none.
+    pub(crate) reassigned: Moment,
     pub(crate) phase: RunPhase,
     /// When its stop was first sent.
     pub(crate) stop_sent: Option<Moment>,
@@ -221,7 +222,7 @@
             need: Resources::default(),
             estimate_ms: 0,
             since: now,
-            claimed: Moment::default(),
+            reassigned: Moment::default(),
             phase: RunPhase::Active,
             stop_sent: None,
             failed_stops: 0,
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -252,7 +252,7 @@
                 need: order.need,
                 estimate_ms: order.estimate_ms,
                 since: now,
-                claimed: Moment::default(),
+                reassigned: Moment::default(),
                 phase: RunPhase::Starting,
                 stop_sent: None,
                 failed_stops: 0,
--- a/crates/bamboocart-jobs/src/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard_runs.rs
@@ -58,7 +58,7 @@
                 }
                 run.owner = owner;
                 run.epoch = epoch;
-                run.claimed = now;
+                run.reassigned = now;
                 let run = ShardRun {
                     run: run.run_ref(task),
                     minion: minion.entry.id.clone(),
