Look for silent owners before each extension of a lease

Cause: the answer to a start and the order of a peer were handled before the engine had looked for owners that are silent, which it does every 100 ms and at the end of each event. A start that was sent again, or one for another run on the minion, extended the lease of their runs once more.

Change: the engine looks for silent owners before it handles either.

Measured: a_silent_owner_gets_no_repeated_start failed before and passes now.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -251,6 +251,9 @@
         if first {
             info!(target: "peer", peer:% = entry.member; "first frame from a peer");
         }
+        // A start extends the lease of its minion, which must have no run of a silent owner.
+        self.stop_orphans(now);
+        let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         if frame.needs_state && entry.is_state_due(now) {
             self.send_state(now, peer);
         }
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -91,6 +91,8 @@
         run: RunRef,
         answer: StartAnswer,
     ) {
+        // A start of a silent owner is not sent again.
+        self.stop_orphans(now);
         if let Some(held) = self.held(key, fencing_token)
             && let payload = held.retryable_starts.remove(&run)
             && let Some(entry) = held.runs.get_mut(&run.task)
