Release no run that its owner claims twice or is about to claim

Callers could see a task run twice: the owner starts a task again 1,200 ms after its holder has told it that the run is not there.

Cause: a holder answered the second claim of a run with its release, for instance if it had held the minion, lost it and held it again, so that the run was announced twice. It also released a run that it had found, and whose claim was on its way, when the owner listed the run as wanted.

Change: a claim by the present owner changes nothing, and a run that is on the minion and has no owner yet is not released.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -93,8 +93,8 @@
 
     /// Records the owner of a run that was found on a minion.
     ///
-    /// Returns false if the run is not there, has an owner already, or is claimed under
-    /// an outdated epoch.
+    /// Returns false if the run is not there, has another owner, or is claimed under an
+    /// outdated epoch. A repeated claim changes nothing.
     pub(crate) fn run_claimed(
         &mut self,
         key: MinionKey,
@@ -119,7 +119,8 @@
                 }
                 true
             }
-            _ => false,
+            Some(entry) => entry.run == run.run && entry.owner == owner,
+            None => false,
         }
     }
 
@@ -171,11 +172,12 @@
             let Some(held) = self.minions.arena[key].held.as_mut() else { continue };
             for (&task, run) in &mut held.runs {
                 let run_ref = RunRef { task, run: run.run };
-                if run.owner != RunOwner::Peer(peer) {
-                    continue;
+                let owned = run.owner == RunOwner::Peer(peer);
+                // The claim of the peer may still be on its way.
+                if owned || run.owner == RunOwner::Unclaimed {
+                    here.insert(run_ref);
                 }
-                here.insert(run_ref);
-                if !wanted.contains(&run_ref) && run.request_stop(now) {
+                if owned && !wanted.contains(&run_ref) && run.request_stop(now) {
                     info!(target: "minion", run:% = task;
                         "stopping a run that its owner no longer wants");
                 }
