Stop a run whose repeated start is rejected

Callers could see a task run twice where orders are lost or late.

Cause: a start that gets no answer is sent once more. If the minion rejected the second order for lack of room, as unhealthy, for its ticket or under a fence, the task was placed elsewhere at once, although the first order may still be carried out until the end of its lease, or has been.

Change: such a run is stopped, and its task waits until the minion has accepted the stop. Behind a fence the run is released with its minion.

Measured: a_rejected_repeat_does_not_free_its_task failed in all four cases before and passes now.

--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -109,6 +109,15 @@
                     held.start_unanswered |= held.last_answer <= entry.since;
                     self.retry_start(now, key, run, payload);
                 }
+                // The first order may have begun the run, which is released with the minion.
+                StartAnswer::Fenced if entry.retried => {}
+                // The first order may still be carried out.
+                StartAnswer::NoRoom | StartAnswer::BadTicket | StartAnswer::Unhealthy
+                    if entry.retried =>
+                {
+                    entry.phase = RunPhase::StopDue(now);
+                    held.blocked_until = now + backoff_ms(answer);
+                }
                 _ => {
                     held.runs.remove(&run.task);
                     held.blocked_until = now + backoff_ms(answer);
