Stop the earlier run of a task that is queued again

Cause: an owner that counts a run as lost starts its task again, and sent no stop to the earlier holder. If that holder has the run after all and hears of the owner, it renews the run until its end.

Change: the owner orders a stop as well.

Measured: a_run_that_counts_as_lost_is_stopped failed in both cases before and passes now.

--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -357,13 +357,15 @@
                     Holder::Local(_) => false,
                 };
                 if silent || placement.gone_at.is_some_and(|gone_at| gone_at <= now) {
-                    gone.push(job.run_ref(position));
+                    gone.push((placement.holder, job.run_ref(position)));
                 }
             }
         }
-        for run in gone {
-            warn!(target: "job", request_id:% = run.task.job, run:% = run.task;
-                "holder of a run is lost; the task is queued again");
+        for (holder, run) in gone {
+            warn!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                number = run.run; "holder of a run is lost; the task is queued again");
+            // The holder may be alive and have the run after all.
+            self.stop_at(now, holder, run);
             self.note_superseded(run);
             self.requeue(now, run);
         }
