Refuse starts from before an answer about their runs

Cause: a start order in a frame of an earlier connection may arrive after the holder has told its owner, on a newer connection, that the run is not there, or after the owner's stop. It was carried out if it was less than 500 ms old; the owner started the task again 1,200 ms later, and in the case of the stop nobody stopped the run.

Change: a holder keeps, for each peer, the send time of the last frame with a stop or a list of wanted runs, and of the last frame before it opened a link. Starts in earlier frames are rejected. An older frame no longer sets back the time that is echoed.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -22,7 +22,7 @@
 use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
-use crate::peer::{PeerKey, Peers, StoreStatus};
+use crate::peer::{FrameTimes, PeerKey, Peers, StoreStatus};
 use crate::shard::Shards;
 use crate::task::Holder;
 use crate::time::Moment;
@@ -257,19 +257,19 @@
         if frame.needs_state && entry.is_state_due(now) {
             self.send_state(now, peer);
         }
+        let times = FrameTimes { sent_ms: frame.sent_ms, echo: Moment(frame.echo_ms) };
         for message in messages {
-            self.handle_message(now, peer, Moment(frame.echo_ms), message);
+            self.handle_message(now, peer, times, message);
         }
         self.advance(now);
     }
 
-    /// Handles one message of a frame; `echo` is when this instance sent the last frame
-    /// that the peer had received.
+    /// Handles one message of a frame.
     fn handle_message(
         &mut self,
         now: Moment,
         peer: PeerKey,
-        echo: Moment,
+        times: FrameTimes,
         message: Message,
     ) {
         match message {
@@ -280,9 +280,12 @@
                 }
             }
             Message::Start { minion, order } => {
-                self.start_for_peer(now, peer, echo, &minion, *order);
+                self.start_for_peer(now, peer, times, &minion, *order);
+            }
+            Message::Stop(run) => {
+                self.refuse_earlier_starts(peer, times.sent_ms);
+                self.stop_for_peer(now, peer, run);
             }
-            Message::Stop(run) => self.stop_for_peer(now, peer, run),
             Message::StartRejected { run, outdated } => {
                 self.start_rejected(now, Holder::Peer(peer), run, outdated);
             }
@@ -317,8 +320,11 @@
             Message::Claimed { minion, run, claim } => {
                 self.claimed_by_peer(peer, &minion, run, claim);
             }
-            Message::HeldRuns(runs) => self.reconcile(now, peer, &runs, echo),
-            Message::WantedRuns(runs) => self.stop_unwanted(now, peer, &runs),
+            Message::HeldRuns(runs) => self.reconcile(now, peer, &runs, times.echo),
+            Message::WantedRuns(runs) => {
+                self.refuse_earlier_starts(peer, times.sent_ms);
+                self.stop_unwanted(now, peer, &runs);
+            }
             Message::StateTransfer { catalog, minions } => {
                 self.take_state(now, catalog, minions);
             }
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -8,7 +8,7 @@
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, SharedStr};
 use crate::message::{EndReport, Message, RunEnd};
 use crate::minion::{MinionKey, Run, RunOwner, RunPhase};
-use crate::peer::PeerKey;
+use crate::peer::{FrameTimes, PeerKey};
 use crate::resources::Resources;
 use crate::task::Holder;
 use crate::time::Moment;
@@ -310,7 +310,7 @@
         &mut self,
         now: Moment,
         peer: PeerKey,
-        echo: Moment,
+        times: FrameTimes,
         minion: &MinionId,
         order: RunOrder,
     ) {
@@ -318,10 +318,12 @@
         // An order that was buffered for long may reach this instance after the owner has
         // given up on it. Only the echo of its own frame tells, because later frames may
         // arrive first on a new connection.
-        let late = now.since(echo) > OWNER_SILENCE_MS;
+        let late = now.since(times.echo) > OWNER_SILENCE_MS;
+        let known = self.peers.arena.get(peer);
+        let overtaken = known.is_some_and(|it| times.sent_ms < it.starts_after_ms);
         let shard = self.shards.shard_of(run.task.job);
         let outdated = order.epoch > 0 && !self.shards.note_epoch(shard, order.epoch);
-        if outdated || late {
+        if outdated || late || overtaken {
             return self.send(peer, Message::StartRejected { run, outdated: false });
         }
         let named = self.minions.by_id.get(minion).copied();
@@ -346,6 +348,14 @@
         }
     }
 
+    /// Refuses the starts in frames that a peer sent before `sent_ms` on its clock. They may
+    /// arrive late on an earlier connection, after an answer about their runs.
+    pub(crate) fn refuse_earlier_starts(&mut self, peer: PeerKey, sent_ms: u64) {
+        if let Some(peer) = self.peers.arena.get_mut(peer) {
+            peer.starts_after_ms = peer.starts_after_ms.max(sent_ms);
+        }
+    }
+
     /// Returns the fastest held minion of a service with enough free capacity.
     fn fastest_with_free_resources(
         &self,
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -61,6 +61,9 @@
     pub(crate) last_frame_at: Option<Moment>,
     /// Send time of its last frame, on its clock.
     pub(crate) last_frame_sent_ms: u64,
+    /// Frames that it sent before this time, on its clock, bring no starts: it has been
+    /// told since that the runs are not here.
+    pub(crate) starts_after_ms: u64,
     /// Send time of the last of our frames that it has echoed, on our clock.
     pub(crate) last_echoed_at: Option<Moment>,
     /// The free capacity that it reported, less later reservations.
@@ -90,6 +93,15 @@
     pub(crate) joined_at: Option<Moment>,
 }
 
+/// When a frame from a peer was sent.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct FrameTimes {
+    /// The send time on the clock of the peer.
+    pub(crate) sent_ms: u64,
+    /// When this instance sent the last frame that the peer had received.
+    pub(crate) echo: Moment,
+}
+
 /// Resources of a minion that a start order to a peer will take.
 #[derive(Debug)]
 struct Reservation {
@@ -118,6 +130,7 @@
             link_open: false,
             last_frame_at: None,
             last_frame_sent_ms: 0,
+            starts_after_ms: 0,
             last_echoed_at: None,
             free_capacity: Vec::new(),
             pending: Vec::new(),
@@ -191,7 +204,8 @@
     /// Records the times and flags of a received frame.
     pub(crate) fn note_frame(&mut self, frame: &Frame, now: Moment) {
         self.last_frame_at = Some(now);
-        self.last_frame_sent_ms = frame.sent_ms;
+        // A frame of an earlier connection may arrive after later ones.
+        self.last_frame_sent_ms = self.last_frame_sent_ms.max(frame.sent_ms);
         self.report_due |= frame.wants_capacity && !self.wants_capacity;
         self.wants_capacity = frame.wants_capacity;
         let joined_at =
@@ -223,9 +237,10 @@
         self.free_capacity.retain(|report| report.minion != *minion);
     }
 
-    /// Records that a link was opened.
+    /// Records that a link was opened, on which the peer is told all of its runs.
     pub(crate) fn open_link(&mut self) {
         self.link_open = true;
+        self.starts_after_ms = self.last_frame_sent_ms;
         self.report_due = true;
     }
 
