Ignore reports about a run that predate its order or its adoption

Cause: run numbers of a job begin anew when it is sent again. A rejection, a release or an end that an earlier submission of the same owner had caused, and that arrived late on an earlier connection, was taken for one of the present run, and the task was started again. A release of an earlier hold that arrived after the announcement of the next one had the same effect.

Change: an owner ignores such a message if the frame echoes no frame since the order, for a run of a best-effort job that is still where it was ordered, and a release that a later frame has overtaken. The lists that are exchanged on each new link cover what is ignored.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -8,10 +8,11 @@
 use crate::engine::Engine;
 use crate::holder::{ActiveRun, EndedRun};
 use crate::id::{MinionId, RunRef};
+use crate::job::Job;
 use crate::message::{EndReport, Message};
 use crate::minion::{MinionKey, Run, RunOwner};
 use crate::owner::gone_after_ms;
-use crate::peer::PeerKey;
+use crate::peer::{FrameTimes, PeerKey};
 use crate::resources::Resources;
 use crate::shard::Stage;
 use crate::task::{Holder, Placement, TaskState};
@@ -347,12 +348,35 @@
         }
     }
 
+    /// Returns whether a peer sent a frame before it had received the order of a run of a
+    /// best-effort job that is placed there. A message in it is about a run of the same
+    /// number that an earlier submission of the job had.
+    pub(crate) fn predates_order(
+        &self,
+        run: RunRef,
+        peer: PeerKey,
+        times: FrameTimes,
+    ) -> bool {
+        let job = self.jobs.get(&run.task.occurrence_ref());
+        if job.is_none_or(Job::is_stored) {
+            return false;
+        }
+        self.placement_of(run).is_some_and(|placement| {
+            let ordered = placement.fencing_token == 0;
+            let there = placement.holder == Holder::Peer(peer);
+            ordered && there && times.echo < placement.since
+        })
+    }
+
     /// Returns whether a run was placed no later than `moment`.
     fn was_placed_by(&self, run: RunRef, moment: Moment) -> bool {
-        let job = self.jobs.get(&run.task.occurrence_ref());
-        let task = job.and_then(|job| Some(&job.tasks[job.position(run.task)?]));
-        let placement = task.and_then(|task| task.placement());
-        placement.is_some_and(|placement| placement.since <= moment)
+        self.placement_of(run).is_some_and(|placement| placement.since <= moment)
+    }
+
+    /// Returns the placement of the present run of a task, whatever its number.
+    fn placement_of(&self, run: RunRef) -> Option<&Placement> {
+        let job = self.jobs.get(&run.task.occurrence_ref())?;
+        job.tasks[job.position(run.task)?].placement()
     }
 
     /// Returns the runs of this instance's jobs that are placed at a peer.
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -18,7 +18,7 @@
 use crate::job_table::JobTable;
 use crate::member::Member;
 use crate::membership::Review;
-use crate::message::{Frame, Message};
+use crate::message::{EndReport, Frame, Message};
 use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
@@ -254,10 +254,14 @@
         // A start extends the lease of its minion, which must have no run of a silent owner.
         self.stop_orphans(now);
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
+        let times = FrameTimes {
+            sent_ms: frame.sent_ms,
+            echo: Moment(frame.echo_ms),
+            overtaken: frame.sent_ms < entry.last_frame_sent_ms,
+        };
         if frame.needs_state && entry.is_state_due(now) {
             self.send_state(now, peer);
         }
-        let times = FrameTimes { sent_ms: frame.sent_ms, echo: Moment(frame.echo_ms) };
         for message in messages {
             self.handle_message(now, peer, times, message);
         }
@@ -273,6 +277,20 @@
         message: Message,
     ) {
         match message {
+            Message::StartRejected { run, .. }
+            | Message::Released(run)
+            | Message::Ended { report: EndReport { run, .. }, .. }
+                if self.predates_order(run, peer, times) =>
+            {
+                info!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                    number = run.run;
+                    "ignoring a message about a run from before its order");
+            }
+            // The lists of runs on the newer connection tell what became of the run.
+            Message::Released(run) if times.overtaken => {
+                info!(target: "job", request_id:% = run.task.job, run:% = run.task,
+                    number = run.run; "ignoring a release on an earlier connection");
+            }
             Message::FreeCapacity(reports) => {
                 if let Some(peer) = self.peers.arena.get_mut(peer) {
                     peer.report(reports);
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -100,6 +100,8 @@
     pub(crate) sent_ms: u64,
     /// When this instance sent the last frame that the peer had received.
     pub(crate) echo: Moment,
+    /// Whether a later frame of the peer has arrived before, on a newer connection.
+    pub(crate) overtaken: bool,
 }
 
 /// Resources of a minion that a start order to a peer will take.
