Report the minion of a moved run again on a new link

Cause: a holder may start a run on another of its minions than the owner has chosen. If the report of that was lost with its link, the owner took the run's end for one of an earlier owner and ignored it, refused the run to the next holder, and started the task again.

Change: the holder marks such runs and reports their minions before the lists of runs on each new link.

Measured: a_move_is_reported_again_on_a_new_link failed before and passes now.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -235,6 +235,18 @@
             .collect()
     }
 
+    /// Returns the runs of a peer that were started on another minion than it had chosen,
+    /// with that minion.
+    pub(crate) fn moved_runs_of(&self, peer: PeerKey) -> Vec<(RunRef, MinionId)> {
+        let held = self.minions.held();
+        let runs = held.flat_map(|(_, minion, held)| {
+            held.runs.iter().map(move |(&task, run)| (&minion.entry.id, task, run))
+        });
+        runs.filter(|(_, _, run)| run.moved && run.owner == RunOwner::Peer(peer))
+            .map(|(minion, task, run)| (run.run_ref(task), minion.clone()))
+            .collect()
+    }
+
     /// Records that the holder of a run has lost the minion; a new holder may adopt the
     /// run.
     ///
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -204,10 +204,14 @@
 
     /// Handles a new link to a peer: sends what may have been lost with the earlier one.
     pub fn link_opened(&mut self, peer: PeerKey) {
+        let moved = self.moved_runs_of(peer);
         let runs = self.held_runs_of(peer);
         let wanted = self.runs_placed_at(peer);
         if let Some(peer) = self.peers.arena.get_mut(peer) {
             peer.open_link();
+            for (run, minion) in moved {
+                peer.push(Message::Moved { run, minion });
+            }
             peer.push(Message::HeldRuns(runs));
             peer.push(Message::WantedRuns(wanted));
             for (&shard, owned) in &self.shards.owned {
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -187,6 +187,8 @@
     pub(crate) stop_sent: Option<Moment>,
     /// The number of stops that were not answered or were rejected.
     pub(crate) failed_stops: u32,
+    /// Whether it was started on another minion than its owner had chosen.
+    pub(crate) moved: bool,
     /// Whether the start request was sent a second time.
     pub(crate) retried: bool,
     /// When the minion's list became authoritative for this run: if the answer to a later
@@ -226,6 +228,7 @@
             phase: RunPhase::Active,
             stop_sent: None,
             failed_stops: 0,
+            moved: false,
             retried: false,
             listed_since: Some(now),
             lease_until_ms: 0,
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -267,6 +267,7 @@
                 phase: RunPhase::Starting,
                 stop_sent: None,
                 failed_stops: 0,
+                moved: false,
                 retried: false,
                 listed_since: None,
                 lease_until_ms,
@@ -340,7 +341,12 @@
             .is_some_and(|key| self.start_run(now, key, order, RunOwner::Peer(peer)));
         match chosen {
             Some(key) if started && Some(key) != named => {
-                let minion = self.minions.arena[key].entry.id.clone();
+                let minion = &mut self.minions.arena[key];
+                let held = minion.held.as_mut();
+                if let Some(entry) = held.and_then(|held| held.runs.get_mut(&run.task)) {
+                    entry.moved = true;
+                }
+                let minion = minion.entry.id.clone();
                 self.send(peer, Message::Moved { run, minion });
             }
             Some(_) if started => {}
