Never drop the lists of runs that a new link begins with

Cause: while a link is down, up to 4,096 messages wait for it. If that queue was full, the lists that a new link begins with were dropped too, so that starts, stops and ends that were lost with the old link were never noticed.

Change: these lists are queued beyond the limit; there are as many as shards and moved runs, and two more.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -210,13 +210,13 @@
         if let Some(peer) = self.peers.arena.get_mut(peer) {
             peer.open_link();
             for (run, minion) in moved {
-                peer.push(Message::Moved { run, minion });
+                peer.push_required(Message::Moved { run, minion });
             }
-            peer.push(Message::HeldRuns(runs));
-            peer.push(Message::WantedRuns(wanted));
+            peer.push_required(Message::HeldRuns(runs));
+            peer.push_required(Message::WantedRuns(wanted));
             for (&shard, owned) in &self.shards.owned {
                 if owned.is_claimed() {
-                    peer.push(Message::ShardTaken { shard, epoch: owned.epoch });
+                    peer.push_required(Message::ShardTaken { shard, epoch: owned.epoch });
                 }
             }
         }
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -197,6 +197,12 @@
         false
     }
 
+    /// Queues a message that restores what may have been lost with an earlier link; it is
+    /// not dropped if the queue is full.
+    pub(crate) fn push_required(&mut self, message: Message) {
+        self.outbox.push(message);
+    }
+
     /// Reserves capacity on a minion of the peer for a task that is ordered there.
     pub(crate) fn reserve(&mut self, minion: &MinionId, need: Resources, now: Moment) {
         self.reservations.push(Reservation { at: now, minion: minion.clone(), need });
