--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -34,6 +34,7 @@
 mod placement;
 mod resources;
 mod retention;
+mod run_lists;
 mod scheduling;
 mod shard;
 mod shard_log;
