Add a series of kills to the faults of the emulator

Two kills within the 1,300 ms after which a client resubmits its job leave no time to claim or stop the runs of the first one. A single entry now kills instances at regular intervals, also those that have just restarted. No scenario uses it yet.

--- a/crates/bamboocart-emulator/src/scenario.rs
+++ b/crates/bamboocart-emulator/src/scenario.rs
@@ -96,6 +96,22 @@
         /// The number of instances, chosen at random.
         count: usize,
     },
+    /// Instances are killed at regular intervals, and each of them restarts.
+    ///
+    /// An instance that has just restarted may be killed again.
+    KillSeries {
+        /// The first kill, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// How long each instance stays down, in milliseconds.
+        for_ms: u64,
+        /// The number of instances of each kill, chosen at random among those that are
+        /// up.
+        count: usize,
+        /// The time from one kill to the next, in milliseconds.
+        gap_ms: u64,
+        /// The number of kills after the first one.
+        again: u64,
+    },
     /// Instances process nothing for a while and then continue, as a paused process does.
     #[serde(rename = "freeze")]
     Pause {
--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -391,10 +391,9 @@
             self.schedule(WARM_UP_US, Event::NewJob(kind));
         }
         for (number, fault) in self.scenario.faults.iter().enumerate() {
-            self.schedule(
-                WARM_UP_US + start_ms(fault) * 1_000,
-                Event::FaultStarts(number),
-            );
+            for start_ms in start_times_ms(fault) {
+                self.schedule(WARM_UP_US + start_ms * 1_000, Event::FaultStarts(number));
+            }
         }
     }
 
@@ -503,10 +502,23 @@
     }
 }
 
-/// Returns the start of a fault, in milliseconds after clients begin to send jobs.
+/// Returns the times at which a fault is injected, in milliseconds after clients begin to
+/// send jobs.
+fn start_times_ms(fault: &Fault) -> impl Iterator<Item = u64> {
+    let (gap_ms, again) = match *fault {
+        Fault::KillSeries { gap_ms, again, .. } => (gap_ms, again),
+        _ => (0, 0),
+    };
+    let first_ms = start_ms(fault);
+    (0..=again).map(move |number| first_ms + number * gap_ms)
+}
+
+/// Returns the first time at which a fault is injected, in milliseconds after clients
+/// begin to send jobs.
 fn start_ms(fault: &Fault) -> u64 {
     match *fault {
         Fault::Kill { at_ms, .. }
+        | Fault::KillSeries { at_ms, .. }
         | Fault::Pause { at_ms, .. }
         | Fault::PartitionDomain { at_ms, .. }
         | Fault::StoreUnavailable { at_ms, .. }
--- a/crates/bamboocart-emulator/src/simulation/faults.rs
+++ b/crates/bamboocart-emulator/src/simulation/faults.rs
@@ -14,7 +14,8 @@
         let mut affected = Vec::new();
         let mut length_ms = 0;
         match *fault {
-            Fault::Kill { for_ms, count, .. } => {
+            Fault::Kill { for_ms, count, .. }
+            | Fault::KillSeries { for_ms, count, .. } => {
                 affected = self.pick_instances(count);
                 affected
                     .clone()
@@ -98,7 +99,7 @@
     /// Ends a fault for the instances or minions that it affected.
     pub(super) fn end_fault(&mut self, number: usize, affected: Vec<usize>) {
         match self.scenario.faults[number] {
-            Fault::Kill { .. } => {
+            Fault::Kill { .. } | Fault::KillSeries { .. } => {
                 affected.into_iter().for_each(|instance| self.start_instance(instance));
                 self.schedule_group_change(20_000);
             }
