Show leases, kills and ends of runs in the emulator's trace

The trace had only the lines of the engines, so it did not show which call extended the lease of a run, nor when a minion ended it. Lines about a change of the group also named the instance that had run before.

--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -25,6 +25,7 @@
 use crate::minion::Minion;
 use crate::report::{KindReport, Report};
 use crate::scenario::{Fault, Scenario};
+use crate::trace::{self, Source};
 
 /// The one-way network delay within a failure domain.
 const LOCAL_DELAY_US: u64 = 200;
@@ -455,6 +456,7 @@
                     && self.instances[instance].incarnation == incarnation
                 {
                     let now = self.steady_clock(instance);
+                    trace::set_context(self.now_us, Source::Instance(instance));
                     self.instances[instance]
                         .engine
                         .set_members(now, generation, &members);
--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -4,10 +4,12 @@
 use bamboocart_jobs::{
     HoldAnswer, HoldReply, MinionId, RunEnd, RunRef, StartAnswer, StartOrder,
 };
+use log::debug;
 use rand::Rng;
 
 use super::{Event, Input, MinionCall, Order, Simulation, WaitingHold};
 use crate::minion::HoldOutcome;
+use crate::trace::{self, Source};
 
 impl Simulation<'_> {
     /// Sends an order to a minion, which may be late, down or unreachable.
@@ -77,9 +79,11 @@
             }
             return;
         }
+        trace::set_context(self.now_us, Source::Minion(minion));
         match &call.order {
             Order::Start(order) => {
                 let answer = self.start_run(minion, order);
+                self.trace_lease(&call, "start arrived");
                 let (key, token) = (order.target.minion, order.target.fencing_token);
                 self.answer_call(
                     &call,
@@ -91,6 +95,7 @@
                 let (answer, ended) =
                     self.minions[minion].stop(self.now_us, token, order.run);
                 if ended {
+                    debug!(run:% = order.run.task, number = order.run.run; "run stopped");
                     self.checker.note_inactive(order.run, minion);
                     self.answer_waiting_holds(minion);
                 }
@@ -108,6 +113,7 @@
                 );
                 self.schedule_lease_expiry(minion);
                 if let HoldOutcome::Accepted(confirmed) = &outcome {
+                    self.trace_lease(&call, "hold arrived");
                     for end in confirmed {
                         if self.is_stored(end.run) {
                             self.checker.note_confirmed_end(self.now_us, end);
@@ -160,6 +166,8 @@
         match answer {
             StartAnswer::Started if !known => {
                 self.report.runs += 1;
+                debug!(run:% = order.run.task, number = order.run.run;
+                    "run started");
                 self.checker.note_start(self.now_us, order.run, minion);
                 let entry = &self.minions[minion];
                 let end = if entry.fails { RunEnd::Failed } else { RunEnd::Done };
@@ -176,6 +184,18 @@
         answer
     }
 
+    /// Logs which instance has sent a call, which runs are active at the minion, and when
+    /// their lease expires in virtual time.
+    fn trace_lease(&self, call: &MinionCall, message: &str) {
+        let minion = &self.minions[call.minion];
+        let Some(expires_us) = minion.lease_expires_at_us() else { return };
+        debug!(holder:% = Source::Instance(call.instance),
+            lease_expires_ms = expires_us / 1_000,
+            runs:? = minion.hold_reply(self.now_us).active.iter()
+                .map(|active| active.run.task.to_string()).collect::<Vec<_>>();
+            "{message}");
+    }
+
     /// Returns whether a run belongs to a stored job.
     fn is_stored(&self, run: RunRef) -> bool {
         self.job_indices.get(&run.task.job).is_some_and(|&job| self.jobs[job].stored)
@@ -191,7 +211,9 @@
 
     /// Ends the runs of a minion if its lease has expired.
     pub(super) fn expire_lease(&mut self, minion: usize) {
+        trace::set_context(self.now_us, Source::Minion(minion));
         for run in self.minions[minion].expire_lease(self.now_us) {
+            debug!(run:% = run.task, number = run.run; "lease expired; run ended");
             self.report.void_runs += 1;
             self.checker.note_inactive(run, minion);
         }
--- a/crates/bamboocart-emulator/src/simulation/instances.rs
+++ b/crates/bamboocart-emulator/src/simulation/instances.rs
@@ -6,6 +6,7 @@
     Catalog, Effect, Engine, Frame, Member, MinionEntry, MinionState, Moment, PeerKey,
     Resources, Service, WireLimits,
 };
+use log::debug;
 use rand::Rng;
 
 use super::{
@@ -13,7 +14,7 @@
     Simulation, UNIX_START_MS,
 };
 use crate::minion::Minion;
-use crate::trace;
+use crate::trace::{self, Source};
 
 impl Simulation<'_> {
     /// Adds an input to the inbox of an instance.
@@ -40,7 +41,7 @@
         }
         let Some(input) = self.instances[instance].inbox.pop_front() else { return };
         let now = self.steady_clock(instance);
-        trace::set_context(self.now_us, instance);
+        trace::set_context(self.now_us, Source::Instance(instance));
         let engine = &mut self.instances[instance].engine;
         match input {
             Input::Submit(job, attempt) => self.submit(instance, job, attempt),
@@ -227,6 +228,8 @@
         entry.engine.stored_jobs_known(Moment(entry.clock_offset_ms), used);
         let offset_ms = entry.clock_offset_ms;
         entry.engine.set_wall_clock(Moment(offset_ms), UNIX_START_MS);
+        trace::set_context(now_us, Source::Instance(instance));
+        debug!("instance started");
         let now = self.steady_clock(instance);
         self.instances[instance].engine.update_minions(now, entries);
         self.process_effects(instance);
@@ -237,6 +240,8 @@
     /// Its peers close their links when they next check them.
     pub(super) fn kill_instance(&mut self, instance: usize) {
         self.instances[instance].up = false;
+        trace::set_context(self.now_us, Source::Instance(instance));
+        debug!("instance killed");
         let lost: Vec<(usize, u32)> =
             self.instances[instance].requests.values().copied().collect();
         for (job, attempt) in lost {
--- a/crates/bamboocart-emulator/src/trace.rs
+++ b/crates/bamboocart-emulator/src/trace.rs
@@ -1,14 +1,33 @@
-//! Prints log lines of the engines with their virtual time, for example those of one job.
+//! Prints log lines of the engines and the minions with their virtual time, for example
+//! those of one job.
 
 use std::cell::Cell;
-use std::fmt::Write;
+use std::fmt::{self, Display, Formatter, Write};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
 
 thread_local! {
-    /// The virtual time in microseconds and the index of the instance that runs.
-    static CONTEXT: Cell<(u64, usize)> = const { Cell::new((0, 0)) };
+    /// The virtual time in microseconds and the part of the system that runs.
+    static CONTEXT: Cell<(u64, Source)> = const { Cell::new((0, Source::Instance(0))) };
+}
+
+/// The part of the system from which log lines come.
+#[derive(Debug, Copy, Clone)]
+pub(crate) enum Source {
+    /// The instance with an index.
+    Instance(usize),
+    /// The minion with an index.
+    Minion(usize),
+}
+
+impl Display for Source {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Instance(index) => write!(f, "entry-{index}"),
+            Self::Minion(index) => write!(f, "m-{index:03}"),
+        }
+    }
 }
 
 /// Installs a logger that prints the lines that contain `text`.
@@ -19,9 +38,9 @@
     log::set_boxed_logger(Box::new(Printer { text }))
 }
 
-/// Sets the time and the instance from which the next lines come.
-pub(crate) fn set_context(now_us: u64, instance: usize) {
-    CONTEXT.set((now_us, instance));
+/// Sets the time and the source of the next lines.
+pub(crate) fn set_context(now_us: u64, source: Source) {
+    CONTEXT.set((now_us, source));
 }
 
 /// A logger that prints the lines that contain a text.
@@ -38,9 +57,9 @@
         let mut fields = Fields(String::new());
         // Writing to a string cannot fail.
         let _ = record.key_values().visit(&mut fields);
-        let (now_us, instance) = CONTEXT.get();
+        let (now_us, source) = CONTEXT.get();
         let time = now_us / 1_000;
-        let line = format!("{time} entry-{instance} {}{}", record.args(), fields.0);
+        let line = format!("{time} {source} {}{}", record.args(), fields.0);
         if line.contains(&self.text) {
             println!("{line}");
         }
