Check a minion's lease in the emulator after a start that is not taken

Such a start extends the lease, but no check was scheduled for its new end, so the runs stayed active until the next call to the minion.

--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -176,11 +176,12 @@
                 if let Some(run_us) = run_us {
                     self.schedule(run_us, event);
                 }
-                self.schedule_lease_expiry(minion);
             }
             StartAnswer::NoRoom => self.report.rejected_starts += 1,
             _ => {}
         }
+        // A start that is not taken may have extended the lease too.
+        self.schedule_lease_expiry(minion);
         answer
     }
 
