--- a/crates/bamboocart-emulator/src/lib.rs
+++ b/crates/bamboocart-emulator/src/lib.rs
@@ -19,6 +19,6 @@
 pub use self::outcome::{Outcome, OutcomeError, Outcomes};
 pub use self::plot::credits_svg;
 pub use self::report::{KindReport, Report};
-pub use self::scenario::{Fault, JobKind, Scenario, ScenarioError};
+pub use self::scenario::{Domain, Fault, JobKind, Scenario, ScenarioError};
 pub use self::simulation::simulate;
 pub use self::trace::install_trace;
