--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -25,6 +25,7 @@
 use crate::minion::Minion;
 use crate::report::{KindReport, Report};
 use crate::scenario::{Fault, Scenario};
+use crate::trace::{self, Source};
 
 /// The one-way network delay within a failure domain.
 const LOCAL_DELAY_US: u64 = 200;
@@ -391,10 +392,9 @@
             self.schedule(WARM_UP_US, Event::NewJob(kind));
         }
         for (number, fault) in self.scenario.faults.iter().enumerate() {
-            self.schedule(
-                WARM_UP_US + start_ms(fault) * 1_000,
-                Event::FaultStarts(number),
-            );
+            for start_ms in start_times_ms(fault) {
+                self.schedule(WARM_UP_US + start_ms * 1_000, Event::FaultStarts(number));
+            }
         }
     }
 
@@ -456,6 +456,7 @@
                     && self.instances[instance].incarnation == incarnation
                 {
                     let now = self.steady_clock(instance);
+                    trace::set_context(self.now_us, Source::Instance(instance));
                     self.instances[instance]
                         .engine
                         .set_members(now, generation, &members);
@@ -503,10 +504,23 @@
     }
 }
 
-/// Returns the start of a fault, in milliseconds after clients begin to send jobs.
+/// Returns the times at which a fault is injected, in milliseconds after clients begin to
+/// send jobs.
+fn start_times_ms(fault: &Fault) -> impl Iterator<Item = u64> {
+    let (gap_ms, again) = match *fault {
+        Fault::KillSeries { gap_ms, again, .. } => (gap_ms, again),
+        _ => (0, 0),
+    };
+    let first_ms = start_ms(fault);
+    (0..=again).map(move |number| first_ms + number * gap_ms)
+}
+
+/// Returns the first time at which a fault is injected, in milliseconds after clients
+/// begin to send jobs.
 fn start_ms(fault: &Fault) -> u64 {
     match *fault {
         Fault::Kill { at_ms, .. }
+        | Fault::KillSeries { at_ms, .. }
         | Fault::Pause { at_ms, .. }
         | Fault::PartitionDomain { at_ms, .. }
         | Fault::StoreUnavailable { at_ms, .. }
