Give a soak its plan, a name and a fraction of long tasks

Another kind of plan is to run under the same load and checks. The random plans and the clients' draws of a seed don't change: the fraction is the same value as before, and the name of the logs' folder is still soak-SEED.

--- a/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/clients.rs
@@ -20,9 +20,6 @@
 /// The time after which a job without an answer is resent.
 const RETRANSMIT: Duration = Duration::from_millis(1_300);
 
-/// The fraction of jobs with long tasks.
-const LONG_SHARE: f64 = 0.2;
-
 /// The fraction of jobs that are stored.
 const STORED_SHARE: f64 = 0.3;
 
@@ -64,8 +61,9 @@
 }
 
 impl Clients {
-    /// Starts clients that submit jobs until they are stopped.
-    pub fn start(seed: u64, fronts: Fronts) -> Self {
+    /// Starts clients that submit jobs, a fraction of them with long tasks, until they are
+    /// stopped.
+    pub fn start(seed: u64, fronts: Fronts, long_share: f64) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let next = Arc::new(AtomicU64::new(1));
         let threads = (0..CLIENTS)
@@ -77,7 +75,8 @@
                     let mut jobs = Vec::new();
                     while !stop.load(Ordering::Relaxed) {
                         let id = next.fetch_add(1, Ordering::Relaxed);
-                        jobs.push(send(format!("{id:016x}"), &fronts, &mut rng));
+                        let id = format!("{id:016x}");
+                        jobs.push(send(id, &fronts, long_share, &mut rng));
                         thread::sleep(PAUSE);
                     }
                     jobs
@@ -108,10 +107,10 @@
 }
 
 /// Submits a random job until it has an answer, in at most [`ATTEMPTS`] attempts.
-fn send(id: String, fronts: &Fronts, rng: &mut SmallRng) -> Job {
+fn send(id: String, fronts: &Fronts, long_share: f64, rng: &mut SmallRng) -> Job {
     let tasks = rng.random_range(1..=5);
     // Long tasks are still active when the client resends a job whose owner was killed.
-    let run_ms = match rng.random_bool(LONG_SHARE) {
+    let run_ms = match rng.random_bool(long_share) {
         true => rng.random_range(800..2_500),
         false => rng.random_range(20..250),
     };
--- a/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
@@ -12,7 +12,9 @@
 mod system;
 
 use std::env;
+use std::ops::Range;
 
+use self::plan::PlannedFault;
 use self::system::System;
 
 /// The default of `SOAK_SEEDS`.
@@ -27,28 +29,39 @@
 /// end of the current run.
 const FAILED_SEEDS: &[u64] = &[1_103, 1_212, 1_306];
 
-/// Executes the plan of a seed and checks the observations.
-fn soak(seed: u64) {
-    let faults = plan::random_plan(seed);
-    eprintln!("seed {seed}: {faults:#?}");
-    let mut system = System::start(seed);
-    let clients = clients::Clients::start(seed, system.fronts());
-    system.play(&faults);
+/// The fraction of jobs with long tasks under random faults.
+const LONG_SHARE: f64 = 0.2;
+
+/// Executes a plan and checks the observations. The name is that of the folder for the
+/// logs.
+fn soak(name: &str, seed: u64, faults: &[PlannedFault], long_share: f64) {
+    eprintln!("{name}: {faults:#?}");
+    let mut system = System::start(name);
+    let clients = clients::Clients::start(seed, system.fronts(), long_share);
+    system.play(faults);
     let mut jobs = clients.stop();
     system.await_recovery();
     clients::await_stored(&mut jobs, &system.fronts());
     let violations = checks::violations(&jobs, &system.runs());
-    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
-    eprintln!("seed {seed}: {} jobs, {}", jobs.len(), checks::summary(&jobs));
+    assert!(violations.is_empty(), "{name}: {violations:#?}");
+    eprintln!("{name}: {} jobs, {}", jobs.len(), checks::summary(&jobs));
+}
+
+/// Returns the drawn seeds, whose number and first one are read from two environment
+/// variables.
+fn drawn_seeds(number: &str, default_number: u64, first: &str) -> Range<u64> {
+    let read = |name: &str, default| {
+        env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let first = read(first, 1);
+    first..first + read(number, default_number)
 }
 
 /// Guards against violated guarantees under unforeseen combinations of faults.
 #[test]
 fn promises_hold_under_random_faults() {
-    let number = |name: &str, default| {
-        env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-    };
-    let first = number("SOAK_FIRST", 1);
-    let drawn = first..first + number("SOAK_SEEDS", DEFAULT_SEEDS);
-    FAILED_SEEDS.iter().copied().chain(drawn).for_each(soak);
+    let drawn = drawn_seeds("SOAK_SEEDS", DEFAULT_SEEDS, "SOAK_FIRST");
+    for seed in FAILED_SEEDS.iter().copied().chain(drawn) {
+        soak(&format!("soak-{seed}"), seed, &plan::random_plan(seed), LONG_SHARE);
+    }
 }
--- a/crates/bamboocart-dispatcher/tests/site/soak/system.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/system.rs
@@ -53,7 +53,9 @@
 
 impl System {
     /// Starts the platform, the proxies and all instances, and waits until they serve.
-    pub fn start(seed: u64) -> Self {
+    ///
+    /// The name is that of the folder for the logs.
+    pub fn start(name: &str) -> Self {
         let platform = StandIn::start(MINIONS).unwrap();
         platform.publish(1, "/q/");
         let minions = platform.minion_addresses();
@@ -65,9 +67,8 @@
         let store = platform.store_address();
         let store_proxies =
             (0..INSTANCES).map(|_| Proxy::start(store).unwrap()).collect();
-        let logs =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
-        // Logs of an earlier run with this seed are deleted.
+        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        // Logs of an earlier run with this name are deleted.
         let _ = fs::remove_dir_all(&logs);
         fs::create_dir_all(&logs).unwrap();
         let mut system = Self {
