Add a soak of faults in series, which makes a task run twice

Kills of all instances are followed by kills, freezes and stops of single instances that interrupt the takeover of the minions. Most jobs have long tasks, which are still active when their clients send them again; the checks are the same as for random faults, whose plans don't change.

In the logs, a holder that is killed again and again adopts the same runs each time, renews their lease and dies before it stops them.

--- a/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Each seed determines a plan of faults that lasts some seconds, under a load of jobs.
 //! What clients and minions observe is checked against the guarantees of the system.
-//! `SOAK_SEEDS` is the number of seeds and `SOAK_FIRST` the first one. The log of each
-//! process is kept in the temporary folder of the target folder.
+//! `SOAK_SEEDS` is the number of seeds and `SOAK_FIRST` the first one;
+//! `SOAK_SERIES_SEEDS` and `SOAK_SERIES_FIRST` are those of the plans of faults in series.
+//! The log of each process is kept in the temporary folder of the target folder.
 
 mod checks;
 mod clients;
@@ -29,9 +30,22 @@
 /// end of the current run.
 const FAILED_SEEDS: &[u64] = &[1_103, 1_212, 1_306];
 
+/// Seeds whose faults in series have broken a guarantee, which every run repeats.
+///
+/// 2 and 4: a holder that is killed again and again renews the lease of runs that no owner
+/// claims, and they are active when the client sends their job again.
+const FAILED_SERIES_SEEDS: &[u64] = &[2, 4];
+
+/// The default of `SOAK_SERIES_SEEDS`.
+const DEFAULT_SERIES_SEEDS: u64 = 1;
+
 /// The fraction of jobs with long tasks under random faults.
 const LONG_SHARE: f64 = 0.2;
 
+/// The fraction of jobs with long tasks under faults in series. Only a task that outlasts
+/// the time until its job is resent can run twice.
+const SERIES_LONG_SHARE: f64 = 0.9;
+
 /// Executes a plan and checks the observations. The name is that of the folder for the
 /// logs.
 fn soak(name: &str, seed: u64, faults: &[PlannedFault], long_share: f64) {
@@ -65,3 +79,15 @@
         soak(&format!("soak-{seed}"), seed, &plan::random_plan(seed), LONG_SHARE);
     }
 }
+
+/// Guards against a task that runs twice because one holder after the other renews its
+/// first run, which no owner claims, until the client sends the job again.
+#[test]
+fn resent_jobs_run_once_after_kills_in_series() {
+    let drawn =
+        drawn_seeds("SOAK_SERIES_SEEDS", DEFAULT_SERIES_SEEDS, "SOAK_SERIES_FIRST");
+    for seed in FAILED_SERIES_SEEDS.iter().copied().chain(drawn) {
+        let name = format!("soak-series-{seed}");
+        soak(&name, seed, &plan::series_plan(seed), SERIES_LONG_SHARE);
+    }
+}
--- a/crates/bamboocart-dispatcher/tests/site/soak/plan.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/plan.rs
@@ -1,16 +1,39 @@
 //! Random fault plans, determined by a seed.
 
+use std::ops::{Range, RangeInclusive};
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::proxy::Mode;
-use super::system::{INSTANCES, MINIONS};
+use super::system::{INSTANCES, MINIONS, STOP_MS};
 
 /// The time span in which faults begin.
 const FAULTS_MS: u64 = 7_000;
 
 /// The number of faults of a plan.
-const FAULTS: std::ops::RangeInclusive<usize> = 5..=11;
+const FAULTS: RangeInclusive<usize> = 5..=11;
+
+/// The number of series of a plan of series.
+const SERIES: u64 = 4;
+
+/// The time until the first series, and between the starts of two.
+const SERIES_INTERVAL_MS: Range<u64> = 1_600..2_800;
+
+/// The time from the kill of all instances to their restart, mostly before the leases of
+/// the runs expire.
+const SERIES_AWAY_MS: Range<u64> = 100..500;
+
+/// The time from the kill of all instances to a following fault of the series: the
+/// restarted instances take over the minions, until clients send their jobs again.
+const SERIES_FAULT_MS: RangeInclusive<u64> = 300..=1_300;
+
+/// The time from the restart of an instance to its next fault in a series, mostly before
+/// it has stopped the runs that no owner claims.
+const SERIES_RUNNING_MS: Range<u64> = 100..330;
+
+/// The largest number of faults in a series that concern any instance.
+const SERIES_OTHER_FAULTS: usize = 2;
 
 /// A fault with the time at which it begins.
 #[derive(Debug, Clone)]
@@ -110,3 +133,45 @@
         _ => Fault::MinionNetwork { minion: rng.random_range(0..MINIONS), mode, for_ms },
     }
 }
+
+/// Generates the plan of a seed, ordered by time, of faults in series.
+///
+/// In a series, all instances are killed, one of them is interrupted again and again while
+/// it restarts, and faults of any instance overlap with that.
+pub fn series_plan(seed: u64) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut plan = Vec::new();
+    let mut began_ms = 0;
+    for _ in 0..SERIES {
+        began_ms += rng.random_range(SERIES_INTERVAL_MS);
+        let away_ms = rng.random_range(SERIES_AWAY_MS);
+        plan.push(PlannedFault { at_ms: began_ms, fault: Fault::KillAll { away_ms } });
+        let victim = rng.random_range(0..INSTANCES);
+        let mut after_ms = away_ms + rng.random_range(SERIES_RUNNING_MS);
+        while after_ms <= *SERIES_FAULT_MS.end() {
+            let (fault, lasts_ms) = series_fault(victim, &mut rng);
+            let at_ms = began_ms + after_ms.max(*SERIES_FAULT_MS.start());
+            plan.push(PlannedFault { at_ms, fault });
+            after_ms += lasts_ms + rng.random_range(SERIES_RUNNING_MS);
+        }
+        for _ in 0..rng.random_range(0..=SERIES_OTHER_FAULTS) {
+            let at_ms = began_ms + rng.random_range(SERIES_FAULT_MS);
+            let instance = rng.random_range(0..INSTANCES);
+            let (fault, _) = series_fault(instance, &mut rng);
+            plan.push(PlannedFault { at_ms, fault });
+        }
+    }
+    plan.sort_by_key(|planned| planned.at_ms);
+    plan
+}
+
+/// Generates a fault of an instance within a series, with the time for which it lasts.
+fn series_fault(instance: usize, rng: &mut SmallRng) -> (Fault, u64) {
+    let away_ms = rng.random_range(20..150);
+    let for_ms = rng.random_range(100..1_000);
+    match rng.random_range(0..10) {
+        0..=6 => (Fault::Kill { instance, away_ms }, away_ms),
+        7..=8 => (Fault::Freeze { instance, for_ms }, for_ms),
+        _ => (Fault::Stop { instance }, STOP_MS),
+    }
+}
--- a/crates/bamboocart-dispatcher/tests/site/soak/system.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/system.rs
@@ -22,7 +22,7 @@
 pub const MINIONS: usize = 8;
 
 /// The time from a termination signal to the restart, a little over the grace period.
-const STOP_MS: u64 = 6_200;
+pub const STOP_MS: u64 = 6_200;
 
 /// The addresses for client connections, by instance.
 pub type Fronts = Arc<Mutex<Vec<SocketAddr>>>;
