--- a/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Each seed determines a plan of faults that lasts some seconds, under a load of jobs.
 //! What clients and minions observe is checked against the guarantees of the system.
-//! `SOAK_SEEDS` is the number of seeds and `SOAK_FIRST` the first one. The log of each
-//! process is kept in the temporary folder of the target folder.
+//! `SOAK_SEEDS` is the number of seeds and `SOAK_FIRST` the first one;
+//! `SOAK_SERIES_SEEDS` and `SOAK_SERIES_FIRST` are those of the plans of faults in series.
+//! The log of each process is kept in the temporary folder of the target folder.
 
 mod checks;
 mod clients;
@@ -12,7 +13,9 @@
 mod system;
 
 use std::env;
+use std::ops::Range;
 
+use self::plan::PlannedFault;
 use self::system::System;
 
 /// The default of `SOAK_SEEDS`.
@@ -27,28 +30,64 @@
 /// end of the current run.
 const FAILED_SEEDS: &[u64] = &[1_103, 1_212, 1_306];
 
-/// Executes the plan of a seed and checks the observations.
-fn soak(seed: u64) {
-    let faults = plan::random_plan(seed);
-    eprintln!("seed {seed}: {faults:#?}");
-    let mut system = System::start(seed);
-    let clients = clients::Clients::start(seed, system.fronts());
-    system.play(&faults);
+/// Seeds whose faults in series have broken a guarantee, which every run repeats.
+///
+/// 2 and 4: a holder that is killed again and again renews the lease of runs that no owner
+/// claims, and they are active when the client sends their job again.
+const FAILED_SERIES_SEEDS: &[u64] = &[2, 4];
+
+/// The default of `SOAK_SERIES_SEEDS`.
+const DEFAULT_SERIES_SEEDS: u64 = 1;
+
+/// The fraction of jobs with long tasks under random faults.
+const LONG_SHARE: f64 = 0.2;
+
+/// The fraction of jobs with long tasks under faults in series. Only a task that outlasts
+/// the time until its job is resent can run twice.
+const SERIES_LONG_SHARE: f64 = 0.9;
+
+/// Executes a plan and checks the observations. The name is that of the folder for the
+/// logs.
+fn soak(name: &str, seed: u64, faults: &[PlannedFault], long_share: f64) {
+    eprintln!("{name}: {faults:#?}");
+    let mut system = System::start(name);
+    let clients = clients::Clients::start(seed, system.fronts(), long_share);
+    system.play(faults);
     let mut jobs = clients.stop();
     system.await_recovery();
     clients::await_stored(&mut jobs, &system.fronts());
     let violations = checks::violations(&jobs, &system.runs());
-    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
-    eprintln!("seed {seed}: {} jobs, {}", jobs.len(), checks::summary(&jobs));
+    assert!(violations.is_empty(), "{name}: {violations:#?}");
+    eprintln!("{name}: {} jobs, {}", jobs.len(), checks::summary(&jobs));
+}
+
+/// Returns the drawn seeds, whose number and first one are read from two environment
+/// variables.
+fn drawn_seeds(number: &str, default_number: u64, first: &str) -> Range<u64> {
+    let read = |name: &str, default| {
+        env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let first = read(first, 1);
+    first..first + read(number, default_number)
 }
 
 /// Guards against violated guarantees under unforeseen combinations of faults.
 #[test]
 fn promises_hold_under_random_faults() {
-    let number = |name: &str, default| {
-        env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-    };
-    let first = number("SOAK_FIRST", 1);
-    let drawn = first..first + number("SOAK_SEEDS", DEFAULT_SEEDS);
-    FAILED_SEEDS.iter().copied().chain(drawn).for_each(soak);
+    let drawn = drawn_seeds("SOAK_SEEDS", DEFAULT_SEEDS, "SOAK_FIRST");
+    for seed in FAILED_SEEDS.iter().copied().chain(drawn) {
+        soak(&format!("soak-{seed}"), seed, &plan::random_plan(seed), LONG_SHARE);
+    }
+}
+
+/// Guards against a task that runs twice because one holder after the other renews its
+/// first run, which no owner claims, until the client sends the job again.
+#[test]
+fn resent_jobs_run_once_after_kills_in_series() {
+    let drawn =
+        drawn_seeds("SOAK_SERIES_SEEDS", DEFAULT_SERIES_SEEDS, "SOAK_SERIES_FIRST");
+    for seed in FAILED_SERIES_SEEDS.iter().copied().chain(drawn) {
+        let name = format!("soak-series-{seed}");
+        soak(&name, seed, &plan::series_plan(seed), SERIES_LONG_SHARE);
+    }
 }
