Show further paths to a second run, and a lease that expires for one ended job

Late frames of an earlier connection still have an effect where they bring a claim, a list of runs, a list of wanted runs or the report of a move. A report of the runs of a shard replaces a later holder of a run, and leaves the time at which the run counts as gone. A holder starts a run beside an earlier one that it has not stopped yet. An owner that has lost its shard does not tell the holders of its runs, which go on to renew them as long as it is alive.

--- a/crates/bamboocart-jobs/tests/lease_renewal.rs
+++ b/crates/bamboocart-jobs/tests/lease_renewal.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
-use bamboocart_jobs::timing::{CLAIM_WINDOW_MS, LEASE_MS, OWNER_SILENCE_MS};
+use bamboocart_jobs::timing::{
+    CLAIM_WINDOW_MS, HOLD_WAIT_MS, LEASE_MS, OWNER_SILENCE_MS, UNEXTENDED_WAIT_MS,
+};
 use bamboocart_jobs::{
     ActiveRun, Claim, Effect, EndedRun, Engine, HoldReply, Message, Moment, PeerKey,
-    Resources, RunEnd, RunRef, StopOrder,
+    Resources, RunEnd, RunRef, StartAnswer, StopOrder,
 };
 use support::{active, answer_hold, ended, entry, frame, member, starts_of};
 use yare::parameterized;
@@ -81,6 +83,15 @@
         }
     }
 
+    /// Confirms the stops that were sent.
+    fn confirm_stops(&mut self) {
+        for StopOrder { target, run } in self.stops.split_off(0) {
+            let (key, token) = (target.minion, target.fencing_token);
+            let answer = StartAnswer::Started;
+            self.engine.stop_answered(self.now, key, token, run, answer);
+        }
+    }
+
     /// Delivers messages of the peer.
     fn deliver(&mut self, messages: Vec<Message>) {
         self.engine.frame_arrived(self.now, self.peer, frame(self.now, messages));
@@ -175,3 +186,25 @@
     let starts = starts_of(fixture.engine.take_effects());
     assert!(starts.is_empty(), "{starts:?}");
 }
+
+/// The shortest time that is left of the lease when a minion passes to a new holder: the
+/// earlier holder has renewed it before its last hold.
+const HANDED_OVER_LEASE_MS: u64 = LEASE_MS - HOLD_WAIT_MS;
+
+/// Guards against wanted runs whose lease expires while the new holder of their minion
+/// waits for a claim to another run, whose job has ended during the handover. The minion
+/// confirms each stop at once.
+#[test]
+fn an_ended_job_costs_no_run_of_another_one() {
+    let runs = [run(0), run(1)];
+    let mut fixture = Fixture::new(&runs);
+    let lease_ends = fixture.now + HANDED_OVER_LEASE_MS;
+    fixture.claim(run(0));
+    while fixture.now < lease_ends {
+        fixture.now = fixture.now + UNEXTENDED_WAIT_MS;
+        fixture.deliver(Vec::new());
+        fixture.list(&runs);
+        fixture.confirm_stops();
+    }
+    assert!(fixture.lease_until_ms > lease_ends.0, "the lease has expired");
+}
--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -411,3 +411,98 @@
     });
     assert_eq!(lists.count(), 2);
 }
+
+/// Guards against a run that goes on although its owner has given it up: the claim of the
+/// run arrives on an older connection than the stop or the list of wanted runs, which
+/// concern only claimed runs. Nobody stops the run afterwards.
+#[parameterized(
+    stopped = { Message::Stop(run(1)) },
+    not_wanted = { Message::WantedRuns(Vec::new()) },
+)]
+fn a_claim_from_before_a_stop_is_not_accepted(message: Message) {
+    let mut fixture = HolderFixture::new(&["m-1"], &[run(1)]);
+    fixture.engine.take_effects();
+    fixture.now = START + 50;
+    fixture.deliver(frame(fixture.now, vec![message]));
+    fixture.now = START + 60;
+    fixture.deliver(frame(START + 40, vec![claim_message(0)]));
+    let mut stops = stops_of(&fixture.engine.take_effects());
+    while fixture.now < START + GONE_MS {
+        fixture.now = fixture.now + FRAME_MS;
+        fixture.deliver(frame(fixture.now, Vec::new()));
+        stops.extend(stops_of(&fixture.engine.take_effects()));
+    }
+    assert_eq!(stops, [run(1)], "while the owner sends frames");
+}
+
+/// Guards against a list of runs from before an adoption that arrives after it, on an
+/// older connection. The owner takes the run for lost and starts the task again.
+#[test]
+fn a_list_from_before_an_adoption_marks_no_run_as_lost() {
+    let mut fixture = OwnerFixture::new();
+    let before = fixture.now + 100;
+    fixture.advance(300);
+    let adopted = Message::Adopted {
+        minion: "m-1".into(),
+        fencing_token: 9,
+        active: vec![run(1)],
+        ended: Vec::new(),
+    };
+    fixture.deliver(frame(fixture.now, vec![adopted]));
+    fixture.deliver(frame(before, vec![Message::HeldRuns(Vec::new())]));
+    fixture.advance(GONE_MS);
+    assert_eq!(fixture.starts(), [run(1)]);
+}
+
+/// Guards against the stop of a wanted run, because a list of wanted runs from before its
+/// order arrives on an older connection than the order.
+#[test]
+fn a_list_of_wanted_runs_from_before_a_start_stops_nothing() {
+    let mut fixture = HolderFixture::new(&["m-1"], &[]);
+    fixture.engine.take_effects();
+    fixture.now = START + 50;
+    fixture.deliver(frame(fixture.now, vec![start_message()]));
+    fixture.engine.take_effects();
+    fixture.now = START + 60;
+    let wanted = Message::WantedRuns(Vec::new());
+    fixture.deliver(frame(START + 40, vec![wanted]));
+    let stops = stops_of(&fixture.engine.take_effects());
+    assert!(stops.is_empty(), "{stops:?}");
+}
+
+/// Guards against a second run beside the first one, which the holder of both minions has
+/// not stopped yet. An owner that counts a run as lost orders its stop and the next run at
+/// the same time.
+#[test]
+fn a_start_waits_for_the_end_of_an_earlier_run() {
+    let mut fixture = HolderFixture::new(&["m-1", "m-2"], &[run(1)]);
+    fixture.deliver(frame(START, vec![claim_message(0)]));
+    fixture.engine.take_effects();
+    let order = Box::new(support::run_order(run(2)));
+    let start = Message::Start { minion: "m-2".into(), order };
+    fixture.now = START + 50;
+    fixture.deliver(frame(fixture.now, vec![Message::Stop(run(1)), start]));
+    let started = starts_of(fixture.engine.take_effects());
+    assert!(started.is_empty(), "before the stop is confirmed: {started:?}");
+}
+
+/// Guards against an end that is ignored because the report that a run was moved, about
+/// an earlier submission of its job, arrives late and is taken for one about this run.
+#[test]
+fn a_move_from_before_an_order_hides_no_end() {
+    let mut fixture = OwnerFixture::new();
+    let before = fixture.now + 10;
+    fixture.engine.abandon(before, RequestKey(1));
+    fixture.now = fixture.now + 1_310;
+    fixture.sent.clear();
+    fixture.submit(2);
+    fixture.now = fixture.now + 10;
+    let moved = Message::Moved { run: run(1), minion: "m-2".into() };
+    fixture.deliver(frame(before, vec![moved]));
+    let (end, checkpoint) = (RunEnd::Done, Checkpoint::default());
+    let report = EndReport { run: run(1), end, checkpoint };
+    let ended = Message::Ended { minion: "m-1".into(), report };
+    fixture.deliver(frame(fixture.now, vec![ended]));
+    let answers = support::answers_of(fixture.engine.take_effects());
+    assert_eq!(answers.len(), 1, "the job has ended");
+}
--- /dev/null
+++ b/crates/bamboocart-jobs/tests/shard_reports.rs
@@ -0,0 +1,257 @@
+//! Reports of the runs of a shard to its new owner, while minions pass from one holder to
+//! another.
+
+mod support;
+
+use bamboocart_jobs::timing::{LEASE_MS, RUN_GONE_MS};
+use bamboocart_jobs::{
+    AppendAnswer, CapacityReport, Checkpoint, Effect, EndReport, Engine, LogAppend,
+    LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, Resources, RunEnd,
+    RunRef, ShardId, ShardRun, Submission,
+};
+use support::{entry, frame, member, step, submission};
+use yare::parameterized;
+
+const START: Moment = Moment(10_000);
+
+/// The interval of the frames with which the peers show that they are alive.
+const FRAME_MS: u64 = 100;
+
+/// The time after which the run of a lost holder is started again, and some frames.
+const GONE_MS: u64 = 3_000;
+
+/// The fencing token of the present holder. It is higher than that of the owner, whose
+/// own holds the minions do not answer.
+const FENCING_TOKEN: u64 = u64::MAX;
+
+/// The earlier holder of the minion m-1.
+const EARLIER: usize = 0;
+
+/// The present holder of the minion m-1.
+const PRESENT: usize = 1;
+
+/// The holder of the minion m-2, which has room for another run.
+const OTHER: usize = 2;
+
+/// The owner of a stored job, which has taken over the shard and waits for reports of its
+/// runs. The log has one shard with records.
+struct Fixture {
+    engine: Engine,
+    now: Moment,
+    log: Vec<LogRecord>,
+    peers: Vec<PeerKey>,
+    /// The shard and epoch that were announced.
+    taken: Option<(ShardId, u64)>,
+    /// The runs that were ordered.
+    starts: Vec<RunRef>,
+    /// The runs that peers were told to stop.
+    stops: Vec<RunRef>,
+}
+
+impl Fixture {
+    /// Creates an owner that finds a stored job in the log.
+    fn new() -> Self {
+        let first = Self::first_owner();
+        let mut fixture = Self::with_log(first.log, first.taken);
+        fixture.pass(2 * FRAME_MS);
+        assert_ne!(fixture.taken, first.taken, "the shard is taken over");
+        fixture
+    }
+
+    /// Creates the first owner of the shard, which has stored a job and ordered its run.
+    fn first_owner() -> Self {
+        let mut fixture = Self::with_log(Vec::new(), None);
+        let submission = submission(1, vec![step(1, &[])]);
+        let job = NewJob { best_effort: false, ..submission.job };
+        fixture.engine.submit(fixture.now, Submission { job, ..submission });
+        fixture.pass(2 * FRAME_MS);
+        assert_eq!(fixture.log.len(), 2, "the claim and the job are written");
+        assert_eq!(fixture.starts, [run()]);
+        fixture
+    }
+
+    /// Creates an owner that finds these records in the log of a shard.
+    fn with_log(log: Vec<LogRecord>, taken: Option<(ShardId, u64)>) -> Self {
+        let own = member("entry-1", "marka");
+        let mut engine = Engine::new(own.clone(), 1);
+        let others = ["entry-2", "entry-3", "entry-4"].map(|name| member(name, "sahab"));
+        engine.set_members(START, 1, &[own]);
+        engine.joined(START);
+        let peers: Vec<PeerKey> =
+            others.iter().map(|other| engine.peer(START, other)).collect();
+        peers.iter().for_each(|&peer| engine.link_opened(peer));
+        engine.update_minions(START, ["m-1", "m-2"].map(|id| entry(id, "sahab")).into());
+        let (starts, stops) = (Vec::new(), Vec::new());
+        Self { engine, now: START, log, peers, taken, starts, stops }
+    }
+
+    /// Carries out the effects and collects the messages that are due.
+    fn collect(&mut self) {
+        loop {
+            let effects = self.engine.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                match effect {
+                    Effect::ReadLog(read) => self.answer_read(&read),
+                    Effect::Append(append) => self.carry_out(&append),
+                    _ => {}
+                }
+            }
+        }
+        for (_, frame) in self.engine.take_frames(self.now) {
+            for message in frame.messages {
+                match message {
+                    Message::ShardTaken { shard, epoch } => {
+                        self.taken = Some((shard, epoch));
+                    }
+                    Message::Start { order, .. } => self.starts.push(order.run),
+                    Message::Stop(run) => self.stops.push(run),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Answers a read; only the shard of the job has records.
+    fn answer_read(&mut self, read: &LogRead) {
+        let used = self.taken.is_some_and(|(shard, _)| shard == read.shard);
+        let records = if used { self.log.clone() } else { Vec::new() };
+        let end_offset = records.len() as u64;
+        let page = LogPage::Records { records, next_offset: end_offset, end_offset };
+        self.engine.log_read(self.now, read.shard, read.number, page);
+    }
+
+    /// Carries out an append.
+    fn carry_out(&mut self, append: &LogAppend) {
+        self.log.extend(append.records.iter().cloned());
+        let answer = AppendAnswer::Appended {
+            end_offset: append.at_offset + append.records.len() as u64,
+        };
+        self.engine.log_appended(self.now, append.shard, append.number, answer);
+    }
+
+    /// Delivers messages of a peer.
+    fn deliver(&mut self, peer: usize, messages: Vec<Message>) {
+        let frame = frame(self.now, messages);
+        self.engine.frame_arrived(self.now, self.peers[peer], frame);
+        self.collect();
+    }
+
+    /// Lets time pass while all peers send frames.
+    fn pass(&mut self, duration_ms: u64) {
+        let end = self.now + duration_ms;
+        while self.now < end {
+            self.now = self.now + FRAME_MS;
+            self.engine.joined(self.now);
+            let free =
+                Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 };
+            let room =
+                CapacityReport { minion: "m-2".into(), free, pace_permille: 1_000 };
+            self.deliver(EARLIER, Vec::new());
+            self.deliver(PRESENT, Vec::new());
+            self.deliver(OTHER, vec![Message::FreeCapacity(vec![room])]);
+        }
+    }
+
+    /// Delivers the report of the runs of the shard that a peer holds.
+    fn report(&mut self, peer: usize, found: &[RunRef]) {
+        let (shard, epoch) = self.taken.unwrap();
+        let report = |&run: &RunRef| ShardRun {
+            run,
+            minion: "m-1".into(),
+            checkpoint: Checkpoint::default(),
+        };
+        let runs = found.iter().map(report).collect();
+        self.deliver(peer, vec![Message::ShardRuns { shard, epoch, runs }]);
+    }
+
+    /// Delivers what a peer says about the run.
+    fn hear(&mut self, statement: Statement) {
+        match statement {
+            Statement::Reported(peer) => self.report(peer, &[run()]),
+            Statement::Released(peer) => {
+                self.deliver(peer, vec![Message::Released(run())]);
+            }
+            Statement::Adopted(peer) => {
+                let adopted = Message::Adopted {
+                    minion: "m-1".into(),
+                    fencing_token: FENCING_TOKEN,
+                    active: vec![run()],
+                    ended: Vec::new(),
+                };
+                self.deliver(peer, vec![adopted]);
+            }
+        }
+    }
+}
+
+/// What a peer says about the run.
+#[derive(Debug, Copy, Clone)]
+enum Statement {
+    /// It holds the run, which is of the shard that was taken over.
+    Reported(usize),
+    /// It has lost the minion of the run.
+    Released(usize),
+    /// It has found the run on the minion, which it holds now.
+    Adopted(usize),
+}
+
+/// Returns a run that the earlier owner of the shard has ordered.
+fn run() -> RunRef {
+    RunRef { task: format!("{}.0.0.0", support::JOB).parse().unwrap(), run: 1 }
+}
+
+/// Guards against a second run of a task of a stored job, whose minion passes to another
+/// holder while its shard passes to another owner. The earlier holder does not know yet
+/// that it has lost the minion when it reports the runs of the shard.
+#[parameterized(
+    reported_before_the_adoption = {
+        &[
+            Statement::Reported(EARLIER),
+            Statement::Released(EARLIER),
+            Statement::Adopted(PRESENT),
+        ]
+    },
+    reported_after_the_adoption = {
+        &[
+            Statement::Adopted(PRESENT),
+            Statement::Reported(EARLIER),
+            Statement::Released(EARLIER),
+        ]
+    },
+    reported_by_both_holders = {
+        &[
+            Statement::Reported(EARLIER),
+            Statement::Released(EARLIER),
+            Statement::Reported(PRESENT),
+        ]
+    },
+)]
+fn a_run_that_changes_hands_is_not_started_again(statements: &[Statement]) {
+    let mut fixture = Fixture::new();
+    statements.iter().for_each(|&statement| fixture.hear(statement));
+    (EARLIER..=OTHER).for_each(|peer| fixture.report(peer, &[]));
+    fixture.pass(GONE_MS);
+    assert!(fixture.starts.is_empty(), "while the run is active: {:?}", fixture.starts);
+    let (end, checkpoint) = (RunEnd::Void, Checkpoint::default());
+    let report = EndReport { run: run(), end, checkpoint };
+    fixture.deliver(PRESENT, vec![Message::Ended { minion: "m-1".into(), report }]);
+    fixture.pass(FRAME_MS);
+    assert_eq!(fixture.starts.len(), 1, "after the end of the run");
+}
+
+/// Guards against a run that its holder renews for as long as an earlier owner of its
+/// shard is alive, although that one has given the shard up. The next owner may not know
+/// of the holder, which has lost the store, and starts the task again after
+/// `RUN_GONE_MS`. A stop has no effect on a run that the next owner has taken over.
+#[test]
+fn an_earlier_owner_tells_holders_that_it_has_lost_its_shard() {
+    let mut fixture = Fixture::first_owner();
+    let (shard, epoch) = fixture.taken.unwrap();
+    let taken = Message::ShardTaken { shard, epoch: epoch + 1 };
+    fixture.deliver(PRESENT, vec![taken]);
+    fixture.pass(RUN_GONE_MS - LEASE_MS);
+    assert_eq!(fixture.stops, [run()]);
+}
