Stop unclaimed runs earlier where other runs share their minion

Cause: since a lease is extended only once all runs on a minion have an owner, one run whose job has ended during a handover held back the renewal for 300 ms, a tick of up to 100 ms and a stop. The lease that the earlier holder leaves lasts 350 ms or more, and the other runs were lost with it.

Change: such a run is stopped after 200 ms if the minion has runs with a known owner, and the timer of the engine fires when that time has passed.

Measured: an_ended_job_costs_no_run_of_another_one failed before and passes now.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -14,7 +14,7 @@
 use crate::shard::Stage;
 use crate::task::{Holder, Placement, TaskState};
 use crate::time::Moment;
-use crate::timing::{CLAIM_WINDOW_MS, OWNER_SILENCE_MS};
+use crate::timing::OWNER_SILENCE_MS;
 
 /// An owner's claim to a run that a new holder has found.
 #[derive(Debug, Copy, Clone, Serialize, Deserialize)]
@@ -169,10 +169,11 @@
         for key in self.minions.held_keys().to_vec() {
             let minion = &mut self.minions.arena[key];
             let Some(held) = minion.held.as_mut() else { continue };
+            let claim_window_ms = held.claim_window_ms();
             for (task, run) in &mut held.runs {
                 let orphan = match run.owner {
                     RunOwner::Peer(peer) => silent(peer, run.reassigned),
-                    RunOwner::Unclaimed => now.since(run.since) > CLAIM_WINDOW_MS,
+                    RunOwner::Unclaimed => now.since(run.since) > claim_window_ms,
                     RunOwner::Local | RunOwner::Nobody => false,
                 };
                 if orphan && run.request_stop(now) {
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -19,7 +19,7 @@
 use crate::member::Member;
 use crate::membership::Review;
 use crate::message::{EndReport, Frame, Message};
-use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunPhase};
+use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunOwner, RunPhase};
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
 use crate::peer::{FrameTimes, PeerKey, Peers, StoreStatus};
@@ -380,9 +380,14 @@
             if let HoldState::Due(at) = held.hold {
                 due = due.min(at);
             }
+            let claim_window_ms = held.claim_window_ms();
             for run in held.runs.values() {
-                if let RunPhase::StopDue(at) = run.phase {
-                    due = due.min(at);
+                match run.phase {
+                    RunPhase::StopDue(at) => due = due.min(at),
+                    RunPhase::Active if run.owner == RunOwner::Unclaimed => {
+                        due = due.min(run.since + claim_window_ms + 1);
+                    }
+                    RunPhase::Starting | RunPhase::Active | RunPhase::Stopping => {}
                 }
             }
             if held.blocked_until > now {
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -17,7 +17,7 @@
 use crate::resources::Resources;
 use crate::suspicion::Suspicion;
 use crate::time::Moment;
-use crate::timing::LEASE_MS;
+use crate::timing::{CLAIM_WINDOW_MS, LEASE_MS, SHARED_CLAIM_WINDOW_MS};
 
 /// The index of the rack in the labels.
 const RACK_LABEL: usize = 1;
@@ -422,6 +422,14 @@
         self.unsettled_runs().is_empty()
     }
 
+    /// Returns how long after they were found the runs that no owner has claimed are
+    /// stopped.
+    pub(crate) fn claim_window_ms(&self) -> u64 {
+        let owned = |run: &Run| matches!(run.owner, RunOwner::Local | RunOwner::Peer(_));
+        let shared = self.runs.values().any(owned);
+        if shared { SHARED_CLAIM_WINDOW_MS } else { CLAIM_WINDOW_MS }
+    }
+
     /// Counts the runs that are unclaimed or being stopped.
     pub(crate) fn unsettled_runs(&self) -> UnsettledRuns {
         let mut count = UnsettledRuns::default();
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -95,6 +95,10 @@
 /// How long a new holder waits for the owners of the runs that it found to claim them.
 pub const CLAIM_WINDOW_MS: u64 = 300;
 
+/// The same while the minion has other runs whose owners are known. The lease of all of
+/// them is not extended meanwhile, and 350 ms or more are left of it after a handover.
+pub const SHARED_CLAIM_WINDOW_MS: u64 = 200;
+
 /// How long a minion gets no further start after it has rejected one for lack of
 /// capacity.
 pub const NO_ROOM_BACKOFF_MS: u64 = 40;
