Keep the latest holder of a stored run when earlier ones report it

Cause: while a shard changes its owner, several instances may report the same run. The report of a holder that had lost the minion without knowing it replaced the one that had announced the run since, and a report by the present holder left the time at which the run counts as gone. In both cases the task was started again 2,500 ms later, while the run was renewed.

Change: a report does not replace a holder that has announced the run, and one by the holder itself means that the run is not gone.

Measured: a_run_that_changes_hands_is_not_started_again failed in two of three cases before and passes now.

--- a/crates/bamboocart-jobs/src/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard_runs.rs
@@ -108,7 +108,14 @@
                 entry.checkpoint.update(&checkpoint);
                 match &mut entry.state {
                     TaskState::Placed(placement) if entry.last_run == run.run => {
-                        placement.holder = holder;
+                        // A holder that has announced the run is a later one than any that
+                        // reports it.
+                        if placement.fencing_token == 0 {
+                            placement.holder = holder;
+                        }
+                        if placement.holder == holder {
+                            placement.gone_at = None;
+                        }
                         true
                     }
                     TaskState::Waiting | TaskState::Blocked => {
