Ignore lists, claims and moves that a later frame has overtaken

Cause: frames of an earlier connection may be handled after those of a newer one. A list of held runs from before an adoption marked the run as lost; a list of wanted runs from before a start stopped it; a claim from before the owner's stop was accepted, so that nobody stopped the run; and a report that a run of an earlier submission was moved hid the end of the present one.

Change: overtaken lists are ignored, as the newer connection has begun with lists of its own; claims count like starts only from frames after the last answer about the peer's runs; reports of moves are checked like ends.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -283,6 +283,7 @@
         match message {
             Message::StartRejected { run, .. }
             | Message::Released(run)
+            | Message::Moved { run, .. }
             | Message::Ended { report: EndReport { run, .. }, .. }
                 if self.predates_order(run, peer, times) =>
             {
@@ -290,10 +291,16 @@
                     number = run.run;
                     "ignoring a message about a run from before its order");
             }
-            // The lists of runs on the newer connection tell what became of the run.
-            Message::Released(run) if times.overtaken => {
-                info!(target: "job", request_id:% = run.task.job, run:% = run.task,
-                    number = run.run; "ignoring a release on an earlier connection");
+            // The lists of runs on the newer connection take their place.
+            Message::Released(_) | Message::HeldRuns(_) | Message::WantedRuns(_)
+                if times.overtaken =>
+            {
+                info!(target: "peer", peer:? = peer;
+                    "ignoring a release or a list of runs on an earlier connection");
+            }
+            Message::Claimed { run, .. } if self.is_answered(peer, times) => {
+                info!(target: "minion", run:% = run.task, number = run.run;
+                    "ignoring a claim from before a stop or a list of wanted runs");
             }
             Message::FreeCapacity(reports) => {
                 if let Some(peer) = self.peers.arena.get_mut(peer) {
@@ -305,7 +312,7 @@
                 self.start_for_peer(now, peer, times, &minion, *order);
             }
             Message::Stop(run) => {
-                self.refuse_earlier_starts(peer, times.sent_ms);
+                self.refuse_earlier_orders(peer, times.sent_ms);
                 self.stop_for_peer(now, peer, run);
             }
             Message::StartRejected { run, outdated } => {
@@ -344,7 +351,7 @@
             }
             Message::HeldRuns(runs) => self.reconcile(now, peer, &runs, times.echo),
             Message::WantedRuns(runs) => {
-                self.refuse_earlier_starts(peer, times.sent_ms);
+                self.refuse_earlier_orders(peer, times.sent_ms);
                 self.stop_unwanted(now, peer, &runs);
             }
             Message::StateTransfer { catalog, minions } => {
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -320,8 +320,7 @@
         // given up on it. Only the echo of its own frame tells, because later frames may
         // arrive first on a new connection.
         let late = now.since(times.echo) > OWNER_SILENCE_MS;
-        let known = self.peers.arena.get(peer);
-        let overtaken = known.is_some_and(|it| times.sent_ms < it.starts_after_ms);
+        let overtaken = self.is_answered(peer, times);
         let shard = self.shards.shard_of(run.task.job);
         let outdated = order.epoch > 0 && !self.shards.note_epoch(shard, order.epoch);
         if outdated || late || overtaken {
@@ -354,14 +353,22 @@
         }
     }
 
-    /// Refuses the starts in frames that a peer sent before `sent_ms` on its clock. They may
-    /// arrive late on an earlier connection, after an answer about their runs.
-    pub(crate) fn refuse_earlier_starts(&mut self, peer: PeerKey, sent_ms: u64) {
+    /// Refuses the starts and claims in frames that a peer sent before `sent_ms` on its
+    /// clock. They may arrive late on an earlier connection, after an answer about their
+    /// runs.
+    pub(crate) fn refuse_earlier_orders(&mut self, peer: PeerKey, sent_ms: u64) {
         if let Some(peer) = self.peers.arena.get_mut(peer) {
-            peer.starts_after_ms = peer.starts_after_ms.max(sent_ms);
+            peer.orders_after_ms = peer.orders_after_ms.max(sent_ms);
         }
     }
 
+    /// Returns whether a frame of a peer was sent before an answer about all of its runs,
+    /// so that its starts and claims no longer count.
+    pub(crate) fn is_answered(&self, peer: PeerKey, times: FrameTimes) -> bool {
+        let peer = self.peers.arena.get(peer);
+        peer.is_some_and(|peer| times.sent_ms < peer.orders_after_ms)
+    }
+
     /// Returns the fastest held minion of a service with enough free capacity.
     fn fastest_with_free_resources(
         &self,
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -61,9 +61,9 @@
     pub(crate) last_frame_at: Option<Moment>,
     /// Send time of its last frame, on its clock.
     pub(crate) last_frame_sent_ms: u64,
-    /// Frames that it sent before this time, on its clock, bring no starts: it has been
-    /// told since that the runs are not here.
-    pub(crate) starts_after_ms: u64,
+    /// Starts and claims in frames that it sent before this time, on its clock, do not
+    /// count: it has been told since which of its runs are here.
+    pub(crate) orders_after_ms: u64,
     /// Send time of the last of our frames that it has echoed, on our clock.
     pub(crate) last_echoed_at: Option<Moment>,
     /// The free capacity that it reported, less later reservations.
@@ -132,7 +132,7 @@
             link_open: false,
             last_frame_at: None,
             last_frame_sent_ms: 0,
-            starts_after_ms: 0,
+            orders_after_ms: 0,
             last_echoed_at: None,
             free_capacity: Vec::new(),
             pending: Vec::new(),
@@ -248,7 +248,7 @@
     /// Records that a link was opened, on which the peer is told all of its runs.
     pub(crate) fn open_link(&mut self) {
         self.link_open = true;
-        self.starts_after_ms = self.last_frame_sent_ms;
+        self.orders_after_ms = self.last_frame_sent_ms;
         self.report_due = true;
     }
 
