Start no run of a task whose earlier run is still at the holder

Cause: an owner that counts a run as lost orders its stop and the next run at the same time. If the holder had the earlier run on another of its minions, it started the next one while the stop was in flight.

Change: a holder rejects the start while any of its minions has a run of the task.

Measured: a_start_waits_for_the_end_of_an_earlier_run failed before and passes now.

--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -7,7 +7,7 @@
 use crate::engine::Engine;
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, SharedStr};
 use crate::message::{EndReport, Message, RunEnd};
-use crate::minion::{MinionKey, Run, RunOwner, RunPhase};
+use crate::minion::{HeldMinion, MinionKey, Run, RunOwner, RunPhase};
 use crate::peer::{FrameTimes, PeerKey};
 use crate::resources::Resources;
 use crate::task::Holder;
@@ -323,7 +323,10 @@
         let overtaken = self.is_answered(peer, times);
         let shard = self.shards.shard_of(run.task.job);
         let outdated = order.epoch > 0 && !self.shards.note_epoch(shard, order.epoch);
-        if outdated || late || overtaken {
+        // An earlier run of the task may be about to end here.
+        let has_run = |held: &HeldMinion| held.runs.contains_key(&run.task);
+        let present = self.minions.held().any(|(_, _, held)| has_run(held));
+        if outdated || late || overtaken || present {
             return self.send(peer, Message::StartRejected { run, outdated: false });
         }
         let named = self.minions.by_id.get(minion).copied();
