Repeat the first lost stop at once

Cause: a stop that gets no answer was repeated 100 ms after its timeout of 120 ms. The lease of the minion is not extended meanwhile, so two losses in a row cost the other runs on it.

Change: the first repetition follows at once; stops are idempotent.

Measured: a_lost_stop_is_repeated_at_once failed before and passes now.

--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -184,7 +184,8 @@
                 entry.listed_since = Some(now);
                 entry.failed_stops = 0;
             } else {
-                entry.phase = RunPhase::StopDue(now + HOLD_RETRY_MS);
+                let pause_ms = if entry.failed_stops == 0 { 0 } else { HOLD_RETRY_MS };
+                entry.phase = RunPhase::StopDue(now + pause_ms);
                 entry.failed_stops += 1;
             }
             // One line for the first of several failures, and one for the success.
--- a/crates/bamboocart-jobs/tests/lease_renewal.rs
+++ b/crates/bamboocart-jobs/tests/lease_renewal.rs
@@ -208,3 +208,17 @@
     }
     assert!(fixture.lease_until_ms > lease_ends.0, "the lease has expired");
 }
+
+/// Guards against other runs on a minion that are lost with their lease while a lost stop
+/// waits to be repeated. Stops are idempotent, so the first repetition needs no pause.
+#[test]
+fn a_lost_stop_is_repeated_at_once() {
+    let mut fixture = Fixture::new(&[run(0)]);
+    fixture.pass(CLAIM_WINDOW_MS + 100, &[run(0)], true);
+    let StopOrder { target, run } = fixture.stops.remove(0);
+    fixture.now = fixture.now + 120;
+    let (minion, token) = (target.minion, target.fencing_token);
+    fixture.engine.stop_answered(fixture.now, minion, token, run, StartAnswer::Lost);
+    let effects = fixture.engine.take_effects();
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Stop(_))));
+}
