Play lost answers and minions that shed load in the emulator

The emulator had no order that is carried out and not answered, nor a minion that rejects orders, so it could not show that a rejected repeat of a start frees its task.

--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -22,6 +22,8 @@
     pub(crate) hangs: bool,
     /// Whether tasks that start now fail.
     pub(crate) fails: bool,
+    /// The share of orders that it rejects as unhealthy.
+    pub(crate) shed_share: f64,
     pub(crate) up: bool,
     /// The virtual time at which its process started.
     pub(crate) process_start_us: u64,
@@ -98,6 +100,7 @@
             slow_factor: 1.0,
             hangs: false,
             fails: false,
+            shed_share: 0.0,
             up: true,
             process_start_us: 0,
             fencing_token: 0,
--- a/crates/bamboocart-emulator/src/scenario.rs
+++ b/crates/bamboocart-emulator/src/scenario.rs
@@ -216,6 +216,26 @@
         /// The share of orders that are late, from 0 to 1.
         share: f64,
     },
+    /// Orders to minions are carried out in time, but their answers are lost.
+    LostAnswers {
+        /// The start, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// The share of orders whose answers are lost, from 0 to 1.
+        share: f64,
+    },
+    /// Some minions reject a share of the orders as unhealthy.
+    SheddingMinions {
+        /// The start, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// The number of minions, chosen at random.
+        count: usize,
+        /// The share of orders that they reject, from 0 to 1.
+        share: f64,
+    },
     /// Clients send more jobs.
     Burst {
         /// The start, in milliseconds after clients begin to send jobs.
--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -287,6 +287,8 @@
     links_silent: bool,
     /// The share of orders to minions that are carried out late and not answered.
     late_order_share: f64,
+    /// The share of orders to minions that are carried out in time and not answered.
+    lost_answer_share: f64,
     /// The factor on the rates of jobs.
     load_factor: f64,
     checker: InvariantChecker,
@@ -317,6 +319,7 @@
             partitioned_domain: None,
             links_silent: false,
             late_order_share: 0.0,
+            lost_answer_share: 0.0,
             load_factor: 1.0,
             checker: InvariantChecker::default(),
             report: Report::default(),
@@ -533,6 +536,8 @@
         | Fault::HangingMinions { at_ms, .. }
         | Fault::FailingMinions { at_ms, .. }
         | Fault::LateOrders { at_ms, .. }
+        | Fault::LostAnswers { at_ms, .. }
+        | Fault::SheddingMinions { at_ms, .. }
         | Fault::Burst { at_ms, .. } => at_ms,
     }
 }
--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -21,8 +21,10 @@
             .path_delay_us(self.instances[instance].domain, self.minions[minion].domain);
         let late =
             self.late_order_share > 0.0 && self.rng.random_bool(self.late_order_share);
+        let lost =
+            self.lost_answer_share > 0.0 && self.rng.random_bool(self.lost_answer_share);
         let (delay_us, awaits_answer) = match path {
-            Some(delay_us) if !late => (delay_us, true),
+            Some(delay_us) if !late => (delay_us, !lost),
             Some(delay_us) => {
                 let wait_us = self.rng.random_range(2_000_000..12_000_000);
                 (delay_us + wait_us, false)
@@ -80,6 +82,10 @@
             return;
         }
         trace::set_context(self.now_us, Source::Minion(minion));
+        let shed_share = self.minions[minion].shed_share;
+        if shed_share > 0.0 && self.rng.random_bool(shed_share) {
+            return self.reject_call(&call);
+        }
         match &call.order {
             Order::Start(order) => {
                 let answer = self.start_run(minion, order);
@@ -143,6 +149,26 @@
         }
     }
 
+    /// Answers a call that the minion has rejected as unhealthy.
+    fn reject_call(&mut self, call: &MinionCall) {
+        let answer = StartAnswer::Unhealthy;
+        let input = match &call.order {
+            Order::Start(order) => {
+                let (key, token) = (order.target.minion, order.target.fencing_token);
+                Input::StartAnswered(key, token, order.run, answer)
+            }
+            Order::Stop(order) => {
+                let (key, token) = (order.target.minion, order.target.fencing_token);
+                Input::StopAnswered(key, token, order.run, answer)
+            }
+            Order::Hold(order) => {
+                let (key, number) = (order.target.minion, order.number);
+                Input::HoldAnswered(key, number, HoldAnswer::Unhealthy)
+            }
+        };
+        self.answer_call(call, input);
+    }
+
     /// Starts a run on a minion, and schedules its end unless the minion hangs.
     pub(super) fn start_run(&mut self, minion: usize, order: &StartOrder) -> StartAnswer {
         let Some(&job) = self.job_indices.get(&order.run.task.job) else {
--- a/crates/bamboocart-emulator/src/simulation/faults.rs
+++ b/crates/bamboocart-emulator/src/simulation/faults.rs
@@ -78,6 +78,15 @@
                 self.late_order_share = share;
                 length_ms = for_ms;
             }
+            Fault::LostAnswers { for_ms, share, .. } => {
+                self.lost_answer_share = share;
+                length_ms = for_ms;
+            }
+            Fault::SheddingMinions { for_ms, count, share, .. } => {
+                affected = self.pick_minions(count);
+                affected.iter().for_each(|&m| self.minions[m].shed_share = share);
+                length_ms = for_ms;
+            }
             Fault::Burst { for_ms, factor, .. } => {
                 self.load_factor = factor;
                 length_ms = for_ms;
@@ -135,6 +144,10 @@
                 affected.iter().for_each(|&m| self.minions[m].fails = false);
             }
             Fault::LateOrders { .. } => self.late_order_share = 0.0,
+            Fault::LostAnswers { .. } => self.lost_answer_share = 0.0,
+            Fault::SheddingMinions { .. } => {
+                affected.iter().for_each(|&m| self.minions[m].shed_share = 0.0);
+            }
             Fault::LostAppendAnswers { .. } => self.lost_append_share = 0.0,
             Fault::Burst { .. } => self.load_factor = 1.0,
             Fault::Rebalance { .. } | Fault::ResetLinks { .. } => {}
--- a/crates/bamboocart-emulator/tests/rules.rs
+++ b/crates/bamboocart-emulator/tests/rules.rs
@@ -16,6 +16,7 @@
     minions = { include_str!("../days/minions.toml") },
     burst = { include_str!("../days/burst.toml") },
     late_orders = { include_str!("../days/late-orders.toml") },
+    lost_answers = { include_str!("../days/lost-answers.toml") },
     lone_instances = { include_str!("../days/lone-instances.toml") },
 )]
 fn rules_hold(scenario: &str) {
