--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -126,8 +126,8 @@
             }
             if answer != StartAnswer::Started {
                 let minion = self.minions.arena[key].entry.id.as_str();
-                info!(target: "minion", minion, run:% = run.task, answer:? = answer;
-                    "start not taken");
+                info!(target: "minion", minion, run:% = run.task, number = run.run,
+                    answer:? = answer; "start not taken");
             }
         }
         if answer == StartAnswer::Fenced {
