Count two stop signals that arrive in quick succession

Cause: the thread that handles signals read one flag for each kind of signal. If the handler ran for a second SIGTERM before the thread had read the first, both were taken for one, and the instance kept draining until the end of its lame-duck time. Traced in 6 of 40 runs of second_signal_ends_at_once beside 8 busy processes: the handler ran twice, 0.5 to 2.5 ms apart, before the thread read anything, and a third signal ended the process. In this test the instance is not ready yet when the first signal is sent, so the second follows within milliseconds.

Change: each run of a handler writes one byte to a socket, and the thread reads one byte for each signal. Only signals that the kernel merges, since the first is still pending, are taken for one.

--- a/crates/bamboocart-dispatcher/src/standalone/app.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/app.rs
@@ -17,8 +17,6 @@
 use bamboocart_telemetry::recorder::PageRecorder;
 use bamboocart_telemetry::trace::{OtlpReporter, Tracer};
 use crossbeam::channel::{Sender, bounded};
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
 use tokio_util::sync::CancellationToken;
 
@@ -29,6 +27,7 @@
 use crate::standalone::routes::Context;
 use crate::standalone::sender::Senders;
 use crate::standalone::settings::Settings;
+use crate::standalone::signals::StopSignals;
 use crate::standalone::spans::PeerSpans;
 use crate::standalone::waiters::Waiters;
 use crate::standalone::{appender, list_reader, observe, server, stream_reader};
@@ -256,15 +255,14 @@
 
     /// Handles SIGTERM and SIGINT: the first signal drains, the second ends the process.
     fn handle_signals(&self) -> Result<()> {
-        let mut signals = Signals::new([SIGTERM, SIGINT]).context(StartSnafu)?;
+        let mut signals = StopSignals::new().context(StartSnafu)?;
         let (events, stop) = (self.events.clone(), self.stop.clone());
         let halt = self.halt.clone();
         thread::spawn(move || {
-            let mut pending = signals.forever();
-            if pending.next().is_some() && events.send(Event::Drain).is_err() {
+            if signals.wait().is_ok() && events.send(Event::Drain).is_err() {
                 stop.cancel();
             }
-            if pending.next().is_some() {
+            if signals.wait().is_ok() {
                 halt.cancel();
                 stop.cancel();
             }
--- a/crates/bamboocart-dispatcher/src/standalone/mod.rs
+++ b/crates/bamboocart-dispatcher/src/standalone/mod.rs
@@ -14,6 +14,7 @@
 mod sender;
 mod server;
 mod settings;
+mod signals;
 mod spans;
 mod stream_reader;
 mod waiters;
--- a/crates/bamboocart-dispatcher/tests/stops.rs
+++ b/crates/bamboocart-dispatcher/tests/stops.rs
@@ -3,8 +3,9 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
 
 use bamboocart_core::config::StopPlan;
 use bamboocart_core::id::SubmissionId;
@@ -29,6 +30,9 @@
 /// and the number of new caller keys.
 const MAX_UNUSED_IDS: usize = 60;
 
+/// The number of instances that get two signals in quick succession.
+const SIGNALLED_INSTANCES: usize = 20;
+
 /// Panics unless a call was answered as complete.
 fn assert_complete(record: &CallRecord) {
     let answer = record.answer.as_ref();
@@ -379,3 +383,32 @@
     cluster.instances[0].terminate();
     Instance::wait_for_end(&mut cluster.instances[0], Duration::from_secs(2));
 }
+
+/// Guards against two signals that are taken for one because the second arrives before
+/// the instance has read the first; it must still end the process immediately.
+#[test]
+fn second_signal_in_quick_succession() {
+    for index in 0..SIGNALLED_INSTANCES {
+        let name = format!("i-{index}");
+        // The instance needs no platform to handle signals, so nothing listens there.
+        let unused = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+        let flags = ["--lame-duck-ms", "60000"].map(String::from);
+        let mut instance = Instance::start(&name, "marka", unused, unused, &flags);
+        instance.terminate();
+        // The kernel merges a signal with an equal one that is still pending.
+        let start = Instant::now();
+        while is_sigterm_pending(instance.process_id()) {
+            assert!(start.elapsed() < RECOVERY_TIMEOUT, "{name} does not handle SIGTERM");
+        }
+        instance.terminate();
+        instance.wait_for_end(Duration::from_secs(2));
+    }
+}
+
+/// Returns whether SIGTERM was sent to a process and not yet delivered to its handler.
+fn is_sigterm_pending(process: u32) -> bool {
+    const SIGTERM_BIT: u64 = 1 << 14;
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let mask = status.lines().find_map(|line| line.strip_prefix("ShdPnd:")).unwrap();
+    u64::from_str_radix(mask.trim(), 16).unwrap() & SIGTERM_BIT != 0
+}
