Stop the runs of a lost shard that no next owner has taken over

Cause: an owner that had lost a shard told the holders nothing. A holder renewed its runs for as long as that owner was alive, and if the next owner did not know of the holder, which had lost the store, it started the tasks again after 1,200 ms.

Change: 300 ms after the loss, the earlier owner orders the stop of the runs. A run that the next owner has taken over by then is not affected.

--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard.rs
@@ -75,6 +75,8 @@
     pub(crate) announced_owners: BTreeMap<ShardId, PeerKey>,
     /// When each shard was last lost to another instance.
     pub(crate) lost_at: BTreeMap<ShardId, Moment>,
+    /// The runs of lost shards that have to be stopped.
+    pub(crate) lost_runs: Vec<LostRun>,
     /// Whether there are stored jobs.
     stored_jobs: StoredJobsPresence,
     /// Whether this instance has recorded in the store that there are stored jobs.
@@ -89,6 +91,17 @@
     pub(crate) authority_at: Moment,
 }
 
+/// A run of a shard that this instance has lost to another one.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct LostRun {
+    pub(crate) shard: ShardId,
+    /// The holder of the run, as far as this instance knows.
+    pub(crate) holder: Holder,
+    pub(crate) run: RunRef,
+    /// When it is stopped.
+    pub(crate) stop_at: Moment,
+}
+
 impl Default for Shards {
     fn default() -> Self {
         Self {
@@ -98,6 +111,7 @@
             epochs: BTreeMap::new(),
             announced_owners: BTreeMap::new(),
             lost_at: BTreeMap::new(),
+            lost_runs: Vec::new(),
             stored_jobs: StoredJobsPresence::Unknown,
             stored_jobs_reported: false,
             last_log_call: LogCallNumber(0),
--- a/crates/bamboocart-jobs/src/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard_runs.rs
@@ -1,14 +1,18 @@
 //! Handover of the active runs of a shard from one owner to the next.
 
+use std::mem;
+
 use log::warn;
 
 use crate::engine::Engine;
+use crate::id::RunRef;
 use crate::message::{Message, ShardRun};
-use crate::minion::RunOwner;
+use crate::minion::{MinionKey, RunOwner};
 use crate::peer::PeerKey;
-use crate::shard::{ShardId, Stage};
+use crate::shard::{LostRun, ShardId, Stage};
 use crate::task::{Holder, Placement, TaskState};
 use crate::time::Moment;
+use crate::timing::LOST_SHARD_STOP_DELAY_MS;
 
 impl Engine {
     /// Processes the announcement of a shard's new owner, and reports the runs of the
@@ -139,4 +143,51 @@
             self.stop_at(now, holder, run);
         }
     }
+
+    /// Schedules the stops of all runs of a shard that another instance owns.
+    ///
+    /// The next owner may not know of a holder that has lost the store, which would renew
+    /// the runs for as long as this instance is alive. The delay lets holders learn of the
+    /// next owner first.
+    pub(crate) fn schedule_stops(&mut self, now: Moment, id: ShardId) {
+        let Some(shard) = self.shards.owned.get(&id) else { return };
+        let jobs = shard.jobs.keys().flat_map(|&job| self.jobs.occurrences(job));
+        let runs = jobs.flat_map(|job| {
+            let placed = job.tasks.iter().enumerate();
+            placed.filter_map(|(position, task)| {
+                Some((task.placement()?.holder, job.run_ref(position)))
+            })
+        });
+        let stops = runs.map(|(holder, run)| LostRun {
+            shard: id,
+            holder,
+            run,
+            stop_at: now + LOST_SHARD_STOP_DELAY_MS,
+        });
+        let stops: Vec<LostRun> = stops.collect();
+        self.shards.lost_runs.extend(stops);
+    }
+
+    /// Stops the runs of lost shards that are due and that no next owner has taken over.
+    pub(crate) fn stop_lost_runs(&mut self, now: Moment) {
+        let lost = mem::take(&mut self.shards.lost_runs);
+        let (due, later) = lost.into_iter().partition(|lost| lost.stop_at <= now);
+        self.shards.lost_runs = later;
+        let due: Vec<LostRun> = due;
+        for LostRun { shard, holder, run, .. } in due {
+            let owned_again = self.shards.owned.contains_key(&shard);
+            match holder {
+                _ if owned_again => {}
+                Holder::Local(key) if !self.owns_run(key, run) => {}
+                Holder::Local(_) | Holder::Peer(_) => self.stop_at(now, holder, run),
+            }
+        }
+    }
+
+    /// Returns whether this instance is the owner of a run on a minion that it holds.
+    fn owns_run(&self, key: MinionKey, run: RunRef) -> bool {
+        let held = self.minions.arena.get(key).and_then(|minion| minion.held.as_ref());
+        let entry = held.and_then(|held| held.runs.get(&run.task));
+        entry.is_some_and(|it| it.run == run.run && it.owner == RunOwner::Local)
+    }
 }
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -99,12 +99,14 @@
     /// Members may not agree yet on the owner. The shard is not taken back at once, or
     /// two of them would take it over in turn.
     pub(crate) fn lose_shard(&mut self, now: Moment, id: ShardId) {
+        self.schedule_stops(now, id);
         self.drop_shard(now, id, false);
         self.shards.lost_at.insert(id, now);
     }
 
     /// Issues the log calls that are due, and opens shards whose takeover is complete.
     pub(crate) fn drive_shards(&mut self, now: Moment) {
+        self.stop_lost_runs(now);
         // The log whose last append is the oldest comes first; otherwise, some would
         // starve.
         let owned = self.shards.owned.iter();
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -58,6 +58,10 @@
 /// shards up. It checks its authority every 100 ms, or later on a busy core.
 pub const AUTHORITY_GRACE_MS: u64 = 700;
 
+/// How long an owner that has lost a shard waits before it stops the runs that no next
+/// owner has taken over. Together with a lease it is shorter than `RUN_GONE_MS`.
+pub const LOST_SHARD_STOP_DELAY_MS: u64 = 300;
+
 /// How long the new owner of a shard waits for members that do not report their runs.
 pub const RECONCILE_TIMEOUT_MS: u64 = 6_000;
 
