Log settled adoptions where runs without an owner are looked for

Each event went through the held minions once more to log adoptions; the walk that stops runs without an owner does it now. The names of peers come from member_of, and a frame looks its peer up once less.

--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/adoption.rs
@@ -6,8 +6,9 @@
 use crate::engine::Engine;
 use crate::holder::{ActiveRun, EndedRun};
 use crate::id::{MinionId, RunRef};
+use crate::member::Member;
 use crate::message::{EndReport, Message};
-use crate::minion::{MinionKey, Run, RunOwner};
+use crate::minion::{HeldMinion, MinionKey, Run, RunOwner};
 use crate::owner::gone_after_ms;
 use crate::peer::PeerKey;
 use crate::resources::Resources;
@@ -36,6 +37,20 @@
     claimed: usize,
 }
 
+impl HeldMinion {
+    /// Logs the adoption once every run that was found has been claimed or stopped, or
+    /// has ended.
+    fn log_settled_adoption(&mut self, now: Moment, minion: &MinionId) {
+        let Some(Adoption { at, found, claimed }) = self.adoption else { return };
+        if self.unsettled_runs().unclaimed == 0 {
+            self.adoption = None;
+            info!(target: "minion", minion:% = minion, token = self.fencing_token,
+                claimed, unclaimed = found - claimed, after_ms = now.since(at);
+                "found runs settled");
+        }
+    }
+}
+
 impl Engine {
     /// Adopts the runs on a newly held minion and announces them to their owners.
     pub(crate) fn adopt(
@@ -122,21 +137,6 @@
         }
     }
 
-    /// Logs the adoptions of which every run has been claimed or stopped, or has ended.
-    pub(crate) fn log_settled_adoptions(&mut self, now: Moment) {
-        for key in self.minions.held_keys().to_vec() {
-            let minion = &mut self.minions.arena[key];
-            let Some(held) = minion.held.as_mut() else { continue };
-            let Some(Adoption { at, found, claimed }) = held.adoption else { continue };
-            if held.unsettled_runs().unclaimed == 0 {
-                held.adoption = None;
-                info!(target: "minion", minion:% = minion.entry.id,
-                    token = held.fencing_token, claimed, unclaimed = found - claimed,
-                    after_ms = now.since(at); "found runs settled");
-            }
-        }
-    }
-
     /// Handles a peer's claim to a run that this instance found.
     pub(crate) fn claimed_by_peer(
         &mut self,
@@ -149,7 +149,7 @@
         let key = self.minions.by_id.get(minion).copied();
         if !key.is_some_and(|key| self.run_claimed(key, run, owner, claim)) {
             // The run's end was sent before, or another instance holds the minion by now.
-            let claimer = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
+            let claimer = self.member_of(peer).map(Member::to_string);
             info!(target: "minion", minion:% = minion, run:% = run.task,
                 number = run.run, peer:? = claimer;
                 "claimed run is not here; releasing it");
@@ -158,7 +158,7 @@
     }
 
     /// Stops the runs whose owner has been silent for too long, and those that no owner
-    /// has claimed in time.
+    /// has claimed in time, and logs the adoptions that are settled.
     pub(crate) fn stop_orphans(&mut self, now: Moment) {
         let peers = &self.peers.arena;
         let last_echo = |peer: PeerKey| peers.get(peer).and_then(|it| it.last_echoed_at);
@@ -185,6 +185,7 @@
                         "stopping a run without a live owner");
                 }
             }
+            held.log_settled_adoption(now, &minion.entry.id);
         }
     }
 
@@ -200,11 +201,8 @@
             placement.gone_at.get_or_insert(now + gone_ms);
             let minion = placement.minion.and_then(|key| self.minions.arena.get(key));
             let minion = minion.map(|minion| minion.entry.id.as_str());
-            let peer = match holder {
-                Holder::Peer(peer) => self.peers.arena.get(peer),
-                Holder::Local(_) => None,
-            };
-            let peer = peer.map(|peer| peer.member.to_string());
+            let peer = holder.peer().and_then(|peer| self.member_of(peer));
+            let peer = peer.map(Member::to_string);
             info!(target: "job", request_id:% = run.task.job, run:% = run.task,
                 number = run.run, minion, peer:? = peer;
                 "the holder of a run has lost the minion");
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -255,9 +255,6 @@
         if first {
             info!(target: "peer", peer:% = entry.member; "first frame from a peer");
         }
-        // A start extends the lease of its minion, which must have no run of a silent owner.
-        self.stop_orphans(now);
-        let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let times = FrameTimes {
             sent_ms: frame.sent_ms,
             echo: Moment(frame.echo_ms),
@@ -266,6 +263,8 @@
         if frame.needs_state && entry.is_state_due(now) {
             self.send_state(now, peer);
         }
+        // A start extends the lease of its minion, which must have no run of a silent owner.
+        self.stop_orphans(now);
         for message in messages {
             self.handle_message(now, peer, times, message);
         }
@@ -466,7 +465,6 @@
     /// suspension stops them before it renews any lease.
     pub(crate) fn advance(&mut self, now: Moment) {
         self.stop_orphans(now);
-        self.log_settled_adoptions(now);
         self.expire(now);
         self.review(now);
         self.drive_ops(now);
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -6,6 +6,7 @@
 use crate::effect::{Effect, StartOrder, Target};
 use crate::engine::Engine;
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, SharedStr};
+use crate::member::Member;
 use crate::message::{EndReport, Message, RunEnd};
 use crate::minion::{HeldMinion, MinionKey, Run, RunOwner, RunPhase};
 use crate::peer::{FrameTimes, PeerKey};
@@ -400,7 +401,7 @@
             // The run may be active under another holder, so it must not be reported as
             // void.
             None => {
-                let owner = self.peers.arena.get(peer).map(|it| it.member.to_string());
+                let owner = self.member_of(peer).map(Member::to_string);
                 info!(target: "minion", run:% = run.task, number = run.run,
                     peer:? = owner; "run to stop is not here; releasing it");
                 self.send(peer, Message::Released(run));
--- a/crates/bamboocart-jobs/src/run_lists.rs
+++ b/crates/bamboocart-jobs/src/run_lists.rs
@@ -8,6 +8,7 @@
 use crate::engine::Engine;
 use crate::id::{MinionId, RunRef};
 use crate::job::Job;
+use crate::member::Member;
 use crate::message::Message;
 use crate::minion::RunOwner;
 use crate::peer::{FrameTimes, PeerKey};
@@ -98,7 +99,7 @@
             }
         }
         for &run in wanted.iter().filter(|run| !here.contains(run)) {
-            let owner = self.peers.arena.get(peer).map(|peer| peer.member.to_string());
+            let owner = self.member_of(peer).map(Member::to_string);
             info!(target: "minion", run:% = run.task, number = run.run, peer:? = owner;
                 "wanted run is not here; releasing it");
             self.send(peer, Message::Released(run));
