--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -2,7 +2,8 @@
 
 use bamboocart_jobs::timing::{HOLD_TIMEOUT_MS, ORDER_TIMEOUT_MS};
 use bamboocart_jobs::{
-    HoldAnswer, HoldReply, MinionId, RunEnd, RunRef, StartAnswer, StartOrder,
+    HoldAnswer, HoldOrder, HoldReply, MinionId, RunEnd, RunRef, StartAnswer, StartOrder,
+    StopOrder,
 };
 use log::debug;
 use rand::Rng;
@@ -48,26 +49,11 @@
         incarnation: u64,
         order: &Order,
     ) {
-        let (wait_ms, input) = match order {
-            Order::Start(order) => {
-                let target = &order.target;
-                let (key, token) = (target.minion, target.fencing_token);
-                let input =
-                    Input::StartAnswered(key, token, order.run, StartAnswer::Lost);
-                (ORDER_TIMEOUT_MS, input)
-            }
-            Order::Stop(order) => {
-                let target = &order.target;
-                let (key, token) = (target.minion, target.fencing_token);
-                let input = Input::StopAnswered(key, token, order.run, StartAnswer::Lost);
-                (ORDER_TIMEOUT_MS, input)
-            }
-            Order::Hold(order) => {
-                let (key, number) = (order.target.minion, order.number);
-                let wait_ms = order.wait_ms + HOLD_TIMEOUT_MS;
-                (wait_ms, Input::HoldAnswered(key, number, HoldAnswer::Lost))
-            }
+        let wait_ms = match order {
+            Order::Start(_) | Order::Stop(_) => ORDER_TIMEOUT_MS,
+            Order::Hold(order) => order.wait_ms + HOLD_TIMEOUT_MS,
         };
+        let input = failed_call(order, StartAnswer::Lost, HoldAnswer::Lost);
         let delay_us = wait_ms * 1_000;
         self.schedule(delay_us, Event::Input(instance, incarnation, input));
     }
@@ -84,7 +70,9 @@
         trace::set_context(self.now_us, Source::Minion(minion));
         let shed_share = self.minions[minion].shed_share;
         if shed_share > 0.0 && self.rng.random_bool(shed_share) {
-            return self.reject_call(&call);
+            let (answer, hold_answer) = (StartAnswer::Unhealthy, HoldAnswer::Unhealthy);
+            let input = failed_call(&call.order, answer, hold_answer);
+            return self.answer_call(&call, input);
         }
         match &call.order {
             Order::Start(order) => {
@@ -149,26 +137,6 @@
         }
     }
 
-    /// Answers a call that the minion has rejected as unhealthy.
-    fn reject_call(&mut self, call: &MinionCall) {
-        let answer = StartAnswer::Unhealthy;
-        let input = match &call.order {
-            Order::Start(order) => {
-                let (key, token) = (order.target.minion, order.target.fencing_token);
-                Input::StartAnswered(key, token, order.run, answer)
-            }
-            Order::Stop(order) => {
-                let (key, token) = (order.target.minion, order.target.fencing_token);
-                Input::StopAnswered(key, token, order.run, answer)
-            }
-            Order::Hold(order) => {
-                let (key, number) = (order.target.minion, order.number);
-                Input::HoldAnswered(key, number, HoldAnswer::Unhealthy)
-            }
-        };
-        self.answer_call(call, input);
-    }
-
     /// Starts a run on a minion, and schedules its end unless the minion hangs.
     pub(super) fn start_run(&mut self, minion: usize, order: &StartOrder) -> StartAnswer {
         let Some(&job) = self.job_indices.get(&order.run.task.job) else {
@@ -299,3 +267,19 @@
         }
     }
 }
+
+/// Returns the input with which an instance learns that a call has failed: `answer` for a
+/// start or a stop, `hold_answer` for a hold.
+fn failed_call(order: &Order, answer: StartAnswer, hold_answer: HoldAnswer) -> Input {
+    match order {
+        Order::Start(StartOrder { target, run, .. }) => {
+            Input::StartAnswered(target.minion, target.fencing_token, *run, answer)
+        }
+        Order::Stop(StopOrder { target, run }) => {
+            Input::StopAnswered(target.minion, target.fencing_token, *run, answer)
+        }
+        Order::Hold(HoldOrder { target, number, .. }) => {
+            Input::HoldAnswered(target.minion, *number, hold_answer)
+        }
+    }
+}
