--- a/crates/bamboocart-jobs/tests/second_runs.rs
+++ b/crates/bamboocart-jobs/tests/second_runs.rs
@@ -168,6 +168,21 @@
         }
     }
 
+    /// Delivers the announcement that the holder has found the run, and then a message
+    /// that it sent 200 ms before.
+    fn overtake_by_adoption(&mut self, message: Message) {
+        let before = self.now + 100;
+        self.advance(300);
+        let adopted = Message::Adopted {
+            minion: "m-1".into(),
+            fencing_token: 9,
+            active: vec![run(1)],
+            ended: Vec::new(),
+        };
+        self.deliver(frame(self.now, vec![adopted]));
+        self.deliver(frame(before, vec![message]));
+    }
+
     /// Returns the runs whose starts were sent to the holder.
     fn starts(&self) -> Vec<RunRef> {
         let start = |message: &Message| match message {
@@ -340,16 +355,7 @@
 #[test]
 fn a_release_from_before_an_adoption_changes_nothing() {
     let mut fixture = OwnerFixture::new();
-    let before = fixture.now + 100;
-    fixture.advance(300);
-    let adopted = Message::Adopted {
-        minion: "m-1".into(),
-        fencing_token: 9,
-        active: vec![run(1)],
-        ended: Vec::new(),
-    };
-    fixture.deliver(frame(fixture.now, vec![adopted]));
-    fixture.deliver(frame(before, vec![Message::Released(run(1))]));
+    fixture.overtake_by_adoption(Message::Released(run(1)));
     fixture.advance(GONE_MS);
     assert_eq!(fixture.starts(), [run(1)]);
 }
@@ -440,16 +446,7 @@
 #[test]
 fn a_list_from_before_an_adoption_marks_no_run_as_lost() {
     let mut fixture = OwnerFixture::new();
-    let before = fixture.now + 100;
-    fixture.advance(300);
-    let adopted = Message::Adopted {
-        minion: "m-1".into(),
-        fencing_token: 9,
-        active: vec![run(1)],
-        ended: Vec::new(),
-    };
-    fixture.deliver(frame(fixture.now, vec![adopted]));
-    fixture.deliver(frame(before, vec![Message::HeldRuns(Vec::new())]));
+    fixture.overtake_by_adoption(Message::HeldRuns(Vec::new()));
     fixture.advance(GONE_MS);
     assert_eq!(fixture.starts(), [run(1)]);
 }
