Limit what the decoders of frames and log records allocate

Cause: bincode allocates a text by its stated length before it reads the bytes. A frame of 15 bytes that states a text of 2^40 bytes or more ended the process of the instance that read it, and a record of another writer in the log of a shard could do the same to each instance that takes the shard over, again and again.

Change: both formats have a limit of 16 MiB.

--- a/crates/bamboocart-dispatcher/src/site/job_logs.rs
+++ b/crates/bamboocart-dispatcher/src/site/job_logs.rs
@@ -5,7 +5,7 @@
 
 use bamboocart_adapter::{AppendResult, RawPage, StoreClient, StoreError};
 use bamboocart_jobs::{AppendAnswer, LogAppend, LogPage, LogRead, LogRecord, ShardId};
-use bincode::config::{self, Configuration};
+use bincode::config::{self, Configuration, Limit, LittleEndian, Varint};
 use tokio::time::sleep;
 
 /// The topic of the logs; partition N holds the log of shard N.
@@ -20,8 +20,13 @@
 /// The pause before a failed call on that topic is retried.
 const USE_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// The bincode format of records.
-const FORMAT: Configuration = config::standard();
+/// The limit of what the decoder of a record allocates; records have 256 KiB at most.
+const MAX_DECODED_BYTES: usize = 16 << 20;
+
+/// The bincode format of records. Without the limit, the length of a text in a malformed
+/// record is allocated before its bytes are read, and the process ends.
+const FORMAT: Configuration<LittleEndian, Varint, Limit<MAX_DECODED_BYTES>> =
+    config::standard().with_limit::<MAX_DECODED_BYTES>();
 
 /// A client for the logs of all shards.
 #[derive(Debug)]
--- a/crates/bamboocart-dispatcher/src/site/links.rs
+++ b/crates/bamboocart-dispatcher/src/site/links.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bamboocart_jobs::{Frame, Member, PeerKey};
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::{RecvStream, SendStream, client, server};
 use http::{Request, Response};
@@ -39,6 +40,15 @@
 /// The largest frame.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// The limit of what the decoder of a frame allocates. The entries of a list take more
+/// memory than bytes of the frame.
+const MAX_DECODED_BYTES: usize = 16 << 20;
+
+/// The bincode format of frames. Without the limit, the length of a text in a malformed
+/// frame is allocated before its bytes are read, and the process ends.
+const FORMAT: Configuration<LittleEndian, Varint, Limit<MAX_DECODED_BYTES>> =
+    bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+
 /// The length of the queue of connections that are not accepted yet.
 const LISTEN_BACKLOG: i32 = 1_024;
 
@@ -161,7 +171,7 @@
 
 /// Encodes a frame with a length prefix of 4 bytes.
 fn encode(frame: &Frame) -> Result<Bytes, LinkError> {
-    let body = bincode::serde::encode_to_vec(frame, bincode::config::standard())?;
+    let body = bincode::serde::encode_to_vec(frame, FORMAT)?;
     let mut bytes = BytesMut::with_capacity(4 + body.len());
     bytes.put_u32(body.len() as u32);
     bytes.put_slice(&body);
@@ -251,7 +261,6 @@
     }
     buffer.advance(4);
     let body = buffer.split_to(length);
-    let (frame, _) =
-        bincode::serde::decode_from_slice(&body, bincode::config::standard())?;
+    let (frame, _) = bincode::serde::decode_from_slice(&body, FORMAT)?;
     Ok(Some(frame))
 }
--- a/crates/bamboocart-dispatcher/tests/site/process.rs
+++ b/crates/bamboocart-dispatcher/tests/site/process.rs
@@ -32,6 +32,8 @@
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// The address for links from peers.
+    pub peer: SocketAddr,
     /// The path of the settings file.
     pub settings: PathBuf,
 }
@@ -62,9 +64,11 @@
             line[field].as_str().unwrap().parse().unwrap()
         };
         let (front, ready) = (address("front"), address("ready"));
+        let member = line["member"].as_str().unwrap();
+        let peer = member.split('/').nth(2).unwrap().parse().unwrap();
         // Reads the rest, so that the process never blocks on a full pipe.
         thread::spawn(move || lines.map_while(Result::ok).for_each(|line| keep(&line)));
-        Self { child, front, ready, settings: path }
+        Self { child, front, ready, peer, settings: path }
     }
 
     /// Starts an instance and waits until it is ready.
