Keep the runs of a minion whose entry another writer has replaced

Cause: an entry that cannot be decoded counted as deleted. The minion was used for 3 s more and then dropped with its runs, although it answered, and a valid-looking entry with another address sent its holds elsewhere, so that its leases lapsed. Port 0 passed as an address.

Ruled out: that such an entry ends the process. Nesting of up to 100,000 levels, numbers beyond 64 bits, ports out of range and arbitrary bytes were all rejected by the decoder before.

Change: an invalid entry starts nothing on its minion until the next valid one, and the holder goes on renewing the leases of its runs while it answers; a minion that is silent as well is dropped after 3 s. An entry that cannot come from the process that has answered, because it names another service or address for the same start, counts as invalid. Each fault is logged once. The engine takes changes as MinionChange. The soak writes such entries throughout its plans.

--- a/crates/bamboocart-dispatcher/src/site/store.rs
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -1,13 +1,14 @@
 //! Tasks that watch the store for the configuration, the minions and the group of
 //! instances.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use bamboocart_adapter::{
-    ReadPage, Record, RegistryChange, Settings, StoreClient, StoreError, TOPIC_CONFIG,
-    TOPIC_MINIONS, decode_config, decode_entry, decode_key,
+    ReadPage, Record, Settings, StoreClient, StoreError, TOPIC_CONFIG, TOPIC_MINIONS,
+    decode_config, decode_entry, decode_key,
 };
-use bamboocart_jobs::{Member, MinionId};
+use bamboocart_jobs::{Member, MinionChange, MinionId};
 use tokio::time::sleep;
 
 use crate::site::clock;
@@ -46,6 +47,9 @@
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The number of different faults of minion entries that are logged.
+const MAX_LOGGED_FAULTS: usize = 200;
+
 /// The key of the configuration in its topic.
 const CONFIG_KEY: &str = "config";
 
@@ -100,6 +104,20 @@
     }
 }
 
+/// The faults that were logged, so that each is logged once although its entry may be
+/// written again and again.
+#[derive(Default)]
+struct FaultLog {
+    logged: HashSet<String>,
+}
+
+impl FaultLog {
+    /// Returns whether a fault was not logged yet; beyond [`MAX_LOGGED_FAULTS`], none is.
+    fn is_new(&mut self, fault: &str) -> bool {
+        self.logged.len() < MAX_LOGGED_FAULTS && self.logged.insert(fault.to_owned())
+    }
+}
+
 /// A reader of a keyed topic.
 struct TopicReader {
     store: StoreClient,
@@ -165,26 +183,16 @@
 /// Keeps the minion list of the engine up to date.
 async fn watch_minions(driver: Driver, store: StoreClient) {
     let mut reader = TopicReader::new(store, TOPIC_MINIONS);
+    let mut faults = FaultLog::default();
     loop {
         let (page, complete) = reader.next(0).await;
         if complete {
             unlist_missing(&driver, &page.records);
         }
-        let changes: Vec<RegistryChange> =
-            page.records.iter().map(decode_change).collect();
-        let mut entries = Vec::new();
-        driver.update_engine(|engine, now| {
-            for change in changes {
-                match change {
-                    RegistryChange::Listed(entry) => entries.push(*entry),
-                    RegistryChange::Removed(id) => {
-                        entries.retain(|entry| entry.id != id);
-                        engine.unlist_minion(now, &id);
-                    }
-                }
-            }
-            engine.update_minions(now, entries);
-        });
+        let changes =
+            page.records.iter().map(|record| decode_change(record, &mut faults));
+        let changes: Vec<MinionChange> = changes.collect();
+        driver.update_engine(|engine, now| engine.change_minions(now, changes));
         sleep(MINIONS_INTERVAL).await;
     }
 }
@@ -200,11 +208,13 @@
     });
 }
 
-/// Decodes a record; an invalid entry counts as removed.
-fn decode_change(record: &Record) -> RegistryChange {
+/// Decodes a record and logs an invalid entry.
+fn decode_change(record: &Record, faults: &mut FaultLog) -> MinionChange {
     decode_entry(record).unwrap_or_else(|error| {
-        log::warn!(target: "store", error:% = error; "skipped invalid minion entry");
-        RegistryChange::Removed(decode_key(&record.key))
+        if faults.is_new(&error.to_string()) {
+            log::warn!(target: "store", error:% = error; "skipped invalid minion entry");
+        }
+        MinionChange::Invalid(decode_key(&record.key))
     })
 }
 
--- a/crates/bamboocart-dispatcher/tests/site/foreign.rs
+++ b/crates/bamboocart-dispatcher/tests/site/foreign.rs
@@ -1,9 +1,10 @@
-//! What a stranger sends: malformed frames.
+//! What another writer or a stranger sends: odd entries in the list of minions, and
+//! malformed frames.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bamboocart_site_standin::{StandIn, wait_until};
+use bamboocart_site_standin::{StandIn, submit, wait_until};
 use bytes::{BufMut, Bytes, BytesMut};
 use h2::client;
 use http::Request;
@@ -12,11 +13,75 @@
 use tokio::time::sleep;
 use yare::parameterized;
 
+use crate::log::Log;
 use crate::process::Instance;
 
 /// The time that an instance gets to read a frame.
 const FRAME_TIME: Duration = Duration::from_millis(300);
 
+/// Returns entries that no minion writes.
+pub fn foreign_entries() -> Vec<Vec<u8>> {
+    let entry = |address: &str, born: &str| {
+        format!(
+            r#"{{"service":"service","address":{address},"zone":"marka","state":"ready",
+            "capacity":{{"cpu":2000,"mem_mb":4096,"gpu":0}},"born":{born}}}"#
+        )
+        .into_bytes()
+    };
+    let good = r#""127.0.0.1:9""#;
+    vec![
+        "[".repeat(100_000).into_bytes(),
+        entry(&"[".repeat(5_000), "1"),
+        entry(good, "1e999"),
+        entry(good, &"9".repeat(60)),
+        entry(good, "-1"),
+        entry(r#""127.0.0.1:65536""#, "1"),
+        entry(r#""127.0.0.1:0""#, "1"),
+        entry(r#""[::1]:9""#, "1"),
+        entry(good, "1"),
+        entry(good, "18446744073709551615"),
+        vec![0xff; 2_000],
+        b"7".to_vec(),
+    ]
+}
+
+/// Guards against an instance that ends, or stops to follow the list, because of an odd
+/// entry; the newest entries are read anew after a restart.
+#[test]
+fn the_list_is_followed_beside_odd_entries() {
+    let platform = StandIn::start(2).unwrap();
+    for (number, entry) in foreign_entries().iter().enumerate() {
+        // Characters that mean something in a query have to be escaped.
+        let keys = [format!("odd {number}&after=z#%"), format!("zz-{number}")];
+        keys.iter().for_each(|key| platform.write_foreign_entry(key, entry));
+    }
+    platform.publish(1, "/q/");
+    let log = Log::default();
+    let instance =
+        Instance::start_with(&platform.settings("edge-1", [0; 4]), log.clone());
+    let serves = |id: &str| {
+        let answer = submit(instance.front, &format!("/q/{id:0>16}"), 3, 10);
+        answer.is_ok_and(|answer| answer.state == "completed")
+    };
+    assert!(wait_until(|| serves("1")), "the entries of the minions are not read");
+    for entry in foreign_entries() {
+        platform.write_foreign_entry("m-0", &entry);
+        platform.write_foreign_entry("odd", &entry);
+    }
+    platform.restore_entry(0);
+    // Each fault is logged once, however often it is written.
+    let logged = || log.count(&["`odd`", "127.0.0.1:0", "nothing can listen on"]);
+    assert!(wait_until(|| logged() == 1));
+    platform.compact();
+    assert!(wait_until(|| serves("2")), "the list is not followed");
+    for entry in foreign_entries() {
+        platform.write_foreign_entry("odd", &entry);
+    }
+    platform.write_foreign_entry("last", b"7");
+    assert!(wait_until(|| log.has(&["skipped invalid minion entry", "`last`"])));
+    assert_eq!(logged(), 1);
+}
+
 /// Returns a frame that has one start message, up to the length of the minion's id.
 fn frame_with_text_of(length: u64) -> Vec<u8> {
     // Times, flags and the age of the join, then one message of the variant `Start`.
--- a/crates/bamboocart-dispatcher/tests/site/soak/system.rs
+++ b/crates/bamboocart-dispatcher/tests/site/soak/system.rs
@@ -15,6 +15,7 @@
 
 use super::plan::{Fault, PlannedFault};
 use super::proxy::{Mode, Proxy};
+use crate::foreign::foreign_entries;
 use crate::process::{Instance, fixed_ports};
 
 /// The number of instances.
@@ -26,6 +27,15 @@
 /// The time from a termination signal to the restart, a little over the grace period.
 pub const STOP_MS: u64 = 6_200;
 
+/// The interval at which another writer writes an entry among those of the minions.
+const FOREIGN_INTERVAL_MS: u64 = 350;
+
+/// The time after which a minion writes its entry again that another writer has replaced.
+const RESTORE_MS: u64 = 700;
+
+/// Every so many foreign entries replace that of a minion.
+const REPLACING_INTERVAL: usize = 4;
+
 /// The addresses for client connections, by instance; those of proxies.
 pub type Fronts = Arc<Mutex<Vec<SocketAddr>>>;
 
@@ -56,6 +66,8 @@
     RestoreMinionNetwork(usize),
     StartMinion(usize),
     ClearCallFaults(usize),
+    WriteForeignEntry(usize),
+    RestoreEntry(usize),
 }
 
 impl System {
@@ -142,8 +154,13 @@
                 ((planned.at_ms, number), Action::BeginFault(planned.fault.clone()))
             })
             .collect();
-        let began = Instant::now();
         let mut number = plan.len();
+        let end_ms = plan.last().map_or(0, |last| last.at_ms);
+        for at_ms in (0..end_ms).step_by(FOREIGN_INTERVAL_MS as usize) {
+            schedule.insert((at_ms, number), Action::WriteForeignEntry(number));
+            number += 1;
+        }
+        let began = Instant::now();
         while let Some(((at_ms, _), action)) = schedule.pop_first() {
             let at = began + Duration::from_millis(at_ms);
             thread::sleep(at.saturating_duration_since(Instant::now()));
@@ -169,10 +186,27 @@
             }
             Action::StartMinion(minion) => self.platform.start_minion(minion),
             Action::ClearCallFaults(minion) => self.platform.clear_call_faults(minion),
+            Action::WriteForeignEntry(number) => return self.write_foreign(number),
+            Action::RestoreEntry(minion) => self.platform.restore_entry(minion),
         }
         Vec::new()
     }
 
+    /// Writes an entry as another writer might, sometimes in place of that of a minion, and
+    /// returns the action that restores it.
+    fn write_foreign(&mut self, number: usize) -> Vec<(u64, Action)> {
+        let entries = foreign_entries();
+        let entry = &entries[number % entries.len()];
+        if !number.is_multiple_of(REPLACING_INTERVAL) {
+            let key = format!("stranger {}&part=1", number % entries.len());
+            self.platform.write_foreign_entry(&key, entry);
+            return Vec::new();
+        }
+        let minion = number / REPLACING_INTERVAL % MINIONS;
+        self.platform.write_foreign_entry(&format!("m-{minion}"), entry);
+        vec![(RESTORE_MS, Action::RestoreEntry(minion))]
+    }
+
     /// Begins a fault, and returns the actions that end it with their delays.
     fn begin(&mut self, fault: Fault) -> Vec<(u64, Action)> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
--- a/crates/bamboocart-jobs/src/advice.rs
+++ b/crates/bamboocart-jobs/src/advice.rs
@@ -13,7 +13,7 @@
 use crate::engine::Engine;
 use crate::id::{MinionId, OccurrenceRef, SharedStr};
 use crate::job::Job;
-use crate::minion::{MinionKey, MinionState};
+use crate::minion::MinionKey;
 use crate::time::Moment;
 
 /// The most minions that one call names; each of them makes the answer slower.
@@ -175,7 +175,7 @@
         let usable = self.minions.arena.iter().filter(|(key, minion)| {
             let entry = &minion.entry;
             entry.service == job.queue.service
-                && entry.state == MinionState::Ready
+                && minion.is_ready()
                 && minion.unlisted.is_none()
                 && label.is_none_or(|label| entry.labels.contains(label))
                 && unknown(*key)
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -15,14 +15,14 @@
 use crate::effect::{Effect, HoldNumber, RequestKey};
 use crate::event_loop::{EventLoop, TICK_MS};
 use crate::gone::RunGone;
-use crate::id::{MinionId, OccurrenceRef, RunRef};
+use crate::id::{OccurrenceRef, RunRef};
 use crate::job::Rank;
 use crate::job_op::{OpNumber, OpenOp, Requester};
 use crate::job_table::JobTable;
 use crate::member::Member;
 use crate::membership::Review;
 use crate::message::{EndReport, Frame, Message};
-use crate::minion::{HoldState, Minion, MinionEntry, Minions, RunOwner, RunPhase};
+use crate::minion::{HoldState, Minions, RunOwner, RunPhase};
 use crate::orders::RejectionCause;
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
@@ -158,46 +158,6 @@
         }
     }
 
-    /// Inserts or updates minions from entries of the platform's list.
-    pub fn update_minions(&mut self, now: Moment, entries: Vec<MinionEntry>) {
-        for entry in entries {
-            match self.minions.by_id.get(&entry.id) {
-                Some(&key) => {
-                    let minion = &mut self.minions.arena[key];
-                    if minion.entry.state != entry.state {
-                        info!(target: "minion", minion:% = entry.id,
-                            state:? = entry.state; "minion changed its state");
-                    }
-                    minion.entry = entry;
-                    minion.unlisted = None;
-                }
-                None => {
-                    let id = entry.id.clone();
-                    let key = self.minions.arena.insert(Minion::new(entry));
-                    self.minions.by_id.insert(id, key);
-                }
-            }
-        }
-        self.advance(now);
-    }
-
-    /// Records that the platform's list has dropped a minion.
-    ///
-    /// It is still used for a short time, in case the entry comes back.
-    pub fn unlist_minion(&mut self, now: Moment, id: &MinionId) {
-        if let Some(&key) = self.minions.by_id.get(id) {
-            self.minions.arena[key].unlisted.get_or_insert(now);
-            info!(target: "minion", minion:% = id; "minion left the list");
-        }
-    }
-
-    /// Returns the ids of all minions that the platform's list has not dropped.
-    pub fn listed_minions(&self) -> Vec<MinionId> {
-        let listed = |minion: &&Minion| minion.unlisted.is_none();
-        let minions = self.minions.arena.values().filter(listed);
-        minions.map(|minion| minion.entry.id.clone()).collect()
-    }
-
     /// Returns the peers to connect to, with their addresses.
     ///
     /// Incarnations that a later one has replaced are left out.
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -160,7 +160,9 @@
         if self.catalog.version == 0 {
             return;
         }
-        let listed = |minion: &&Minion| minion.unlisted.is_none();
+        let listed = |minion: &&Minion| {
+            minion.unlisted.is_none() && minion.invalid_since.is_none()
+        };
         let minions = self.minions.arena.values().filter(listed);
         let state = Message::StateTransfer {
             catalog: Catalog::clone(&self.catalog),
@@ -311,7 +313,8 @@
     /// Takes, releases or removes one minion according to its assignment and the list.
     fn assign_minion(&mut self, now: Moment, key: MinionKey, members_changed: bool) {
         let minion = &mut self.minions.arena[key];
-        let dropped = minion.unlisted.is_some_and(|at| now.since(at) > UNLISTED_MS);
+        let dropped = minion.unlisted.is_some_and(|at| now.since(at) > UNLISTED_MS)
+            || minion.is_lost_while_invalid(UNLISTED_MS, now);
         if dropped {
             let id = minion.entry.id.clone();
             self.release_minion(now, key);
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -77,6 +77,8 @@
     pub(crate) entry: MinionEntry,
     /// When the list dropped it; none while it is listed.
     pub(crate) unlisted: Option<Moment>,
+    /// Since when its newest entry is invalid; none while it is valid.
+    pub(crate) invalid_since: Option<Moment>,
     /// Whether it is assigned to this instance among the members.
     pub(crate) assigned: bool,
     /// The learned ratio of run time to estimate; a higher one means a slower minion.
@@ -127,7 +129,7 @@
     pub(crate) hold: HoldState,
     /// The earliest time of the next start.
     pub(crate) blocked_until: Moment,
-    /// When a hold was last answered.
+    /// When a hold was last answered; before the first answer, when the minion was taken.
     pub(crate) last_answer: Moment,
     /// Whether a start was not answered, nor any hold since it was sent. A minion that
     /// does answer holds has lost a single request, which blocks only the capacity for
@@ -362,6 +364,7 @@
         Self {
             entry,
             unlisted: None,
+            invalid_since: None,
             assigned: false,
             pace: Pace::default(),
             held: None,
@@ -377,11 +380,29 @@
         known.is_some_and(|known| known >= self.entry.incarnation)
     }
 
+    /// Returns whether its newest entry is valid and says that it takes new work.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.entry.state == MinionState::Ready && self.invalid_since.is_none()
+    }
+
+    /// Returns whether the process that the entry names has answered a hold.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        let known = self.held.as_ref().and_then(|held| held.incarnation);
+        known == Some(self.entry.incarnation)
+    }
+
+    /// Returns whether its entry has been invalid and its holds unanswered for `limit_ms`.
+    pub(crate) fn is_lost_while_invalid(&self, limit_ms: u64, now: Moment) -> bool {
+        let expired = |at: Moment| now.since(at) > limit_ms;
+        let silent = self.held.as_ref().is_some_and(|held| expired(held.last_answer));
+        silent && self.invalid_since.is_some_and(expired)
+    }
+
     /// Returns the free capacity for new runs, or none if the minion may get no starts
     /// now.
     pub(crate) fn free(&self, now: Moment) -> Option<Resources> {
         let held = self.held.as_ref()?;
-        let usable = self.entry.state == MinionState::Ready
+        let usable = self.is_ready()
             && self.holds_present_process()
             && held.missed_holds == 0
             && !held.start_unanswered
@@ -410,7 +431,7 @@
             lease_until_ms: 0,
             hold: HoldState::Due(now),
             blocked_until: Moment::default(),
-            last_answer: Moment::default(),
+            last_answer: now,
             start_unanswered: false,
             missed_holds: 0,
             suspicion: Suspicion::default(),
