--- a/crates/bamboocart-dispatcher/src/site/client_stream.rs
+++ b/crates/bamboocart-dispatcher/src/site/client_stream.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use bamboocart_telemetry::traffic::{Direction, Purpose, count_bytes};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::retry_on_intr;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -47,7 +48,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_read(cx, buf))
+        let before = buf.filled().len();
+        let polled = self.with(|stream| stream.poll_read(cx, buf));
+        count_bytes(Purpose::Client, Direction::Received, buf.filled().len() - before);
+        polled
     }
 }
 
@@ -57,7 +61,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.with(|stream| stream.poll_write(cx, buf))
+        count_written(self.with(|stream| stream.poll_write(cx, buf)))
     }
 
     fn poll_write_vectored(
@@ -65,7 +69,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.with(|stream| stream.poll_write_vectored(cx, bufs))
+        count_written(self.with(|stream| stream.poll_write_vectored(cx, bufs)))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -80,3 +84,11 @@
         self.with(|stream| stream.poll_shutdown(cx))
     }
 }
+
+/// Counts the bytes of a write.
+fn count_written(polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    if let Poll::Ready(Ok(bytes)) = polled {
+        count_bytes(Purpose::Client, Direction::Sent, bytes);
+    }
+    polled
+}
--- a/crates/bamboocart-dispatcher/src/site/links.rs
+++ b/crates/bamboocart-dispatcher/src/site/links.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bamboocart_jobs::{Frame, Member, PeerKey};
+use bamboocart_telemetry::traffic::{Direction, Purpose, count_bytes};
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use h2::{RecvStream, SendStream, client, server};
 use http::{Request, Response};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -37,6 +38,9 @@
 /// The interval at which a link without frames checks for silence.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The size of the length before a frame.
+const LENGTH_BYTES: usize = 4;
+
 /// The largest frame.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -169,13 +173,24 @@
     }
 }
 
-/// Encodes a frame with a length prefix of 4 bytes.
+/// Encodes a frame with a length prefix of 4 bytes, and counts the bytes of each message.
 fn encode(frame: &Frame) -> Result<Bytes, LinkError> {
-    let body = bincode::serde::encode_to_vec(frame, FORMAT)?;
-    let mut bytes = BytesMut::with_capacity(4 + body.len());
-    bytes.put_u32(body.len() as u32);
-    bytes.put_slice(&body);
-    Ok(bytes.freeze())
+    let mut bytes = vec![0; LENGTH_BYTES];
+    let Frame { sent_ms, echo_ms, wants_capacity, needs_state, join_age_ms, messages } =
+        frame;
+    // The fields are encoded one after the other, as the derived encoding of a frame does.
+    let head = (sent_ms, echo_ms, wants_capacity, needs_state, join_age_ms);
+    bincode::serde::encode_into_std_write((head, messages.len()), &mut bytes, FORMAT)?;
+    count_bytes(Purpose::Frame, Direction::Sent, bytes.len());
+    for message in messages {
+        let before = bytes.len();
+        bincode::serde::encode_into_std_write(message, &mut bytes, FORMAT)?;
+        let kind = Purpose::Message(message.kind());
+        count_bytes(kind, Direction::Sent, bytes.len() - before);
+    }
+    let length = (bytes.len() - LENGTH_BYTES) as u32;
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    Ok(bytes.into())
 }
 
 /// Accepts links from peers; runs until the process stops.
@@ -238,6 +253,7 @@
     while let Some(data) = stream.data().await {
         let data = data?;
         stream.flow_control().release_capacity(data.len())?;
+        count_bytes(Purpose::Frame, Direction::Received, data.len());
         buffer.extend_from_slice(&data);
         while let Some(frame) = decode(&mut buffer)? {
             driver.update_engine(|engine, now| engine.frame_arrived(now, peer, frame));
@@ -248,18 +264,15 @@
 
 /// Removes and decodes the next frame of a buffer, if it is complete.
 fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, LinkError> {
-    if buffer.len() < 4 {
-        return Ok(None);
-    }
-    let length =
-        u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
+    let Some(&prefix) = buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+    let length = u32::from_be_bytes(prefix) as usize;
     if length > MAX_FRAME_BYTES {
         return Err("the frame exceeds 4 MiB".into());
     }
-    if buffer.len() < 4 + length {
+    if buffer.len() < LENGTH_BYTES + length {
         return Ok(None);
     }
-    buffer.advance(4);
+    buffer.advance(LENGTH_BYTES);
     let body = buffer.split_to(length);
     let (frame, _) = bincode::serde::decode_from_slice(&body, FORMAT)?;
     Ok(Some(frame))
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -154,6 +154,29 @@
     },
 }
 
+impl Message {
+    /// Returns the name of this kind of message, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::FreeCapacity(_) => "message-free-capacity",
+            Self::Start { .. } => "message-start",
+            Self::Stop(_) => "message-stop",
+            Self::StartRejected { .. } => "message-start-rejected",
+            Self::Moved { .. } => "message-moved",
+            Self::Ended { .. } => "message-ended",
+            Self::EndConfirmed(_) | Self::EndSuperseded(_) => "message-end-confirmed",
+            Self::OpRequest { .. } | Self::OpReply { .. } => "message-operation",
+            Self::ShardTaken { .. } | Self::ShardRuns { .. } => "message-shard",
+            Self::Pending(_) => "message-pending",
+            Self::HeldRuns(_) | Self::WantedRuns(_) => "message-run-list",
+            Self::Cancel(_) => "message-cancel",
+            Self::StateTransfer { .. } => "message-state",
+            Self::Leaving | Self::Released(_) => "message-released",
+            Self::Adopted { .. } | Self::Claimed { .. } => "message-adoption",
+        }
+    }
+}
+
 /// A run of a stored job, as its holder reports it to a new owner of the shard.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ShardRun {
--- a/crates/bamboocart-telemetry/src/job_metrics.rs
+++ b/crates/bamboocart-telemetry/src/job_metrics.rs
@@ -30,6 +30,18 @@
 /// The number of frames dropped because the queue of a link was full.
 pub const FRAMES_LOST: &str = "bamboocart_frames_lost_total";
 
+/// The number of bytes sent and received, by purpose and direction.
+pub const BYTES: &str = "bamboocart_bytes_total";
+
+/// The label with what bytes are for.
+pub const PURPOSE_LABEL: &str = "purpose";
+
+/// The label with the direction of bytes.
+pub const DIRECTION_LABEL: &str = "direction";
+
+/// Time that a frame waits until its link takes it.
+pub const FRAME_WAIT_SECONDS: &str = "bamboocart_frame_wait_seconds";
+
 /// The version of the configuration that the instance applies.
 pub const CONFIG_VERSION: &str = "bamboocart_config_in_force";
 
@@ -58,6 +70,8 @@
     histogram(MINION_CALL_SECONDS, "Time from a call to its answer, by call."),
     counter(FRAMES_SENT, "Frames that were handed to links."),
     counter(FRAMES_LOST, "Frames that were lost because a link was full."),
+    counter(BYTES, "Bytes sent and received, by purpose and direction."),
+    histogram(FRAME_WAIT_SECONDS, "Time that frames wait until their link takes them."),
     gauge(CONFIG_VERSION, "The version of the configuration in force."),
     gauge(OPEN_JOBS, "Jobs that have not ended."),
     gauge(WAITING_JOBS, "Jobs with tasks that wait for room."),
--- a/crates/bamboocart-telemetry/src/lib.rs
+++ b/crates/bamboocart-telemetry/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod recorder;
 #[cfg(feature = "traces")]
 pub mod trace;
+pub mod traffic;
 pub mod utc;
