Report only the capacity that has changed since the last report to a peer

Change: the first report on a link is complete, the next ones name the minions that differ, with no capacity for those that have become full. The receiver keeps what was reported and subtracts its own later reservations from that, so a reservation for a rejected start still ends.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -291,6 +291,12 @@
                     self.placement_due = true;
                 }
             }
+            Message::CapacityChanges(changes) => {
+                if let Some(peer) = self.peers.arena.get_mut(peer) {
+                    peer.report_changes(changes);
+                    self.placement_due = true;
+                }
+            }
             Message::Start { minion, order } => {
                 self.start_for_peer(now, peer, times, &minion, *order);
             }
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -35,7 +35,7 @@
 /// A message between instances.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
-    /// Reports the free capacity of the minions that the sender holds.
+    /// Reports the free capacity of all minions that the sender holds.
     FreeCapacity(Vec<CapacityReport>),
     /// Asks the receiver to start a run on a minion that it holds.
     Start {
@@ -152,13 +152,16 @@
         /// The resources of the run and the epoch of its owner.
         claim: Claim,
     },
+    /// Reports the free capacity of the minions that differ from the last report on the
+    /// same link.
+    CapacityChanges(Vec<CapacityReport>),
 }
 
 impl Message {
     /// Returns the name of this kind of message, for metrics.
     pub fn kind(&self) -> &'static str {
         match self {
-            Self::FreeCapacity(_) => "message-free-capacity",
+            Self::FreeCapacity(_) | Self::CapacityChanges(_) => "message-free-capacity",
             Self::Start { .. } => "message-start",
             Self::Stop(_) => "message-stop",
             Self::StartRejected { .. } => "message-start-rejected",
@@ -189,11 +192,11 @@
 }
 
 /// The free capacity of one minion.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CapacityReport {
     /// The minion that the sender holds.
     pub minion: MinionId,
-    /// The resources that no run takes.
+    /// The resources that no run takes; none if the minion takes no work.
     pub free: Resources,
     /// The learned ratio of run time to estimate, in thousandths.
     pub pace_permille: u32,
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -68,6 +68,8 @@
     pub(crate) last_echoed_at: Option<Moment>,
     /// The free capacity that it reported, less later reservations.
     pub(crate) free_capacity: Vec<CapacityReport>,
+    /// The free capacity that it reported, to which its next changes apply.
+    capacity_base: Vec<CapacityReport>,
     /// The number of its stored jobs that have not started, by queue.
     pub(crate) pending: Vec<(Box<str>, u64)>,
     /// Reservations that the last report may not include yet.
@@ -82,6 +84,8 @@
     last_stamp: Option<Moment>,
     /// When the last report of free capacity was sent to it.
     reported: Option<Moment>,
+    /// What that report told it; none if the next report has to be complete.
+    reported_capacity: Option<Vec<CapacityReport>>,
     /// Whether the free capacity has changed since the last report.
     pub(crate) report_due: bool,
 }
@@ -137,6 +141,7 @@
             orders_after_ms: 0,
             last_echoed_at: None,
             free_capacity: Vec::new(),
+            capacity_base: Vec::new(),
             pending: Vec::new(),
             reservations: Vec::new(),
             outbox: Vec::new(),
@@ -144,6 +149,7 @@
             sent: None,
             last_stamp: None,
             reported: None,
+            reported_capacity: None,
             report_due: true,
         }
     }
@@ -172,7 +178,7 @@
     pub(crate) fn set_neighbour(&mut self, neighbour: bool) {
         self.neighbour = neighbour;
         if !neighbour {
-            self.free_capacity.clear();
+            self.forget_capacity();
         }
     }
 
@@ -239,7 +245,10 @@
         self.last_frame_at = Some(now);
         // A frame of an earlier connection may arrive after later ones.
         self.last_frame_sent_ms = self.last_frame_sent_ms.max(frame.sent_ms);
-        self.report_due |= frame.wants_capacity && !self.wants_capacity;
+        if frame.wants_capacity && !self.wants_capacity {
+            self.report_due = true;
+            self.reported_capacity = None;
+        }
         self.wants_capacity = frame.wants_capacity;
         let joined_at =
             frame.join_age_ms.map(|age_ms| Moment(now.0.saturating_sub(age_ms)));
@@ -255,7 +264,24 @@
     /// Replaces the reported capacity, less the reservations made after the last frame
     /// that the peer has echoed: the report cannot include those.
     pub(crate) fn report(&mut self, capacity: Vec<CapacityReport>) {
-        self.free_capacity = capacity;
+        self.capacity_base = capacity;
+        self.update_free_capacity();
+    }
+
+    /// Applies changes to the reported capacity, as [`Peer::report`] does.
+    pub(crate) fn report_changes(&mut self, changes: Vec<CapacityReport>) {
+        for change in changes {
+            self.capacity_base.retain(|report| report.minion != change.minion);
+            if change.free != Resources::default() {
+                self.capacity_base.push(change);
+            }
+        }
+        self.update_free_capacity();
+    }
+
+    /// Computes the free capacity from the last reports and the later reservations.
+    fn update_free_capacity(&mut self) {
+        self.free_capacity.clone_from(&self.capacity_base);
         let known = self.last_echoed_at.unwrap_or_default();
         self.reservations.retain(|reservation| reservation.at > known);
         for reservation in &self.reservations {
@@ -267,6 +293,12 @@
         }
     }
 
+    /// Forgets the capacity that the peer reported.
+    fn forget_capacity(&mut self) {
+        self.free_capacity.clear();
+        self.capacity_base.clear();
+    }
+
     /// Treats a minion as full until the next report.
     pub(crate) fn clear_capacity(&mut self, minion: &MinionId) {
         self.free_capacity.retain(|report| report.minion != *minion);
@@ -277,13 +309,14 @@
         self.link_open = true;
         self.orders_after_ms = self.last_frame_sent_ms;
         self.report_due = true;
+        self.reported_capacity = None;
     }
 
     /// Records that the link was lost, and returns the runs of the queued start orders,
     /// which were certainly not sent.
     pub(crate) fn lose_link(&mut self) -> Vec<RunRef> {
         self.link_open = false;
-        self.free_capacity.clear();
+        self.forget_capacity();
         self.reservations.clear();
         let mut unsent = Vec::new();
         self.outbox.retain(|message| match message {
@@ -342,7 +375,13 @@
         if report && now.since(last_report) >= report_interval_ms {
             self.report_due = false;
             self.reported = Some(now);
-            messages.push(Message::FreeCapacity(capacity.to_vec()));
+            messages.push(match &self.reported_capacity {
+                Some(known) => {
+                    Message::CapacityChanges(capacity_changes(known, capacity))
+                }
+                None => Message::FreeCapacity(capacity.to_vec()),
+            });
+            self.reported_capacity = Some(capacity.to_vec());
         }
         let stamp = self.next_stamp(now);
         self.last_stamp = Some(stamp);
@@ -358,6 +397,24 @@
     }
 }
 
+/// Returns the reports that differ from the known ones, and empty ones for minions without
+/// free capacity.
+fn capacity_changes(
+    known: &[CapacityReport],
+    capacity: &[CapacityReport],
+) -> Vec<CapacityReport> {
+    let changed = capacity.iter().filter(|report| !known.contains(report)).cloned();
+    let is_full = |before: &&CapacityReport| {
+        capacity.iter().all(|report| report.minion != before.minion)
+    };
+    let full = known.iter().filter(is_full).map(|before| CapacityReport {
+        minion: before.minion.clone(),
+        free: Resources::default(),
+        pace_permille: 0,
+    });
+    changed.chain(full).collect()
+}
+
 /// Subtracts a task's resources from the reported capacity of a minion.
 fn subtract_capacity(
     capacity: &mut [CapacityReport],
