Let timeouts of calls to minions follow the round trip, and limit repeats

Cause: starts, stops and holds had a timeout of 120 ms. When the queue of a link is longer than that, each answer counted as lost: the start was repeated, its connection closed, the run stopped (which withholds the renewal of the lease of all runs on the minion) and the task placed again.

Ruled out: the processor (three times its share changed nothing, in the table of the issue).

Change: the holder keeps the smoothed round trip and its variation for each minion (RFC 6298) from starts, stops and holds that return after their wait. A start or a stop may take that plus four variations, 120 ms at least and 480 ms at most, doubled from the second call without an answer on; a hold 250 ms beyond its wait at most, so that wait and timeout are 480 ms and a lost hold is still made up for within the lease of 600 ms. Starts are sent again within a budget of a fifth of the first sends and 20 saved ones; without one, the lists and the end of the order's lease tell whether the run has begun. Stops are repeated at intervals that double up to 800 ms. A hop to a peer counts as long as the measured round trip of the own link, so tasks stay on own minions while the link has a queue.

--- a/crates/bamboocart-emulator/src/simulation/call_delays.rs
+++ b/crates/bamboocart-emulator/src/simulation/call_delays.rs
@@ -1,7 +1,6 @@
 //! Calls to minions on separate connections, which overtake each other, and the time
 //! limits of their callers.
 
-use bamboocart_jobs::timing::{HOLD_TIMEOUT_MS, ORDER_TIMEOUT_MS};
 use rand::Rng;
 
 use super::{Order, Simulation};
@@ -36,8 +35,9 @@
 /// Returns how long the caller waits for the answer to an order.
 pub(super) fn answer_timeout_us(order: &Order) -> u64 {
     let wait_ms = match order {
-        Order::Start(_) | Order::Stop(_) => ORDER_TIMEOUT_MS,
-        Order::Hold(order) => order.wait_ms + HOLD_TIMEOUT_MS,
+        Order::Start(order) => order.target.timeout_ms,
+        Order::Stop(order) => order.target.timeout_ms,
+        Order::Hold(order) => order.wait_ms + order.target.timeout_ms,
     };
     wait_ms * 1_000
 }
--- a/crates/bamboocart-jobs/src/effect.rs
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -72,6 +72,8 @@
     /// The fencing token of the caller's hold; the minion refuses a call with a lower
     /// token than the highest that it has seen.
     pub fencing_token: u64,
+    /// How long the answer may take, beyond the wait of a hold.
+    pub timeout_ms: u64,
 }
 
 /// A request to start a run.
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -27,6 +27,7 @@
 use crate::outcome::Outcomes;
 use crate::pace::Pace;
 use crate::peer::{FrameTimes, PeerKey, Peers, StoreStatus};
+use crate::retry_budget::RetryBudget;
 use crate::shard::Shards;
 use crate::task::Holder;
 use crate::time::Moment;
@@ -79,6 +80,8 @@
     /// The number of the last hold that was sent.
     pub(crate) last_hold: HoldNumber,
     pub(crate) event_loop: EventLoop,
+    /// The budget for starts that are sent again.
+    pub(crate) retry_budget: RetryBudget,
     /// The ends that no minion lists any more, and no owner has confirmed.
     pub(crate) detached_ends: DetachedEnds,
     /// The starts of peers that are rejected after the end of an earlier run of their task.
@@ -130,6 +133,7 @@
             ends_at: None,
             last_hold: HoldNumber(0),
             event_loop: EventLoop::default(),
+            retry_budget: RetryBudget::default(),
             detached_ends: DetachedEnds::default(),
             deferred_rejections: Vec::new(),
             effects: Vec::new(),
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -17,8 +17,8 @@
 use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
-    HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS, MAX_LEASE_MS,
-    UNCONFIRMED_PAUSE_MS, UNEXTENDED_WAIT_MS,
+    HOLD_INTERVAL_MS, HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS,
+    MAX_LEASE_MS, UNCONFIRMED_PAUSE_MS, UNEXTENDED_WAIT_MS,
 };
 
 /// The answer to a hold.
@@ -83,12 +83,18 @@
         let minion = self.minions.arena.get_mut(key);
         let Some(held) = minion.and_then(|minion| minion.held.as_mut()) else { return };
         let fencing_token = held.fencing_token;
-        let sent = match held.hold {
-            HoldState::Sent { number: last, at } if last == number => at,
+        let (sent, wait_ms) = match held.hold {
+            HoldState::Sent { number: last, at, wait_ms } if last == number => {
+                (at, wait_ms)
+            }
             HoldState::Sent { .. } | HoldState::Due(_) => return,
         };
         match answer {
             HoldAnswer::Reply(reply) => {
+                // A hold returns earlier than after its wait if the list has an end.
+                if reply.ended.is_empty() {
+                    held.round_trip.observe(now.since(sent).saturating_sub(wait_ms));
+                }
                 held.hold = HoldState::Due(now);
                 held.last_answer = now;
                 held.start_unanswered = false;
@@ -333,7 +339,13 @@
         let mut runs = mem::take(&mut held.runs);
         runs.values_mut().for_each(|run| run.note_restart(now));
         let ends = mem::take(&mut held.unconfirmed);
-        *held = HeldMinion { runs, restarted: true, ..HeldMinion::new(token, now) };
+        let round_trip = held.round_trip;
+        *held = HeldMinion {
+            runs,
+            round_trip,
+            restarted: true,
+            ..HeldMinion::new(token, now)
+        };
         self.detach_ends(key, ends);
     }
 
@@ -415,7 +427,8 @@
                 {
                     run.phase = RunPhase::Stopping;
                     run.stop_sent.get_or_insert(now);
-                    let target = minion.entry.target(key, token);
+                    let timeout_ms = held.round_trip.order_timeout_ms();
+                    let target = minion.entry.target(key, token, timeout_ms);
                     self.effects.push(Effect::Stop(StopOrder { target, run: run_ref }));
                 }
             }
@@ -424,15 +437,17 @@
             {
                 self.last_hold.0 += 1;
                 let number = self.last_hold;
-                held.hold = HoldState::Sent { number, at: now };
                 let lease_until_ms = held.renew_lease(now);
                 log_unsettled(&minion.entry.id, held);
+                let timeout_ms = held.round_trip.hold_timeout_ms();
+                let longest_ms = HOLD_WAIT_MS.min(HOLD_INTERVAL_MS - timeout_ms);
                 let wait_ms = match held.next_end_ms(minion.pace.ratio(), now) {
                     _ if held.incarnation.is_none() || held.missed_holds > 0 => 0,
                     _ if !held.may_extend_lease() => UNEXTENDED_WAIT_MS,
-                    Some(end_ms) => HOLD_WAIT_MS.min(end_ms + HOLD_SLACK_MS),
-                    None => HOLD_WAIT_MS,
+                    Some(end_ms) => longest_ms.min(end_ms + HOLD_SLACK_MS),
+                    None => longest_ms,
                 };
+                held.hold = HoldState::Sent { number, at: now, wait_ms };
                 // A restart may be why the last hold failed, and the new process numbers
                 // its ends from the start again.
                 let last_seen = match held.missed_holds {
@@ -441,7 +456,7 @@
                 };
                 self.effects.push(Effect::Hold(HoldOrder {
                     number,
-                    target: minion.entry.target(key, token),
+                    target: minion.entry.target(key, token, timeout_ms),
                     lease_until_ms,
                     last_seen,
                     wait_ms,
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -37,6 +37,8 @@
 mod placement;
 mod resources;
 mod retention;
+mod retry_budget;
+mod round_trip;
 mod run_lists;
 mod scheduling;
 mod shard;
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -15,6 +15,7 @@
 use crate::pace::Pace;
 use crate::peer::PeerKey;
 use crate::resources::Resources;
+use crate::round_trip::RoundTrip;
 use crate::suspicion::Suspicion;
 use crate::time::Moment;
 use crate::timing::{CLAIM_WINDOW_MS, LEASE_MS, SHARED_CLAIM_WINDOW_MS};
@@ -64,9 +65,20 @@
     }
 
     /// Returns the target of calls to this minion under a fencing token.
-    pub(crate) fn target(&self, key: MinionKey, fencing_token: u64) -> Target {
+    pub(crate) fn target(
+        &self,
+        key: MinionKey,
+        fencing_token: u64,
+        timeout_ms: u64,
+    ) -> Target {
         let Self { id, address, .. } = self;
-        Target { minion: key, id: id.clone(), address: *address, fencing_token }
+        Target {
+            minion: key,
+            id: id.clone(),
+            address: *address,
+            fencing_token,
+            timeout_ms,
+        }
     }
 }
 
@@ -137,6 +149,8 @@
     pub(crate) start_unanswered: bool,
     /// The number of holds in a row that failed.
     pub(crate) missed_holds: u32,
+    /// The estimate of the round trip of calls.
+    pub(crate) round_trip: RoundTrip,
     /// The signs that the minion is faulty or slow.
     pub(crate) suspicion: Suspicion,
     /// Whether the event loop of this instance is late, so that a client may be gone for
@@ -172,6 +186,8 @@
         number: HoldNumber,
         /// When it was sent.
         at: Moment,
+        /// How long it waits for a run to end.
+        wait_ms: u64,
     },
 }
 
@@ -434,6 +450,7 @@
             last_answer: now,
             start_unanswered: false,
             missed_holds: 0,
+            round_trip: RoundTrip::default(),
             suspicion: Suspicion::default(),
             event_loop_late: false,
         }
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -17,7 +17,8 @@
 use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
-    HOLD_RETRY_MS, NO_ROOM_BACKOFF_MS, OWNER_SILENCE_MS, UNHEALTHY_BACKOFF_MS,
+    HOLD_RETRY_MS, MAX_STOP_RETRY_MS, NO_ROOM_BACKOFF_MS, OWNER_SILENCE_MS,
+    UNHEALTHY_BACKOFF_MS,
 };
 
 /// Maximum number of starts that wait for the end of an earlier run to be rejected.
@@ -197,6 +198,11 @@
             && entry.phase == RunPhase::Starting
         {
             let (owner, repeated) = (entry.owner, entry.retried);
+            match answer {
+                StartAnswer::Lost => held.round_trip.note_timeout(),
+                _ if repeated => {}
+                _ => held.round_trip.observe(now.since(entry.since)),
+            }
             match answer.verdict(run, repeated) {
                 StartVerdict::Listed => entry.note_listed(now),
                 StartVerdict::Unanswered => {
@@ -248,9 +254,15 @@
             entry.phase = RunPhase::StopDue(now);
             return;
         };
+        // Without a repeat, the lists of the minion tell whether the run has begun, and
+        // its order expires if it has not.
+        if !self.retry_budget.take() {
+            return;
+        }
         entry.retried = true;
         entry.lease_until_ms = lease_until_ms;
-        let target = minion.entry.target(key, held.fencing_token);
+        let timeout_ms = held.round_trip.order_timeout_ms();
+        let target = minion.entry.target(key, held.fencing_token, timeout_ms);
         let order = payload.order(target, run, lease_until_ms);
         self.effects.push(Effect::Start(order));
     }
@@ -271,12 +283,17 @@
         {
             let failed = entry.failed_stops;
             let since_ms = now.since(entry.stop_sent.unwrap_or(now));
+            match answer {
+                StartAnswer::Lost => held.round_trip.note_timeout(),
+                _ if failed > 0 => {}
+                _ => held.round_trip.observe(since_ms),
+            }
             if answer == StartAnswer::Started {
                 entry.listed_since = Some(now);
                 entry.stop_confirmed = true;
                 entry.failed_stops = 0;
             } else {
-                let pause_ms = if entry.failed_stops == 0 { 0 } else { HOLD_RETRY_MS };
+                let pause_ms = stop_pause_ms(entry.failed_stops);
                 entry.phase = RunPhase::StopDue(now + pause_ms);
                 entry.failed_stops += 1;
             }
@@ -366,9 +383,11 @@
         let RunOrder { run, spec, checkpoint, ticket, .. } = order;
         let payload = StartPayload { spec, checkpoint, ticket };
         held.retryable_starts.insert(run, payload.clone());
-        let target = minion.entry.target(key, held.fencing_token);
+        let timeout_ms = held.round_trip.order_timeout_ms();
+        let target = minion.entry.target(key, held.fencing_token, timeout_ms);
         let order = payload.order(target, run, lease_until_ms);
         self.effects.push(Effect::Start(order));
+        self.retry_budget.earn();
         self.capacity_changed();
         true
     }
@@ -537,6 +556,15 @@
     }
 }
 
+/// Returns the delay before a stop is sent again, in milliseconds. The first repeat is sent
+/// at once; the lease of the minion is not renewed until a stop is answered.
+fn stop_pause_ms(failed: u32) -> u64 {
+    match failed {
+        0 => 0,
+        _ => (HOLD_RETRY_MS << (failed - 1).min(8)).min(MAX_STOP_RETRY_MS),
+    }
+}
+
 /// Returns how long a minion gets no further start after it has rejected one, in
 /// milliseconds.
 fn backoff_ms(answer: StartAnswer) -> u64 {
--- a/crates/bamboocart-jobs/src/scheduling.rs
+++ b/crates/bamboocart-jobs/src/scheduling.rs
@@ -184,6 +184,7 @@
                 });
             }
         }
+        let hop_ms = self.hop_ms();
         for (peer_key, peer) in &self.peers.arena {
             if !peer.takes_orders(now) {
                 continue;
@@ -197,12 +198,23 @@
                     minion,
                     free: report.free,
                     pace: f64::from(report.pace_permille) / 1000.0,
-                    hop_ms: PEER_HOP_MS,
+                    hop_ms,
                 });
             }
         }
         candidates
     }
+
+    /// Returns the additional time that an order to a peer takes, in milliseconds.
+    ///
+    /// It crosses the link of this instance as calls to its own minions do, so it takes at
+    /// least as long. On a link with a queue, this keeps tasks on its own minions.
+    fn hop_ms(&self) -> f64 {
+        let round_trips = self.minions.held().map(|(_, _, held)| held.round_trip);
+        let (sum_ms, count) = round_trips
+            .fold((0.0, 0), |(sum_ms, count), it| (sum_ms + it.smoothed_ms(), count + 1));
+        PEER_HOP_MS.max(sum_ms / f64::from(count.max(1)))
+    }
 }
 
 /// Drops the choices for tasks of which a run is still on a minion that this instance
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -26,21 +26,34 @@
 /// end is lost, the end is noticed late.
 pub const HOLD_SLACK_MS: u64 = 60;
 
-/// Timeout of a hold, beyond its wait. The next hold has to arrive before the lease
-/// expires that the last answered one has granted.
+/// Minimum timeout of a hold, beyond its wait.
 pub const HOLD_TIMEOUT_MS: u64 = 120;
 
-/// Timeout of a start or a stop. Answers take milliseconds, and a short task is late if a
-/// lost start is noticed later.
+/// Maximum timeout of a hold, beyond its wait.
+pub const MAX_HOLD_TIMEOUT_MS: u64 = 250;
+
+/// Maximum time from a hold to its timeout. The next hold has to arrive before the lease
+/// expires that the last answered one has granted.
+pub const HOLD_INTERVAL_MS: u64 = 480;
+
+/// Minimum timeout of a start or a stop. Most answers take milliseconds, and a short task
+/// is late if a lost start is noticed later.
 pub const ORDER_TIMEOUT_MS: u64 = 120;
 
+/// Maximum timeout of a start or a stop. The lease that a start carries expires soon after,
+/// unless a hold renews it.
+pub const MAX_ORDER_TIMEOUT_MS: u64 = 480;
+
 /// Time after the end of its lease during which an unanswered order may still reach a
 /// minion.
 pub const LATE_ORDER_MS: u64 = 300;
 
-/// Delay before a hold is sent again after a second consecutive failure.
+/// Delay before a hold or a stop is sent again after a second consecutive failure.
 pub const HOLD_RETRY_MS: u64 = 100;
 
+/// Maximum delay before a stop is sent again. It doubles with each failure.
+pub const MAX_STOP_RETRY_MS: u64 = 800;
+
 /// Silence after which a holder stops the runs of an owner: the time since the last frame
 /// of the holder that the owner has echoed.
 pub const OWNER_SILENCE_MS: u64 = 500;
--- a/crates/bamboocart-jobs/tests/invalid_entries.rs
+++ b/crates/bamboocart-jobs/tests/invalid_entries.rs
@@ -7,7 +7,7 @@
 
 use bamboocart_jobs::{
     ActiveRun, Effect, Engine, HoldAnswer, HoldOrder, MinionChange, MinionEntry, Moment,
-    RunEnd, StartAnswer, StartOrder,
+    RunEnd, StartAnswer, StartOrder, Step,
 };
 use support::{
     active, answer_hold, answer_hold_from, ended, entry, hold_of, member, starts_of,
@@ -48,8 +48,9 @@
         let first = hold_of(engine.take_effects());
         answer_hold_from(&mut engine, START, &first, 1, Vec::new());
         let hold = hold_of(engine.take_effects());
-        let mut long = submission(1, vec![step(1, &[])]);
-        long.timeout_ms = 2 * LONG_MS;
+        let long_step = Step { estimate_ms: 2 * LONG_MS, ..step(1, &[]) };
+        let mut long = submission(1, vec![long_step]);
+        long.timeout_ms = 4 * LONG_MS;
         engine.submit(START, long);
         let start = starts_of(engine.take_effects()).remove(0);
         let (key, token) = (start.target.minion, start.target.fencing_token);
