Send the task description of a job once in a frame

Cause: the tasks of a job are placed together, often two on one minion, and each start to a peer carried the whole description, most of its bytes.

Change: a start that has the description of the start before it in the same frame is sent as StartSibling, without it, and the receiver restores it.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -236,6 +236,7 @@
 
     /// Handles a frame from a peer.
     pub fn frame_arrived(&mut self, now: Moment, peer: PeerKey, mut frame: Frame) {
+        frame.restore_specs();
         let messages = mem::take(&mut frame.messages);
         let Some(entry) = self.peers.arena.get_mut(peer) else { return };
         let first = entry.last_frame_at.is_none();
@@ -301,7 +302,8 @@
                     self.placement_due = true;
                 }
             }
-            Message::Start { minion, order } => {
+            Message::Start { minion, order }
+            | Message::StartSibling { minion, order } => {
                 self.start_for_peer(now, peer, times, &minion, *order);
             }
             Message::Stop(run) => {
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -1,10 +1,13 @@
 //! Messages between instances.
 
+use std::mem;
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::adoption::Claim;
 use crate::catalog::Catalog;
-use crate::id::{Checkpoint, JobId, MinionId, RunRef};
+use crate::id::{Checkpoint, JobId, MinionId, RunRef, SharedStr};
 use crate::job_op::{JobOp, OpNumber, OpReply};
 use crate::minion::MinionEntry;
 use crate::orders::{RejectionCause, RunOrder};
@@ -155,6 +158,55 @@
     /// Reports the free capacity of the minions that differ from the last report on the
     /// same link.
     CapacityChanges(Vec<CapacityReport>),
+    /// A [`Message::Start`] without the task description, which is that of the last start
+    /// before it in the same frame.
+    StartSibling {
+        /// The minion that the sender has chosen.
+        minion: MinionId,
+        /// The run and what is needed to start it; its task description is empty.
+        order: Box<RunOrder>,
+    },
+}
+
+impl Frame {
+    /// Leaves out the task description of each start that has that of the start before it.
+    ///
+    /// The tasks of a job are placed together, often several of them on one peer, and their
+    /// description is most of a start.
+    pub(crate) fn omit_repeated_specs(&mut self) {
+        let mut last: Option<SharedStr> = None;
+        for message in &mut self.messages {
+            let Message::Start { minion, order } = message else { continue };
+            match &last {
+                Some(spec) if *spec == order.spec && !spec.is_empty() => {
+                    let order = RunOrder { spec: "".into(), ..(**order).clone() };
+                    let (minion, order) = (minion.clone(), Box::new(order));
+                    *message = Message::StartSibling { minion, order };
+                }
+                _ => last = Some(Arc::clone(&order.spec)),
+            }
+        }
+    }
+
+    /// Restores the task descriptions that [`Frame::omit_repeated_specs`] has left out.
+    ///
+    /// A start without one before it is dropped; no frame of an instance has one.
+    pub(crate) fn restore_specs(&mut self) {
+        let mut last: Option<SharedStr> = None;
+        let messages = mem::take(&mut self.messages).into_iter();
+        let restored = messages.filter_map(|message| match message {
+            Message::Start { minion, order } => {
+                last = Some(Arc::clone(&order.spec));
+                Some(Message::Start { minion, order })
+            }
+            Message::StartSibling { minion, mut order } => {
+                order.spec = last.clone()?;
+                Some(Message::Start { minion, order })
+            }
+            other => Some(other),
+        });
+        self.messages = restored.collect();
+    }
 }
 
 impl Message {
@@ -162,7 +214,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::FreeCapacity(_) | Self::CapacityChanges(_) => "message-free-capacity",
-            Self::Start { .. } => "message-start",
+            Self::Start { .. } | Self::StartSibling { .. } => "message-start",
             Self::Stop(_) => "message-stop",
             Self::StartRejected { .. } => "message-start-rejected",
             Self::Moved { .. } => "message-moved",
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -386,14 +386,16 @@
         let stamp = self.next_stamp(now);
         self.last_stamp = Some(stamp);
         self.sent = Some(now);
-        Some(Frame {
+        let mut frame = Frame {
             sent_ms: stamp.0,
             echo_ms: self.last_frame_sent_ms,
             wants_capacity: self.neighbour,
             needs_state: store_status.needs_state,
             join_age_ms: store_status.joined_at.map(|at| now.since(at)),
             messages,
-        })
+        };
+        frame.omit_repeated_specs();
+        Some(frame)
     }
 }
 
