--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -187,6 +187,7 @@
         let wanted = self.runs_placed_at(peer);
         let reports = self.shard_reports_to(peer);
         let incomplete = self.partial_gang_runs_at(peer);
+        let cancelled = self.outcomes.cancelled_elsewhere();
         if let Some(peer) = self.peers.arena.get_mut(peer) {
             peer.open_link();
             for (run, minion) in moved {
@@ -200,6 +201,9 @@
             for report in reports {
                 peer.push_required(report);
             }
+            for job in cancelled {
+                peer.push_required(Message::Cancel(job));
+            }
             for (&shard, owned) in &self.shards.owned {
                 if owned.is_claimed() {
                     peer.push_required(Message::ShardTaken { shard, epoch: owned.epoch });
--- a/crates/bamboocart-jobs/src/outcome.rs
+++ b/crates/bamboocart-jobs/src/outcome.rs
@@ -41,6 +41,14 @@
         }
     }
 
+    /// Returns the jobs that clients have cancelled although this instance did not own them.
+    pub(crate) fn cancelled_elsewhere(&self) -> Vec<JobId> {
+        let cancelled =
+            |outcome: &Outcome| !outcome.owned && outcome.state == JobState::Cancelled;
+        let jobs = self.order.iter().map(|&(_, job)| job);
+        jobs.filter(|job| self.by_job.get(job).is_some_and(cancelled)).collect()
+    }
+
     /// Returns how a job ended, if that is known.
     pub(crate) fn get(&self, job: JobId) -> Option<JobState> {
         self.by_job.get(&job).map(|outcome| outcome.state)
