Take the latest configuration that peers know while the store is away

Cause (reports of operators: a withdrawn key is in use again after a restart): an instance that restarts while the store does not answer it gets the configuration from its peers and kept that of the first. A peer that was cut off from the store may have an earlier one, with queues that were removed since.

Change: until the store answers, a later version from another peer replaces an earlier one. A version from the store is still not replaced by one from a peer.

Result: the_latest_state_of_several_peers_counts had version 4 before, and has 6 now.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -47,6 +47,8 @@
     /// This instance.
     pub(crate) member: Member,
     pub(crate) catalog: Arc<Catalog>,
+    /// Whether the configuration and the minions come from a peer, not from the store.
+    pub(crate) state_from_peer: bool,
     pub(crate) minions: Minions,
     pub(crate) peers: Peers,
     /// The jobs that have not ended.
@@ -115,6 +117,7 @@
         Self {
             member,
             catalog: Arc::default(),
+            state_from_peer: false,
             minions: Minions::default(),
             peers: Peers::default(),
             jobs: JobTable::default(),
@@ -152,8 +155,15 @@
         &self.catalog
     }
 
-    /// Puts a configuration in force, unless its version or a later one already is.
+    /// Puts a configuration from the store in force, unless its version or a later one
+    /// already is.
     pub fn set_catalog(&mut self, catalog: Catalog) {
+        self.state_from_peer = false;
+        self.adopt_catalog(catalog);
+    }
+
+    /// Puts a configuration in force, unless its version or a later one already is.
+    pub(crate) fn adopt_catalog(&mut self, catalog: Catalog) {
         if catalog.version > self.catalog.version {
             info!(target: "config", version = catalog.version,
                 before = self.catalog.version, queues = catalog.queues.len();
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -176,18 +176,23 @@
     }
 
     /// Accepts the store's state from a peer, if this instance got none from the store.
+    ///
+    /// Several peers send theirs, and some may have been cut off from the store for a while:
+    /// a later version replaces an earlier one, which may have queues that were removed.
     pub(crate) fn take_state(
         &mut self,
         now: Moment,
         catalog: Catalog,
         minions: Vec<MinionEntry>,
     ) {
-        if self.catalog.version > 0 {
+        let known = self.catalog.version;
+        if known > 0 && (!self.state_from_peer || catalog.version <= known) {
             return;
         }
         info!(target: "config", version = catalog.version, minions = minions.len();
             "taking the store's state from a peer");
-        self.set_catalog(catalog);
+        self.adopt_catalog(catalog);
+        self.state_from_peer = true;
         if self.minions.arena.is_empty() {
             self.update_minions(now, minions);
         }
--- a/crates/bamboocart-jobs/tests/state_transfer.rs
+++ b/crates/bamboocart-jobs/tests/state_transfer.rs
@@ -108,3 +108,18 @@
         "the version from the store is replaced"
     );
 }
+
+/// Guards against an instance that serves a queue that was removed, because it restarts while
+/// the store does not answer and hears first from a peer that was cut off from the store.
+#[test]
+fn the_latest_state_of_several_peers_counts() {
+    let mut pair = Pair::new();
+    let peers = ["entry-1", "entry-3", "entry-4"].map(member);
+    for (member, version) in peers.iter().zip([4, 6, 5]) {
+        let peer = pair.newcomer.peer(pair.now, member);
+        let state =
+            Message::StateTransfer { catalog: catalog(version), minions: Vec::new() };
+        pair.newcomer.frame_arrived(pair.now, peer, frame(pair.now, vec![state]));
+    }
+    assert_eq!(pair.newcomer.catalog().version, 6);
+}
