--- a/crates/bamboocart-dispatcher/src/site/frame_queue.rs
+++ b/crates/bamboocart-dispatcher/src/site/frame_queue.rs
@@ -2,8 +2,11 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bamboocart_jobs::Frame;
+use bamboocart_telemetry::job_metrics::FRAME_WAIT_SECONDS;
+use metrics::histogram;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 
@@ -18,6 +21,12 @@
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub struct QueueFull;
 
+/// A frame with the time at which it was added.
+struct QueuedFrame {
+    frame: Frame,
+    queued_at: Instant,
+}
+
 /// Creates a queue and returns its two ends.
 pub fn frame_queue() -> (FrameSender, FrameReceiver) {
     let (sender, receiver) = mpsc::channel(CAPACITY_FRAMES);
@@ -28,7 +37,7 @@
 
 /// The end of a queue at which the engine adds frames; the queue is closed with it.
 pub struct FrameSender {
-    frames: mpsc::Sender<Frame>,
+    frames: mpsc::Sender<QueuedFrame>,
     /// Whether a frame was dropped since the receiver last asked for it.
     overflowed: Rc<Cell<bool>>,
 }
@@ -39,7 +48,7 @@
     /// Returns an error if the queue is full, so that the frame was dropped while the link
     /// is open.
     pub fn send(&self, frame: Frame) -> Result<()> {
-        match self.frames.try_send(frame) {
+        match self.frames.try_send(QueuedFrame { frame, queued_at: Instant::now() }) {
             Ok(()) | Err(TrySendError::Closed(_)) => Ok(()),
             Err(TrySendError::Full(_)) => {
                 self.overflowed.set(true);
@@ -51,14 +60,16 @@
 
 /// The end of a queue from which a link takes the frames.
 pub struct FrameReceiver {
-    frames: mpsc::Receiver<Frame>,
+    frames: mpsc::Receiver<QueuedFrame>,
     overflowed: Rc<Cell<bool>>,
 }
 
 impl FrameReceiver {
     /// Waits for the next frame; returns none if the queue is closed and empty.
     pub async fn recv(&mut self) -> Option<Frame> {
-        self.frames.recv().await
+        let QueuedFrame { frame, queued_at } = self.frames.recv().await?;
+        histogram!(FRAME_WAIT_SECONDS).record(queued_at.elapsed().as_secs_f64());
+        Some(frame)
     }
 
     /// Returns whether the queue has overflowed and is empty now, once for each overflow.
