--- a/crates/bamboocart-dispatcher/src/site/driver.rs
+++ b/crates/bamboocart-dispatcher/src/site/driver.rs
@@ -226,6 +226,13 @@
         }
     }
 
+    /// Answers all requests that are still open, because the process ends now.
+    pub fn give_up_requests(&self) {
+        self.update_engine(|engine, now| engine.give_up_requests(now));
+        // An operation on a stored job may have been carried out; its client asks again.
+        self.inner.requests.borrow_mut().clear();
+    }
+
     /// Returns the number of requests without an answer.
     pub fn open_requests(&self) -> usize {
         self.inner.requests.borrow().len()
--- a/crates/bamboocart-dispatcher/src/site/signals.rs
+++ b/crates/bamboocart-dispatcher/src/site/signals.rs
@@ -15,6 +15,9 @@
 /// jobs end on minions that peers hold.
 const NO_MINIONS_MS: u64 = 1_600;
 
+/// The time for sending the last answers and frames, a part of [`RESERVE_MS`].
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// The end of the grace period, which is reserved for the kernel and for flushing the
 /// log.
 const RESERVE_MS: u64 = 700;
@@ -90,5 +93,6 @@
     driver.await_requests(end.saturating_duration_since(Instant::now())).await;
     // New requests are refused while the last answers and frames are sent.
     driver.update_engine(|engine, now| engine.drain(now));
-    sleep(Duration::from_millis(50)).await;
+    driver.give_up_requests();
+    sleep(LAST_ANSWERS).await;
 }
--- a/crates/bamboocart-dispatcher/tests/site/stop.rs
+++ b/crates/bamboocart-dispatcher/tests/site/stop.rs
@@ -41,6 +41,30 @@
     assert!(wait_until(|| warm().state == "completed"));
 }
 
+/// Guards against a connection that is closed without an answer (LOST) because the job of its
+/// request lasts longer than the grace period, as it may when all minions are busy.
+#[test]
+fn a_stop_answers_requests_that_outlast_it() {
+    let platform = StandIn::start(4).unwrap();
+    platform.publish(1, "/q/");
+    let mut instance = Instance::start_ready(&platform, "edge-1");
+    let other = Instance::start_ready(&platform, "edge-2");
+    let warm = || submit(other.front, "/q/0000000000000001", 1, 10).unwrap();
+    assert!(wait_until(|| warm().state == "completed"));
+    let front = instance.front;
+    let signalled = Instant::now();
+    instance.signal(Signal::TERM);
+    // The job is accepted, since work is admitted until half of the grace period is over.
+    thread::sleep(Duration::from_secs(2));
+    let answer = submit(front, "/q/0000000000000002", 1, 4_500);
+    assert_eq!(answer.expect("the request should be answered").status, 504);
+    assert!(instance.wait().success());
+    assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
+    let stopped = || platform.runs().iter().all(|run| run.ended_ms.is_some());
+    assert!(wait_until(stopped), "the run goes on");
+    assert!(platform.runs().iter().all(|run| !run.done || run.task.contains("01.")));
+}
+
 /// Guards against a reload that reports no change without reading the file, and against
 /// one that accepts invalid settings.
 #[test]
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner.rs
@@ -372,6 +372,21 @@
         }
     }
 
+    /// Ends all best-effort jobs whose clients wait, because the instance stops now.
+    ///
+    /// Clients learn at once that they have to send their jobs again, and the runs are
+    /// stopped before those arrive elsewhere.
+    pub fn give_up_requests(&mut self, now: Moment) {
+        let open = self.jobs.values().filter(|job| !job.requests.is_empty());
+        let open: Vec<(OccurrenceRef, bool)> =
+            open.map(|job| (job.id, job.start_ordered)).collect();
+        for (id, ordered) in open {
+            let answer = if ordered { Answer::GivenUp } else { Answer::Unavailable };
+            self.end_job(now, id, Some(answer), "the instance stops");
+        }
+        self.advance(now);
+    }
+
     /// Returns the tasks to the queue whose runs are lost with their holders.
     pub(crate) fn requeue_lost(&mut self, now: Moment) {
         for (holder, gone) in self.lost_runs(now) {
--- a/crates/bamboocart-jobs/tests/refusals.rs
+++ b/crates/bamboocart-jobs/tests/refusals.rs
@@ -4,8 +4,12 @@
 
 use std::collections::BTreeSet;
 
-use bamboocart_jobs::{Answer, Engine, Moment, Step, Submission};
-use support::{answers_of, member, step, submission};
+use bamboocart_jobs::{
+    Answer, Effect, Engine, Moment, RequestKey, StartAnswer, Step, Submission,
+};
+use support::{
+    answer_hold_from, answers_of, entry, hold_of, member, starts_of, step, submission,
+};
 use yare::parameterized;
 
 const NOW: Moment = Moment(10_000);
@@ -79,3 +83,31 @@
     let distinct: BTreeSet<u64> = some.iter().copied().collect();
     assert!(distinct.len() > 1, "all come back after {some:?}");
 }
+
+/// Guards against a stop that tells a client that its job has not run although a start was
+/// ordered, or that leaves a request without an answer.
+#[test]
+fn the_end_of_a_stop_answers_truthfully() {
+    let mut engine = engine(1);
+    engine.update_minions(NOW, vec![entry("m-1", "marka")]);
+    let hold = hold_of(engine.take_effects());
+    answer_hold_from(&mut engine, NOW, &hold, 1, Vec::new());
+    engine.submit(NOW, numbered(1, 2, 300));
+    engine.submit(NOW, numbered(2, 1, 300));
+    let starts = starts_of(engine.take_effects());
+    assert_eq!(starts.len(), 2, "the first job fills the minion");
+    for start in starts {
+        let (key, token) = (start.target.minion, start.target.fencing_token);
+        engine.start_answered(NOW, key, token, start.run, StartAnswer::Started);
+    }
+    engine.take_effects();
+    engine.give_up_requests(NOW + 10);
+    let effects = engine.take_effects();
+    let stops = effects.iter().filter(|it| matches!(it, Effect::Stop(_))).count();
+    assert_eq!(stops, 2, "runs of a job that was given up go on");
+    let expected =
+        [(RequestKey(1), Answer::GivenUp), (RequestKey(2), Answer::Unavailable)];
+    let mut answers = answers_of(effects);
+    answers.sort_by_key(|(request, _)| request.0);
+    assert_eq!(answers, expected);
+}
