Model links with a rate in the emulator

Each instance has one queue for what it sends and receives. A fault slows all links. Reports have the scores by second, so that tests can look at the time after a fault.

The emulated queue has no bound; whether the real system does the same is not shown.

--- a/crates/bamboocart-emulator/src/fault.rs
+++ b/crates/bamboocart-emulator/src/fault.rs
@@ -262,6 +262,15 @@
         /// The number of times after the first one.
         again: u64,
     },
+    /// The links of all instances carry a part of their rate.
+    SlowLinks {
+        /// The start, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// The part of the rate that is left, from 0 to 1.
+        factor: f64,
+    },
     /// Clients send more jobs.
     Burst {
         /// The start, in milliseconds after clients begin to send jobs.
@@ -332,6 +341,7 @@
             | Self::SheddingMinions { at_ms, .. }
             | Self::RejectingMinions { at_ms, .. }
             | Self::BrokenConnections { at_ms, .. }
+            | Self::SlowLinks { at_ms, .. }
             | Self::Burst { at_ms, .. } => at_ms,
         }
     }
--- a/crates/bamboocart-emulator/src/report.rs
+++ b/crates/bamboocart-emulator/src/report.rs
@@ -1,6 +1,7 @@
 //! Reports of simulations.
 
 use std::fmt::{self, Display, Formatter};
+use std::ops::Range;
 
 /// The result of simulating a scenario with a seed.
 #[derive(Debug, Clone, Default)]
@@ -21,6 +22,20 @@
     pub minion_calls: u64,
     /// The number of appends that reached the logs of the store.
     pub appends: u64,
+    /// The number of bytes that crossed the links of instances, in either direction; 0 if
+    /// the scenario has no links.
+    pub link_bytes: u64,
+    /// The scores by the second in which the jobs were first sent.
+    pub seconds: Vec<SecondReport>,
+}
+
+/// The scores of the jobs that were first sent in the same second.
+#[derive(Debug, Copy, Clone, Default)]
+pub struct SecondReport {
+    /// The score that was earned.
+    pub earned: f64,
+    /// The score if all jobs had completed within their objective.
+    pub max_earned: f64,
 }
 
 /// The results of a kind of job.
@@ -54,6 +69,26 @@
     }
 }
 
+impl Report {
+    /// Returns the share of the possible score that was earned by jobs that were first
+    /// sent in some seconds, from 0 to 1.
+    pub fn credit_of(&self, seconds: Range<usize>) -> f64 {
+        let seconds = self.seconds.iter().take(seconds.end).skip(seconds.start);
+        let (earned, max_earned) = seconds.fold((0.0, 0.0), |(earned, max), second| {
+            (earned + second.earned, max + second.max_earned)
+        });
+        earned / max_earned.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the scores of the jobs that are first sent in a second.
+    pub(crate) fn second_mut(&mut self, second: usize) -> &mut SecondReport {
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, SecondReport::default());
+        }
+        &mut self.seconds[second]
+    }
+}
+
 impl KindReport {
     /// Returns a quantile of the response times of completed jobs, 0 if there are none.
     pub fn latency_ms(&self, quantile: f64) -> u64 {
@@ -75,13 +110,14 @@
         writeln!(
             f,
             "runs {}, void {}, rejected starts {}, calls to minions {}, frames {}, \
-             appends {}",
+             appends {}, bytes on links {}",
             self.runs,
             self.void_runs,
             self.rejected_starts,
             self.minion_calls,
             self.frames,
-            self.appends
+            self.appends,
+            self.link_bytes
         )?;
         for kind in &self.kinds {
             writeln!(
--- a/crates/bamboocart-emulator/src/scenario.rs
+++ b/crates/bamboocart-emulator/src/scenario.rs
@@ -43,11 +43,24 @@
     /// The speed of the minions' steady clocks, in percent of real time.
     #[serde(default = "default_minion_clock_percent")]
     pub minion_clock_percent: u64,
+    /// The links of the instances; none if they carry everything without delay.
+    #[serde(default)]
+    pub links: Option<Links>,
     /// The faults to inject.
     #[serde(default, rename = "troubles")]
     pub faults: Vec<Fault>,
 }
 
+/// The link of each instance, which what it sends and what it receives share.
+#[derive(Debug, Copy, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Links {
+    /// The rate in megabits per second.
+    pub rate_mbps: f64,
+    /// The size of the task description of a job, in bytes.
+    pub spec_bytes: usize,
+}
+
 /// A failure domain with its instances and minions.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod faults;
 mod instances;
+mod links;
 mod logs;
 mod rejections;
 mod restarts;
@@ -256,6 +257,8 @@
     next_request: u64,
     /// The peers with an open link, and their indices.
     links: BTreeMap<PeerKey, usize>,
+    /// The time at which its link has carried all that is queued.
+    link_free_us: u64,
 }
 
 /// The state of a job at its client.
@@ -288,6 +291,13 @@
     done: bool,
 }
 
+impl ClientJob {
+    /// Returns the second of the scenario in which the job was first sent.
+    fn sent_second(&self) -> usize {
+        (self.first_sent_us.saturating_sub(WARM_UP_US) / 1_000_000) as usize
+    }
+}
+
 /// A hold that waits at a minion for the end of a run.
 struct WaitingHold {
     number: u64,
@@ -333,6 +343,8 @@
     call_delays: Option<CallDelays>,
     /// The factor on the rates of jobs.
     load_factor: f64,
+    /// The factor on the rates of links.
+    link_factor: f64,
     checker: InvariantChecker,
     report: Report,
 }
@@ -366,6 +378,7 @@
             lost_answer_share: 0.0,
             call_delays: None,
             load_factor: 1.0,
+            link_factor: 1.0,
             checker: InvariantChecker::default(),
             report: Report::default(),
         };
@@ -415,6 +428,7 @@
             requests: BTreeMap::new(),
             next_request: 1,
             links: BTreeMap::new(),
+            link_free_us: 0,
         });
     }
 
@@ -537,6 +551,8 @@
             let report = &mut self.report.kinds[job.kind];
             report.sent += 1;
             report.max_earned += job.worth;
+            let second = job.sent_second();
+            self.report.second_mut(second).max_earned += job.worth;
             if job.accepted_us.is_some() && !job.done {
                 self.checker
                     .violations
--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::call_delays::answer_timeout_us;
+use super::links::{answer_bytes, call_bytes};
 use super::{Event, Input, MinionCall, Order, Simulation, WaitingHold};
 use crate::minion::HoldOutcome;
 use crate::trace::{self, Source};
@@ -26,6 +27,7 @@
             self.lost_answer_share > 0.0 && self.rng.random_bool(self.lost_answer_share);
         let extra_us = self.draw_call_delay_us();
         let timeout_us = answer_timeout_us(&order);
+        let extra_us = extra_us + self.cross_link_us(instance, call_bytes(&order));
         let (delay_us, awaits_answer) = match path {
             Some(delay_us) if !late => {
                 let delay_us = delay_us + extra_us;
@@ -298,7 +300,8 @@
         let from = self.minions[call.minion].domain;
         match self.path_delay_us(from, self.instances[call.instance].domain) {
             Some(delay_us) => {
-                let delay_us = delay_us + self.draw_call_delay_us();
+                let link_us = self.cross_link_us(call.instance, answer_bytes(&input));
+                let delay_us = delay_us + self.draw_call_delay_us() + link_us;
                 let limit_us = call.expires_us.saturating_sub(self.now_us);
                 let in_time = delay_us <= limit_us;
                 let lost = failed_call(&call.order, StartAnswer::Lost, HoldAnswer::Lost);
--- a/crates/bamboocart-emulator/src/simulation/clients.rs
+++ b/crates/bamboocart-emulator/src/simulation/clients.rs
@@ -101,7 +101,9 @@
         self.jobs[job].sent_to = Some(sent);
         self.schedule_client_timeout(sent);
         let input = Input::Submit(job, attempt);
-        self.schedule(CLIENT_DELAY_US, Event::Input(instance, incarnation, input));
+        let link_us = self.cross_link_us(instance, self.submission_bytes());
+        let event = Event::Input(instance, incarnation, input);
+        self.schedule(CLIENT_DELAY_US + link_us, event);
     }
 
     /// Polls the state of a stored job from an instance that is chosen as for a
@@ -150,6 +152,7 @@
     /// Passes a job to the engine of an instance, and schedules the client's timeout.
     pub(super) fn submit(&mut self, instance: usize, job: usize, attempt: u32) {
         let now = self.steady_clock(instance);
+        let spec = "x".repeat(self.spec_bytes()).into();
         let entry = &mut self.instances[instance];
         let request = RequestKey(entry.next_request);
         entry.next_request += 1;
@@ -168,7 +171,7 @@
             queue: Arc::clone(&self.queues[client.kind]),
             job: NewJob {
                 id: client.id,
-                spec: "".into(),
+                spec,
                 steps: (0..client.steps).map(step).collect(),
                 best_effort: !client.stored,
                 repeat: None,
@@ -229,6 +232,8 @@
                     _ => 0.0,
                 };
                 report.earned += entry.worth * share;
+                let (second, earned) = (entry.sent_second(), entry.worth * share);
+                self.report.second_mut(second).earned += earned;
             }
             Answer::Refused { .. } | Answer::Unavailable
                 if entry.accepted_us.is_none() =>
--- a/crates/bamboocart-emulator/src/simulation/faults.rs
+++ b/crates/bamboocart-emulator/src/simulation/faults.rs
@@ -119,6 +119,10 @@
                 }
                 length_ms = for_ms;
             }
+            Fault::SlowLinks { for_ms, factor, .. } => {
+                self.link_factor = factor;
+                length_ms = for_ms;
+            }
             Fault::Burst { for_ms, factor, .. } => {
                 self.load_factor = factor;
                 length_ms = for_ms;
@@ -203,6 +207,7 @@
                 }
             }
             Fault::LostAppendAnswers { .. } => self.lost_append_share = 0.0,
+            Fault::SlowLinks { .. } => self.link_factor = 1.0,
             Fault::Burst { .. } => self.load_factor = 1.0,
             Fault::Rebalance { .. }
             | Fault::ResetLinks { .. }
--- a/crates/bamboocart-emulator/src/simulation/instances.rs
+++ b/crates/bamboocart-emulator/src/simulation/instances.rs
@@ -9,6 +9,7 @@
 use log::debug;
 use rand::Rng;
 
+use super::links::frame_bytes;
 use super::{
     CLIENT_DELAY_US, Event, Input, JOIN_INTERVAL_US, MAX_GROUP_DELAY_US, Order,
     Simulation, UNIX_START_MS,
@@ -175,6 +176,11 @@
         {
             let member = self.instances[instance].member.clone();
             let incarnation = self.instances[other].incarnation;
+            let bytes =
+                if self.scenario.links.is_some() { frame_bytes(&frame) } else { 0 };
+            let sent_us = self.cross_link_us(instance, bytes);
+            let received_us = self.cross_link_us(other, bytes);
+            let delay_us = delay_us + sent_us + received_us;
             let input = Input::Frame(member, frame);
             self.schedule(delay_us, Event::Input(other, incarnation, input));
         }
