Share the start of engine tests with several minions and of the stop tests

The read of the whole change found the set-up of an engine with answered holds in two new tests, and that of two instances in the old and the new stop test. Assertions and bounds are the same.

--- a/crates/bamboocart-dispatcher/tests/site/stop.rs
+++ b/crates/bamboocart-dispatcher/tests/site/stop.rs
@@ -13,16 +13,32 @@
 /// The grace period between a termination signal and the kill.
 const GRACE: Duration = Duration::from_secs(6);
 
+/// Starts a platform with four minions and a configuration.
+fn start_platform() -> StandIn {
+    let platform = StandIn::start(4).unwrap();
+    platform.publish(1, "/q/");
+    platform
+}
+
+/// Starts the instance to stop and another one, and waits until the other completes jobs.
+fn start_pair(platform: &StandIn) -> (Instance, Instance) {
+    let instance = Instance::start_ready(platform, "edge-1");
+    let other = Instance::start_ready(platform, "edge-2");
+    assert!(wait_until(|| completes_job(&other)));
+    (instance, other)
+}
+
+/// Sends a short job to an instance, and returns whether it completes.
+fn completes_job(instance: &Instance) -> bool {
+    submit(instance.front, "/q/0000000000000001", 1, 10).unwrap().state == "completed"
+}
+
 /// Guards against stops that leave accepted requests without an answer or exceed the
 /// grace period.
 #[test]
 fn a_stop_answers_what_was_accepted() {
-    let platform = StandIn::start(4).unwrap();
-    platform.publish(1, "/q/");
-    let mut instance = Instance::start_ready(&platform, "edge-1");
-    let other = Instance::start_ready(&platform, "edge-2");
-    let warm = || submit(other.front, "/q/0000000000000001", 1, 10).unwrap();
-    assert!(wait_until(|| warm().state == "completed"));
+    let platform = start_platform();
+    let (mut instance, other) = start_pair(&platform);
     let front = instance.front;
     let began = platform.runs().len();
     let job = thread::spawn(move || submit(front, "/q/0000000000000002", 4, 1_000));
@@ -38,19 +54,15 @@
     assert_eq!(job.join().unwrap().unwrap().state, "completed");
     assert!(instance.wait().success());
     assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
-    assert!(wait_until(|| warm().state == "completed"));
+    assert!(wait_until(|| completes_job(&other)));
 }
 
 /// Guards against a connection that is closed without an answer (LOST) because the job of its
 /// request lasts longer than the grace period, as it may when all minions are busy.
 #[test]
 fn a_stop_answers_requests_that_outlast_it() {
-    let platform = StandIn::start(4).unwrap();
-    platform.publish(1, "/q/");
-    let mut instance = Instance::start_ready(&platform, "edge-1");
-    let other = Instance::start_ready(&platform, "edge-2");
-    let warm = || submit(other.front, "/q/0000000000000001", 1, 10).unwrap();
-    assert!(wait_until(|| warm().state == "completed"));
+    let platform = start_platform();
+    let (mut instance, _other) = start_pair(&platform);
     let front = instance.front;
     let signalled = Instant::now();
     instance.signal(Signal::TERM);
--- a/crates/bamboocart-jobs/tests/capacity_reports.rs
+++ b/crates/bamboocart-jobs/tests/capacity_reports.rs
@@ -4,10 +4,10 @@
 mod support;
 
 use bamboocart_jobs::{
-    CapacityReport, Effect, Engine, Frame, Message, Moment, PeerKey, Resources,
+    CapacityReport, Engine, Frame, Message, Moment, PeerKey, Resources,
 };
 use support::{
-    answer_hold_from, engine_with_holder, entry, frame, member, room, starts_of, step,
+    engine_with_holder, engine_with_minions, frame, member, room, starts_of, step,
     submission,
 };
 
@@ -41,15 +41,7 @@
 /// Returns an engine that holds all minions and has told a peer their capacity, and the
 /// peer.
 fn holder() -> (Engine, PeerKey) {
-    let mut engine = Engine::new(member("entry-1", "marka"), 7);
-    let ids: Vec<String> = (0..MINIONS).map(|number| format!("m-{number}")).collect();
-    let entries = ids.iter().map(|id| entry(id, "marka")).collect();
-    engine.update_minions(START, entries);
-    engine.set_members(START, 5, &[member("entry-1", "marka")]);
-    for effect in engine.take_effects() {
-        let Effect::Hold(order) = effect else { continue };
-        answer_hold_from(&mut engine, START, &order, 1, Vec::new());
-    }
+    let (mut engine, _) = engine_with_minions(START, MINIONS);
     let peer = engine.peer(START, &member("entry-2", "sahab"));
     engine.link_opened(peer);
     engine.frame_arrived(START, peer, frame(START, Vec::new()));
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -96,6 +96,21 @@
     (engine, holder)
 }
 
+/// Returns an engine that holds so many minions, each of which has answered one hold, and
+/// the next holds. The minions are in the failure domain `marka` and have the ids m-0, m-1
+/// and so on.
+pub fn engine_with_minions(now: Moment, minions: usize) -> (Engine, Vec<HoldOrder>) {
+    let mut engine = Engine::new(member("entry-1", "marka"), 7);
+    let ids = (0..minions).map(|number| format!("m-{number}"));
+    engine.update_minions(now, ids.map(|id| entry(&id, "marka")).collect());
+    engine.set_members(now, 5, &[member("entry-1", "marka")]);
+    for order in holds_of(engine.take_effects()) {
+        answer_hold_from(&mut engine, now, &order, 1, Vec::new());
+    }
+    let holds = holds_of(engine.take_effects());
+    (engine, holds)
+}
+
 /// Returns a report that a minion of average pace has this much free capacity.
 pub fn room(minion: &str, free: Resources) -> Message {
     let report = CapacityReport { minion: minion.into(), free, pace_permille: 1_000 };
@@ -127,11 +142,16 @@
 
 /// Returns the first hold order among effects.
 pub fn hold_of(effects: Vec<Effect>) -> HoldOrder {
-    let hold = effects.into_iter().find_map(|effect| match effect {
+    holds_of(effects).into_iter().next().expect("a hold is sent")
+}
+
+/// Returns the hold orders among effects.
+pub fn holds_of(effects: Vec<Effect>) -> Vec<HoldOrder> {
+    let hold = |effect| match effect {
         Effect::Hold(order) => Some(order),
         _ => None,
-    });
-    hold.expect("a hold is sent")
+    };
+    effects.into_iter().filter_map(hold).collect()
 }
 
 /// Returns the start orders among effects.
--- a/crates/bamboocart-jobs/tests/timeouts.rs
+++ b/crates/bamboocart-jobs/tests/timeouts.rs
@@ -7,8 +7,8 @@
     StopOrder,
 };
 use support::{
-    answer_hold, answer_hold_from, ended, entry, hold_of, member, run, starts_of, step,
-    submission,
+    answer_hold, answer_hold_from, ended, engine_with_minions, hold_of, run, starts_of,
+    step, submission,
 };
 
 const START: Moment = Moment(10_000);
@@ -34,12 +34,8 @@
 
 impl Path {
     fn new() -> Self {
-        let mut engine = Engine::new(member("entry-1", "marka"), 7);
-        engine.update_minions(START, vec![entry("m-1", "marka")]);
-        engine.set_members(START, 5, &[member("entry-1", "marka")]);
-        let first = hold_of(engine.take_effects());
-        answer_hold_from(&mut engine, START, &first, 1, Vec::new());
-        let hold = hold_of(engine.take_effects());
+        let (engine, mut holds) = engine_with_minions(START, 1);
+        let hold = holds.remove(0);
         Self { engine, now: START, jobs: 0, hold }
     }
 
@@ -149,20 +145,11 @@
 /// Guards against as many repeats as first sends while no start is answered.
 #[test]
 fn repeated_starts_are_a_share_of_the_first_ones() {
-    const JOBS: u64 = 400;
+    const JOBS: usize = 400;
     const SAVED: usize = 20;
-    let mut engine = Engine::new(member("entry-1", "marka"), 7);
-    let ids: Vec<String> = (0..JOBS).map(|number| format!("m-{number}")).collect();
-    let entries = ids.iter().map(|id| entry(id, "marka")).collect();
-    engine.update_minions(START, entries);
-    engine.set_members(START, 5, &[member("entry-1", "marka")]);
-    for effect in engine.take_effects() {
-        let Effect::Hold(order) = effect else { continue };
-        answer_hold_from(&mut engine, START, &order, 1, Vec::new());
-    }
-    engine.take_effects();
+    let (mut engine, _) = engine_with_minions(START, JOBS);
     let (mut first, mut repeated) = (0, 0);
-    for number in 1..=JOBS {
+    for number in 1..=JOBS as u64 {
         let mut job = submission(number, vec![step(1, &[])]);
         job.job.id = format!("{number:016x}").parse().unwrap();
         engine.submit(START, job);
