Spread the large jobs of a case over the length of a burst

The 150 jobs of case 3 came in 1.1 s, faster than the limit of a burst on a deployment of this size. They come over 4 s now.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -231,9 +231,14 @@
             2_000,
             &[("required_label", "b".into()), ("est_runtime_ms", 7_000.into())],
         );
-        let burst: Vec<Job> = (5_000..5_150)
-            .map(|number| site.submit(number as usize % 3, &id(number), &body))
-            .collect();
+        // 150 jobs in 4 s.
+        let began = Instant::now();
+        let mut burst = Vec::new();
+        for number in 5_000..5_150_u64 {
+            let due = Duration::from_millis((number - 5_000) * 4_000 / 150);
+            std::thread::sleep(due.saturating_sub(began.elapsed()));
+            burst.push(site.submit(number as usize % 3, &id(number), &body));
+        }
         site.record.say(&format!("{} large jobs came", burst.len()));
     }
     site.wait_until(14.0);
