Keep ends on the lists of minions until their owner has recorded them

Cause: a minion lists 500 ends at a time, so its holder confirmed the oldest of more than 300 that waited for their owner, recorded or not. More of them came up because nothing tied the starts to what the lists can keep: an owner that the store turned away started tasks for three seconds, before its shards moved.

Ruled out as a correction: to lift the limit of 300.

Change: starts follow the room on the list. A minion gets no start while the ends on its list and those of its runs may fill it; a shard whose log has taken nothing for half a second starts no task once 32 ends wait for it; no run counts as gone while the list is full. If a full list waits for longer than half a second and nothing runs, the lease is left to expire: ends do not count from then on, so the minion may forget them, and the holder goes on reporting them as it does for minions that have crashed. Other work then goes on.

--- a/crates/bamboocart-emulator/src/fault.rs
+++ b/crates/bamboocart-emulator/src/fault.rs
@@ -92,6 +92,15 @@
         /// The duration in milliseconds.
         for_ms: u64,
     },
+    /// The store turns some instances away and serves the others.
+    StoreRefuses {
+        /// The start, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// The number of instances, chosen at random.
+        count: usize,
+    },
     /// Appends to logs are carried out, but their answers are lost.
     #[serde(rename = "lost_appends")]
     LostAppendAnswers {
@@ -325,6 +334,7 @@
             | Self::SlowLoops { at_ms, .. }
             | Self::PartitionDomain { at_ms, .. }
             | Self::StoreUnavailable { at_ms, .. }
+            | Self::StoreRefuses { at_ms, .. }
             | Self::LostAppendAnswers { at_ms, .. }
             | Self::Rebalance { at_ms }
             | Self::ResetLinks { at_ms }
--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -5,8 +5,8 @@
 
 use bamboocart_jobs::timing::MAX_LEASE_MS;
 use bamboocart_jobs::{
-    ActiveRun, Checkpoint, EndReport, EndedRun, HoldReply, MinionId, Resources, RunEnd,
-    RunRef, StartAnswer, TaskRef,
+    ActiveRun, Checkpoint, EndReport, EndedRun, HoldReply, MAX_LISTED_ENDS, MinionId,
+    Resources, RunEnd, RunRef, StartAnswer, TaskRef,
 };
 
 use crate::fault::Rejection;
@@ -270,18 +270,20 @@
         }
     }
 
-    /// Returns the lists of active runs and unconfirmed ends, which answer a hold.
+    /// Returns the lists of active runs and of the first unconfirmed ends, which answer a
+    /// hold.
     pub(crate) fn hold_reply(&self, now_us: u64) -> HoldReply {
         let active = self.runs.iter().map(|(&task, active)| ActiveRun {
             run: RunRef { task, run: active.run },
             done_percent: active.percent(now_us),
             checkpoint: Checkpoint::default(),
         });
+        let listed = self.ended.iter().take(MAX_LISTED_ENDS);
         HoldReply {
             incarnation: self.process_start_us + 1,
             clock_ms: self.clock_ms(now_us),
             active: active.collect(),
-            ended: self.ended.iter().map(|it| it.end.clone()).collect(),
+            ended: listed.map(|it| it.end.clone()).collect(),
         }
     }
 
--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -242,6 +242,8 @@
     domain: usize,
     up: bool,
     paused: bool,
+    /// Whether the store turns it away.
+    refused_by_store: bool,
     incarnation: u64,
     /// The offset of its steady clock from virtual time.
     clock_offset_ms: u64,
@@ -419,6 +421,7 @@
             domain,
             up: false,
             paused: false,
+            refused_by_store: false,
             incarnation: 0,
             clock_offset_ms,
             inbox: VecDeque::new(),
--- a/crates/bamboocart-emulator/src/simulation/faults.rs
+++ b/crates/bamboocart-emulator/src/simulation/faults.rs
@@ -55,6 +55,12 @@
                 self.store_available = false;
                 length_ms = for_ms;
             }
+            Fault::StoreRefuses { for_ms, count, .. } => {
+                affected = self.pick_instances(count);
+                self.set_refused(&affected, true);
+                self.schedule_group_change(MEMBER_TTL_US);
+                length_ms = for_ms;
+            }
             Fault::LostAppendAnswers { for_ms, share, .. } => {
                 self.lost_append_share = share;
                 length_ms = for_ms;
@@ -131,6 +137,13 @@
         self.schedule(length_ms * 1_000, Event::FaultEnds(number, affected));
     }
 
+    /// Sets whether the store turns some instances away.
+    fn set_refused(&mut self, instances: &[usize], refused: bool) {
+        for &instance in instances {
+            self.instances[instance].refused_by_store = refused;
+        }
+    }
+
     /// Closes all links between instances.
     pub(super) fn reset_links(&mut self) {
         for instance in 0..self.instances.len() {
@@ -174,6 +187,10 @@
                 self.store_available = true;
                 self.schedule_group_change(20_000);
             }
+            Fault::StoreRefuses { .. } => {
+                self.set_refused(&affected, false);
+                self.schedule_group_change(20_000);
+            }
             // Instances replace connections on which nothing arrived.
             Fault::SilentLinks { .. } => {
                 self.links_silent = false;
--- a/crates/bamboocart-emulator/src/simulation/instances.rs
+++ b/crates/bamboocart-emulator/src/simulation/instances.rs
@@ -293,7 +293,9 @@
     pub(super) fn join_group(&mut self) {
         for instance in 0..self.instances.len() {
             let responds = self.instances[instance].up && !self.is_unresponsive(instance);
-            if self.store_available && responds {
+            let served =
+                self.store_available && !self.instances[instance].refused_by_store;
+            if served && responds {
                 let now = self.steady_clock(instance);
                 self.instances[instance].engine.joined(now);
             }
@@ -310,7 +312,7 @@
         let up: Vec<Member> = self
             .instances
             .iter()
-            .filter(|instance| instance.up)
+            .filter(|instance| instance.up && !instance.refused_by_store)
             .map(|n| n.member.clone())
             .collect();
         // New instances get an assignment only in the next generation, after the earlier
@@ -326,6 +328,9 @@
         }
         for instance in 0..self.instances.len() {
             let delay_us = self.rng.random_range(0..MAX_GROUP_DELAY_US);
+            if self.instances[instance].refused_by_store {
+                continue;
+            }
             let incarnation = self.instances[instance].incarnation;
             let generation = self.generation;
             let event =
--- a/crates/bamboocart-emulator/src/simulation/logs.rs
+++ b/crates/bamboocart-emulator/src/simulation/logs.rs
@@ -22,7 +22,8 @@
 }
 
 impl Simulation<'_> {
-    /// Sends a read to the store, or lets it time out if the store is unavailable.
+    /// Sends a read to the store, or lets it time out if the store is unavailable. The store
+    /// refuses it if it turns the instance away.
     pub(super) fn send_read(&mut self, instance: usize, read: LogRead) {
         let incarnation = self.instances[instance].incarnation;
         if !self.store_available {
@@ -30,10 +31,15 @@
             return self
                 .schedule(STORE_TIMEOUT_US, Event::Input(instance, incarnation, input));
         }
+        if self.instances[instance].refused_by_store {
+            let input = Input::LogReadAnswered(read.shard, read.number, LogPage::Lost);
+            return self.answer_from_store(instance, incarnation, input);
+        }
         self.schedule(STORE_DELAY_US, Event::ReadLog(instance, incarnation, read));
     }
 
-    /// Sends an append to the store, or lets it time out if the store is unavailable.
+    /// Sends an append to the store, or lets it time out if the store is unavailable. The
+    /// store refuses it if it turns the instance away.
     pub(super) fn send_append(&mut self, instance: usize, append: LogAppend) {
         let incarnation = self.instances[instance].incarnation;
         if !self.store_available {
@@ -44,6 +50,11 @@
                 append.number,
             );
         }
+        if self.instances[instance].refused_by_store {
+            let answer = AppendAnswer::Refused;
+            let input = Input::LogAppendAnswered(append.shard, append.number, answer);
+            return self.answer_from_store(instance, incarnation, input);
+        }
         let lost =
             self.lost_append_share > 0.0 && self.rng.random_bool(self.lost_append_share);
         let event = Event::AppendLog(instance, incarnation, append, lost);
@@ -97,6 +108,12 @@
         self.schedule(STORE_DELAY_US, Event::Input(instance, incarnation, input));
     }
 
+    /// Answers a call to the store without carrying it out.
+    fn answer_from_store(&mut self, instance: usize, incarnation: u64, input: Input) {
+        let event = Event::Input(instance, incarnation, input);
+        self.schedule(2 * STORE_DELAY_US, event);
+    }
+
     /// Schedules the timeout of an append.
     fn time_out_append(
         &mut self,
--- a/crates/bamboocart-emulator/tests/twice.rs
+++ b/crates/bamboocart-emulator/tests/twice.rs
@@ -68,3 +68,16 @@
     let scenario = include_str!("../days/flapping-owners.toml");
     assert_rules_hold(&Scenario::parse(scenario).unwrap(), &[13]);
 }
+
+/// Guards against a second start of a task after its end was noted (TWICE): while the store
+/// turned the owner of stored jobs away, or all instances, more ends waited on the minions
+/// than these list.
+///
+/// With each of these seeds there was one.
+#[parameterized(
+    one_owner = { include_str!("../days/refused-owner.toml"), &[3, 4, 5, 10, 14, 15] },
+    all_owners = { include_str!("../days/unrecorded-ends.toml"), &[3, 4, 5, 10, 11, 12] },
+)]
+fn ends_wait_for_the_store(scenario: &str, seeds: &[u64]) {
+    assert_rules_hold(&Scenario::parse(scenario).unwrap(), seeds);
+}
--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/confirm.rs
@@ -2,10 +2,12 @@
 //! them.
 
 use std::collections::BTreeMap;
+use std::mem;
 
 use log::warn;
 
 use crate::engine::Engine;
+use crate::holder::MAX_LISTED_ENDS;
 use crate::id::{MinionId, RunRef};
 use crate::message::{EndReport, Message};
 use crate::minion::{HoldState, MinionKey};
@@ -15,18 +17,21 @@
 use crate::time::Moment;
 use crate::timing::{END_REPORT_INTERVAL_MS, UNCONFIRMED_RETENTION_MS};
 
-/// The most unconfirmed ends of one minion. A minion lists 500 ends at a time; more
-/// unconfirmed ones would hide new ones.
-const MAX_UNCONFIRMED: usize = 300;
-
-/// The most ends that are kept of processes of minions that have ended.
+/// The most ends that are kept of processes of minions that have ended, or whose lease has
+/// expired.
 const MAX_DETACHED: usize = 4_096;
 
+/// The age of the oldest unconfirmed end from which a full list does not wait for its owner
+/// any longer.
+const FULL_LIST_PATIENCE_MS: u64 = 500;
+
 /// The ends on one minion's list that are not confirmed yet.
 #[derive(Debug, Default)]
 pub(crate) struct UnconfirmedEnds {
     /// The number of the last end that was processed.
     seen: u64,
+    /// The number of ends on the list when the minion last sent it.
+    listed: usize,
     /// The unconfirmed ends by number.
     ends: BTreeMap<u64, UnconfirmedEnd>,
 }
@@ -55,6 +60,36 @@
         new
     }
 
+    /// Records the number of ends on the list that the minion has just sent.
+    pub(crate) fn note_listed(&mut self, listed: usize) {
+        self.listed = listed;
+    }
+
+    /// Returns the number of ends on the list when the minion last sent it.
+    pub(crate) fn listed(&self) -> usize {
+        self.listed
+    }
+
+    /// Returns the number of unconfirmed ends.
+    pub(crate) fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Returns the age of the oldest unconfirmed end in milliseconds, if there is one.
+    pub(crate) fn oldest_ms(&self, now: Moment) -> Option<u64> {
+        self.ends.first_key_value().map(|(_, end)| now.since(end.since))
+    }
+
+    /// Returns whether the oldest unconfirmed end has waited for its owner for long.
+    pub(crate) fn is_overdue(&self, now: Moment) -> bool {
+        self.oldest_ms(now).is_some_and(|age_ms| age_ms >= FULL_LIST_PATIENCE_MS)
+    }
+
+    /// Removes and returns the unconfirmed ends, so that the minion may forget them.
+    pub(crate) fn take_ends(&mut self) -> Self {
+        Self { ends: mem::take(&mut self.ends), ..Self::default() }
+    }
+
     /// Adds an end that has to be confirmed.
     pub(crate) fn insert(
         &mut self,
@@ -106,15 +141,9 @@
         self.ends.clear();
     }
 
-    /// Confirms the ends that no owner has claimed in time, and the oldest if there are
-    /// too many.
+    /// Confirms the ends that no owner has claimed in time.
     fn expire(&mut self, now: Moment) {
         self.ends.retain(|_, end| end.deferred || end.is_wanted(now));
-        while self.ends.len() > MAX_UNCONFIRMED {
-            let oldest = self.ends.pop_first();
-            warn!(target: "minion", end:? = oldest;
-                "too many unconfirmed ends; dropping the oldest");
-        }
     }
 
     /// Returns the ends to report to the owner: those that are due, or all.
@@ -141,9 +170,12 @@
     }
 }
 
-/// The unconfirmed ends of processes of minions that have ended.
+/// The unconfirmed ends of processes of minions that have ended, and of minions whose full
+/// lists were cleared after the lease had expired.
 ///
-/// No minion lists them any more, so that only this instance knows them.
+/// No minion lists them any more, so that only this instance knows them. If it loses them,
+/// their tasks may start again: an end counts only if it was confirmed before the lease of
+/// its minion expired.
 #[derive(Debug, Default)]
 pub(crate) struct DetachedEnds {
     ends: BTreeMap<RunRef, DetachedEnd>,
@@ -158,11 +190,21 @@
 }
 
 impl DetachedEnds {
-    /// Adds the ends of a process that has ended.
+    /// Returns whether the ends of another full list may be added.
+    pub(crate) fn has_room(&self) -> bool {
+        self.ends.len() + MAX_LISTED_ENDS <= MAX_DETACHED
+    }
+
+    /// Adds the ends of a process that has ended, or of a list that is cleared.
     ///
     /// Those that were deferred are dropped: their tasks were started again, and they no
     /// longer count without a list that has them.
-    fn extend(&mut self, minion: MinionKey, id: &MinionId, ends: UnconfirmedEnds) {
+    pub(crate) fn extend(
+        &mut self,
+        minion: MinionKey,
+        id: &MinionId,
+        ends: UnconfirmedEnds,
+    ) {
         for end in ends.ends.into_values().filter(|end| !end.deferred) {
             let run = end.report.run;
             self.ends.insert(run, DetachedEnd { minion, minion_id: id.clone(), end });
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -5,6 +5,7 @@
 
 use log::{info, warn};
 
+use crate::confirm::UnconfirmedEnds;
 use crate::effect::{Effect, HoldNumber, HoldOrder, StopOrder};
 use crate::engine::Engine;
 use crate::id::{Checkpoint, MinionId, RunRef};
@@ -21,6 +22,10 @@
     MAX_LEASE_MS, UNCONFIRMED_PAUSE_MS, UNEXTENDED_WAIT_MS,
 };
 
+/// The most ends in one answer to a hold. A minion lists further ones only once it has
+/// forgotten earlier ones.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// The answer to a hold.
 #[derive(Debug, Clone)]
 pub enum HoldAnswer {
@@ -45,7 +50,8 @@
     pub clock_ms: u64,
     /// All runs that are active.
     pub active: Vec<ActiveRun>,
-    /// The ends that no hold has allowed the minion to forget.
+    /// The first ends that no hold has allowed the minion to forget, at most
+    /// [`MAX_LISTED_ENDS`].
     pub ended: Vec<EndedRun>,
 }
 
@@ -155,6 +161,9 @@
             held.lease_until_ms = held.lease_until_ms.max(reply.clock_ms + MAX_LEASE_MS);
         }
         let clock_ms = reply.clock_ms;
+        held.active_listed = reply.active.len();
+        held.unconfirmed.note_listed(reply.ended.len());
+        let all_listed = reply.ended.len() < MAX_LISTED_ENDS;
         let mut ended = reply.ended;
         ended.sort_by_key(|end| end.number);
         ended.retain(|end| held.unconfirmed.observe(end.number));
@@ -177,7 +186,7 @@
             self.announce_kept_runs(key, &reply.active);
         }
         self.check_progress(now, key, &reply.active);
-        self.reconcile_runs(now, key, sent, clock_ms, &reply.active);
+        self.reconcile_runs(now, key, (sent, clock_ms), &reply.active, all_listed);
         self.capacity_changed();
     }
 
@@ -271,14 +280,17 @@
         }
     }
 
-    /// Reconciles the expected runs of a minion with those that it lists.
+    /// Reconciles the expected runs of a minion with those that it lists, from the time at
+    /// which the list was requested and the reading of the minion's clock.
+    ///
+    /// A run that is not listed is gone only if the minion has listed all of its ends.
     fn reconcile_runs(
         &mut self,
         now: Moment,
         key: MinionKey,
-        sent: Moment,
-        clock_ms: u64,
+        (sent, clock_ms): (Moment, u64),
         active: &[ActiveRun],
+        all_listed: bool,
     ) {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return };
@@ -296,7 +308,7 @@
             {
                 run.listed_since = Some(now);
             }
-            if run.listed_since.is_some_and(|settled| sent > settled) {
+            if all_listed && run.listed_since.is_some_and(|settled| sent > settled) {
                 let end = if run.crashed { RunEnd::Crashed } else { RunEnd::Void };
                 let checkpoint = run.checkpoint.clone();
                 gone.push((run.owner, EndReport { run: run_ref, end, checkpoint }));
@@ -418,6 +430,7 @@
     /// Sends the holds and stops that are due.
     pub(crate) fn send_due(&mut self, now: Moment) {
         for key in self.minions.held_keys().to_vec() {
+            let may_clear = self.detached_ends.has_room();
             let minion = &mut self.minions.arena[key];
             let Some(held) = minion.held.as_mut() else { continue };
             let token = held.fencing_token;
@@ -437,12 +450,23 @@
             {
                 self.last_hold.0 += 1;
                 let number = self.last_hold;
-                let lease_until_ms = held.renew_lease(now);
+                log_full_list(now, &minion.entry.id, held);
+                let cleared = may_clear.then(|| held.clear_list(now)).flatten();
+                let lease_until_ms = match cleared {
+                    None => held.renew_lease(now),
+                    Some(ends) => {
+                        log_cleared_list(&minion.entry.id, &ends);
+                        self.detached_ends.extend(key, &minion.entry.id, ends);
+                        None
+                    }
+                };
                 log_unsettled(&minion.entry.id, held);
                 let timeout_ms = held.round_trip.hold_timeout_ms();
                 let longest_ms = HOLD_WAIT_MS.min(HOLD_INTERVAL_MS - timeout_ms);
                 let wait_ms = match held.next_end_ms(minion.pace.ratio(), now) {
                     _ if held.incarnation.is_none() || held.missed_holds > 0 => 0,
+                    // The minion gets starts as soon as its list is known to be shorter.
+                    _ if held.is_list_full() => 0,
                     _ if !held.may_extend_lease() => UNEXTENDED_WAIT_MS,
                     Some(end_ms) => longest_ms.min(end_ms + HOLD_SLACK_MS),
                     None => longest_ms,
@@ -490,6 +514,32 @@
         "minion restarted");
 }
 
+/// Logs the first hold of a minion that gets no starts because its list of ends is full, and
+/// the first one after that.
+fn log_full_list(now: Moment, minion: &MinionId, held: &mut HeldMinion) {
+    let full = held.is_list_full();
+    if mem::replace(&mut held.full_list_logged, full) == full {
+        return;
+    }
+    let ends = &held.unconfirmed;
+    let (listed, unconfirmed) = (ends.listed(), ends.len());
+    match full {
+        true => warn!(target: "minion", minion:% = minion, listed, unconfirmed,
+            oldest_ms = ends.oldest_ms(now), runs = held.runs.len();
+            "minion gets no starts until ends on its list are confirmed"),
+        false => info!(target: "minion", minion:% = minion, listed, unconfirmed;
+            "minion gets starts again"),
+    }
+}
+
+/// Logs that the ends of a full list no longer count, if there are any.
+fn log_cleared_list(minion: &MinionId, ends: &UnconfirmedEnds) {
+    if !ends.is_empty() {
+        warn!(target: "minion", minion:% = minion, ends = ends.len();
+            "lease has expired; ends that no owner has confirmed are kept here only");
+    }
+}
+
 /// Logs the first hold that withholds the renewal of a lease because runs are unclaimed or
 /// being stopped.
 fn log_unsettled(minion: &MinionId, held: &mut HeldMinion) {
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -63,7 +63,7 @@
     StartOrder, StopOrder, Target,
 };
 pub use self::engine::{Engine, Status};
-pub use self::holder::{ActiveRun, EndedRun, HoldAnswer, HoldReply};
+pub use self::holder::{ActiveRun, EndedRun, HoldAnswer, HoldReply, MAX_LISTED_ENDS};
 pub use self::id::{
     Checkpoint, JobId, MemberId, MinionId, OccurrenceRef, ParseIdError, RunRef,
     ServiceName, TaskRef,
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -10,6 +10,7 @@
 use crate::clock::ClockEstimate;
 use crate::confirm::UnconfirmedEnds;
 use crate::effect::{HoldNumber, Target};
+use crate::holder::MAX_LISTED_ENDS;
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, TaskRef};
 use crate::orders::StartPayload;
 use crate::pace::Pace;
@@ -20,6 +21,10 @@
 use crate::time::Moment;
 use crate::timing::{CLAIM_WINDOW_MS, LEASE_MS, SHARED_CLAIM_WINDOW_MS};
 
+/// The entries of a minion's list of ends that are kept free for runs of orders that are
+/// carried out late.
+const RESERVED_LIST_ENTRIES: usize = 20;
+
 /// The index of the rack in the labels.
 const RACK_LABEL: usize = 1;
 
@@ -133,6 +138,9 @@
     /// Whether the renewals with unsettled runs were logged, which is done once until
     /// all runs are settled.
     pub(crate) unsettled_logged: bool,
+    /// Whether it was logged that the list of ends is full, which is done once until it no
+    /// longer is.
+    pub(crate) full_list_logged: bool,
     /// The contents of start requests that may have to be sent again.
     pub(crate) retryable_starts: BTreeMap<RunRef, StartPayload>,
     /// The latest end of a lease that was requested, on the minion's clock.
@@ -147,6 +155,8 @@
     /// does answer holds has lost a single request, which blocks only the capacity for
     /// that run.
     pub(crate) start_unanswered: bool,
+    /// The number of active runs when the minion last sent its list.
+    pub(crate) active_listed: usize,
     /// The number of holds in a row that failed.
     pub(crate) missed_holds: u32,
     /// The estimate of the round trip of calls.
@@ -422,6 +432,7 @@
             && self.holds_present_process()
             && held.missed_holds == 0
             && !held.start_unanswered
+            && !held.is_list_full()
             && !held.unconfirmed.awaits_lease_expiry()
             && held.may_extend_lease()
             && !held.has_unowned_runs()
@@ -443,12 +454,14 @@
             runs: BTreeMap::new(),
             adoption: None,
             unsettled_logged: false,
+            full_list_logged: false,
             retryable_starts: BTreeMap::new(),
             lease_until_ms: 0,
             hold: HoldState::Due(now),
             blocked_until: Moment::default(),
             last_answer: now,
             start_unanswered: false,
+            active_listed: 0,
             missed_holds: 0,
             round_trip: RoundTrip::default(),
             suspicion: Suspicion::default(),
@@ -473,6 +486,45 @@
         left_ms.min()
     }
 
+    /// Returns whether the ends of the present runs may fill the minion's list, so that it
+    /// gets no further start. Ends beyond a full list are hidden, and their runs are neither
+    /// listed as active nor as ended.
+    ///
+    /// Runs that last or wait for other members of a gang count only while there are ends on
+    /// the list: many of them fit on a minion, and they do not end soon.
+    pub(crate) fn is_list_full(&self) -> bool {
+        const LIMIT: usize = MAX_LISTED_ENDS - RESERVED_LIST_ENTRIES;
+        let listed = self.unconfirmed.listed();
+        let ending = self.runs.values().filter(|run| run.estimate_ms > 0).count();
+        listed + ending >= LIMIT || (listed > 0 && listed + self.runs.len() >= LIMIT)
+    }
+
+    /// Returns whether the lease is to expire, so that a full list can be cleared: its
+    /// owners have not confirmed the ends in time, and nothing runs on the minion.
+    fn awaits_clearing(&self, now: Moment) -> bool {
+        let starting = |run: &Run| run.phase == RunPhase::Starting;
+        self.is_list_full()
+            && self.unconfirmed.is_overdue(now)
+            && self.active_listed == 0
+            && !self.runs.values().any(starting)
+    }
+
+    /// Withholds the renewal of the lease while a full list is to be cleared, and returns
+    /// the ends of the list once the lease has expired. They no longer count from then on,
+    /// so that the minion may forget them.
+    ///
+    /// Returns none while the lease is renewed as usual.
+    pub(crate) fn clear_list(&mut self, now: Moment) -> Option<UnconfirmedEnds> {
+        if !self.awaits_clearing(now) {
+            return None;
+        }
+        let clock_ms = self.clock.read(now);
+        // The estimated clock is never ahead of the minion's.
+        let expired = clock_ms.is_some_and(|clock_ms| clock_ms > self.lease_until_ms);
+        let ends = expired.then(|| self.unconfirmed.take_ends());
+        Some(ends.unwrap_or_default())
+    }
+
     /// Returns the end of the lease that a hold requests now; none if the minion's clock
     /// is unknown or the lease must not be extended.
     ///
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/orders.rs
@@ -342,7 +342,8 @@
     /// Starts a run on a minion.
     ///
     /// Returns false if the minion is not held, its clock is not known yet, its lease must
-    /// not be extended, or a run of the task is already on it.
+    /// not be extended, its list of ends may become full, or a run of the task is already on
+    /// it.
     pub(crate) fn start_run(
         &mut self,
         now: Moment,
@@ -352,7 +353,7 @@
     ) -> bool {
         let minion = &mut self.minions.arena[key];
         let Some(held) = minion.held.as_mut() else { return false };
-        if held.has_run_of(order.run.task) {
+        if held.has_run_of(order.run.task) || held.is_list_full() {
             return false;
         }
         let Some(lease_until_ms) = held.extend_lease(now) else { return false };
--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard.rs
@@ -30,6 +30,10 @@
 /// Write rate of the store if the platform sets none.
 const DEFAULT_WRITES_PER_S: u64 = 600;
 
+/// The number of ends that wait for a stalled log from which the shard starts no further
+/// tasks. Their minions have to list these ends until the log has them.
+const MAX_ENDS_OF_STALLED_LOG: usize = 32;
+
 /// Retention time of records in the log if the platform sets none.
 const DEFAULT_RETENTION_MS: u64 = 300_000;
 
@@ -394,6 +398,12 @@
         matches!(self.stage, Stage::Reconciling(_) | Stage::Open)
     }
 
+    /// Returns whether the end of a further run could be kept: the log takes records, or few
+    /// ends wait for it.
+    pub(crate) fn may_start(&self, now: Moment) -> bool {
+        !self.log.is_stalled(now) || self.reporters.len() < MAX_ENDS_OF_STALLED_LOG
+    }
+
     /// Applies a record of the log, before this instance owns the shard.
     pub(crate) fn replay(&mut self, now: Moment, record: &LogRecord) {
         match record {
--- a/crates/bamboocart-jobs/src/shard_log.rs
+++ b/crates/bamboocart-jobs/src/shard_log.rs
@@ -8,6 +8,9 @@
 /// Delay before an append that was refused or not answered is sent again.
 const RETRY_DELAY_MS: u64 = 150;
 
+/// The age of an append, with all its repeats, from which the log counts as stalled.
+const STALLED_APPEND_MS: u64 = 500;
+
 /// Maximum number of records in one append; a job takes up to 5 KB.
 const MAX_APPEND_RECORDS: usize = 200;
 
@@ -67,6 +70,8 @@
     /// The call in progress; none if the append is to be sent again.
     call: Option<LogCallNumber>,
     records: Vec<LogRecord>,
+    /// When it was first sent.
+    since: Moment,
 }
 
 impl ShardLog {
@@ -103,6 +108,12 @@
         self.in_flight.is_some()
     }
 
+    /// Returns whether the store has not taken the append in progress for long.
+    pub(crate) fn is_stalled(&self, now: Moment) -> bool {
+        let in_flight = self.in_flight.as_ref();
+        in_flight.is_some_and(|it| now.since(it.since) >= STALLED_APPEND_MS)
+    }
+
     /// Returns when an append is due, if any.
     pub(crate) fn due(&self) -> Option<Moment> {
         let resend = self.in_flight.as_ref().is_some_and(|it| it.call.is_none());
@@ -122,7 +133,7 @@
         if self.in_flight.is_none() {
             let count = self.queued.len().min(MAX_APPEND_RECORDS);
             let records = self.queued.drain(..count).collect();
-            self.in_flight = Some(InFlight { call: None, records });
+            self.in_flight = Some(InFlight { call: None, records, since: now });
         }
         let in_flight = self.in_flight.as_mut()?;
         in_flight.call = Some(number);
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -327,14 +327,15 @@
     }
 
     /// Returns whether the tasks of a job may be placed; for stored jobs, only by the
-    /// owner of their shard.
+    /// owner of their shard, as long as their ends could be kept.
     pub(crate) fn may_place(&self, now: Moment, id: OccurrenceRef) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         if !job.is_stored() {
             return true;
         }
         let shard = self.shards.owned.get(&self.shards.shard_of(id.job));
-        shard.is_some_and(|shard| matches!(shard.stage, Stage::Open))
+        let open = |shard: &Shard| matches!(shard.stage, Stage::Open);
+        shard.is_some_and(|shard| open(shard) && shard.may_start(now))
             && self.has_authority(now)
     }
 
--- a/crates/bamboocart-jobs/tests/stored.rs
+++ b/crates/bamboocart-jobs/tests/stored.rs
@@ -531,3 +531,40 @@
     assert_eq!(answers, [Answer::Unknown; 2]);
     assert!(fixture.appends.is_empty(), "{:?}", fixture.appends);
 }
+
+/// Guards against an owner that starts tasks without end while the store does not take their
+/// ends (TWICE): the lists of the minions could not keep them.
+#[test]
+fn a_stalled_log_limits_the_tasks_that_start() {
+    const TASKS: usize = 200;
+    // The ends that may wait for a stalled log, and the tasks of half a second before it
+    // counts as stalled.
+    const LIMIT: usize = 32 + 2 * 6;
+    let mut fixture = Fixture::new(Vec::new());
+    let holder = Holder::join(&mut fixture);
+    let job = stored_steps(1, vec![step(TASKS as u16, &[])]);
+    fixture.engine.submit(fixture.now, job);
+    fixture.collect();
+    fixture.complete_appends();
+    let free = Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 };
+    let mut started = 0;
+    let mut run_tasks = |fixture: &mut Fixture, answers: bool| {
+        for _ in 0..100 {
+            for message in messages(fixture) {
+                let Message::Start { order, .. } = message else { continue };
+                started += 1;
+                holder.report(fixture, order.run, RunEnd::Done);
+            }
+            if answers {
+                fixture.complete_appends();
+            }
+            fixture.advance(100);
+            holder.send(fixture, room("m-1", free));
+        }
+        started
+    };
+    let stalled = run_tasks(&mut fixture, false);
+    assert!(stalled > 2, "no task starts once the first end waits");
+    assert!(stalled <= LIMIT, "{stalled} tasks have started");
+    assert_eq!(run_tasks(&mut fixture, true), TASKS);
+}
