Keep ends that a new holder has found until their owner answers

A holder that finds an end on the list of a minion doesn't know whether its job is stored, and confirmed it after 60 s without an answer. While the store is away for longer, its owner cannot answer, and later starts the task again after an end that was noted (TWICE).

Such ends now wait for their owner as others do. Ends that are on no list are still dropped after 60 s; they no longer count.

Test: unconfirmed_ends ends_that_a_holder_has_found_wait_for_their_owner, which failed before ("noted before it was recorded").

--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/confirm.rs
@@ -141,11 +141,6 @@
         self.ends.clear();
     }
 
-    /// Confirms the ends that no owner has claimed in time.
-    fn expire(&mut self, now: Moment) {
-        self.ends.retain(|_, end| end.deferred || end.is_wanted(now));
-    }
-
     /// Returns the ends to report to the owner: those that are due, or all.
     fn take_due(&mut self, now: Moment, all: bool) -> Vec<UnconfirmedEnd> {
         let ends = self.ends.values_mut();
@@ -294,7 +289,6 @@
             if held.unconfirmed.is_empty() {
                 continue;
             }
-            held.unconfirmed.expire(now);
             for end in held.unconfirmed.take_due(now, all) {
                 self.report_stored_end(now, key, end.report);
             }
--- a/crates/bamboocart-jobs/src/timing.rs
+++ b/crates/bamboocart-jobs/src/timing.rs
@@ -89,9 +89,9 @@
 /// the minions. A task of a stored job is not started again earlier.
 pub const STORED_RUN_GONE_MS: u64 = 2_500;
 
-/// How long an end stays on a minion's list if no owner has confirmed it and its job may
-/// be a stored one. The owner of its shard may be unable to reach the store for that
-/// long.
+/// How long an end that is on no minion's list is kept if no owner has confirmed it and its
+/// job may be a stored one. The owner of its shard may be unable to reach the store for
+/// that long.
 pub const UNCONFIRMED_RETENTION_MS: u64 = 60_000;
 
 /// Interval between two reports of an end to the owner of its shard.
--- a/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
+++ b/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bamboocart_jobs::timing::UNCONFIRMED_RETENTION_MS;
 use bamboocart_jobs::{
     Effect, EndedRun, Engine, HoldAnswer, HoldOrder, HoldReply, MAX_LISTED_ENDS, Message,
     Moment, PeerKey, Resources, RunEnd, RunOrder, RunRef, ShardId, StartAnswer,
@@ -260,3 +261,21 @@
     (0..100).for_each(|_| fixture.step(Vec::new()));
     assert_eq!(fixture.reported.get(&run), Some(&RunEnd::Done));
 }
+
+/// Guards against a second start of a task after its end was noted but not recorded (TWICE):
+/// a holder that had found the end on the list of its minion confirmed it after a minute
+/// without an owner that reached the store.
+#[test]
+fn ends_that_a_holder_has_found_wait_for_their_owner() {
+    let mut fixture = Fixture::new();
+    let found = RunRef { run: 7, ..run(1) };
+    fixture.minion.ends.push(ended(1, found, RunEnd::Done));
+    for _ in 0..2 * UNCONFIRMED_RETENTION_MS / STEP_MS {
+        fixture.step(Vec::new());
+    }
+    assert_eq!(fixture.reported.get(&found), Some(&RunEnd::Done));
+    assert!(fixture.minion.noted.is_empty(), "noted before it was recorded");
+    fixture.confirms = true;
+    (0..50).for_each(|_| fixture.step(Vec::new()));
+    assert_eq!(fixture.minion.noted, BTreeSet::from([found]));
+}
