Report the ends of a shard before its active runs, and drop none

The next owner of a shard starts tasks again once each holder has listed its active runs. A holder sent that list first and then the ends that wait on its minions. On a new link only the list was sent, and the ends up to 400 ms later; and with more than 4,096 messages queued the last ends were dropped, each time the same ones. An owner that opened the shard in between would start tasks after ends that are noted later (TWICE).

Each report of a shard now has its ends first, then its runs, and is not dropped. It no longer has the ends of all other shards, which were sent once for each shard that moved.

Test: unconfirmed_ends the_next_owner_gets_the_ends_before_the_runs, all three cases failed before.

--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/confirm.rs
@@ -12,7 +12,7 @@
 use crate::message::{EndReport, Message};
 use crate::minion::{HoldState, MinionKey};
 use crate::peer::PeerKey;
-use crate::shard::Shard;
+use crate::shard::{Shard, ShardId};
 use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{END_REPORT_INTERVAL_MS, UNCONFIRMED_RETENTION_MS};
@@ -141,6 +141,11 @@
         self.ends.clear();
     }
 
+    /// Returns the reports of the ends that owners may confirm.
+    fn reports(&self) -> impl Iterator<Item = &EndReport> {
+        self.ends.values().filter(|end| !end.deferred).map(|end| &end.report)
+    }
+
     /// Returns the ends to report to the owner: those that are due, or all.
     fn take_due(&mut self, now: Moment, all: bool) -> Vec<UnconfirmedEnd> {
         let ends = self.ends.values_mut();
@@ -221,6 +226,11 @@
         }
     }
 
+    /// Returns the reports of all ends, with their minions.
+    fn reports(&self) -> impl Iterator<Item = (&MinionId, &EndReport)> {
+        self.ends.values().map(|it| (&it.minion_id, &it.end.report))
+    }
+
     /// Returns the ends to report to their owners, with their minions: those that are due,
     /// or all.
     fn take_due(
@@ -278,6 +288,22 @@
         self.detached_ends.extend(key, id, ends);
     }
 
+    /// Returns the messages that report the unconfirmed ends of a shard to its owner.
+    pub(crate) fn unconfirmed_ends_of(&self, shard: ShardId) -> Vec<Message> {
+        let held = self.minions.held().flat_map(|(_, minion, held)| {
+            let reports = held.unconfirmed.reports();
+            reports.map(move |report| (&minion.entry.id, report))
+        });
+        let ends = held.chain(self.detached_ends.reports());
+        let ends =
+            ends.filter(|(_, report)| self.shards.shard_of(report.run.task.job) == shard);
+        ends.map(|(minion, report)| {
+            let (minion, report) = (minion.clone(), report.clone());
+            Message::Ended { minion, report }
+        })
+        .collect()
+    }
+
     /// Reports unconfirmed ends to the owners of their shards: those that are due, or
     /// all.
     pub(crate) fn report_unconfirmed(&mut self, now: Moment, all: bool) {
--- a/crates/bamboocart-jobs/src/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard_runs.rs
@@ -36,10 +36,11 @@
             self.lose_shard(now, shard);
         }
         self.shards.announced_owners.insert(shard, peer);
-        let runs = self.reassign_shard_runs(now, shard, epoch, RunOwner::Peer(peer));
-        let runs = runs.into_iter().map(|(_, run)| run).collect();
-        self.send(peer, Message::ShardRuns { shard, epoch, runs });
-        self.report_unconfirmed(now, true);
+        self.reassign_shard_runs(now, shard, epoch, RunOwner::Peer(peer));
+        let reports = self.shard_report(peer, shard);
+        if let Some(peer) = self.peers.arena.get_mut(peer) {
+            reports.into_iter().for_each(|report| peer.push_required(report));
+        }
     }
 
     /// Returns the reports of the runs of all shards that a peer has taken over, in case an
@@ -47,13 +48,20 @@
     pub(crate) fn shard_reports_to(&self, peer: PeerKey) -> Vec<Message> {
         let taken = self.shards.announced_owners.iter();
         let taken = taken.filter(|&(_, &owner)| owner == peer);
-        taken
-            .map(|(&shard, _)| {
-                let epoch = self.shards.known_epoch(shard);
-                let runs = self.runs_of_shard(peer, shard, epoch);
-                Message::ShardRuns { shard, epoch, runs }
-            })
-            .collect()
+        taken.flat_map(|(&shard, _)| self.shard_report(peer, shard)).collect()
+    }
+
+    /// Returns the report of a shard to its new owner: the unconfirmed ends of its runs, and
+    /// the runs that are active.
+    ///
+    /// The ends come first. With the list of active runs, the owner knows all that this
+    /// instance does, and may start the other tasks again.
+    fn shard_report(&self, peer: PeerKey, shard: ShardId) -> Vec<Message> {
+        let epoch = self.shards.known_epoch(shard);
+        let runs = self.runs_of_shard(peer, shard, epoch);
+        let mut report = self.unconfirmed_ends_of(shard);
+        report.push(Message::ShardRuns { shard, epoch, runs });
+        report
     }
 
     /// Returns the runs of a shard on held minions that belong to its owner.
--- a/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
+++ b/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
@@ -8,9 +8,11 @@
 use bamboocart_jobs::{
     Effect, EndedRun, Engine, HoldAnswer, HoldOrder, HoldReply, MAX_LISTED_ENDS, Message,
     Moment, PeerKey, Resources, RunEnd, RunOrder, RunRef, ShardId, StartAnswer,
-    StartOrder, TaskRef,
+    StartOrder, StoreLimits, TaskRef,
+};
+use support::{
+    active, answer_hold, ended, engine_with_minions, entry, frame, member, run, run_order,
 };
-use support::{active, ended, entry, frame, member, run, run_order};
 use yare::parameterized;
 
 const START: Moment = Moment(10_000);
@@ -279,3 +281,80 @@
     (0..50).for_each(|_| fixture.step(Vec::new()));
     assert_eq!(fixture.minion.noted, BTreeSet::from([found]));
 }
+
+/// How the next owner of a shard asks for its runs.
+#[derive(Copy, Clone)]
+enum Inquiry {
+    /// It announces itself.
+    Takeover,
+    /// The link was lost with the report, and is open again.
+    NewLink,
+}
+
+/// A report to the next owner of a shard.
+struct ReportCase {
+    inquiry: Inquiry,
+    minions: usize,
+    /// The number of unconfirmed ends of the shard on each minion.
+    ends: u64,
+}
+
+/// Guards against an owner that starts tasks again after a takeover (TWICE), since it had the
+/// list of active runs before the ends, or had not got some of the ends because too many
+/// messages were queued.
+#[parameterized(
+    takeover = { ReportCase { inquiry: Inquiry::Takeover, minions: 1, ends: 3 } },
+    new_link = { ReportCase { inquiry: Inquiry::NewLink, minions: 1, ends: 3 } },
+    many_ends = { ReportCase { inquiry: Inquiry::Takeover, minions: 12, ends: 400 } },
+)]
+fn the_next_owner_gets_the_ends_before_the_runs(case: ReportCase) {
+    let (mut engine, holds) = engine_with_minions(START, case.minions);
+    engine.set_store_limits(StoreLimits { partitions: 1, ..StoreLimits::default() });
+    let peer = engine.peer(START, &member("entry-2", "sahab"));
+    engine.link_opened(peer);
+    let taken = |epoch| vec![Message::ShardTaken { shard: ShardId(0), epoch }];
+    engine.frame_arrived(START, peer, frame(START, taken(1)));
+    let mut expected = BTreeSet::new();
+    for (minion, order) in holds.iter().enumerate() {
+        let runs = (1..=case.ends).map(|number| {
+            let index = minion as u16 * 500 + number as u16;
+            RunRef { task: TaskRef { index, ..run(1).task }, run: 1 }
+        });
+        let ended: Vec<EndedRun> = (1..)
+            .zip(runs)
+            .map(|(number, run)| ended(number, run, RunEnd::Done))
+            .collect();
+        expected.extend(ended.iter().map(|end| end.report.run));
+        answer_hold(
+            &mut engine,
+            START,
+            order,
+            HoldReply { ended, ..HoldReply::default() },
+        );
+    }
+    engine.take_frames(START + 50);
+    let now = START + 100;
+    engine.frame_arrived(now, peer, frame(now, taken(2)));
+    if let Inquiry::NewLink = case.inquiry {
+        engine.take_frames(now);
+        engine.link_lost(now, peer);
+        engine.link_opened(peer);
+    }
+    let frames = engine.take_frames(now + 100).into_iter();
+    let messages = frames.flat_map(|(_, frame)| frame.messages);
+    let mut reported = BTreeSet::new();
+    let mut reports = 0;
+    for message in messages {
+        match message {
+            Message::Ended { report, .. } => {
+                reported.insert(report.run);
+            }
+            Message::ShardRuns { .. } => {
+                assert_eq!(reported.len(), expected.len(), "ends before the runs");
+                reports += 1;
+            }
+            _ => {}
+        }
+    }
+    assert_eq!((reports, reported), (1, expected));
+}
