Start tasks that last again while the log of their shard is stalled

The limit on the starts of a stalled shard held them too, though the log takes no ends of such tasks other than crashes: one that ended while 32 other ends waited stayed away until the store was back. Jobs whose tasks all last are now exempt.

Test: stored a_stalled_log_stops_no_tasks_that_last, which failed before ("a run is ordered").

--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/takeover.rs
@@ -335,7 +335,9 @@
         }
         let shard = self.shards.owned.get(&self.shards.shard_of(id.job));
         let open = |shard: &Shard| matches!(shard.stage, Stage::Open);
-        shard.is_some_and(|shard| open(shard) && shard.may_start(now))
+        // The log takes no ends of tasks that last, other than crashes.
+        let lasts = job.steps.iter().all(|step| step.long_running);
+        shard.is_some_and(|shard| open(shard) && (lasts || shard.may_start(now)))
             && self.has_authority(now)
     }
 
--- a/crates/bamboocart-jobs/tests/stored.rs
+++ b/crates/bamboocart-jobs/tests/stored.rs
@@ -5,7 +5,7 @@
 use bamboocart_jobs::{
     Answer, AppendAnswer, Checkpoint, Effect, EndReport, Engine, Frame, JobId, JobState,
     LogAppend, LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, RequestKey,
-    Resources, RunEnd, RunRef, Step, Submission, TaskRef,
+    Resources, RunEnd, RunRef, Step, StoreLimits, Submission, TaskRef,
 };
 use support::{answers_of, entry, frame, member, room, step, submission};
 use yare::parameterized;
@@ -568,3 +568,46 @@
     assert!(stalled <= LIMIT, "{stalled} tasks have started");
     assert_eq!(run_tasks(&mut fixture, true), TASKS);
 }
+
+/// Guards against tasks that last and stay away for as long as the store does not take the
+/// ends of other tasks of their shard.
+#[test]
+fn a_stalled_log_stops_no_tasks_that_last() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture
+        .engine
+        .set_store_limits(StoreLimits { partitions: 1, ..StoreLimits::default() });
+    let holder = Holder::join(&mut fixture);
+    let lasting = Step { long_running: true, ..step(1, &[]) };
+    fixture.engine.submit(fixture.now, stored_steps(1, vec![lasting]));
+    fixture.collect();
+    fixture.complete_appends();
+    let run = ordered_run(&mut fixture);
+    let other = stored_steps(2, vec![step(200, &[])]);
+    let other = NewJob { id: "00000000000000bb".parse().unwrap(), ..other.job };
+    fixture.engine.submit(fixture.now, Submission { job: other, ..stored(2) });
+    fixture.collect();
+    fixture.complete_appends();
+    let free = Resources { cpu_millicores: 1_000, memory_mb: 4_096, gpu_count: 0 };
+    let mut last = Vec::new();
+    for step in 0..60 {
+        last = messages(&mut fixture);
+        for message in &last {
+            let Message::Start { order, .. } = message else { continue };
+            assert_ne!(
+                order.run.task, run.task,
+                "the task that lasts is away, step {step}"
+            );
+            holder.report(&mut fixture, order.run, RunEnd::Done);
+        }
+        fixture.advance(100);
+        holder.send(&mut fixture, room("m-1", free));
+    }
+    assert!(!last.iter().any(|it| matches!(it, Message::Start { .. })), "{last:?}");
+    holder.report(&mut fixture, run, RunEnd::Void);
+    for _ in 0..22 {
+        fixture.advance(100);
+        holder.send(&mut fixture, room("m-1", free));
+    }
+    assert_eq!(ordered_run(&mut fixture).task, run.task);
+}
