Show unconfirmed ends, full lists and stalled logs in the metrics

While an owner did not reach the store, only the log told that ends were piling up on minions, one line for each that was dropped. Three gauges show it: unconfirmed ends, minions that get no starts because of them, and shards whose log takes no records.

--- a/crates/bamboocart-dispatcher/src/site/metrics_page.rs
+++ b/crates/bamboocart-dispatcher/src/site/metrics_page.rs
@@ -5,9 +5,9 @@
 use bamboocart_jobs::{Answer, HoldAnswer, JobState, StartAnswer};
 use bamboocart_telemetry::buffer::LineBuffer;
 use bamboocart_telemetry::job_metrics::{
-    CALL_LABEL, CONFIG_VERSION, HELD_MINIONS, JOB_SECONDS, LINES_DROPPED, LISTED_MINIONS,
-    LIVE_PEERS, METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS, OUTCOME_LABEL,
-    QUEUE_LABEL, WAITING_JOBS,
+    CALL_LABEL, CONFIG_VERSION, FULL_END_LISTS, HELD_MINIONS, JOB_SECONDS, LINES_DROPPED,
+    LISTED_MINIONS, LIVE_PEERS, METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS,
+    OUTCOME_LABEL, QUEUE_LABEL, STALLED_LOGS, UNCONFIRMED_ENDS, WAITING_JOBS,
 };
 use bamboocart_telemetry::metrics::{MetricsError, install};
 use bamboocart_telemetry::recorder::PageRecorder;
@@ -39,6 +39,9 @@
         gauge!(LISTED_MINIONS).set(status.minions as f64);
         gauge!(HELD_MINIONS).set(status.held as f64);
         gauge!(LIVE_PEERS).set(status.peers as f64);
+        gauge!(UNCONFIRMED_ENDS).set(status.unconfirmed_ends as f64);
+        gauge!(FULL_END_LISTS).set(status.full_lists as f64);
+        gauge!(STALLED_LOGS).set(status.stalled_logs as f64);
         gauge!(LINES_DROPPED).set(self.lines.dropped() as f64);
         self.recorder.render()
     }
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -109,6 +109,12 @@
     pub held: usize,
     /// The number of peers from which a frame arrived lately.
     pub peers: usize,
+    /// The number of ends on the lists of held minions that no owner has confirmed.
+    pub unconfirmed_ends: usize,
+    /// The number of held minions that get no starts because their list of ends is full.
+    pub full_lists: usize,
+    /// The number of owned shards whose log takes no records.
+    pub stalled_logs: usize,
 }
 
 impl Engine {
@@ -443,6 +449,8 @@
     /// Returns a summary of the engine's state.
     pub fn status(&self, now: Moment) -> Status {
         let peers = self.peers.arena.values();
+        let held = || self.minions.held().map(|(_, _, held)| held);
+        let logs = self.shards.owned.values().map(|shard| &shard.log);
         Status {
             config_version: self.catalog.version,
             jobs: self.jobs.len(),
@@ -450,6 +458,9 @@
             minions: self.minions.arena.len(),
             held: self.minions.held_keys().len(),
             peers: peers.filter(|peer| peer.is_responsive(now)).count(),
+            unconfirmed_ends: held().map(|held| held.unconfirmed.len()).sum(),
+            full_lists: held().filter(|held| held.is_list_full()).count(),
+            stalled_logs: logs.filter(|log| log.is_stalled(now)).count(),
         }
     }
 
--- a/crates/bamboocart-telemetry/src/job_metrics.rs
+++ b/crates/bamboocart-telemetry/src/job_metrics.rs
@@ -60,6 +60,15 @@
 /// The number of peers from which a frame arrived recently.
 pub const LIVE_PEERS: &str = "bamboocart_live_peers";
 
+/// The number of ends on the lists of held minions that no owner has confirmed.
+pub const UNCONFIRMED_ENDS: &str = "bamboocart_unconfirmed_ends";
+
+/// The number of held minions that get no starts because their list of ends is full.
+pub const FULL_END_LISTS: &str = "bamboocart_full_end_lists";
+
+/// The number of owned shards whose log takes no records.
+pub const STALLED_LOGS: &str = "bamboocart_stalled_logs";
+
 /// The number of log lines dropped because the buffer was full.
 pub const LINES_DROPPED: &str = "bamboocart_log_lines_dropped";
 
@@ -78,6 +87,9 @@
     gauge(LISTED_MINIONS, "Minions in the platform's list."),
     gauge(HELD_MINIONS, "Minions that this instance holds."),
     gauge(LIVE_PEERS, "Peers that were heard lately."),
+    gauge(UNCONFIRMED_ENDS, "Ends on the lists of held minions without confirmation."),
+    gauge(FULL_END_LISTS, "Held minions without starts because their list is full."),
+    gauge(STALLED_LOGS, "Owned shards whose log takes no records."),
     gauge(LINES_DROPPED, "Log lines that were dropped."),
 ];
 
