--- a/crates/bamboocart-dispatcher/tests/site/stored.rs
+++ b/crates/bamboocart-dispatcher/tests/site/stored.rs
@@ -1,9 +1,10 @@
 //! Stored jobs, which have to run once accepted, whatever happens to the instances.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::cell::Cell;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bamboocart_site_standin::{
-    JobSpec, StandIn, StepSpec, cancel, query, submit_job, wait_until,
+    JobSpec, RunRecord, StandIn, StepSpec, cancel, query, submit_job, wait_until,
 };
 use rustix::process::Signal;
 use yare::parameterized;
@@ -163,3 +164,43 @@
     tasks.sort();
     assert_eq!(tasks, [0, 1, 2].map(|number| format!("00000000000000aa.{number}.0.0")));
 }
+
+/// Guards against tasks that start again after an end that was noted (TWICE): their ends pile
+/// up on the minions while the store is away, and then all instances are killed.
+#[test]
+fn unrecorded_ends_outlast_all_instances() {
+    const JOBS: usize = 12;
+    const TASKS: usize = 240;
+    const QUIET: Duration = Duration::from_secs(2);
+    let platform = StandIn::start(2).unwrap();
+    platform.publish(1, "/q/");
+    let names = ["edge-1", "edge-2"];
+    let instances = names.map(|name| Instance::start_ready(&platform, name));
+    let job = JobSpec::stored(2, step(TASKS as u16));
+    let paths = (0..JOBS).map(|number| format!("/q/{number:016x}"));
+    let paths: Vec<String> = paths.collect();
+    paths.iter().for_each(|path| accept(&instances[0], path, &job));
+    platform.set_store_available(false);
+    // More ends than the minions can list, or all that the instances let come.
+    let last = Cell::new((0, Instant::now()));
+    let piled_up = || {
+        let runs = platform.runs().iter().filter(|run| run.done).count();
+        if runs > last.get().0 {
+            last.set((runs, Instant::now()));
+        }
+        runs >= JOBS * TASKS / 2 || last.get().1.elapsed() >= QUIET
+    };
+    assert!(wait_until(piled_up), "the tasks go on");
+    instances.iter().for_each(|instance| instance.signal(Signal::KILL));
+    drop(instances);
+    platform.set_store_available(true);
+    let later = Instance::start_ready(&platform, "edge-3");
+    paths.iter().for_each(|path| await_state(&later, path, "completed"));
+    let runs = platform.runs();
+    let noted = runs.iter().filter(|run| run.done && run.noted);
+    let again = noted.filter(|end| {
+        let later = |run: &&RunRecord| run.task == end.task && run.run > end.run;
+        runs.iter().any(|run| later(&run))
+    });
+    assert_eq!(again.count(), 0, "{} runs of {} tasks", runs.len(), JOBS * TASKS);
+}
--- a/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
+++ b/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
@@ -7,8 +7,8 @@
 use bamboocart_jobs::timing::UNCONFIRMED_RETENTION_MS;
 use bamboocart_jobs::{
     Effect, EndedRun, Engine, HoldAnswer, HoldOrder, HoldReply, MAX_LISTED_ENDS, Message,
-    Moment, PeerKey, Resources, RunEnd, RunOrder, RunRef, ShardId, StartAnswer,
-    StartOrder, StoreLimits, TaskRef,
+    MinionEntry, Moment, PeerKey, Resources, RunEnd, RunOrder, RunRef, ShardId,
+    StartAnswer, StartOrder, StoreLimits, TaskRef,
 };
 use support::{
     active, answer_hold, ended, engine_with_minions, entry, frame, member, run, run_order,
@@ -100,7 +100,7 @@
         let mut engine = Engine::new(member("entry-1", "marka"), 7);
         let capacity =
             Resources { cpu_millicores: 100_000, memory_mb: 100_000, gpu_count: 0 };
-        let minion = bamboocart_jobs::MinionEntry { capacity, ..entry("m-1", "marka") };
+        let minion = MinionEntry { capacity, ..entry("m-1", "marka") };
         engine.update_minions(START, vec![minion]);
         let members = [member("entry-1", "marka"), member("entry-2", "sahab")];
         engine.set_members(START, 5, &members);
