Let holds wait while many runs are active and none has ended

A minion whose runs could fill its list was held again at once after each answer, also while its list was empty: with 480 short runs or more at a time, a hold and its 480 rows followed each other without a pause. A hold returns at once only while there are ends on a full list.

Test: unconfirmed_ends holds_wait_while_many_runs_are_active, which failed before.

--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder.rs
@@ -466,7 +466,7 @@
                 let wait_ms = match held.next_end_ms(minion.pace.ratio(), now) {
                     _ if held.incarnation.is_none() || held.missed_holds > 0 => 0,
                     // The minion gets starts as soon as its list is known to be shorter.
-                    _ if held.is_list_full() => 0,
+                    _ if held.is_list_full() && held.unconfirmed.listed() > 0 => 0,
                     _ if !held.may_extend_lease() => UNEXTENDED_WAIT_MS,
                     Some(end_ms) => longest_ms.min(end_ms + HOLD_SLACK_MS),
                     None => longest_ms,
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -509,11 +509,11 @@
             && !self.runs.values().any(starting)
     }
 
-    /// Withholds the renewal of the lease while a full list is to be cleared, and returns
-    /// the ends of the list once the lease has expired. They no longer count from then on,
-    /// so that the minion may forget them.
+    /// Returns the ends of a full list that is to be cleared, once the lease has expired:
+    /// they no longer count, so that the minion may forget them. Returns no ends before
+    /// that, while the lease must not be renewed.
     ///
-    /// Returns none while the lease is renewed as usual.
+    /// Returns none if nothing is to be cleared and the lease is renewed as usual.
     pub(crate) fn clear_list(&mut self, now: Moment) -> Option<UnconfirmedEnds> {
         if !self.awaits_clearing(now) {
             return None;
--- a/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
+++ b/crates/bamboocart-jobs/tests/unconfirmed_ends.rs
@@ -282,6 +282,19 @@
     assert_eq!(fixture.minion.noted, BTreeSet::from([found]));
 }
 
+/// Guards against holds that follow each other without a pause while a minion has more runs
+/// than its list has room for ends, and none has ended.
+#[test]
+fn holds_wait_while_many_runs_are_active() {
+    let mut fixture = Fixture::new();
+    let orders = (0..MAX_LISTED_ENDS).map(|_| fixture.order(1)).collect();
+    fixture.step(orders);
+    let started = fixture.minion.active.len();
+    assert!(started < MAX_LISTED_ENDS, "{started} runs on a list of {MAX_LISTED_ENDS}");
+    let hold = fixture.hold.as_ref().expect("a hold is sent");
+    assert!(hold.wait_ms > 0);
+}
+
 /// How the next owner of a shard asks for its runs.
 #[derive(Copy, Clone)]
 enum Inquiry {
