--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -264,6 +264,7 @@
     """A minion with a capacity, a fencing token and a lease."""
 
     slow_x = 1  # how many times as long the runs take that begin now
+    unhealthy = False  # whether starts are answered with 503 and not carried out
 
     def __init__(self, system, name, zone, labels, cpu):
         self.system, self.name, self.zone, self.labels, self.cpu = system, name, zone, labels, cpu
@@ -355,6 +356,9 @@
         if int(body.get("fence_token", 0)) < self.fence:
             return 409, {"clock_ms": self.clock(), "reason": "fence"}
         self.fence = int(body.get("fence_token", 0))
+        if target == "/-/run-start" and self.unhealthy:
+            self.system.record("start-refused", body["task_id"], run=body["run_id"], on=self.name)
+            return 503, {"clock_ms": self.clock()}
         if target == "/-/run-start":
             return self.run_start(body)
         if target == "/-/run-stop":
