--- a/review/6/run.py
+++ b/review/6/run.py
@@ -9,7 +9,7 @@
 from standin import Instance, main, now_ms, trouble
 
 INSTANCES = ["z0"] * 3 + ["z1"] * 3 + ["z2"]
-ADDED = ["z0", "z1", "z2"]
+ADDED = ["z0", "z1"]
 FINISH_S = 14
 
 
@@ -29,7 +29,7 @@
             accepted[job] = now_ms()
 
     for number in range(360):
-        if number in (20, 50, 80) and trouble():
+        if number in (20, 50) and trouble():
             name = f"e{len(system.instances)}"
             system.instances.append(Instance(system, name, ADDED[len(system.instances) - 7]))
             system.instances[-1].start()
