Log jobs that wait beside minions whose free capacity is not known

Added: a search through the listed minions for jobs that a scheduling pass leaves waiting, which logs how many suitable ones the owner knows the free capacity of and how many others hold; the gauge bamboocart_searching_jobs.

--- a/crates/bamboocart-dispatcher/src/site/metrics_page.rs
+++ b/crates/bamboocart-dispatcher/src/site/metrics_page.rs
@@ -7,7 +7,8 @@
 use bamboocart_telemetry::job_metrics::{
     CALL_LABEL, CONFIG_VERSION, FULL_END_LISTS, HELD_MINIONS, JOB_SECONDS, LINES_DROPPED,
     LISTED_MINIONS, LIVE_PEERS, METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS,
-    OUTCOME_LABEL, QUEUE_LABEL, STALLED_LOGS, UNCONFIRMED_ENDS, WAITING_JOBS,
+    OUTCOME_LABEL, QUEUE_LABEL, SEARCHING_JOBS, STALLED_LOGS, UNCONFIRMED_ENDS,
+    WAITING_JOBS,
 };
 use bamboocart_telemetry::metrics::{MetricsError, install};
 use bamboocart_telemetry::recorder::PageRecorder;
@@ -36,6 +37,7 @@
         gauge!(CONFIG_VERSION).set(status.config_version as f64);
         gauge!(OPEN_JOBS).set(status.jobs as f64);
         gauge!(WAITING_JOBS).set(status.waiting as f64);
+        gauge!(SEARCHING_JOBS).set(status.searching as f64);
         gauge!(LISTED_MINIONS).set(status.minions as f64);
         gauge!(HELD_MINIONS).set(status.held as f64);
         gauge!(LIVE_PEERS).set(status.peers as f64);
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -103,6 +103,9 @@
     pub jobs: usize,
     /// The number of jobs with waiting tasks.
     pub waiting: usize,
+    /// The number of jobs with tasks that wait beside minions whose free capacity is not
+    /// known.
+    pub searching: usize,
     /// The number of known minions, of any holder.
     pub minions: usize,
     /// The number of minions that this instance holds.
@@ -455,6 +458,7 @@
             config_version: self.catalog.version,
             jobs: self.jobs.len(),
             waiting: self.waiting.len(),
+            searching: self.jobs.values().filter(|it| it.search.lacks_reports()).count(),
             minions: self.minions.arena.len(),
             held: self.minions.held_keys().len(),
             peers: peers.filter(|peer| peer.is_responsive(now)).count(),
--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/job.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::advice::StepAdvice;
+use crate::capacity_search::SearchState;
 use crate::catalog::Queue;
 use crate::effect::RequestKey;
 use crate::id::{OccurrenceRef, RunRef, SharedStr, TaskRef};
@@ -38,6 +39,8 @@
     pub(crate) start_ordered: bool,
     /// The verdicts of the advice service by step, if the queue takes advice.
     pub(crate) advice: BTreeMap<u16, StepAdvice>,
+    /// The search for minions whose free capacity is not known.
+    pub(crate) search: SearchState,
 }
 
 /// What of a job survives the process of its owner.
@@ -90,6 +93,7 @@
             durability: Durability::BestEffort { deadline: now + timeout_ms },
             start_ordered: false,
             advice: BTreeMap::new(),
+            search: SearchState::default(),
         }
     }
 
@@ -114,6 +118,7 @@
             durability: Durability::Stored { epoch },
             start_ordered: false,
             advice: BTreeMap::new(),
+            search: SearchState::default(),
         };
         job.start_ordered = job.tasks.iter().any(|task| task.last_run > 0);
         job.unblock();
@@ -199,6 +204,14 @@
         (0..self.tasks.len()).filter(|&other| self.tasks[other].step == step).collect()
     }
 
+    /// Returns how many tasks of a task's step are placed on a minion.
+    pub(crate) fn tasks_on(&self, minion: MinionKey, task: usize) -> usize {
+        let step = self.tasks[task].step;
+        let siblings = self.tasks.iter().filter(|other| other.step == step);
+        let placed = siblings.filter_map(|task| task.placement()?.minion);
+        placed.filter(|&it| it == minion).count()
+    }
+
     /// Returns when the job is refused unless the start of a task was requested.
     pub(crate) fn start_by(&self) -> Moment {
         self.arrived + self.objective_ms / WAIT_DIVISOR
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod assignment;
 mod authority;
 mod backlog;
+mod capacity_search;
 mod catalog;
 mod clock;
 mod confirm;
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -8,7 +8,7 @@
 use crate::engine::Engine;
 use crate::member::Member;
 use crate::message::Message;
-use crate::minion::{Minion, MinionEntry, MinionKey};
+use crate::minion::{Assignee, Minion, MinionEntry, MinionKey};
 use crate::neighbours::neighbours;
 use crate::peer::{Peer, PeerKey};
 use crate::time::Moment;
@@ -331,9 +331,16 @@
             let entry = &minion.entry;
             let holder =
                 holder_of(&entry.id, &entry.failure_domain, &self.review.members);
-            minion.assigned = holder == Some(&self.member);
+            minion.assignee = match holder {
+                Some(holder) if *holder == self.member => Assignee::Own,
+                Some(holder) => {
+                    let peer = self.peers.key_of(holder);
+                    peer.map_or(Assignee::Nobody, Assignee::Peer)
+                }
+                None => Assignee::Nobody,
+            };
         }
-        match (minion.assigned, minion.held.is_some()) {
+        match (minion.assignee == Assignee::Own, minion.held.is_some()) {
             (true, false) => {
                 if let Some(token) = self.next_token(now, key) {
                     self.hold_minion(now, key, token);
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/minion.rs
@@ -96,8 +96,8 @@
     pub(crate) unlisted: Option<Moment>,
     /// Since when its newest entry is invalid; none while it is valid.
     pub(crate) invalid_since: Option<Moment>,
-    /// Whether it is assigned to this instance among the members.
-    pub(crate) assigned: bool,
+    /// The member to which it is assigned.
+    pub(crate) assignee: Assignee,
     /// The learned ratio of run time to estimate; a higher one means a slower minion.
     pub(crate) pace: Pace,
     /// The state of the hold, if this instance is the holder.
@@ -106,6 +106,17 @@
     pub(crate) lost: Option<LostHold>,
 }
 
+/// The member to which a minion is assigned.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub(crate) enum Assignee {
+    /// None: there are no members, or the minion was just listed.
+    Nobody,
+    /// This instance.
+    Own,
+    /// A peer.
+    Peer(PeerKey),
+}
+
 /// A hold that ended because another holder had used a higher fencing token.
 #[derive(Debug, Copy, Clone)]
 pub(crate) struct LostHold {
@@ -391,7 +402,7 @@
             entry,
             unlisted: None,
             invalid_since: None,
-            assigned: false,
+            assignee: Assignee::Nobody,
             pace: Pace::default(),
             held: None,
             lost: None,
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Returns whether this instance uses the free capacity that the peer reports.
+    pub(crate) fn is_neighbour(&self) -> bool {
+        self.neighbour
+    }
+
     /// Returns whether a state transfer to a peer that needs one is due. It is repeated
     /// after an interval if the peer still needs it.
     pub(crate) fn is_state_due(&self, now: Moment) -> bool {
--- a/crates/bamboocart-jobs/src/placement.rs
+++ b/crates/bamboocart-jobs/src/placement.rs
@@ -147,11 +147,11 @@
         rack: Option<u64>,
     ) -> Vec<Choice> {
         let mut choices: Vec<Choice> = Vec::new();
-        for task in tasks.clone() {
+        for task in tasks {
             if !self.job.tasks[task].is_waiting() {
                 continue;
             }
-            let best = self.best_candidate(step, task, rack, &tasks, &choices);
+            let best = self.best_candidate(step, task, rack, &choices);
             if let Some(choice) = best {
                 let free = &mut self.candidates[choice.candidate].free;
                 *free = free.minus(choice.need);
@@ -167,7 +167,6 @@
         step: &Step,
         task: usize,
         rack: Option<u64>,
-        siblings: &Range<usize>,
         chosen: &[Choice],
     ) -> Option<Choice> {
         let left_ms = self.job.finish_by().map(|limit| limit.since(self.now) as f64);
@@ -185,7 +184,7 @@
                 continue;
             }
             let full = step.max_per_minion.is_some_and(|limit| {
-                self.siblings_on(candidate.minion, siblings, chosen) >= usize::from(limit)
+                self.siblings_on(candidate.minion, task, chosen) >= usize::from(limit)
             });
             let run_ms = step.estimate_ms as f64 * candidate.pace * suits.distance_factor;
             let finish_ms = run_ms + candidate.hop_ms;
@@ -201,16 +200,10 @@
         best.map(|(choice, _)| choice)
     }
 
-    /// Returns how many tasks of a step are placed on a minion or chosen for it.
-    fn siblings_on(
-        &self,
-        minion: MinionKey,
-        siblings: &Range<usize>,
-        chosen: &[Choice],
-    ) -> usize {
-        let placed = self.job.tasks[siblings.clone()].iter();
-        let placed = placed.filter_map(|task| task.placement()?.minion);
+    /// Returns how many tasks of a task's step are placed on a minion or chosen for it.
+    fn siblings_on(&self, minion: MinionKey, task: usize, chosen: &[Choice]) -> usize {
         let chosen = chosen.iter().map(|it| self.candidates[it.candidate].minion);
-        placed.chain(chosen).filter(|&it| it == minion).count()
+        let chosen = chosen.filter(|&it| it == minion).count();
+        self.job.tasks_on(minion, task) + chosen
     }
 }
--- a/crates/bamboocart-jobs/src/resources.rs
+++ b/crates/bamboocart-jobs/src/resources.rs
@@ -21,6 +21,17 @@
             && self.gpu_count <= available.gpu_count
     }
 
+    /// Returns how many times this amount fits into `available`.
+    pub(crate) fn times_in(self, available: Self) -> u32 {
+        let pairs = [
+            (self.cpu_millicores, available.cpu_millicores),
+            (self.memory_mb, available.memory_mb),
+            (self.gpu_count, available.gpu_count),
+        ];
+        let times = pairs.into_iter().filter_map(|(each, all)| all.checked_div(each));
+        times.min().unwrap_or(u32::MAX)
+    }
+
     /// Returns the sum of two amounts, saturating in each dimension.
     pub fn plus(self, other: Self) -> Self {
         Self {
--- a/crates/bamboocart-jobs/src/scheduling.rs
+++ b/crates/bamboocart-jobs/src/scheduling.rs
@@ -40,13 +40,14 @@
             ready.filter(|id| !self.jobs.get(id).is_some_and(|it| it.is_paused(now)));
         let order: Vec<OccurrenceRef> = ready.take(MAX_JOBS_PER_PASS).collect();
         let mut unplaced_in_row = 0;
-        for id in order {
+        for &id in &order {
             if candidates.is_empty() || unplaced_in_row >= MAX_UNPLACED_IN_ROW {
                 break;
             }
             let placed = self.place_job(now, id, &mut candidates);
             unplaced_in_row = if placed { 0 } else { unplaced_in_row + 1 };
         }
+        self.search_capacity(now, &order);
         self.placement_due = false;
     }
 
@@ -62,29 +63,9 @@
         candidates: &mut [Candidate],
     ) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
-        let arena = &self.minions.arena;
-        let remote_factor = self.remote_factor;
+        let (minions, remote_factor) = (&self.minions, self.remote_factor);
         let suits = |job: &Job, task: usize, key: MinionKey| {
-            let entry = &arena.get(key)?.entry;
-            let step = job.step_of(task);
-            let label = step.required_label.as_ref();
-            let allowed =
-                job.queue.advice.is_none() || job.ticket(task, key, now).is_some();
-            let usable = allowed
-                && entry.service == job.queue.service
-                && !job.tasks[task].avoids(key, now)
-                && job.tasks[task].backoff.allows(key, now)
-                && label.is_none_or(|label| entry.labels.contains(label));
-            let data_rack = step.data_rack.as_ref();
-            let near = data_rack.is_none_or(|rack| entry.labels.contains(rack));
-            let distance_factor = if near { 1.0 } else { remote_factor };
-            let rack = entry.rack().map(|rack| hash(rack.as_bytes()));
-            let need = match job.tasks[task].is_suspect() {
-                true if !step.need.fits(entry.capacity) => return None,
-                true => entry.capacity,
-                false => step.need,
-            };
-            usable.then_some(Suitability { distance_factor, rack, need })
+            suitability(minions, remote_factor, now, job, task, key)
         };
         let rng = &mut self.rng;
         let mut choices = TaskPlacer { job, candidates, suits, rng, now }.choose();
@@ -118,6 +99,7 @@
             CandidateHolder::Peer(peer) => Holder::Peer(peer),
         };
         job.start_ordered = true;
+        job.search.note_placement(now);
         let number = job.next_run(job.tasks[choice.task].last_run);
         let ordered_at = match candidate.holder {
             CandidateHolder::Local => now,
@@ -217,6 +199,37 @@
     }
 }
 
+/// Returns how well a minion suits a task, whatever else runs there; none if the task may not
+/// run there.
+pub(crate) fn suitability(
+    minions: &Minions,
+    remote_factor: f64,
+    now: Moment,
+    job: &Job,
+    task: usize,
+    key: MinionKey,
+) -> Option<Suitability> {
+    let entry = &minions.arena.get(key)?.entry;
+    let step = job.step_of(task);
+    let label = step.required_label.as_ref();
+    let allowed = job.queue.advice.is_none() || job.ticket(task, key, now).is_some();
+    let usable = allowed
+        && entry.service == job.queue.service
+        && !job.tasks[task].avoids(key, now)
+        && job.tasks[task].backoff.allows(key, now)
+        && label.is_none_or(|label| entry.labels.contains(label));
+    let data_rack = step.data_rack.as_ref();
+    let near = data_rack.is_none_or(|rack| entry.labels.contains(rack));
+    let distance_factor = if near { 1.0 } else { remote_factor };
+    let rack = entry.rack().map(|rack| hash(rack.as_bytes()));
+    let need = match job.tasks[task].is_suspect() {
+        true if !step.need.fits(entry.capacity) => return None,
+        true => entry.capacity,
+        false => step.need,
+    };
+    usable.then_some(Suitability { distance_factor, rack, need })
+}
+
 /// Drops the choices for tasks of which a run is still on a minion that this instance
 /// holds: one that is being stopped, or one of an earlier submission of the job at another
 /// instance. Of a gang, all choices are dropped.
--- a/crates/bamboocart-telemetry/src/job_metrics.rs
+++ b/crates/bamboocart-telemetry/src/job_metrics.rs
@@ -54,6 +54,9 @@
 /// The number of minions in the platform's list.
 pub const LISTED_MINIONS: &str = "bamboocart_listed_minions";
 
+/// The number of jobs with tasks that wait beside minions whose free capacity is not known.
+pub const SEARCHING_JOBS: &str = "bamboocart_searching_jobs";
+
 /// The number of minions whose lease this instance holds.
 pub const HELD_MINIONS: &str = "bamboocart_held_minions";
 
@@ -84,6 +87,7 @@
     gauge(CONFIG_VERSION, "The version of the configuration in force."),
     gauge(OPEN_JOBS, "Jobs that have not ended."),
     gauge(WAITING_JOBS, "Jobs with tasks that wait for room."),
+    gauge(SEARCHING_JOBS, "Jobs that wait beside minions of unknown free capacity."),
     gauge(LISTED_MINIONS, "Minions in the platform's list."),
     gauge(HELD_MINIONS, "Minions that this instance holds."),
     gauge(LIVE_PEERS, "Peers that were heard lately."),
