Request a complete report of free capacity once earlier ones were forgotten

Cause: an owner forgot what a peer had reported as soon as its link to the peer failed, or as soon as it no longer was a neighbour. The peer never learned of it, since the owner's frames went on to request reports, and only the first report that follows a request is complete. Minions that stay idle are not among the changes. Change: what was reported is forgotten when a frame withdraws the request. After the loss of a link, the first frame does so, and the second one requests reports again. A change of the request is sent at once, not with the next heartbeat. Why this works: a peer's frames arrive in order on a link, so it sees that the request was withdrawn before it sees the next one, which it answers completely.

--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -47,6 +47,8 @@
     pub(crate) replaced: bool,
     /// Whether this instance uses the free capacity that the peer reports.
     neighbour: bool,
+    /// What the frames to it have said about reports of its free capacity.
+    subscription: Subscription,
     /// Whether it requests reports of this instance's free capacity.
     wants_capacity: bool,
     /// When the peer sent its last join that the store answered.
@@ -90,6 +92,23 @@
     pub(crate) report_due: bool,
 }
 
+/// What an instance has told a peer about reports of the peer's free capacity.
+///
+/// Only the first report that follows a request is complete, so what a peer has reported may
+/// not be forgotten while it takes the request for granted.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum Subscription {
+    /// Reports were never requested.
+    Never,
+    /// Reports are requested.
+    Active,
+    /// Reports were requested, and then forgotten: the next frame withdraws the request, so
+    /// that the one after it gets a complete report.
+    Forgotten,
+    /// The request was withdrawn; reports that still arrive do not count.
+    Withdrawn,
+}
+
 /// The status of this instance towards the store, as its frames report it.
 #[derive(Debug, Copy, Clone)]
 pub(crate) struct StoreStatus {
@@ -131,6 +150,7 @@
             leaving: false,
             replaced: false,
             neighbour: false,
+            subscription: Subscription::Never,
             wants_capacity: false,
             joined_at: None,
             state_sent: None,
@@ -177,9 +197,6 @@
     /// Sets whether this instance uses the free capacity that the peer reports.
     pub(crate) fn set_neighbour(&mut self, neighbour: bool) {
         self.neighbour = neighbour;
-        if !neighbour {
-            self.forget_capacity();
-        }
     }
 
     /// Returns whether this instance uses the free capacity that the peer reports.
@@ -268,13 +285,21 @@
 
     /// Replaces the reported capacity, less the reservations made after the last frame
     /// that the peer has echoed: the report cannot include those.
+    ///
+    /// Reports that were on their way when they were no longer requested are ignored.
     pub(crate) fn report(&mut self, capacity: Vec<CapacityReport>) {
+        if self.subscription == Subscription::Withdrawn {
+            return;
+        }
         self.capacity_base = capacity;
         self.update_free_capacity();
     }
 
     /// Applies changes to the reported capacity, as [`Peer::report`] does.
     pub(crate) fn report_changes(&mut self, changes: Vec<CapacityReport>) {
+        if self.subscription == Subscription::Withdrawn {
+            return;
+        }
         for change in changes {
             self.capacity_base.retain(|report| report.minion != change.minion);
             if change.free != Resources::default() {
@@ -298,6 +323,30 @@
         }
     }
 
+    /// Returns whether what the frames to the peer have said about reports is out of date.
+    fn is_subscription_due(&self) -> bool {
+        match self.subscription {
+            Subscription::Never | Subscription::Withdrawn => self.neighbour,
+            Subscription::Active => !self.neighbour,
+            Subscription::Forgotten => true,
+        }
+    }
+
+    /// Returns whether the next frame to the peer requests reports, and records that it is
+    /// sent.
+    fn update_subscription(&mut self) -> bool {
+        let requested = self.neighbour && self.subscription != Subscription::Forgotten;
+        self.subscription = match self.subscription {
+            _ if requested => Subscription::Active,
+            Subscription::Never => Subscription::Never,
+            Subscription::Active | Subscription::Forgotten | Subscription::Withdrawn => {
+                self.forget_capacity();
+                Subscription::Withdrawn
+            }
+        };
+        requested
+    }
+
     /// Forgets the capacity that the peer reported.
     fn forget_capacity(&mut self) {
         self.free_capacity.clear();
@@ -322,6 +371,9 @@
     pub(crate) fn lose_link(&mut self) -> Vec<RunRef> {
         self.link_open = false;
         self.forget_capacity();
+        if self.subscription == Subscription::Active {
+            self.subscription = Subscription::Forgotten;
+        }
         self.reservations.clear();
         let mut unsent = Vec::new();
         self.outbox.retain(|message| match message {
@@ -346,7 +398,7 @@
             return Moment(u64::MAX);
         }
         let Some(sent) = self.sent else { return Moment::default() };
-        if !self.outbox.is_empty() {
+        if !self.outbox.is_empty() || self.is_subscription_due() {
             return Moment::default();
         }
         let active = self.neighbour || self.wants_capacity || self.shares_runs;
@@ -394,7 +446,7 @@
         let mut frame = Frame {
             sent_ms: stamp.0,
             echo_ms: self.last_frame_sent_ms,
-            wants_capacity: self.neighbour,
+            wants_capacity: self.update_subscription(),
             needs_state: store_status.needs_state,
             join_age_ms: store_status.joined_at.map(|at| now.since(at)),
             messages,
--- a/crates/bamboocart-jobs/tests/capacity_reports.rs
+++ b/crates/bamboocart-jobs/tests/capacity_reports.rs
@@ -4,12 +4,14 @@
 mod support;
 
 use bamboocart_jobs::{
-    CapacityReport, Engine, Frame, Message, Moment, PeerKey, Resources,
+    CapacityReport, Engine, Frame, Member, Message, Moment, PeerKey, Resources,
 };
+use support::site::Site;
 use support::{
-    engine_with_holder, engine_with_minions, frame, member, room, starts_of, step,
+    engine_with_holder, engine_with_minions, entry, frame, member, room, starts_of, step,
     submission,
 };
+use yare::parameterized;
 
 const START: Moment = Moment(10_000);
 
@@ -132,3 +134,60 @@
     engine.frame_arrived(START + 50, holder, frame(START + 50, vec![nothing]));
     assert_eq!(placed(&mut engine, START + 50), 2);
 }
+
+/// What separates an owner from the reports of its neighbours for a moment.
+struct Interruption {
+    /// What happens.
+    play: fn(&mut Site),
+}
+
+/// The instance that has a job to place.
+const OWNER: usize = 0;
+
+/// The number of instances, one more than an owner and its neighbours in one domain.
+const INSTANCES: usize = 8;
+
+/// The number of minions of the site.
+const SITE_MINIONS: usize = 40;
+
+/// Returns the members of the site, in their order.
+fn members() -> Vec<Member> {
+    (0..INSTANCES).map(|number| member(&format!("entry-{number}"), "marka")).collect()
+}
+
+/// Closes the owner's links and opens them again.
+fn reopen_links(site: &mut Site) {
+    (1..INSTANCES).for_each(|peer| site.close_link(OWNER, peer));
+    site.pass(100);
+    (1..INSTANCES).for_each(|peer| site.open_link(OWNER, peer));
+}
+
+/// Lets an instance join the group for a moment, which replaces one of the neighbours.
+fn add_member_for_a_moment(site: &mut Site) {
+    let with_another: Vec<Member> =
+        members().into_iter().chain([member("entry-0a", "marka")]).collect();
+    let now = site.now;
+    site.engines[OWNER].set_members(now, 2, &with_another);
+    site.engines[OWNER].set_members(now, 3, &members());
+}
+
+/// Guards against an owner that forgets what a peer has reported while the peer goes on to
+/// report only changes: minions that stay idle are not in them.
+#[parameterized(
+    links_lost = { Interruption { play: reopen_links } },
+    neighbours_changed = { Interruption { play: add_member_for_a_moment } },
+)]
+fn an_owner_knows_idle_minions_after_an_interruption(interruption: Interruption) {
+    let started = |play: fn(&mut Site)| {
+        let minions = (0..SITE_MINIONS).map(|it| entry(&format!("m-{it}"), "marka"));
+        let mut site = Site::new(members(), minions.collect());
+        play(&mut site);
+        site.pass(500);
+        site.submit(OWNER, submission(1, vec![step(2 * SITE_MINIONS as u16, &[])]));
+        site.pass(50);
+        site.starts.len()
+    };
+    let calm = started(|_| {});
+    assert!(calm > SITE_MINIONS, "{calm} tasks are placed without an interruption");
+    assert_eq!(started(interruption.play), calm);
+}
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers that the engine tests share; each test uses some of them.
 #![allow(dead_code)]
 
+pub mod site;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/bamboocart-jobs/tests/support/site.rs
@@ -0,0 +1,219 @@
+//! A whole site in memory: engines that exchange frames, and minions that run what they are
+//! told to. Each test uses some of it.
+
+use std::collections::BTreeMap;
+
+use bamboocart_jobs::{
+    ActiveRun, Answer, Checkpoint, Effect, EndReport, EndedRun, Engine, Frame, HoldOrder,
+    HoldReply, Member, MinionEntry, MinionId, Moment, PeerKey, RequestKey, RunEnd,
+    RunRef, StartAnswer, StartOrder, Submission,
+};
+
+use super::answer_hold;
+
+/// The time that one step takes, which is also the delay of frames.
+const STEP_MS: u64 = 5;
+
+/// A site; instances are numbered in the order of their members.
+pub struct Site {
+    pub engines: Vec<Engine>,
+    pub now: Moment,
+    /// The minions of the runs that were started, in order.
+    pub starts: Vec<(RunRef, MinionId)>,
+    /// The answers to clients, with the number of the instance.
+    pub answers: Vec<(usize, RequestKey, Answer)>,
+    /// The number of frames that each instance has sent.
+    pub frames: Vec<usize>,
+    /// How long a run takes.
+    pub run_ms: u64,
+    members: Vec<Member>,
+    minions: BTreeMap<MinionId, Minion>,
+    /// The frames under way, with the numbers of their sender and their receiver.
+    in_flight: Vec<(usize, usize, Frame)>,
+}
+
+/// The runs on a minion.
+#[derive(Default)]
+struct Minion {
+    /// The active runs, with the time at which they end.
+    active: Vec<(RunRef, Moment)>,
+    /// The ends that the holder has not confirmed.
+    ended: Vec<EndedRun>,
+    /// The number of the last end.
+    last_end: u64,
+}
+
+impl Minion {
+    /// Returns the answer to a hold, after the runs that are over have ended.
+    fn reply(&mut self, now: Moment, last_seen: u64) -> HoldReply {
+        let (over, active) = self.active.iter().partition(|(_, end)| *end <= now);
+        self.active = active;
+        let over: Vec<(RunRef, Moment)> = over;
+        for (run, _) in over {
+            self.last_end += 1;
+            let report =
+                EndReport { run, end: RunEnd::Done, checkpoint: Checkpoint::default() };
+            let end = EndedRun { number: self.last_end, report, lease_expired: false };
+            self.ended.push(end);
+        }
+        self.ended.retain(|end| end.number > last_seen);
+        let active = self.active.iter().map(|&(run, _)| ActiveRun {
+            run,
+            done_percent: 50,
+            checkpoint: Checkpoint::default(),
+        });
+        HoldReply {
+            active: active.collect(),
+            ended: self.ended.clone(),
+            ..HoldReply::default()
+        }
+    }
+}
+
+impl Site {
+    /// Creates a site whose instances are linked and hold their minions.
+    pub fn new(members: Vec<Member>, minions: Vec<MinionEntry>) -> Self {
+        let now = Moment(10_000);
+        let mut engines = Vec::new();
+        for (number, member) in members.iter().enumerate() {
+            let mut engine = Engine::new(member.clone(), number as u64);
+            engine.update_minions(now, minions.clone());
+            engine.set_members(now, 1, &members);
+            engine.joined(now);
+            engines.push(engine);
+        }
+        let ids = minions.into_iter().map(|entry| (entry.id, Minion::default()));
+        let mut site = Self {
+            frames: vec![0; engines.len()],
+            engines,
+            now,
+            starts: Vec::new(),
+            answers: Vec::new(),
+            run_ms: 200,
+            members,
+            minions: ids.collect(),
+            in_flight: Vec::new(),
+        };
+        for from in 0..site.engines.len() {
+            for to in (0..site.engines.len()).filter(|&to| to != from) {
+                site.open_link(from, to);
+            }
+        }
+        site.pass(1_000);
+        site
+    }
+
+    /// Returns the key of an instance at another one.
+    pub fn peer(&mut self, at: usize, of: usize) -> PeerKey {
+        self.engines[at].peer(self.now, &self.members[of])
+    }
+
+    /// Opens the link from one instance to another.
+    pub fn open_link(&mut self, from: usize, to: usize) {
+        let peer = self.peer(from, to);
+        self.engines[from].link_opened(peer);
+    }
+
+    /// Closes the link from one instance to another; frames on the way are lost.
+    pub fn close_link(&mut self, from: usize, to: usize) {
+        let peer = self.peer(from, to);
+        self.in_flight.retain(|(sender, receiver, _)| (*sender, *receiver) != (from, to));
+        self.engines[from].link_lost(self.now, peer);
+    }
+
+    /// Submits a job to an instance.
+    pub fn submit(&mut self, to: usize, submission: Submission) {
+        self.engines[to].submit(self.now, submission);
+        self.carry_out(to);
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, duration_ms: u64) {
+        let end = self.now + duration_ms;
+        while self.now < end {
+            self.now = self.now + STEP_MS;
+            self.deliver_frames();
+            for number in 0..self.engines.len() {
+                if self.engines[number].next_due(self.now) <= self.now {
+                    self.engines[number].tick(self.now);
+                }
+                self.carry_out(number);
+                self.collect_frames(number);
+            }
+        }
+    }
+
+    /// Returns the answers to a request.
+    pub fn answers_to(&self, request: RequestKey) -> Vec<Answer> {
+        let answers = self.answers.iter().filter(|(_, key, _)| *key == request);
+        answers.map(|&(.., answer)| answer).collect()
+    }
+
+    /// Passes the frames on the way to their receivers.
+    fn deliver_frames(&mut self) {
+        for (from, to, frame) in std::mem::take(&mut self.in_flight) {
+            let peer = self.peer(to, from);
+            self.engines[to].frame_arrived(self.now, peer, frame);
+            self.carry_out(to);
+        }
+    }
+
+    /// Sends the frames of an instance that are due.
+    fn collect_frames(&mut self, from: usize) {
+        for (peer, frame) in self.engines[from].take_frames(self.now) {
+            let member = self.engines[from].member_of(peer);
+            let to = member.and_then(|it| self.members.iter().position(|to| to == it));
+            self.frames[from] += 1;
+            self.in_flight.extend(to.map(|to| (from, to, frame)));
+        }
+    }
+
+    /// Carries out the effects of an instance; minions answer at once.
+    fn carry_out(&mut self, instance: usize) {
+        let now = self.now;
+        for effect in self.engines[instance].take_effects() {
+            match effect {
+                Effect::Start(order) => self.start(instance, &order),
+                Effect::Hold(order) => self.hold(instance, &order),
+                Effect::Answer(request, answer) => {
+                    self.answers.push((instance, request, answer));
+                }
+                Effect::Stop(order) => {
+                    let minion = self.minions.get_mut(&order.target.id);
+                    if let Some(minion) = minion {
+                        minion.active.retain(|(run, _)| *run != order.run);
+                    }
+                    self.engines[instance].stop_answered(
+                        now,
+                        order.target.minion,
+                        order.target.fencing_token,
+                        order.run,
+                        StartAnswer::Started,
+                    );
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Starts a run.
+    fn start(&mut self, instance: usize, order: &StartOrder) {
+        let minion = self.minions.get_mut(&order.target.id).expect("the minion exists");
+        minion.active.push((order.run, self.now + self.run_ms));
+        self.starts.push((order.run, order.target.id.clone()));
+        self.engines[instance].start_answered(
+            self.now,
+            order.target.minion,
+            order.target.fencing_token,
+            order.run,
+            StartAnswer::Started,
+        );
+    }
+
+    /// Answers a hold.
+    fn hold(&mut self, instance: usize, order: &HoldOrder) {
+        let minion = self.minions.get_mut(&order.target.id).expect("the minion exists");
+        let reply = minion.reply(self.now, order.last_seen);
+        answer_hold(&mut self.engines[instance], self.now, order, reply);
+    }
+}
