Ask the holders of suitable minions for their free capacity

No disruption is needed: with 12 or 36 instances from the start, most such jobs wait for ever, and best-effort ones are refused with 429. Cause: an owner placed tasks on the minions of itself and of its neighbours alone, at most ten peers, and a stored job stays with its owner. Change: each instance knows all minions and, by the assignment, their holders. If a scheduling pass leaves tasks waiting, and the minions of known free capacity that suit them are fewer than eight or have too few places, up to three holders of others, or as many as the tasks need, are asked for reports. A query is a request as neighbours make it, so no message is new; it ends 300 ms after its last use. Stored jobs that have waited for 500 ms ask other holders however many minions their owner knows, since tasks that last may occupy all of them. What it costs is limited: at most 10 queries a second that place no task, pauses of 0.1 to 1.6 s for each job and each holder, and the limit of 300 reports a second of a holder as before. WriteBudget is now TokenBucket, which both use. The stand-in that hid it: minions of the emulator had no labels. They have racks now, kinds can require one, and a start without it is a broken rule.

--- a/crates/bamboocart-emulator/src/invariants.rs
+++ b/crates/bamboocart-emulator/src/invariants.rs
@@ -90,6 +90,13 @@
         active.push((run.run, minion));
     }
 
+    /// Records that a run was started on a minion without the label that its task requires.
+    pub(crate) fn note_wrong_label(&mut self, now_us: u64, run: RunRef) {
+        let at_ms = now_us / 1_000;
+        let violation = format!("{at_ms} ms: {} runs without its label", run.task);
+        self.violations.push(violation);
+    }
+
     /// Records that a run is no longer active.
     pub(crate) fn note_inactive(&mut self, run: RunRef, minion: usize) {
         if let Some(active) = self.active.get_mut(&run.task) {
--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Minion {
     pub(crate) id: MinionId,
     pub(crate) domain: usize,
+    /// The number of its rack.
+    pub(crate) rack: usize,
     pub(crate) cpu_millicores: u32,
     /// The ratio of actual to nominal run time.
     pub(crate) pace: f64,
@@ -104,6 +106,7 @@
         Self {
             id,
             domain,
+            rack: 0,
             cpu_millicores,
             pace,
             slow_factor: 1.0,
--- a/crates/bamboocart-emulator/src/scenario.rs
+++ b/crates/bamboocart-emulator/src/scenario.rs
@@ -24,6 +24,10 @@
     pub paces: Vec<f64>,
     /// The CPU capacities in thousandths of a core, assigned to minions round-robin.
     pub minion_cpu_millicores: Vec<u32>,
+    /// The number of racks, whose names are labels and which are assigned to minions
+    /// round-robin.
+    #[serde(default = "default_racks")]
+    pub racks: usize,
     /// The kinds of jobs that clients send.
     pub kinds: Vec<JobKind>,
     /// The time for which an instance is busy with each input, in microseconds.
@@ -102,6 +106,12 @@
     /// Whether the tasks of a step are gang-scheduled.
     #[serde(default)]
     pub gang: bool,
+    /// Whether the tasks of each job require the label of a rack, which is drawn for it.
+    #[serde(default)]
+    pub needs_rack: bool,
+    /// The maximum number of tasks of a step on one minion, if limited.
+    #[serde(default)]
+    pub max_per_minion: Option<u16>,
     /// The number of steps, each of which depends on the one before.
     #[serde(default = "default_steps")]
     pub steps: u16,
@@ -112,6 +122,11 @@
     99
 }
 
+/// Returns the number of racks of scenarios that set none.
+fn default_racks() -> usize {
+    1
+}
+
 /// Returns the number of steps of a kind that sets none.
 fn default_steps() -> u16 {
     1
--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -286,6 +286,8 @@
     /// The number of steps, each of which depends on the one before.
     steps: u16,
     gang: bool,
+    /// The rack on which its tasks have to run, if they require one.
+    rack: Option<usize>,
     stored: bool,
     /// The time at which a stored job was accepted, if it was.
     accepted_us: Option<u64>,
@@ -445,6 +447,7 @@
         self.minion_indices.insert(id.clone(), number);
         let mut minion = Minion::new(id, domain, pace, cpu);
         minion.clock_percent = self.scenario.minion_clock_percent;
+        minion.rack = number % self.scenario.racks.max(1);
         self.minions.push(minion);
     }
 
--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -154,6 +154,7 @@
         let job = &self.jobs[job];
         let run_ms = job.runs_ms[usize::from(order.run.task.index)];
         let deadly = self.scenario.kinds[job.kind].deadly;
+        let rack = job.rack;
         let entry = &mut self.minions[minion];
         let known =
             entry.hold_reply(self.now_us).active.iter().any(|r| r.run == order.run);
@@ -173,6 +174,9 @@
                     "run started");
                 self.checker.note_start(self.now_us, order.run, minion);
                 let entry = &self.minions[minion];
+                if rack.is_some_and(|rack| rack != entry.rack) {
+                    self.checker.note_wrong_label(self.now_us, order.run);
+                }
                 let end = match () {
                     () if deadly => RunEnd::Crashed,
                     () if entry.fails => RunEnd::Failed,
--- a/crates/bamboocart-emulator/src/simulation/clients.rs
+++ b/crates/bamboocart-emulator/src/simulation/clients.rs
@@ -10,6 +10,7 @@
 use rand_distr::{Distribution, Exp, LogNormal, Normal};
 
 use super::connections::Attempt;
+use super::instances::rack_label;
 use super::{
     CLIENT_DELAY_US, CLIENT_TIMEOUT_MS, ClientJob, ESTIMATE_LOG_STD_DEV, Event, Input,
     LATE_LIMIT_FACTOR, LATE_WORTH_SHARE, POLL_INTERVAL_US, POLL_TIMEOUT_US,
@@ -64,6 +65,8 @@
         self.job_indices.insert(id, self.jobs.len());
         self.checker.note_sent(id);
         let domain = self.rng.random_range(0..self.scenario.domains.len());
+        let racks = self.scenario.racks;
+        let rack = settings.needs_rack.then(|| self.rng.random_range(0..racks));
         self.jobs.push(ClientJob {
             id,
             kind,
@@ -81,6 +84,7 @@
             avoid: None,
             steps,
             gang: settings.gang,
+            rack,
             stored: settings.stored,
             accepted_us: None,
             done: false,
@@ -163,6 +167,8 @@
             need: client.need,
             estimate_ms: client.estimate_ms,
             gang: client.gang,
+            required_label: client.rack.map(|rack| rack_label(rack).into()),
+            max_per_minion: self.scenario.kinds[client.kind].max_per_minion,
             after: number.checked_sub(1).into_iter().collect(),
             ..Step::default()
         };
--- a/crates/bamboocart-emulator/src/simulation/instances.rs
+++ b/crates/bamboocart-emulator/src/simulation/instances.rs
@@ -17,6 +17,9 @@
 use crate::minion::Minion;
 use crate::trace::{self, Source};
 
+/// The kind of all minions, which is one of their labels.
+const MINION_KIND: &str = "minion";
+
 impl Simulation<'_> {
     /// Adds an input to the inbox of an instance.
     ///
@@ -357,7 +360,7 @@
                 memory_mb: 65_536,
                 gpu_count: 0,
             },
-            labels: Vec::new(),
+            labels: vec![MINION_KIND.into(), rack_label(minion.rack).into()],
             incarnation: minion.process_start_us + 1,
         }
     }
@@ -373,9 +376,14 @@
     }
 }
 
+/// Returns the label of a rack.
+pub(super) fn rack_label(rack: usize) -> String {
+    format!("rack-{rack}")
+}
+
 /// Returns a member of the group; the incarnations of an instance share its address.
 pub(super) fn member(domain: &str, number: usize, incarnation: u64) -> Member {
-    let ip = Ipv4Addr::new(10, 0, 0, number as u8);
+    let ip = Ipv4Addr::new(10, 0, (number >> 8) as u8, number as u8);
     Member {
         name: format!("entry-{number}").into(),
         failure_domain: domain.into(),
--- a/crates/bamboocart-emulator/tests/rules.rs
+++ b/crates/bamboocart-emulator/tests/rules.rs
@@ -116,6 +116,20 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
+/// Guards against stored jobs that never start beside idle minions, since their owner does
+/// not know how free these are: it heard of nine of 11 peers, and of eight of 35.
+#[parameterized(
+    twelve_instances = { include_str!("../days/racks.toml"), 4 },
+    many_instances = { include_str!("../days/racks-grown.toml"), 1 },
+)]
+fn jobs_find_the_rack_that_suits_them(scenario: &str, seeds: u64) {
+    let scenario = Scenario::parse(scenario).unwrap();
+    for seed in 1..=seeds {
+        let report = simulate(&scenario, seed);
+        assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    }
+}
+
 /// Guards against reports that depend on anything but the scenario and the seed.
 #[test]
 fn a_seed_gives_one_outcome() {
--- a/crates/bamboocart-jobs/src/advice.rs
+++ b/crates/bamboocart-jobs/src/advice.rs
@@ -9,6 +9,7 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 
+use crate::capacity_search::SearchState;
 use crate::effect::Effect;
 use crate::engine::Engine;
 use crate::id::{MinionId, OccurrenceRef, SharedStr};
@@ -212,6 +213,7 @@
                     .into_iter()
                     .filter(|key| !advice.tickets.contains_key(key));
                 advice.denied.extend(refused);
+                job.search = SearchState::default();
                 self.placement_due = true;
             }
             (AdviceAnswer::Allowed(_), None) => {}
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 
 use crate::advice::AdviceCalls;
+use crate::capacity_search::BURST_QUERIES;
 use crate::catalog::Catalog;
 use crate::confirm::DetachedEnds;
 use crate::effect::{Effect, HoldNumber, RequestKey};
@@ -32,6 +33,7 @@
 use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::OWNER_SILENCE_MS;
+use crate::token_bucket::TokenBucket;
 
 /// The delay of a tick from which on it is logged. It is half the age up to which an owner
 /// counts as alive.
@@ -82,6 +84,8 @@
     /// The number of the last hold that was sent.
     pub(crate) last_hold: HoldNumber,
     pub(crate) event_loop: EventLoop,
+    /// The rate limit of queries of free capacity that place no task.
+    pub(crate) query_budget: TokenBucket,
     /// The budget for starts that are sent again.
     pub(crate) retry_budget: RetryBudget,
     /// The ends that no minion lists any more, and no owner has confirmed.
@@ -145,6 +149,7 @@
             ends_at: None,
             last_hold: HoldNumber(0),
             event_loop: EventLoop::default(),
+            query_budget: TokenBucket::new(BURST_QUERIES),
             retry_budget: RetryBudget::default(),
             detached_ends: DetachedEnds::default(),
             deferred_rejections: Vec::new(),
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod assignment;
 mod authority;
 mod backlog;
+mod capacity_query;
 mod capacity_search;
 mod catalog;
 mod clock;
@@ -54,7 +55,7 @@
 mod task;
 mod time;
 pub mod timing;
-mod write_budget;
+mod token_bucket;
 
 pub use self::adoption::Claim;
 pub use self::advice::{AdviceAnswer, AdviceNumber, AdviceOrder, AdviceRules, StepRef};
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership.rs
@@ -135,6 +135,7 @@
         self.review.due = false;
         self.review.at = now;
         self.forget_peers(now);
+        self.peers.expire_queries(now);
         self.requeue_lost(now);
         self.note_engaged();
         self.assign(now);
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/peer.rs
@@ -6,6 +6,7 @@
 use log::{error, warn};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::capacity_query::CapacityQuery;
 use crate::id::{MemberId, MinionId, RunRef};
 use crate::member::Member;
 use crate::message::{CapacityReport, Frame, Message};
@@ -45,8 +46,10 @@
     /// Whether a later incarnation of the instance is known. The entry stays for a while,
     /// since runs that this one has started may still be active.
     pub(crate) replaced: bool,
-    /// Whether this instance uses the free capacity that the peer reports.
+    /// Whether this instance always uses the free capacity that the peer reports.
     neighbour: bool,
+    /// The query of its free capacity while it is no neighbour.
+    pub(crate) query: CapacityQuery,
     /// What the frames to it have said about reports of its free capacity.
     subscription: Subscription,
     /// Whether it requests reports of this instance's free capacity.
@@ -150,6 +153,7 @@
             leaving: false,
             replaced: false,
             neighbour: false,
+            query: CapacityQuery::default(),
             subscription: Subscription::Never,
             wants_capacity: false,
             joined_at: None,
@@ -194,14 +198,19 @@
         self.listed || self.is_responsive(now)
     }
 
-    /// Sets whether this instance uses the free capacity that the peer reports.
+    /// Sets whether this instance always uses the free capacity that the peer reports.
     pub(crate) fn set_neighbour(&mut self, neighbour: bool) {
         self.neighbour = neighbour;
     }
 
     /// Returns whether this instance uses the free capacity that the peer reports.
-    pub(crate) fn is_neighbour(&self) -> bool {
-        self.neighbour
+    pub(crate) fn reports_capacity(&self) -> bool {
+        self.neighbour || self.query.is_open()
+    }
+
+    /// Returns whether its free capacity may be asked for now.
+    pub(crate) fn may_query(&self, now: Moment) -> bool {
+        self.link_open && !self.leaving && !self.replaced && self.query.may_open(now)
     }
 
     /// Returns whether a state transfer to a peer that needs one is due. It is repeated
@@ -326,8 +335,8 @@
     /// Returns whether what the frames to the peer have said about reports is out of date.
     fn is_subscription_due(&self) -> bool {
         match self.subscription {
-            Subscription::Never | Subscription::Withdrawn => self.neighbour,
-            Subscription::Active => !self.neighbour,
+            Subscription::Never | Subscription::Withdrawn => self.reports_capacity(),
+            Subscription::Active => !self.reports_capacity(),
             Subscription::Forgotten => true,
         }
     }
@@ -335,7 +344,8 @@
     /// Returns whether the next frame to the peer requests reports, and records that it is
     /// sent.
     fn update_subscription(&mut self) -> bool {
-        let requested = self.neighbour && self.subscription != Subscription::Forgotten;
+        let requested =
+            self.reports_capacity() && self.subscription != Subscription::Forgotten;
         self.subscription = match self.subscription {
             _ if requested => Subscription::Active,
             Subscription::Never => Subscription::Never,
@@ -401,13 +411,22 @@
         if !self.outbox.is_empty() || self.is_subscription_due() {
             return Moment::default();
         }
-        let active = self.neighbour || self.wants_capacity || self.shares_runs;
+        let active = self.reports_capacity() || self.wants_capacity || self.shares_runs;
         let heartbeat =
             sent + if active { FRAME_INTERVAL_MS } else { IDLE_FRAME_INTERVAL_MS };
-        match self.report_due && self.wants_capacity {
-            true => heartbeat.min(self.reported.unwrap_or_default() + report_interval_ms),
-            false => heartbeat,
+        let report = self.report_due_at(report_interval_ms);
+        report.map_or(heartbeat, |report| heartbeat.min(report))
+    }
+
+    /// Returns when the next report of free capacity to the peer is due, if it gets one. A
+    /// complete one follows a request, and a task may wait for it.
+    fn report_due_at(&self, interval_ms: u64) -> Option<Moment> {
+        if !self.report_due || !self.wants_capacity {
+            return None;
         }
+        let complete = self.reported_capacity.is_none();
+        let interval_ms = if complete { REPORT_INTERVAL_MS } else { interval_ms };
+        Some(self.reported.unwrap_or_default() + interval_ms)
     }
 
     /// Returns the next frame to the peer, if one is due.
@@ -427,9 +446,7 @@
             warn!(target: "peer", peer:% = self.member, dropped;
                 "messages were dropped before this frame");
         }
-        let last_report = self.reported.unwrap_or_default();
-        let report = self.report_due && self.wants_capacity;
-        if report && now.since(last_report) >= report_interval_ms {
+        if self.report_due_at(report_interval_ms).is_some_and(|due| due <= now) {
             self.report_due = false;
             self.reported = Some(now);
             messages.push(match &self.reported_capacity {
@@ -517,6 +534,11 @@
         })
     }
 
+    /// Closes the queries of free capacity whose time is over.
+    pub(crate) fn expire_queries(&mut self, now: Moment) {
+        self.arena.values_mut().for_each(|peer| peer.query.expire(now));
+    }
+
     /// Returns when the next frame to any peer is due.
     pub(crate) fn frame_due(&self) -> Moment {
         let interval_ms = self.report_interval_ms();
--- a/crates/bamboocart-jobs/src/scheduling.rs
+++ b/crates/bamboocart-jobs/src/scheduling.rs
@@ -136,6 +136,9 @@
                 if let Some(peer) = self.peers.arena.get_mut(key) {
                     peer.reserve(&minion, need, now);
                     peer.shares_runs = true;
+                    if peer.query.note_use(now) {
+                        self.query_budget.put_back();
+                    }
                 }
                 self.send(key, Message::Start { minion, order: Box::new(order) });
             }
--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard.rs
@@ -16,11 +16,14 @@
 use crate::submission::JobState;
 use crate::task::Holder;
 use crate::time::Moment;
-use crate::write_budget::WriteBudget;
+use crate::token_bucket::TokenBucket;
 
 /// Number of shards if the platform sets none.
 const DEFAULT_SHARDS: u16 = 24;
 
+/// Maximum number of appends that may be sent at once after an idle period.
+const BURST_APPENDS: f64 = 8.0;
+
 /// Maximum number of shards; a larger number of partitions is not used in full.
 const MAX_SHARDS: u16 = 64;
 
@@ -87,8 +90,9 @@
     pub(crate) stored_jobs_reported: bool,
     /// The number of the last call to a log.
     last_log_call: LogCallNumber,
-    /// The rate limit of appends.
-    pub(crate) budget: WriteBudget,
+    /// The rate limit of appends. Without tokens, records are queued, and one append takes
+    /// all of them. All instances together stay below the store's write rate.
+    pub(crate) budget: TokenBucket,
     /// When this instance sent its last join that the store answered.
     pub(crate) joined_at: Option<Moment>,
     /// When this instance last had the authority to act as an owner.
@@ -127,7 +131,7 @@
             stored_jobs: StoredJobsPresence::Unknown,
             stored_jobs_reported: false,
             last_log_call: LogCallNumber(0),
-            budget: WriteBudget::default(),
+            budget: TokenBucket::new(BURST_APPENDS),
             joined_at: None,
             authority_at: Moment::default(),
         }
--- a/crates/bamboocart-jobs/tests/support/site.rs
+++ b/crates/bamboocart-jobs/tests/support/site.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeMap;
 
 use bamboocart_jobs::{
-    ActiveRun, Answer, Checkpoint, Effect, EndReport, EndedRun, Engine, Frame, HoldOrder,
-    HoldReply, Member, MinionEntry, MinionId, Moment, PeerKey, RequestKey, RunEnd,
-    RunRef, StartAnswer, StartOrder, Submission,
+    ActiveRun, AdviceAnswer, AdviceOrder, Answer, AppendAnswer, Checkpoint, Effect,
+    EndReport, EndedRun, Engine, Frame, HoldOrder, HoldReply, LogAppend, LogPage,
+    LogRead, LogRecord, Member, MinionEntry, MinionId, Moment, PeerKey, RequestKey,
+    RunEnd, RunRef, ShardId, StartAnswer, StartOrder, Submission,
 };
 
 use super::answer_hold;
@@ -26,10 +27,14 @@
     pub frames: Vec<usize>,
     /// How long a run takes.
     pub run_ms: u64,
+    /// The minion that the advice service allows for all steps, if any.
+    pub advised: Option<MinionId>,
     members: Vec<Member>,
     minions: BTreeMap<MinionId, Minion>,
     /// The frames under way, with the numbers of their sender and their receiver.
     in_flight: Vec<(usize, usize, Frame)>,
+    /// The logs of the store.
+    logs: BTreeMap<ShardId, Vec<LogRecord>>,
 }
 
 /// The runs on a minion.
@@ -90,9 +95,11 @@
             starts: Vec::new(),
             answers: Vec::new(),
             run_ms: 200,
+            advised: None,
             members,
             minions: ids.collect(),
             in_flight: Vec::new(),
+            logs: BTreeMap::new(),
         };
         for from in 0..site.engines.len() {
             for to in (0..site.engines.len()).filter(|&to| to != from) {
@@ -134,6 +141,7 @@
             self.now = self.now + STEP_MS;
             self.deliver_frames();
             for number in 0..self.engines.len() {
+                self.engines[number].joined(self.now);
                 if self.engines[number].next_due(self.now) <= self.now {
                     self.engines[number].tick(self.now);
                 }
@@ -191,11 +199,51 @@
                         StartAnswer::Started,
                     );
                 }
-                _ => {}
+                Effect::ReadLog(read) => self.read_log(instance, &read),
+                Effect::Append(append) => self.append(instance, append),
+                Effect::Advise(order) => self.advise(instance, order),
+                Effect::RecordStoredJobUse => {}
             }
         }
     }
 
+    /// Answers a call for advice.
+    fn advise(&mut self, instance: usize, order: AdviceOrder) {
+        let minions = order.minions.into_iter();
+        let allowed = minions.filter(|id| Some(id) == self.advised.as_ref());
+        let allowed = allowed.map(|id| (id, "ticket".into())).collect();
+        let answer = AdviceAnswer::Allowed(allowed);
+        self.engines[instance].advice_answered(self.now, order.number, answer);
+    }
+
+    /// Answers a read of a log.
+    fn read_log(&mut self, instance: usize, read: &LogRead) {
+        let log = self.logs.entry(read.shard).or_default();
+        let from = (read.from_offset as usize).min(log.len());
+        let end_offset = log.len() as u64;
+        let records = log[from..].to_vec();
+        let page = LogPage::Records { records, next_offset: end_offset, end_offset };
+        self.engines[instance].log_read(self.now, read.shard, read.number, page);
+    }
+
+    /// Appends to a log, if it ends where the instance takes it to end.
+    fn append(&mut self, instance: usize, append: LogAppend) {
+        let log = self.logs.entry(append.shard).or_default();
+        let answer = match log.len() as u64 == append.at_offset {
+            true => {
+                log.extend(append.records);
+                AppendAnswer::Appended { end_offset: log.len() as u64 }
+            }
+            false => AppendAnswer::Conflict,
+        };
+        self.engines[instance].log_appended(
+            self.now,
+            append.shard,
+            append.number,
+            answer,
+        );
+    }
+
     /// Starts a run.
     fn start(&mut self, instance: usize, order: &StartOrder) {
         let minion = self.minions.get_mut(&order.target.id).expect("the minion exists");
