Ask as many holders for a gang as it needs, once its owner has waited

Cause: holders were asked for the places that the known minions lack, though these may be full. A stored gang of 16 whose owner knew some 24 suitable minions of 72, six of ten of them full, asked for 8 more places at a time and never found 16 free ones together. Best-effort jobs are not concerned. Measured: gangs_find_minions_beside_full_ones failed before (no task of the first gang started in 3 s), and passes now.

--- a/crates/bamboocart-jobs/src/capacity_search.rs
+++ b/crates/bamboocart-jobs/src/capacity_search.rs
@@ -161,7 +161,7 @@
     /// Returns for how many tasks the holders of the other minions are asked; none if they
     /// are not. A gang that is larger than the whole service can never be placed.
     ///
-    /// If the patience of a step is over, all minions of known free capacity count as full.
+    /// If the patience of a job is over, the minions of known free capacity count as full.
     fn missing_slots(&self, demand: Demand, patience_is_over: bool) -> Option<usize> {
         let slots = self.unknown.values().map(|supply| supply.slots);
         let slots = slots.fold(self.known.slots, usize::saturating_add);
@@ -169,12 +169,11 @@
         match () {
             () if self.unknown.is_empty() => None,
             () if demand.gang && slots < demand.tasks => None,
+            () if demand.gang && patience_is_over => Some(wanted),
             () if !self.is_enough(demand) => {
                 Some(wanted.saturating_sub(self.known.slots))
             }
-            () if !patience_is_over => None,
-            () if demand.gang => Some(wanted),
-            () => Some(0),
+            () => patience_is_over.then_some(0),
         }
     }
 }
--- a/crates/bamboocart-jobs/tests/distant_minions.rs
+++ b/crates/bamboocart-jobs/tests/distant_minions.rs
@@ -131,6 +131,30 @@
     assert_eq!(site.starts.len(), usize::from(TASKS));
 }
 
+/// Guards against a gang that is never placed since the minions that its owner hears of are
+/// enough for it, but full, so that too few other holders are asked at a time.
+#[test]
+fn gangs_find_minions_beside_full_ones() {
+    const MINIONS: usize = 72;
+    const START_MS: u64 = 3_000;
+    for number in 1..=4 {
+        let mut site = Site::new(members(36), minions(MINIONS));
+        site.run_ms = 600_000;
+        let full = (0..MINIONS).filter(|minion| minion * 7 % 10 < 6);
+        for minion in full {
+            let step = labelled(minion, MINIONS);
+            let step = Step { count: 2, long_running: true, ..step };
+            site.submit(0, job(1_000 * number + minion, step, false));
+        }
+        site.pass(START_MS);
+        let started = site.starts.len();
+        let gang = Step { gang: true, max_per_minion: Some(1), ..step(16, &[]) };
+        site.submit(0, job(number, gang, false));
+        site.pass(START_MS);
+        assert_eq!(site.starts.len(), started + 16, "job {number}");
+    }
+}
+
 /// Guards against a job that waits for ever since the only minion that the advice service
 /// allows is held by an instance that is no neighbour of its owner.
 #[test]
@@ -156,7 +180,9 @@
     at_36 = { 36 },
 )]
 fn queries_are_limited(instances: usize) {
+    /// The most frames that an instance may send in a second.
     const FRAMES_PER_S: usize = 500;
+    /// The number of jobs that wait at an instance.
     const WAITING_JOBS: usize = 20;
     const SECONDS: usize = 4;
     let mut site = Site::new(members(instances), minions(instances));
