Group the modules of bamboocart-jobs by the role that decides

Some fifty modules stood side by side, so that the tree did not say who decides what. They now lie in the folders operator, membership, owner, placement, holder and shard; what several roles share stays beside the engine. Moves and paths only: no line of code changes but for 'use' and 'mod' lines and docs.

--- a/crates/bamboocart-jobs/src/effect.rs
+++ b/crates/bamboocart-jobs/src/effect.rs
@@ -4,12 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::advice::AdviceOrder;
+use crate::holder::minion::MinionKey;
 use crate::id::{Checkpoint, MinionId, RunRef, SharedStr};
-use crate::minion::MinionKey;
+use crate::owner::submission::JobState;
+use crate::placement::advice::AdviceOrder;
 use crate::shard::ShardId;
-use crate::stored_job::LogRecord;
-use crate::submission::JobState;
+use crate::shard::stored_job::LogRecord;
 
 /// A client request that waits for its answer, numbered by the caller of the engine.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
--- a/crates/bamboocart-jobs/src/adoption.rs
+++ b/crates/bamboocart-jobs/src/holder/adoption.rs
@@ -4,16 +4,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::Engine;
-use crate::gone::gone_after_ms;
+use crate::holder::minion::{HeldMinion, MinionKey, Run, RunOwner};
 use crate::holder::{ActiveRun, EndedRun};
 use crate::id::{MinionId, RunRef};
-use crate::member::Member;
+use crate::membership::member::Member;
+use crate::membership::peer::PeerKey;
 use crate::message::{EndReport, Message};
-use crate::minion::{HeldMinion, MinionKey, Run, RunOwner};
-use crate::peer::PeerKey;
+use crate::owner::gone::gone_after_ms;
+use crate::owner::task::{Holder, Placement};
 use crate::resources::Resources;
 use crate::shard::Stage;
-use crate::task::{Holder, Placement};
 use crate::time::Moment;
 use crate::timing::OWNER_SILENCE_MS;
 
--- a/crates/bamboocart-jobs/src/confirm.rs
+++ b/crates/bamboocart-jobs/src/holder/confirm.rs
@@ -8,12 +8,12 @@
 
 use crate::engine::Engine;
 use crate::holder::MAX_LISTED_ENDS;
+use crate::holder::minion::{HoldState, MinionKey};
 use crate::id::{MinionId, RunRef};
+use crate::membership::peer::PeerKey;
 use crate::message::{EndReport, Message};
-use crate::minion::{HoldState, MinionKey};
-use crate::peer::PeerKey;
+use crate::owner::task::Holder;
 use crate::shard::{Shard, ShardId};
-use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{END_REPORT_INTERVAL_MS, UNCONFIRMED_RETENTION_MS};
 
--- a/crates/bamboocart-jobs/src/minion.rs
+++ b/crates/bamboocart-jobs/src/holder/minion.rs
@@ -6,18 +6,18 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::adoption::Adoption;
-use crate::clock::ClockEstimate;
-use crate::confirm::UnconfirmedEnds;
 use crate::effect::{HoldNumber, Target};
 use crate::holder::MAX_LISTED_ENDS;
+use crate::holder::adoption::Adoption;
+use crate::holder::clock::ClockEstimate;
+use crate::holder::confirm::UnconfirmedEnds;
+use crate::holder::orders::StartPayload;
+use crate::holder::pace::Pace;
+use crate::holder::round_trip::RoundTrip;
+use crate::holder::suspicion::Suspicion;
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, TaskRef};
-use crate::orders::StartPayload;
-use crate::pace::Pace;
-use crate::peer::PeerKey;
+use crate::membership::peer::PeerKey;
 use crate::resources::Resources;
-use crate::round_trip::RoundTrip;
-use crate::suspicion::Suspicion;
 use crate::time::Moment;
 use crate::timing::{CLAIM_WINDOW_MS, LEASE_MS, SHARED_CLAIM_WINDOW_MS};
 
--- a/crates/bamboocart-jobs/src/holder.rs
+++ b/crates/bamboocart-jobs/src/holder/mod.rs
@@ -1,21 +1,32 @@
 //! The holder role: leases, runs and their ends on the minions that this instance holds.
 
+pub(crate) mod adoption;
+pub(crate) mod clock;
+pub(crate) mod confirm;
+pub(crate) mod minion;
+pub(crate) mod orders;
+pub(crate) mod pace;
+pub(crate) mod retry_budget;
+pub(crate) mod round_trip;
+pub(crate) mod run_lists;
+pub(crate) mod suspicion;
+
 use std::collections::BTreeSet;
 use std::mem;
 
 use log::{info, warn};
 
-use crate::confirm::UnconfirmedEnds;
 use crate::effect::{Effect, HoldNumber, HoldOrder, StopOrder};
 use crate::engine::Engine;
-use crate::id::{Checkpoint, MinionId, RunRef};
-use crate::message::{CapacityReport, EndReport, Message, RunEnd};
-use crate::minion::{
+use crate::holder::confirm::UnconfirmedEnds;
+use crate::holder::minion::{
     HeldMinion, HoldState, LostHold, Minion, MinionKey, Run, RunOwner, RunPhase,
     UnsettledRuns,
 };
-use crate::suspicion::Progress;
-use crate::task::Holder;
+use crate::holder::suspicion::Progress;
+use crate::id::{Checkpoint, MinionId, RunRef};
+use crate::message::{CapacityReport, EndReport, Message, RunEnd};
+use crate::owner::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
     HOLD_INTERVAL_MS, HOLD_RETRY_MS, HOLD_SLACK_MS, HOLD_WAIT_MS, LATE_ORDER_MS,
--- a/crates/bamboocart-jobs/src/orders.rs
+++ b/crates/bamboocart-jobs/src/holder/orders.rs
@@ -7,14 +7,14 @@
 
 use crate::effect::{Effect, StartOrder, Target};
 use crate::engine::Engine;
-use crate::gone::RunGone;
+use crate::holder::minion::{MinionKey, Run, RunOwner, RunPhase};
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, SharedStr};
-use crate::member::Member;
+use crate::membership::member::Member;
+use crate::membership::peer::{FrameTimes, PeerKey};
 use crate::message::Message;
-use crate::minion::{MinionKey, Run, RunOwner, RunPhase};
-use crate::peer::{FrameTimes, PeerKey};
+use crate::owner::gone::RunGone;
+use crate::owner::task::Holder;
 use crate::resources::Resources;
-use crate::task::Holder;
 use crate::time::Moment;
 use crate::timing::{
     HOLD_RETRY_MS, MAX_STOP_RETRY_MS, NO_ROOM_BACKOFF_MS, OWNER_SILENCE_MS,
--- a/crates/bamboocart-jobs/src/run_lists.rs
+++ b/crates/bamboocart-jobs/src/holder/run_lists.rs
@@ -6,13 +6,13 @@
 use log::info;
 
 use crate::engine::Engine;
+use crate::holder::minion::RunOwner;
 use crate::id::{MinionId, RunRef};
-use crate::job::Job;
-use crate::member::Member;
+use crate::membership::member::Member;
+use crate::membership::peer::{FrameTimes, PeerKey};
 use crate::message::Message;
-use crate::minion::RunOwner;
-use crate::peer::{FrameTimes, PeerKey};
-use crate::task::{Holder, Placement};
+use crate::owner::job::Job;
+use crate::owner::task::{Holder, Placement};
 use crate::time::Moment;
 
 impl Engine {
--- a/crates/bamboocart-jobs/src/assignment.rs
+++ b/crates/bamboocart-jobs/src/membership/assignment.rs
@@ -1,7 +1,7 @@
 //! Assignment of minions and shards to instances by rendezvous hashing.
 
 use crate::id::{MinionId, first_word};
-use crate::member::Member;
+use crate::membership::member::Member;
 use crate::shard::ShardId;
 
 /// The width in bits of the part of a fencing token below the generation.
--- a/crates/bamboocart-jobs/src/authority.rs
+++ b/crates/bamboocart-jobs/src/membership/authority.rs
@@ -1,7 +1,7 @@
 //! The authority of an instance to act as the owner of its shards.
 
 use crate::engine::Engine;
-use crate::peer::Peer;
+use crate::membership::peer::Peer;
 use crate::shard::Shard;
 use crate::time::Moment;
 use crate::timing::{
--- a/crates/bamboocart-jobs/src/minion_list.rs
+++ b/crates/bamboocart-jobs/src/membership/minion_list.rs
@@ -3,8 +3,8 @@
 use log::{info, warn};
 
 use crate::engine::Engine;
+use crate::holder::minion::{Minion, MinionEntry};
 use crate::id::MinionId;
-use crate::minion::{Minion, MinionEntry};
 use crate::time::Moment;
 
 /// A change to the platform's list of minions.
--- a/crates/bamboocart-jobs/src/membership.rs
+++ b/crates/bamboocart-jobs/src/membership/mod.rs
@@ -1,16 +1,23 @@
 //! Group membership, and what follows from it: the minions that this instance holds, its
 //! shards and its neighbours.
 
+pub(crate) mod assignment;
+pub(crate) mod authority;
+pub(crate) mod member;
+pub(crate) mod minion_list;
+pub(crate) mod neighbours;
+pub(crate) mod peer;
+
 use log::info;
 
-use crate::assignment::{fencing_token, holder_of};
-use crate::catalog::Catalog;
 use crate::engine::Engine;
-use crate::member::Member;
+use crate::holder::minion::{Assignee, Minion, MinionEntry, MinionKey};
+use crate::membership::assignment::{fencing_token, holder_of};
+use crate::membership::member::Member;
+use crate::membership::neighbours::neighbours;
+use crate::membership::peer::{Peer, PeerKey};
 use crate::message::Message;
-use crate::minion::{Assignee, Minion, MinionEntry, MinionKey};
-use crate::neighbours::neighbours;
-use crate::peer::{Peer, PeerKey};
+use crate::operator::catalog::Catalog;
 use crate::time::Moment;
 
 /// How long a minion that the list has dropped is still used while it answers. Entries
--- a/crates/bamboocart-jobs/src/neighbours.rs
+++ b/crates/bamboocart-jobs/src/membership/neighbours.rs
@@ -1,6 +1,6 @@
 //! The choice of peers whose free capacity an instance receives.
 
-use crate::member::Member;
+use crate::membership::member::Member;
 
 /// The number of neighbours in the instance's own failure domain, where it has as many.
 const LOCAL_NEIGHBOURS: usize = 6;
--- a/crates/bamboocart-jobs/src/peer.rs
+++ b/crates/bamboocart-jobs/src/membership/peer.rs
@@ -6,10 +6,10 @@
 use log::{error, warn};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::capacity_query::CapacityQuery;
 use crate::id::{MemberId, MinionId, RunRef};
-use crate::member::Member;
+use crate::membership::member::Member;
 use crate::message::{CapacityReport, Frame, Message};
+use crate::placement::capacity_query::CapacityQuery;
 use crate::resources::Resources;
 use crate::time::Moment;
 use crate::timing::{
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -5,14 +5,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::adoption::Claim;
-use crate::catalog::Catalog;
+use crate::holder::adoption::Claim;
+use crate::holder::minion::MinionEntry;
+use crate::holder::orders::{RejectionCause, RunOrder};
 use crate::id::{Checkpoint, JobId, MinionId, RunRef, SharedStr};
-use crate::job_op::{JobOp, OpNumber, OpReply};
-use crate::minion::MinionEntry;
-use crate::orders::{RejectionCause, RunOrder};
+use crate::operator::catalog::Catalog;
 use crate::resources::Resources;
 use crate::shard::ShardId;
+use crate::shard::job_op::{JobOp, OpNumber, OpReply};
 
 /// A batch of messages to one peer, which also serves as a heartbeat.
 ///
--- a/crates/bamboocart-jobs/src/catalog.rs
+++ b/crates/bamboocart-jobs/src/operator/catalog.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::advice::AdviceRules;
 use crate::id::ServiceName;
+use crate::placement::advice::AdviceRules;
 
 /// All objects of one configuration version.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/bamboocart-jobs/src/operator/mod.rs
@@ -0,0 +1,3 @@
+//! What operators have published.
+
+pub(crate) mod catalog;
--- a/crates/bamboocart-jobs/src/backlog.rs
+++ b/crates/bamboocart-jobs/src/owner/backlog.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::job::Job;
-use crate::task::TaskState;
+use crate::owner::job::Job;
+use crate::owner::task::TaskState;
 
 /// The shortest delay that a refused client is asked to wait.
 const MIN_RETRY_S: u64 = 1;
--- a/crates/bamboocart-jobs/src/gang.rs
+++ b/crates/bamboocart-jobs/src/owner/gang.rs
@@ -7,11 +7,11 @@
 
 use crate::engine::Engine;
 use crate::id::{OccurrenceRef, RunRef};
-use crate::job::Job;
-use crate::peer::PeerKey;
+use crate::membership::peer::PeerKey;
+use crate::owner::job::Job;
+use crate::owner::task::{Holder, Placement};
 use crate::placement::Choice;
 use crate::shard::Stage;
-use crate::task::{Holder, Placement};
 use crate::time::Moment;
 
 impl Engine {
--- a/crates/bamboocart-jobs/src/gone.rs
+++ b/crates/bamboocart-jobs/src/owner/gone.rs
@@ -4,11 +4,11 @@
 //! where the evidence comes from, so a new way to free a task has to name its reason.
 
 use crate::engine::Engine;
+use crate::holder::orders::Rejection;
 use crate::id::RunRef;
-use crate::job::Job;
 use crate::message::EndReport;
-use crate::orders::Rejection;
-use crate::task::Holder;
+use crate::owner::job::Job;
+use crate::owner::task::Holder;
 use crate::time::Moment;
 use crate::timing::{RUN_GONE_MS, STORED_RUN_GONE_MS};
 
--- a/crates/bamboocart-jobs/src/job.rs
+++ b/crates/bamboocart-jobs/src/owner/job.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::advice::StepAdvice;
-use crate::capacity_search::SearchState;
-use crate::catalog::Queue;
 use crate::effect::RequestKey;
+use crate::holder::minion::MinionKey;
 use crate::id::{OccurrenceRef, RunRef, SharedStr, TaskRef};
-use crate::minion::MinionKey;
-use crate::submission::{JobState, Step, Submission, critical_path_ms};
-use crate::task::{Task, TaskState, tasks_of};
+use crate::operator::catalog::Queue;
+use crate::owner::submission::{JobState, Step, Submission, critical_path_ms};
+use crate::owner::task::{Task, TaskState, tasks_of};
+use crate::placement::advice::StepAdvice;
+use crate::placement::capacity_search::SearchState;
 use crate::time::Moment;
 
 /// The divisor of the latency objective that gives the longest wait of a job for its
--- a/crates/bamboocart-jobs/src/job_table.rs
+++ b/crates/bamboocart-jobs/src/owner/job_table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::id::{JobId, OccurrenceRef};
-use crate::job::Job;
+use crate::owner::job::Job;
 
 /// The jobs that have not ended, with an index of those that have a deadline.
 ///
--- a/crates/bamboocart-jobs/src/owner.rs
+++ b/crates/bamboocart-jobs/src/owner/mod.rs
@@ -1,21 +1,31 @@
 //! The owner role of an instance: accepting jobs, answering their requests, and tracking
 //! the placement of their tasks.
 
+pub(crate) mod backlog;
+pub(crate) mod gang;
+pub(crate) mod gone;
+pub(crate) mod job;
+pub(crate) mod job_table;
+pub(crate) mod outcome;
+pub(crate) mod start_backoff;
+pub(crate) mod submission;
+pub(crate) mod task;
+
 use log::{info, warn};
 
-use crate::backlog::Backlog;
 use crate::effect::{Answer, Effect, RequestKey};
 use crate::engine::Engine;
-use crate::gone::RunGone;
+use crate::holder::orders::RejectionCause;
 use crate::id::{JobId, MinionId, OccurrenceRef, RunRef};
-use crate::job::{Job, Rank};
+use crate::membership::peer::PeerKey;
 use crate::message::{EndReport, Message, RunEnd};
-use crate::orders::RejectionCause;
-use crate::peer::PeerKey;
-use crate::start_backoff::StartBackoff;
-use crate::stored::submit_op;
-use crate::submission::{JobState, Submission};
-use crate::task::{AvoidedMinion, Holder, MAX_CRASHES, TaskState};
+use crate::owner::backlog::Backlog;
+use crate::owner::gone::RunGone;
+use crate::owner::job::{Job, Rank};
+use crate::owner::start_backoff::StartBackoff;
+use crate::owner::submission::{JobState, Submission};
+use crate::owner::task::{AvoidedMinion, Holder, MAX_CRASHES, TaskState};
+use crate::shard::stored::submit_op;
 use crate::time::Moment;
 use crate::timing::AVOID_MS;
 
--- a/crates/bamboocart-jobs/src/outcome.rs
+++ b/crates/bamboocart-jobs/src/owner/outcome.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::id::JobId;
-use crate::submission::JobState;
+use crate::owner::submission::JobState;
 use crate::time::Moment;
 use crate::timing::OUTCOME_RETENTION_MS;
 
--- a/crates/bamboocart-jobs/src/start_backoff.rs
+++ b/crates/bamboocart-jobs/src/owner/start_backoff.rs
@@ -4,7 +4,7 @@
 //! say whether it would be repeated: the task is started again without limit, but less and
 //! less often, since other tasks need the minions.
 
-use crate::minion::MinionKey;
+use crate::holder::minion::MinionKey;
 use crate::time::Moment;
 
 /// The first pause, in milliseconds. It doubles with each further answer.
--- a/crates/bamboocart-jobs/src/submission.rs
+++ b/crates/bamboocart-jobs/src/owner/submission.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Queue;
 use crate::effect::RequestKey;
 use crate::id::{JobId, SharedStr};
+use crate::operator::catalog::Queue;
 use crate::resources::Resources;
 
 /// A client's request to run a job.
--- a/crates/bamboocart-jobs/src/task.rs
+++ b/crates/bamboocart-jobs/src/owner/task.rs
@@ -1,11 +1,11 @@
 //! Tasks of a job and the placement of their runs, as seen by the job's owner.
 
-use crate::gone::RunGone;
+use crate::holder::minion::MinionKey;
 use crate::id::{Checkpoint, OccurrenceRef, TaskRef};
-use crate::minion::MinionKey;
-use crate::peer::PeerKey;
-use crate::start_backoff::StartBackoff;
-use crate::submission::Step;
+use crate::membership::peer::PeerKey;
+use crate::owner::gone::RunGone;
+use crate::owner::start_backoff::StartBackoff;
+use crate::owner::submission::Step;
 use crate::time::Moment;
 
 #[derive(Debug, Clone)]
--- a/crates/bamboocart-jobs/src/advice.rs
+++ b/crates/bamboocart-jobs/src/placement/advice.rs
@@ -9,12 +9,12 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 
-use crate::capacity_search::SearchState;
 use crate::effect::Effect;
 use crate::engine::Engine;
+use crate::holder::minion::MinionKey;
 use crate::id::{MinionId, OccurrenceRef, SharedStr};
-use crate::job::Job;
-use crate::minion::MinionKey;
+use crate::owner::job::Job;
+use crate::placement::capacity_search::SearchState;
 use crate::time::Moment;
 
 /// The most minions that one call names; each of them makes the answer slower.
--- a/crates/bamboocart-jobs/src/capacity_search.rs
+++ b/crates/bamboocart-jobs/src/placement/capacity_search.rs
@@ -11,11 +11,11 @@
 use rand::seq::SliceRandom;
 
 use crate::engine::Engine;
+use crate::holder::minion::{Assignee, Minion, MinionKey};
 use crate::id::OccurrenceRef;
-use crate::job::Job;
-use crate::minion::{Assignee, Minion, MinionKey};
-use crate::peer::PeerKey;
-use crate::scheduling::suitability;
+use crate::membership::peer::PeerKey;
+use crate::owner::job::Job;
+use crate::placement::scheduling::suitability;
 use crate::time::Moment;
 
 /// Number of suitable minions of known free capacity that are enough for a task: if all of
--- a/crates/bamboocart-jobs/src/placement.rs
+++ b/crates/bamboocart-jobs/src/placement/mod.rs
@@ -1,15 +1,20 @@
 //! The choice of minions for the waiting tasks of a job.
 
+pub(crate) mod advice;
+pub(crate) mod capacity_query;
+pub(crate) mod capacity_search;
+pub(crate) mod scheduling;
+
 use std::ops::Range;
 
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::job::Job;
-use crate::minion::MinionKey;
-use crate::peer::PeerKey;
+use crate::holder::minion::MinionKey;
+use crate::membership::peer::PeerKey;
+use crate::owner::job::Job;
+use crate::owner::submission::Step;
 use crate::resources::Resources;
-use crate::submission::Step;
 use crate::time::Moment;
 
 /// Relative random variation of the expected run times. Without it, instances that see
--- a/crates/bamboocart-jobs/src/scheduling.rs
+++ b/crates/bamboocart-jobs/src/placement/scheduling.rs
@@ -2,16 +2,16 @@
 
 use log::info;
 
-use crate::assignment::hash;
 use crate::engine::Engine;
-use crate::gone::RunGone;
+use crate::holder::minion::{MinionKey, Minions, RunOwner};
+use crate::holder::orders::RunOrder;
 use crate::id::OccurrenceRef;
-use crate::job::Job;
+use crate::membership::assignment::hash;
 use crate::message::Message;
-use crate::minion::{MinionKey, Minions, RunOwner};
-use crate::orders::RunOrder;
+use crate::owner::gone::RunGone;
+use crate::owner::job::Job;
+use crate::owner::task::{Holder, Placement};
 use crate::placement::{Candidate, CandidateHolder, Choice, Suitability, TaskPlacer};
-use crate::task::{Holder, Placement};
 use crate::time::Moment;
 
 /// Additional time that an order to a peer takes, compared with one to a minion that this
--- a/crates/bamboocart-jobs/src/job_op.rs
+++ b/crates/bamboocart-jobs/src/shard/job_op.rs
@@ -2,11 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Queue;
 use crate::effect::{Answer, RequestKey};
 use crate::id::JobId;
-use crate::peer::PeerKey;
-use crate::submission::NewJob;
+use crate::membership::peer::PeerKey;
+use crate::operator::catalog::Queue;
+use crate::owner::submission::NewJob;
 use crate::time::Moment;
 
 /// An operation on a stored job, which its owner carries out.
--- a/crates/bamboocart-jobs/src/shard.rs
+++ b/crates/bamboocart-jobs/src/shard/mod.rs
@@ -1,20 +1,29 @@
 //! Shards: partitions of the stored jobs, each with its own log and owner.
 
+pub(crate) mod job_op;
+pub(crate) mod ops;
+pub(crate) mod retention;
+pub(crate) mod shard_log;
+pub(crate) mod shard_runs;
+pub(crate) mod stored;
+pub(crate) mod stored_job;
+pub(crate) mod takeover;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::assignment::shard_owner;
 use crate::effect::{LogAppend, LogCallNumber};
 use crate::id::{JobId, RunRef};
-use crate::job_op::{JobOp, Requester};
-use crate::member::Member;
+use crate::membership::assignment::shard_owner;
+use crate::membership::member::Member;
+use crate::membership::peer::PeerKey;
 use crate::message::{EndReport, RunEnd};
-use crate::peer::PeerKey;
-use crate::shard_log::ShardLog;
-use crate::stored_job::{LogRecord, StoredJob};
-use crate::submission::JobState;
-use crate::task::Holder;
+use crate::owner::submission::JobState;
+use crate::owner::task::Holder;
+use crate::shard::job_op::{JobOp, Requester};
+use crate::shard::shard_log::ShardLog;
+use crate::shard::stored_job::{LogRecord, StoredJob};
 use crate::time::Moment;
 use crate::token_bucket::TokenBucket;
 
--- a/crates/bamboocart-jobs/src/ops.rs
+++ b/crates/bamboocart-jobs/src/shard/ops.rs
@@ -5,10 +5,10 @@
 use crate::effect::{Answer, RequestKey};
 use crate::engine::Engine;
 use crate::id::JobId;
-use crate::job::wait_limit_ms;
-use crate::job_op::{JobOp, OpNumber, OpReply, OpenOp, Requester};
 use crate::message::Message;
-use crate::submission::JobState;
+use crate::owner::job::wait_limit_ms;
+use crate::owner::submission::JobState;
+use crate::shard::job_op::{JobOp, OpNumber, OpReply, OpenOp, Requester};
 use crate::time::Moment;
 
 /// Maximum number of operations in progress; further ones are answered as unavailable.
@@ -193,7 +193,7 @@
 
     /// Returns the number of jobs of a queue that have not started, at all instances.
     pub fn pending(&self, queue: &str) -> u64 {
-        let pending = |job: &&crate::job::Job| {
+        let pending = |job: &&crate::owner::job::Job| {
             job.state() == JobState::Pending && *job.queue.name == *queue
         };
         let own = self.jobs.values().filter(pending).count() as u64;
--- a/crates/bamboocart-jobs/src/retention.rs
+++ b/crates/bamboocart-jobs/src/shard/retention.rs
@@ -3,7 +3,7 @@
 use crate::engine::Engine;
 use crate::id::RunRef;
 use crate::shard::ShardId;
-use crate::stored_job::LogRecord;
+use crate::shard::stored_job::LogRecord;
 use crate::time::Moment;
 
 /// How long the outcome of a stored job is kept.
--- a/crates/bamboocart-jobs/src/shard_log.rs
+++ b/crates/bamboocart-jobs/src/shard/shard_log.rs
@@ -2,7 +2,7 @@
 
 use crate::effect::{LogAppend, LogCallNumber};
 use crate::shard::ShardId;
-use crate::stored_job::LogRecord;
+use crate::shard::stored_job::LogRecord;
 use crate::time::Moment;
 
 /// Delay before an append that was refused or not answered is sent again.
--- a/crates/bamboocart-jobs/src/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard/shard_runs.rs
@@ -5,12 +5,12 @@
 use log::warn;
 
 use crate::engine::Engine;
+use crate::holder::minion::{MinionKey, RunOwner};
 use crate::id::RunRef;
+use crate::membership::peer::PeerKey;
 use crate::message::{Message, ShardRun};
-use crate::minion::{MinionKey, RunOwner};
-use crate::peer::PeerKey;
+use crate::owner::task::{Holder, Placement, TaskState};
 use crate::shard::{LostRun, ShardId, Stage};
-use crate::task::{Holder, Placement, TaskState};
 use crate::time::Moment;
 
 impl Engine {
--- a/crates/bamboocart-jobs/src/stored.rs
+++ b/crates/bamboocart-jobs/src/shard/stored.rs
@@ -7,15 +7,15 @@
 
 use crate::effect::Answer;
 use crate::engine::Engine;
-use crate::gone::RunGone;
 use crate::id::{JobId, OccurrenceRef, RunRef};
-use crate::job::Job;
-use crate::job_op::{JobOp, OpReply, Requester};
 use crate::message::{EndReport, Message, RunEnd};
+use crate::owner::gone::RunGone;
+use crate::owner::job::Job;
+use crate::owner::submission::{JobState, NewJob};
+use crate::owner::task::{Holder, Placement, TaskState, tasks_of};
+use crate::shard::job_op::{JobOp, OpReply, Requester};
+use crate::shard::stored_job::{LogRecord, StoredJob};
 use crate::shard::{Reporter, Shard, ShardId, Stage, StoredEntry};
-use crate::stored_job::{LogRecord, StoredJob};
-use crate::submission::{JobState, NewJob};
-use crate::task::{Holder, Placement, TaskState, tasks_of};
 use crate::time::Moment;
 
 /// Maximum number of jobs of a shard that have not ended; further ones are refused.
@@ -490,6 +490,6 @@
     }
 }
 
-pub(crate) fn submit_op(queue: &crate::catalog::Queue, job: NewJob) -> JobOp {
+pub(crate) fn submit_op(queue: &crate::operator::catalog::Queue, job: NewJob) -> JobOp {
     JobOp::Submit { queue: Box::new(queue.clone()), job: Box::new(job) }
 }
--- a/crates/bamboocart-jobs/src/stored_job.rs
+++ b/crates/bamboocart-jobs/src/shard/stored_job.rs
@@ -4,11 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Queue;
 use crate::id::{Checkpoint, JobId, MemberId, RunRef, TaskRef};
 use crate::message::{EndReport, RunEnd};
-use crate::submission::{JobState, NewJob};
-use crate::task::MAX_CRASHES;
+use crate::operator::catalog::Queue;
+use crate::owner::submission::{JobState, NewJob};
+use crate::owner::task::MAX_CRASHES;
 
 /// Number of recent occurrences for which it is kept which runs have done their tasks.
 const DONE_RUNS_OCCURRENCES: u32 = 3;
--- a/crates/bamboocart-jobs/src/takeover.rs
+++ b/crates/bamboocart-jobs/src/shard/takeover.rs
@@ -12,16 +12,16 @@
 
 use crate::effect::{Effect, LogCallNumber, LogRead};
 use crate::engine::Engine;
+use crate::holder::minion::RunOwner;
 use crate::id::{JobId, OccurrenceRef};
+use crate::membership::peer::{Peer, PeerKey};
 use crate::message::Message;
-use crate::minion::RunOwner;
-use crate::peer::{Peer, PeerKey};
+use crate::owner::submission::JobState;
+use crate::shard::shard_log::{AppendAnswer, AppendOutcome, ShardLog};
+use crate::shard::stored_job::LogRecord;
 use crate::shard::{
     Reading, Reconciliation, Shard, ShardId, Stage, StoreLimits, TailCheck,
 };
-use crate::shard_log::{AppendAnswer, AppendOutcome, ShardLog};
-use crate::stored_job::LogRecord;
-use crate::submission::JobState;
 use crate::time::Moment;
 use crate::timing::{LOST_SHARD_STOP_DELAY_MS, RECONCILE_TIMEOUT_MS, RUN_GONE_MS};
 
@@ -345,8 +345,9 @@
     /// queue.
     pub(crate) fn pending_stored(&self) -> Vec<(Box<str>, u64)> {
         let mut pending: Vec<(Box<str>, u64)> = Vec::new();
-        let waits =
-            |job: &&crate::job::Job| job.is_stored() && job.state() == JobState::Pending;
+        let waits = |job: &&crate::owner::job::Job| {
+            job.is_stored() && job.state() == JobState::Pending
+        };
         for job in self.jobs.values().filter(waits) {
             let name = &job.queue.name;
             match pending.iter_mut().find(|(queue, _)| queue == name) {
