Start no runs in failure domains that operators have evacuated

The operators' topic now gives configurations and evacuations in one page. A holder offers no capacity in an evacuated domain, rejects orders of peers there and repeats no unanswered start; an owner chooses no minion there. The newest offset decides, and peers tell each other, for an instance that the store turns away or that restarts without it. Jobs whose whole service is evacuated are refused at once. A record with an odd value is in force, with a warning.

--- a/crates/bamboocart-dispatcher/src/site/metrics_page.rs
+++ b/crates/bamboocart-dispatcher/src/site/metrics_page.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use bamboocart_jobs::{Answer, HoldAnswer, JobState, StartAnswer};
+use bamboocart_jobs::{Answer, EvacuationStatus, HoldAnswer, JobState, StartAnswer};
 use bamboocart_telemetry::buffer::LineBuffer;
 use bamboocart_telemetry::job_metrics::{
-    CALL_LABEL, CONFIG_VERSION, FULL_END_LISTS, HELD_MINIONS, JOB_SECONDS, LINES_DROPPED,
-    LISTED_MINIONS, LIVE_PEERS, METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS,
-    OUTCOME_LABEL, QUEUE_LABEL, SEARCHING_JOBS, STALLED_LOGS, UNCONFIRMED_ENDS,
-    WAITING_JOBS,
+    CALL_LABEL, CONFIG_VERSION, DOMAIN_LABEL, EVACUATED_RUNS, EVACUATIONS,
+    FULL_END_LISTS, HELD_MINIONS, JOB_SECONDS, LINES_DROPPED, LISTED_MINIONS, LIVE_PEERS,
+    METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS, OUTCOME_LABEL, QUEUE_LABEL,
+    SEARCHING_JOBS, STALLED_LOGS, UNCONFIRMED_ENDS, WAITING_JOBS,
 };
 use bamboocart_telemetry::metrics::{MetricsError, install};
 use bamboocart_telemetry::recorder::PageRecorder;
@@ -45,6 +45,13 @@
         gauge!(FULL_END_LISTS).set(status.full_lists as f64);
         gauge!(STALLED_LOGS).set(status.stalled_logs as f64);
         gauge!(LINES_DROPPED).set(self.lines.dropped() as f64);
+        let evacuations = driver.read_engine(|engine, _| engine.evacuation_status());
+        for EvacuationStatus { failure_domain, in_force, runs } in evacuations {
+            let label = [(DOMAIN_LABEL, failure_domain.into_string())];
+            let left = if in_force { runs } else { 0 };
+            gauge!(EVACUATIONS, &label).set(f64::from(u8::from(in_force)));
+            gauge!(EVACUATED_RUNS, &label).set(left as f64);
+        }
         self.recorder.render()
     }
 }
--- a/crates/bamboocart-dispatcher/src/site/store.rs
+++ b/crates/bamboocart-dispatcher/src/site/store.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use bamboocart_adapter::{
-    ReadPage, Record, Settings, StoreClient, StoreError, TOPIC_CONFIG, TOPIC_MINIONS,
-    decode_config, decode_entry, decode_key,
+    OperatorError, ReadPage, Record, Settings, StoreClient, StoreError, TOPIC_MINIONS,
+    TOPIC_OPERATORS, check_evacuation_value, decode_entry, decode_key,
+    decode_operator_record,
 };
-use bamboocart_jobs::{Member, MinionChange, MinionId};
+use bamboocart_jobs::{Member, MinionChange, MinionId, OperatorChange, OperatorPage};
 use tokio::time::sleep;
 
 use crate::site::clock;
@@ -37,9 +38,9 @@
 /// a partition, and so is listed, only after earlier owners have joined again.
 const MEMBER_READS_AFTER_CHANGE: u32 = 8;
 
-/// The time that a read of the configuration waits for a change. It bounds how long a
+/// The time that a read of what operators publish waits for a change. It bounds how long a
 /// connection that has gone silent can hide a change.
-const CONFIG_WAIT_MS: u64 = 1_000;
+const OPERATOR_WAIT_MS: u64 = 1_000;
 
 /// The time between two reads of the minion list.
 const MINIONS_INTERVAL: Duration = Duration::from_millis(450);
@@ -50,16 +51,13 @@
 /// The number of different faults of minion entries that are logged.
 const MAX_LOGGED_FAULTS: usize = 200;
 
-/// The key of the configuration in its topic.
-const CONFIG_KEY: &str = "config";
-
 /// Spawns the tasks that watch the store.
 ///
 /// A task retries after an error, so that the instance also starts and serves while the
 /// store is unavailable.
 pub fn spawn_watchers(driver: &Driver, settings: &Settings) {
     let store = StoreClient::new(settings.store);
-    driver.spawn(watch_config(driver.clone(), store.clone()));
+    driver.spawn(watch_operators(driver.clone(), store.clone()));
     driver.spawn(watch_minions(driver.clone(), store.clone()));
     let ttl_ms = MEMBER_TTL_MS.max(settings.min_ttl_ms);
     driver.spawn(maintain_membership(driver.clone(), store, ttl_ms));
@@ -161,21 +159,37 @@
     }
 }
 
-/// Applies each new configuration.
-async fn watch_config(driver: Driver, store: StoreClient) {
-    let mut reader = TopicReader::new(store, TOPIC_CONFIG);
+/// Applies each new configuration, and each change of an evacuation.
+///
+/// All changes of a page take effect together, so that an instance that starts places no
+/// task in a failure domain that is evacuated.
+async fn watch_operators(driver: Driver, store: StoreClient) {
+    let mut reader = TopicReader::new(store, TOPIC_OPERATORS);
     loop {
-        let (page, _) = reader.next(CONFIG_WAIT_MS).await;
-        for record in page.records.iter().filter(|record| record.key == CONFIG_KEY) {
-            match decode_config(&record.value) {
-                Ok(catalog) => {
-                    driver.update_engine(|engine, _| engine.set_catalog(catalog));
-                }
-                Err(error) => {
-                    log::error!(target: "config", error:% = error;
-                        "skipped invalid configuration");
-                }
-            }
+        let (page, complete) = reader.next(OPERATOR_WAIT_MS).await;
+        let changes = page.records.iter().filter_map(decode_operator_change).collect();
+        let next_offset = page.next_offset;
+        let page = OperatorPage { changes, next_offset, complete };
+        driver.update_engine(|engine, now| engine.apply_operator_page(now, page));
+    }
+}
+
+/// Decodes a record of the operators and logs its faults; returns none if it requests
+/// nothing that this program serves.
+fn decode_operator_change(record: &Record) -> Option<OperatorChange> {
+    if let Err(fault) = check_evacuation_value(record) {
+        log::warn!(target: "operator", error:% = fault; "odd value of an evacuation");
+    }
+    match decode_operator_record(record) {
+        Ok(change) => change,
+        Err(error @ OperatorError::Config { .. }) => {
+            log::error!(target: "config", error:% = error;
+                "skipped invalid configuration");
+            None
+        }
+        Err(error @ OperatorError::NoDomain { .. }) => {
+            log::error!(target: "operator", error:% = error; "skipped invalid evacuation");
+            None
         }
     }
 }
--- a/crates/bamboocart-dispatcher/tests/site/main.rs
+++ b/crates/bamboocart-dispatcher/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Tests of instances as separate processes on the stand-in for the users' platform.
 
+mod evacuation;
 mod foreign;
 mod jobs;
 mod links;
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -22,6 +22,7 @@
 use crate::membership::peer::{FrameTimes, PeerKey, Peers, StoreStatus};
 use crate::message::{EndReport, Frame, Message};
 use crate::operator::catalog::Catalog;
+use crate::operator::evacuation::Evacuations;
 use crate::owner::gone::RunGone;
 use crate::owner::job::Rank;
 use crate::owner::job_table::JobTable;
@@ -49,6 +50,8 @@
     /// This instance.
     pub(crate) member: Member,
     pub(crate) catalog: Arc<Catalog>,
+    /// The failure domains that operators have evacuated.
+    pub(crate) evacuations: Evacuations,
     /// Whether the configuration and the minions come from a peer, not from the store.
     pub(crate) state_from_peer: bool,
     pub(crate) minions: Minions,
@@ -130,6 +133,7 @@
         Self {
             member,
             catalog: Arc::default(),
+            evacuations: Evacuations::default(),
             state_from_peer: false,
             minions: Minions::default(),
             peers: Peers::default(),
@@ -212,6 +216,7 @@
         let reports = self.shard_reports_to(peer);
         let incomplete = self.partial_gang_runs_at(peer);
         let cancelled = self.outcomes.cancelled_elsewhere();
+        self.evacuations.note_link();
         if let Some(peer) = self.peers.arena.get_mut(peer) {
             peer.open_link();
             for (run, minion) in moved {
@@ -383,6 +388,7 @@
             }
             Message::Cancel(job) => self.cancel_for_peer(now, job),
             Message::Leaving => self.peer_leaving(peer),
+            Message::Evacuations(notices) => self.evacuations_reported(notices),
         }
     }
 
@@ -515,5 +521,6 @@
         self.place(now);
         self.drive_advice(now);
         self.send_due(now);
+        self.tell_evacuations();
     }
 }
--- a/crates/bamboocart-jobs/src/holder/minion.rs
+++ b/crates/bamboocart-jobs/src/holder/minion.rs
@@ -96,6 +96,8 @@
     pub(crate) unlisted: Option<Moment>,
     /// Since when its newest entry is invalid; none while it is valid.
     pub(crate) invalid_since: Option<Moment>,
+    /// Whether its failure domain is evacuated, so that no run may start on it.
+    pub(crate) evacuated: bool,
     /// The member to which it is assigned.
     pub(crate) assignee: Assignee,
     /// The learned ratio of run time to estimate; a higher one means a slower minion.
@@ -402,6 +404,7 @@
             entry,
             unlisted: None,
             invalid_since: None,
+            evacuated: false,
             assignee: Assignee::Nobody,
             pace: Pace::default(),
             held: None,
@@ -417,9 +420,12 @@
         known.is_some_and(|known| known >= self.entry.incarnation)
     }
 
-    /// Returns whether its newest entry is valid and says that it takes new work.
+    /// Returns whether its newest entry is valid and says that it takes new work, and its
+    /// failure domain is not evacuated.
     pub(crate) fn is_ready(&self) -> bool {
-        self.entry.state == MinionState::Ready && self.invalid_since.is_none()
+        self.entry.state == MinionState::Ready
+            && self.invalid_since.is_none()
+            && !self.evacuated
     }
 
     /// Returns whether the process that the entry names has answered a hold.
--- a/crates/bamboocart-jobs/src/holder/orders.rs
+++ b/crates/bamboocart-jobs/src/holder/orders.rs
@@ -247,6 +247,7 @@
     ) {
         let minion = &mut self.minions.arena[key];
         let present = minion.holds_present_process();
+        let evacuated = minion.evacuated;
         let Some(held) = minion.held.as_mut() else { return };
         let lease_until_ms = held.extend_lease(now).filter(|_| present);
         let Some(entry) = held.runs.get_mut(&run) else { return };
@@ -256,7 +257,7 @@
         };
         // Without a repeat, the lists of the minion tell whether the run has begun, and
         // its order expires if it has not.
-        if !self.retry_budget.take() {
+        if evacuated || !self.retry_budget.take() {
             return;
         }
         entry.retried = true;
@@ -341,9 +342,9 @@
 
     /// Starts a run on a minion.
     ///
-    /// Returns false if the minion is not held, its clock is not known yet, its lease must
-    /// not be extended, its list of ends may become full, or a run of the task is already on
-    /// it.
+    /// Returns false if the minion is not held, its failure domain is evacuated, its clock is
+    /// not known yet, its lease must not be extended, its list of ends may become full, or a
+    /// run of the task is already on it.
     pub(crate) fn start_run(
         &mut self,
         now: Moment,
@@ -352,8 +353,9 @@
         owner: RunOwner,
     ) -> bool {
         let minion = &mut self.minions.arena[key];
+        let evacuated = minion.evacuated;
         let Some(held) = minion.held.as_mut() else { return false };
-        if held.has_run_of(order.run.task) || held.is_list_full() {
+        if evacuated || held.has_run_of(order.run.task) || held.is_list_full() {
             return false;
         }
         let Some(lease_until_ms) = held.extend_lease(now) else { return false };
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -49,6 +49,9 @@
 pub use self::membership::peer::PeerKey;
 pub use self::message::{CapacityReport, EndReport, Frame, Message, RunEnd, ShardRun};
 pub use self::operator::catalog::{Catalog, Queue, Service, WireLimits};
+pub use self::operator::evacuation::{
+    EvacuationNotice, EvacuationRequest, EvacuationStatus, OperatorChange, OperatorPage,
+};
 pub use self::owner::submission::{JobState, NewJob, Repeat, Step, Submission};
 pub use self::placement::advice::{
     AdviceAnswer, AdviceNumber, AdviceOrder, AdviceRules, StepRef,
--- a/crates/bamboocart-jobs/src/membership/minion_list.rs
+++ b/crates/bamboocart-jobs/src/membership/minion_list.rs
@@ -60,7 +60,9 @@
     fn list_minion(&mut self, now: Moment, entry: MinionEntry) {
         let Some(&key) = self.minions.by_id.get(&entry.id) else {
             let id = entry.id.clone();
-            let key = self.minions.arena.insert(Minion::new(entry));
+            let evacuated = self.evacuations.is_in_force(&entry.failure_domain);
+            let minion = Minion { evacuated, ..Minion::new(entry) };
+            let key = self.minions.arena.insert(minion);
             self.minions.by_id.insert(id, key);
             return;
         };
@@ -74,6 +76,7 @@
             info!(target: "minion", minion:% = entry.id, state:? = entry.state;
                 "minion changed its state");
         }
+        minion.evacuated = self.evacuations.is_in_force(&entry.failure_domain);
         minion.entry = entry;
         minion.unlisted = None;
         minion.invalid_since = None;
--- a/crates/bamboocart-jobs/src/membership/mod.rs
+++ b/crates/bamboocart-jobs/src/membership/mod.rs
@@ -147,6 +147,7 @@
         self.note_engaged();
         self.assign(now);
         self.review_shards(now);
+        self.log_empty_domains();
         self.report_pending(now);
     }
 
--- a/crates/bamboocart-jobs/src/membership/peer.rs
+++ b/crates/bamboocart-jobs/src/membership/peer.rs
@@ -9,6 +9,7 @@
 use crate::id::{MemberId, MinionId, RunRef};
 use crate::membership::member::Member;
 use crate::message::{CapacityReport, Frame, Message};
+use crate::operator::evacuation::EvacuationNotice;
 use crate::placement::capacity_query::CapacityQuery;
 use crate::resources::Resources;
 use crate::time::Moment;
@@ -62,6 +63,8 @@
     pub(crate) shares_runs: bool,
     /// Whether a link to it is open; messages are queued until one is.
     link_open: bool,
+    /// The revision of the notices of evacuations that it was told on this link; 0 if none.
+    told_evacuations: u64,
     /// When the last frame from it arrived.
     pub(crate) last_frame_at: Option<Moment>,
     /// Send time of its last frame, on its clock.
@@ -160,6 +163,7 @@
             state_sent: None,
             shares_runs: false,
             link_open: false,
+            told_evacuations: 0,
             last_frame_at: None,
             last_frame_sent_ms: 0,
             orders_after_ms: 0,
@@ -257,6 +261,19 @@
         self.outbox.push(message);
     }
 
+    /// Queues the notices of evacuations unless it was told this revision of them on its
+    /// link.
+    pub(crate) fn tell_evacuations(
+        &mut self,
+        revision: u64,
+        notices: &[EvacuationNotice],
+    ) {
+        if self.link_open && self.told_evacuations < revision {
+            self.told_evacuations = revision;
+            self.push_required(Message::Evacuations(notices.to_vec()));
+        }
+    }
+
     /// Returns the send time that the next frame to it states, if it is sent now.
     ///
     /// No two frames state the same time, so an echo tells exactly which of them the peer
@@ -371,6 +388,7 @@
     /// Records that a link was opened, on which the peer is told all of its runs.
     pub(crate) fn open_link(&mut self) {
         self.link_open = true;
+        self.told_evacuations = 0;
         self.orders_after_ms = self.last_frame_sent_ms;
         self.report_due = true;
         self.reported_capacity = None;
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -10,6 +10,7 @@
 use crate::holder::orders::{RejectionCause, RunOrder};
 use crate::id::{Checkpoint, JobId, MinionId, RunRef, SharedStr};
 use crate::operator::catalog::Catalog;
+use crate::operator::evacuation::EvacuationNotice;
 use crate::resources::Resources;
 use crate::shard::ShardId;
 use crate::shard::job_op::{JobOp, OpNumber, OpReply};
@@ -166,6 +167,11 @@
         /// The run and what is needed to start it; its task description is empty.
         order: Box<RunOrder>,
     },
+    /// Passes on what operators have requested about the evacuation of failure domains.
+    ///
+    /// Sent only once there was such a request, since instances of earlier versions cannot
+    /// decode it.
+    Evacuations(Vec<EvacuationNotice>),
 }
 
 impl Frame {
@@ -226,6 +232,7 @@
             Self::HeldRuns(_) | Self::WantedRuns(_) => "message-run-list",
             Self::Cancel(_) => "message-cancel",
             Self::StateTransfer { .. } => "message-state",
+            Self::Evacuations(_) => "message-evacuations",
             Self::Leaving | Self::Released(_) => "message-released",
             Self::Adopted { .. } | Self::Claimed { .. } => "message-adoption",
         }
--- a/crates/bamboocart-jobs/src/operator/mod.rs
+++ b/crates/bamboocart-jobs/src/operator/mod.rs
@@ -1,3 +1,4 @@
 //! What operators have published.
 
 pub(crate) mod catalog;
+pub(crate) mod evacuation;
--- a/crates/bamboocart-jobs/src/owner/mod.rs
+++ b/crates/bamboocart-jobs/src/owner/mod.rs
@@ -61,6 +61,13 @@
             self.job_of_request.insert(request, id.into());
             return;
         }
+        if self.is_service_evacuated(&submission.queue.service) {
+            let reason = "all failure domains of the service are evacuated";
+            info!(target: "job", request_id:% = id, reason; "job refused");
+            let backlog = Backlog::of(self.jobs.values(), self.pace.ratio());
+            let retry_after_s = backlog.retry_after_s(&mut self.rng);
+            return self.answer(request, Answer::Refused { retry_after_s });
+        }
         if self.jobs.len() >= MAX_JOBS {
             let reason = "too many jobs";
             warn!(target: "job", request_id:% = id, reason; "job refused");
--- a/crates/bamboocart-jobs/src/placement/scheduling.rs
+++ b/crates/bamboocart-jobs/src/placement/scheduling.rs
@@ -212,11 +212,13 @@
     task: usize,
     key: MinionKey,
 ) -> Option<Suitability> {
-    let entry = &minions.arena.get(key)?.entry;
+    let minion = minions.arena.get(key)?;
+    let entry = &minion.entry;
     let step = job.step_of(task);
     let label = step.required_label.as_ref();
     let allowed = job.queue.advice.is_none() || job.ticket(task, key, now).is_some();
     let usable = allowed
+        && !minion.evacuated
         && entry.service == job.queue.service
         && !job.tasks[task].avoids(key, now)
         && job.tasks[task].backoff.allows(key, now)
--- a/crates/bamboocart-jobs/tests/support/mod.rs
+++ b/crates/bamboocart-jobs/tests/support/mod.rs
@@ -16,6 +16,11 @@
 /// The id of the jobs that [`submission`] creates.
 pub const JOB: &str = "00000000000000aa";
 
+/// Returns the time at which the tests of single engines begin.
+pub fn site_start() -> Moment {
+    Moment(10_000)
+}
+
 /// Returns the first incarnation of an instance.
 pub fn member(name: &str, failure_domain: &str) -> Member {
     Member {
--- a/crates/bamboocart-jobs/tests/support/site.rs
+++ b/crates/bamboocart-jobs/tests/support/site.rs
@@ -30,6 +30,8 @@
     /// The minion that the advice service allows for all steps, if any.
     pub advised: Option<MinionId>,
     members: Vec<Member>,
+    /// The platform's list of minions.
+    entries: Vec<MinionEntry>,
     minions: BTreeMap<MinionId, Minion>,
     /// The frames under way, with the numbers of their sender and their receiver.
     in_flight: Vec<(usize, usize, Frame)>,
@@ -87,6 +89,7 @@
             engine.joined(now);
             engines.push(engine);
         }
+        let entries = minions.clone();
         let ids = minions.into_iter().map(|entry| (entry.id, Minion::default()));
         let mut site = Self {
             frames: vec![0; engines.len()],
@@ -97,6 +100,7 @@
             run_ms: 200,
             advised: None,
             members,
+            entries,
             minions: ids.collect(),
             in_flight: Vec::new(),
             logs: BTreeMap::new(),
@@ -128,6 +132,21 @@
         self.engines[from].link_lost(self.now, peer);
     }
 
+    /// Ends the process of an instance and starts it again; its links are opened anew.
+    pub fn restart(&mut self, instance: usize) {
+        self.in_flight.retain(|(from, to, _)| *from != instance && *to != instance);
+        let mut engine = Engine::new(self.members[instance].clone(), self.now.0);
+        engine.update_minions(self.now, self.entries.clone());
+        engine.set_members(self.now, 1, &self.members);
+        engine.joined(self.now);
+        self.engines[instance] = engine;
+        for other in (0..self.engines.len()).filter(|&other| other != instance) {
+            self.close_link(other, instance);
+            self.open_link(instance, other);
+            self.open_link(other, instance);
+        }
+    }
+
     /// Submits a job to an instance.
     pub fn submit(&mut self, to: usize, submission: Submission) {
         self.engines[to].submit(self.now, submission);
--- a/crates/bamboocart-telemetry/src/job_metrics.rs
+++ b/crates/bamboocart-telemetry/src/job_metrics.rs
@@ -72,6 +72,17 @@
 /// The number of owned shards whose log takes no records.
 pub const STALLED_LOGS: &str = "bamboocart_stalled_logs";
 
+/// Whether the evacuation of a failure domain is in force (1) or was taken back (0), by
+/// failure domain. Domains that were never evacuated are left out.
+pub const EVACUATIONS: &str = "bamboocart_evacuations";
+
+/// The number of runs that are left on minions of an evacuated failure domain that this
+/// instance holds, by failure domain.
+pub const EVACUATED_RUNS: &str = "bamboocart_evacuated_runs";
+
+/// The label with the name of a failure domain.
+pub const DOMAIN_LABEL: &str = "failure_domain";
+
 /// The number of log lines dropped because the buffer was full.
 pub const LINES_DROPPED: &str = "bamboocart_log_lines_dropped";
 
@@ -94,6 +105,8 @@
     gauge(UNCONFIRMED_ENDS, "Ends on the lists of held minions without confirmation."),
     gauge(FULL_END_LISTS, "Held minions without starts because their list is full."),
     gauge(STALLED_LOGS, "Owned shards whose log takes no records."),
+    gauge(EVACUATIONS, "Whether the evacuation of a failure domain is in force."),
+    gauge(EVACUATED_RUNS, "Runs that are left in an evacuated failure domain."),
     gauge(LINES_DROPPED, "Log lines that were dropped."),
 ];
 
