Emulate evacuations, cold minions and a cut between two failure domains

The emulator could not show a start in an evacuated failure domain. It has a log of the operators now, which instances read when the store serves them, and its rules know the bound of 5 s. Late orders do not count, as on the platform.

--- a/crates/bamboocart-emulator/src/fault.rs
+++ b/crates/bamboocart-emulator/src/fault.rs
@@ -84,6 +84,29 @@
         /// The index of the failure domain.
         domain: usize,
     },
+    /// Two failure domains can't reach each other, while all others reach both.
+    CutBridge {
+        /// The start, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// The index of one failure domain.
+        domain: usize,
+        /// The index of the other one.
+        other: usize,
+    },
+    /// Operators evacuate a failure domain, and take it back at the end.
+    Evacuate {
+        /// The start, in milliseconds after clients begin to send jobs.
+        at_ms: u64,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// The index of the failure domain.
+        domain: usize,
+        /// The factor on the run times of tasks that start there in the first seconds after
+        /// the end, as the minions have become cold; 1 if they are warm.
+        cold_factor: f64,
+    },
     /// The store does not answer, and no instance learns of group changes.
     #[serde(rename = "store_away")]
     StoreUnavailable {
@@ -333,6 +356,8 @@
             | Self::StallingLoops { at_ms, .. }
             | Self::SlowLoops { at_ms, .. }
             | Self::PartitionDomain { at_ms, .. }
+            | Self::CutBridge { at_ms, .. }
+            | Self::Evacuate { at_ms, .. }
             | Self::StoreUnavailable { at_ms, .. }
             | Self::StoreRefuses { at_ms, .. }
             | Self::LostAppendAnswers { at_ms, .. }
--- a/crates/bamboocart-emulator/src/invariants.rs
+++ b/crates/bamboocart-emulator/src/invariants.rs
@@ -21,6 +21,9 @@
 /// The time after which every instance has to know an accepted job.
 const VISIBLE_US: u64 = 3_000_000;
 
+/// The time after which no run may start in an evacuated failure domain.
+const EVACUATE_US: u64 = 5_000_000;
+
 /// Observes events and records each violation of an invariant.
 #[derive(Debug, Default)]
 pub(crate) struct InvariantChecker {
@@ -44,6 +47,8 @@
     crashes: HashMap<TaskRef, u64>,
     /// The number of starts of each task after [`CRASH_LIMIT`] crashes.
     starts_after_crashes: HashMap<TaskRef, u64>,
+    /// When the evacuations in force were acknowledged, by the index of the failure domain.
+    evacuated_us: HashMap<usize, u64>,
     /// The violations in the order in which they occurred.
     pub(crate) violations: Vec<String>,
 }
@@ -97,6 +102,29 @@
         self.violations.push(violation);
     }
 
+    /// Records that the store has acknowledged the evacuation of a failure domain.
+    pub(crate) fn note_evacuated(&mut self, now_us: u64, domain: usize) {
+        self.evacuated_us.insert(domain, now_us);
+    }
+
+    /// Records that a failure domain was taken back.
+    pub(crate) fn note_taken_back(&mut self, domain: usize) {
+        self.evacuated_us.remove(&domain);
+    }
+
+    /// Records the failure domain in which a run was started, by an order that came in time.
+    /// It must not have been evacuated for longer than [`EVACUATE_US`].
+    pub(crate) fn note_domain(&mut self, now_us: u64, run: RunRef, domain: usize) {
+        let acknowledged_us = self.evacuated_us.get(&domain);
+        if acknowledged_us.is_some_and(|&at_us| now_us > at_us + EVACUATE_US) {
+            let at_ms = now_us / 1_000;
+            self.violations.push(format!(
+                "{at_ms} ms: {} starts in an evacuated failure domain",
+                run.task
+            ));
+        }
+    }
+
     /// Records that a run is no longer active.
     pub(crate) fn note_inactive(&mut self, run: RunRef, minion: usize) {
         if let Some(active) = self.active.get_mut(&run.task) {
--- a/crates/bamboocart-emulator/src/minion.rs
+++ b/crates/bamboocart-emulator/src/minion.rs
@@ -23,6 +23,10 @@
     pub(crate) pace: f64,
     /// An additional factor on run times, 1 unless a fault slows the minion down.
     pub(crate) slow_factor: f64,
+    /// The factor on the run times of tasks that start while the minion is cold.
+    pub(crate) cold_factor: f64,
+    /// Until when it is cold, in virtual time.
+    pub(crate) cold_until_us: u64,
     /// Whether tasks that start now never end.
     pub(crate) hangs: bool,
     /// Whether tasks that start now fail.
@@ -110,6 +114,8 @@
             cpu_millicores,
             pace,
             slow_factor: 1.0,
+            cold_factor: 1.0,
+            cold_until_us: 0,
             hangs: false,
             fails: false,
             shed_share: 0.0,
@@ -127,6 +133,13 @@
         }
     }
 
+    /// Returns the factor on the run time of a task that starts now.
+    pub(crate) fn run_factor(&self, now_us: u64) -> f64 {
+        let cold_factor =
+            if now_us < self.cold_until_us { self.cold_factor } else { 1.0 };
+        self.pace * self.slow_factor * cold_factor
+    }
+
     /// Returns the minion's steady clock.
     pub(crate) fn clock_ms(&self, now_us: u64) -> u64 {
         (now_us - self.process_start_us) / 1_000 * self.clock_percent / 100 + 1
--- a/crates/bamboocart-emulator/src/simulation.rs
+++ b/crates/bamboocart-emulator/src/simulation.rs
@@ -8,6 +8,7 @@
 mod instances;
 mod links;
 mod logs;
+mod operators;
 mod rejections;
 mod restarts;
 mod stalls;
@@ -18,10 +19,10 @@
 use std::sync::Arc;
 
 use bamboocart_jobs::{
-    Answer, AppendAnswer, Engine, Frame, HoldAnswer, HoldNumber, HoldOrder, JobId,
-    LogAppend, LogCallNumber, LogPage, LogRead, Member, MinionEntry, MinionId, MinionKey,
-    Moment, PeerKey, Queue, RequestKey, Resources, RunEnd, RunRef, ShardId, StartAnswer,
-    StartOrder, StopOrder,
+    Answer, AppendAnswer, Engine, EvacuationNotice, Frame, HoldAnswer, HoldNumber,
+    HoldOrder, JobId, LogAppend, LogCallNumber, LogPage, LogRead, Member, MinionEntry,
+    MinionId, MinionKey, Moment, PeerKey, Queue, RequestKey, Resources, RunEnd, RunRef,
+    ShardId, StartAnswer, StartOrder, StopOrder,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -84,6 +85,9 @@
 /// The standard deviation of the logarithm of the error in run time estimates.
 const ESTIMATE_LOG_STD_DEV: f64 = 0.35;
 
+/// How long minions are cold after their failure domain was taken back.
+const COLD_US: u64 = 3_000_000;
+
 /// The time before clients start to send, in which the instances come up.
 const WARM_UP_US: u64 = 3_000_000;
 
@@ -198,6 +202,8 @@
     MinionListed(Box<MinionEntry>),
     /// The members of a generation of the group.
     Members(u64, Vec<Member>),
+    /// Operators have requested or taken back evacuations.
+    Operators(Vec<EvacuationNotice>),
     LinkLost(PeerKey),
     StartAnswered(MinionKey, u64, RunRef, StartAnswer),
     StopAnswered(MinionKey, u64, RunRef, StartAnswer),
@@ -216,6 +222,8 @@
     expires_us: u64,
     /// Whether the caller still waits for the answer; it does not if the order is late.
     awaits_answer: bool,
+    /// Whether the minion carries the order out seconds after it was sent.
+    late: bool,
 }
 
 /// An order to a minion.
@@ -244,6 +252,8 @@
     paused: bool,
     /// Whether the store turns it away.
     refused_by_store: bool,
+    /// The number of records of the operators' log that it has read.
+    operator_offset: usize,
     incarnation: u64,
     /// The offset of its steady clock from virtual time.
     clock_offset_ms: u64,
@@ -334,7 +344,11 @@
     /// The share of appends whose answers are lost.
     lost_append_share: f64,
     logs: ShardLogs,
+    /// What operators have requested, in the order of the offsets.
+    operator_log: Vec<EvacuationNotice>,
     partitioned_domain: Option<usize>,
+    /// The two failure domains that can't reach each other, though they reach all others.
+    cut_bridge: Option<(usize, usize)>,
     /// Whether links drop all frames.
     links_silent: bool,
     /// The share of frames that are dropped because the queue of their link is full.
@@ -375,7 +389,9 @@
             store_available: true,
             lost_append_share: 0.0,
             logs: ShardLogs::default(),
+            operator_log: Vec::new(),
             partitioned_domain: None,
+            cut_bridge: None,
             links_silent: false,
             dropped_frame_share: 0.0,
             late_order_share: 0.0,
@@ -424,6 +440,7 @@
             up: false,
             paused: false,
             refused_by_store: false,
+            operator_offset: 0,
             incarnation: 0,
             clock_offset_ms,
             inbox: VecDeque::new(),
@@ -544,8 +561,11 @@
 
     /// Returns the delay between two failure domains, or `None` if they are partitioned.
     fn path_delay_us(&self, from: usize, to: usize) -> Option<u64> {
+        let bridge =
+            |(one, other)| (from, to) == (one, other) || (from, to) == (other, one);
         let is_cut =
-            self.partitioned_domain.is_some_and(|cut| (from == cut) != (to == cut));
+            self.partitioned_domain.is_some_and(|cut| (from == cut) != (to == cut))
+                || self.cut_bridge.is_some_and(bridge);
         let delay =
             if from == to { LOCAL_DELAY_US } else { self.scenario.domain_delay_us };
         (!is_cut).then_some(delay)
--- a/crates/bamboocart-emulator/src/simulation/calls.rs
+++ b/crates/bamboocart-emulator/src/simulation/calls.rs
@@ -55,6 +55,7 @@
             order,
             expires_us,
             awaits_answer,
+            late,
         };
         self.schedule(delay_us, Event::MinionCall(call));
     }
@@ -83,7 +84,7 @@
         }
         match &call.order {
             Order::Start(order) => {
-                let answer = self.start_run(minion, order);
+                let answer = self.start_run(minion, order, call.late);
                 self.trace_lease(&call, "start arrived");
                 let (key, token) = (order.target.minion, order.target.fencing_token);
                 self.answer_call(
@@ -145,8 +146,14 @@
         }
     }
 
-    /// Starts a run on a minion, and schedules its end unless the minion hangs.
-    pub(super) fn start_run(&mut self, minion: usize, order: &StartOrder) -> StartAnswer {
+    /// Starts a run on a minion, and schedules its end unless the minion hangs. A `late` order
+    /// is one that the minion carries out seconds after it was sent.
+    pub(super) fn start_run(
+        &mut self,
+        minion: usize,
+        order: &StartOrder,
+        late: bool,
+    ) -> StartAnswer {
         let Some(&job) = self.job_indices.get(&order.run.task.job) else {
             self.checker.note_start(self.now_us, order.run, minion);
             return StartAnswer::Invalid;
@@ -158,7 +165,7 @@
         let entry = &mut self.minions[minion];
         let known =
             entry.hold_reply(self.now_us).active.iter().any(|r| r.run == order.run);
-        let run_us = (run_ms * entry.pace * entry.slow_factor * 1_000.0) as u64;
+        let run_us = (run_ms * entry.run_factor(self.now_us) * 1_000.0) as u64;
         let run_us = (!entry.hangs).then_some(run_us);
         let answer = entry.start(
             self.now_us,
@@ -174,6 +181,9 @@
                     "run started");
                 self.checker.note_start(self.now_us, order.run, minion);
                 let entry = &self.minions[minion];
+                if !late {
+                    self.checker.note_domain(self.now_us, order.run, entry.domain);
+                }
                 if rack.is_some_and(|rack| rack != entry.rack) {
                     self.checker.note_wrong_label(self.now_us, order.run);
                 }
--- a/crates/bamboocart-emulator/src/simulation/faults.rs
+++ b/crates/bamboocart-emulator/src/simulation/faults.rs
@@ -1,11 +1,11 @@
 //! Fault injection: the start and the end of each fault.
 
-use bamboocart_jobs::PeerKey;
+use bamboocart_jobs::{EvacuationRequest, PeerKey};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
 use super::call_delays::CallDelays;
-use super::{Event, MEMBER_TTL_US, Simulation};
+use super::{COLD_US, Event, MEMBER_TTL_US, Simulation};
 use crate::fault::Fault;
 
 impl Simulation<'_> {
@@ -51,6 +51,14 @@
                 self.partitioned_domain = Some(domain);
                 length_ms = for_ms;
             }
+            Fault::CutBridge { for_ms, domain, other, .. } => {
+                self.cut_bridge = Some((domain, other));
+                length_ms = for_ms;
+            }
+            Fault::Evacuate { for_ms, domain, .. } => {
+                self.request(domain, EvacuationRequest::Evacuate);
+                length_ms = for_ms;
+            }
             Fault::StoreUnavailable { for_ms, .. } => {
                 self.store_available = false;
                 length_ms = for_ms;
@@ -144,6 +152,15 @@
         }
     }
 
+    /// Makes the minions of a failure domain cold: tasks that start there soon take longer.
+    fn cool_minions(&mut self, domain: usize, factor: f64) {
+        let cold_until_us = self.now_us + COLD_US;
+        let minions = self.minions.iter_mut().filter(|minion| minion.domain == domain);
+        for minion in minions.filter(|_| factor > 1.0) {
+            (minion.cold_factor, minion.cold_until_us) = (factor, cold_until_us);
+        }
+    }
+
     /// Closes all links between instances.
     pub(super) fn reset_links(&mut self) {
         for instance in 0..self.instances.len() {
@@ -183,6 +200,11 @@
                 }
             }
             Fault::PartitionDomain { .. } => self.partitioned_domain = None,
+            Fault::CutBridge { .. } => self.cut_bridge = None,
+            Fault::Evacuate { domain, cold_factor, .. } => {
+                self.request(domain, EvacuationRequest::TakeBack);
+                self.cool_minions(domain, cold_factor);
+            }
             Fault::StoreUnavailable { .. } => {
                 self.store_available = true;
                 self.schedule_group_change(20_000);
--- a/crates/bamboocart-emulator/src/simulation/instances.rs
+++ b/crates/bamboocart-emulator/src/simulation/instances.rs
@@ -74,6 +74,9 @@
             Input::Members(generation, members) => {
                 engine.set_members(now, generation, &members);
             }
+            Input::Operators(notices) => {
+                engine.apply_operator_page(now, Self::operator_page(notices));
+            }
             Input::LinkLost(peer) => engine.link_lost(now, peer),
             Input::StartAnswered(key, token, run, answer) => {
                 engine.start_answered(now, key, token, run, answer);
@@ -270,6 +273,10 @@
         debug!("instance started");
         let now = self.steady_clock(instance);
         self.instances[instance].engine.update_minions(now, entries);
+        self.instances[instance].operator_offset = 0;
+        if self.store_available && !self.instances[instance].refused_by_store {
+            self.read_operator_log(instance);
+        }
         self.process_effects(instance);
     }
 
@@ -301,6 +308,7 @@
             if served && responds {
                 let now = self.steady_clock(instance);
                 self.instances[instance].engine.joined(now);
+                self.read_operator_log(instance);
             }
         }
         self.schedule(JOIN_INTERVAL_US, Event::JoinGroup);
--- a/crates/bamboocart-emulator/tests/rules.rs
+++ b/crates/bamboocart-emulator/tests/rules.rs
@@ -18,6 +18,7 @@
     late_orders = { include_str!("../days/late-orders.toml") },
     lost_answers = { include_str!("../days/lost-answers.toml") },
     lone_instances = { include_str!("../days/lone-instances.toml") },
+    evacuations = { include_str!("../days/evacuations.toml") },
 )]
 fn rules_hold(scenario: &str) {
     let scenario = Scenario::parse(scenario).unwrap();
