Let operators choose that jobs wait by what it costs callers

While there is too little room, jobs waited by priority and start time alone. Three things cost callers more than needed: the last tasks of a job that had begun came after new jobs, and on slow minions, so that it was late although its room was taken; long tasks of the least urgent jobs took the last room just before an urgent job; and a job without a prospect waited for a quarter of its objective before it was refused.

The policy by-cost (BAMBOOCART_OVERLOAD) lets jobs that have begun come first, keeps them on minions that meet the objective, withholds some room for more urgent jobs for half a second after one of these had to wait, and refuses a job at once if the estimated wait exceeds its limit by half.

--- a/crates/bamboocart-dispatcher/src/site/metrics_page.rs
+++ b/crates/bamboocart-dispatcher/src/site/metrics_page.rs
@@ -7,8 +7,9 @@
 use bamboocart_telemetry::job_metrics::{
     CALL_LABEL, CONFIG_VERSION, DOMAIN_LABEL, EVACUATED_RUNS, EVACUATIONS,
     FULL_END_LISTS, HELD_MINIONS, JOB_SECONDS, LINES_DROPPED, LISTED_MINIONS, LIVE_PEERS,
-    METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS, OUTCOME_LABEL, QUEUE_LABEL,
-    SEARCHING_JOBS, STALLED_LOGS, UNCONFIRMED_ENDS, WAITING_JOBS,
+    METRICS, MINION_CALL_SECONDS, MINION_CALLS, OPEN_JOBS, OUTCOME_LABEL,
+    OVERLOAD_WAIT_MS, PRIORITY_LABEL, QUEUE_LABEL, REFUSED_AFTER_WAIT, REFUSED_AT_ONCE,
+    SEARCHING_JOBS, STALLED_LOGS, UNCONFIRMED_ENDS, WAITING_JOBS, WITHHELD,
 };
 use bamboocart_telemetry::metrics::{MetricsError, install};
 use bamboocart_telemetry::recorder::PageRecorder;
@@ -52,6 +53,13 @@
             gauge!(EVACUATIONS, &label).set(f64::from(u8::from(in_force)));
             gauge!(EVACUATED_RUNS, &label).set(left as f64);
         }
+        for status in driver.read_engine(|engine, _| engine.overload_status()) {
+            let label = [(PRIORITY_LABEL, status.priority.to_string())];
+            gauge!(OVERLOAD_WAIT_MS, &label).set(status.wait_ms as f64);
+            gauge!(REFUSED_AT_ONCE, &label).set(status.refused_at_once as f64);
+            gauge!(REFUSED_AFTER_WAIT, &label).set(status.refused_after_wait as f64);
+            gauge!(WITHHELD, &label).set(status.withheld as f64);
+        }
         self.recorder.render()
     }
 }
--- a/crates/bamboocart-dispatcher/src/site/mod.rs
+++ b/crates/bamboocart-dispatcher/src/site/mod.rs
@@ -22,7 +22,7 @@
 use std::path::{Path, PathBuf};
 
 use bamboocart_adapter::{SETTINGS_VARIABLE, Settings, SettingsError};
-use bamboocart_jobs::Member;
+use bamboocart_jobs::{Member, OverloadPolicy, ParsePolicyError};
 use bamboocart_telemetry::buffer::LineBuffer;
 use bamboocart_telemetry::logs::{self, LogFormat, LogSettings, LogsError};
 use bamboocart_telemetry::metrics::MetricsError;
@@ -39,6 +39,9 @@
 /// A `Result` whose error defaults to [`SiteError`].
 pub type Result<T, E = SiteError> = std::result::Result<T, E>;
 
+/// The environment variable with the name of the overload policy.
+const OVERLOAD_VARIABLE: &str = "BAMBOOCART_OVERLOAD";
+
 /// An error that prevents an instance from starting.
 #[derive(Debug, Snafu)]
 pub enum SiteError {
@@ -62,6 +65,12 @@
         /// All faults of the file.
         source: SettingsError,
     },
+    /// The overload policy does not exist.
+    #[snafu(display("{OVERLOAD_VARIABLE}: {source}"))]
+    Overload {
+        /// The unknown name.
+        source: ParsePolicyError,
+    },
     /// The logger could not be installed.
     #[snafu(display("{source}"))]
     Logs {
@@ -91,6 +100,7 @@
     let path = env::var_os(SETTINGS_VARIABLE).context(NoVariableSnafu)?;
     let path = PathBuf::from(path);
     let settings = read_settings(&path)?;
+    let overload = read_overload_policy()?;
     let lines = output::line_buffer().context(StartSnafu { action: "open the log" })?;
     let log_settings = LogSettings { level: LevelFilter::Info, format: LogFormat::Json };
     logs::install_buffered(log_settings, lines.clone()).context(LogsSnafu)?;
@@ -99,9 +109,9 @@
         .build()
         .context(StartSnafu { action: "start the runtime" })?;
     log::info!(target: "process", instance = settings.node_name.as_str(),
-        settings:% = path.display(); "instance starts");
-    let result =
-        LocalSet::new().block_on(&runtime, serve(&path, settings, lines.clone()));
+        settings:% = path.display(), overload:? = overload; "instance starts");
+    let serve = serve(&path, settings, overload, lines.clone());
+    let result = LocalSet::new().block_on(&runtime, serve);
     log::info!(target: "process", ok = result.is_ok(), dropped_lines = lines.dropped();
         "instance stops");
     output::flush(&lines);
@@ -114,8 +124,21 @@
     text.parse().context(SettingsSnafu)
 }
 
+/// Reads the overload policy from the environment; the default if it is not set.
+fn read_overload_policy() -> Result<OverloadPolicy> {
+    match env::var(OVERLOAD_VARIABLE) {
+        Ok(name) if !name.is_empty() => name.parse().context(OverloadSnafu),
+        Ok(_) | Err(_) => Ok(OverloadPolicy::default()),
+    }
+}
+
 /// Opens the sockets, spawns all tasks and returns after the graceful stop.
-async fn serve(path: &Path, settings: Settings, lines: LineBuffer) -> Result<()> {
+async fn serve(
+    path: &Path,
+    settings: Settings,
+    overload: OverloadPolicy,
+    lines: LineBuffer,
+) -> Result<()> {
     let open = |address, action| links::listen(address).context(StartSnafu { action });
     let peer = open(settings.peer, "listen for peers")?;
     let front = open(settings.front, "listen for clients")?;
@@ -139,6 +162,7 @@
     let page = MetricsPage::install(lines.clone()).context(MetricsSnafu)?;
     let cancel = CancellationToken::new();
     let driver = Driver::new(member, &settings, cancel.clone());
+    driver.update_engine(|engine, _| engine.set_overload_policy(overload));
     driver.spawn(driver.clone().run_timer());
     driver.spawn(driver.clone().check_stored_jobs());
     driver.spawn(output::flush_periodically(lines));
--- a/crates/bamboocart-emulator/src/scenario.rs
+++ b/crates/bamboocart-emulator/src/scenario.rs
@@ -2,6 +2,7 @@
 //!
 //! The command line and the files call a scenario a day, and its faults troubles.
 
+use bamboocart_jobs::{OverloadPolicy, ParsePolicyError};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
@@ -40,6 +41,9 @@
     /// the job again as after any broken connection.
     #[serde(default)]
     pub client_timeouts: bool,
+    /// The name of the overload policy of the instances; that of the engine if it is left out.
+    #[serde(default)]
+    pub overload_policy: Option<String>,
     /// The longest time that a minion takes to end a run after it has accepted the stop,
     /// in milliseconds; each stop takes a drawn time up to it.
     #[serde(default)]
@@ -137,14 +141,31 @@
     ///
     /// Fails on unknown keys, missing keys and values of the wrong type.
     pub fn parse(text: &str) -> Result<Self> {
-        toml::from_str(text).context(ScenarioSnafu)
+        let scenario: Self = toml::from_str(text).context(MalformedSnafu)?;
+        scenario.policy().context(PolicySnafu)?;
+        Ok(scenario)
+    }
+
+    /// Returns the overload policy of the instances.
+    pub(crate) fn policy(&self) -> Result<OverloadPolicy, ParsePolicyError> {
+        let name = self.overload_policy.as_deref();
+        name.map_or(Ok(OverloadPolicy::default()), str::parse)
     }
 }
 
-/// An error in the TOML of a scenario.
+/// An error in a scenario.
 #[derive(Debug, Snafu)]
-#[snafu(display("invalid scenario: {source}; correct the file"))]
-pub struct ScenarioError {
-    /// The position and the reason.
-    source: toml::de::Error,
+pub enum ScenarioError {
+    /// The text is not the TOML of a scenario.
+    #[snafu(display("invalid scenario: {source}; correct the file"))]
+    Malformed {
+        /// The position and the reason.
+        source: toml::de::Error,
+    },
+    /// The overload policy does not exist.
+    #[snafu(display("invalid scenario: {source}"))]
+    Policy {
+        /// The unknown name.
+        source: ParsePolicyError,
+    },
 }
--- a/crates/bamboocart-emulator/src/simulation/instances.rs
+++ b/crates/bamboocart-emulator/src/simulation/instances.rs
@@ -252,6 +252,8 @@
         let now_us = self.now_us;
         let entries = self.minion_entries();
         let catalog = self.catalog();
+        // The name was checked when the scenario was parsed.
+        let policy = self.scenario.policy().unwrap_or_default();
         let domain = self.scenario.domains[self.instances[instance].domain].name.clone();
         let entry = &mut self.instances[instance];
         entry.incarnation += 1;
@@ -264,6 +266,7 @@
         entry.links.clear();
         entry.next_tick_us = u64::MAX;
         entry.engine = Engine::new(entry.member.clone(), now_us ^ instance as u64);
+        entry.engine.set_overload_policy(policy);
         entry.engine.set_catalog(catalog);
         let used = self.scenario.kinds.iter().any(|kind| kind.stored);
         entry.engine.stored_jobs_known(Moment(entry.clock_offset_ms), used);
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -23,6 +23,7 @@
 use crate::message::{EndReport, Frame, Message};
 use crate::operator::catalog::Catalog;
 use crate::operator::evacuation::Evacuations;
+use crate::overload::Overload;
 use crate::owner::gone::RunGone;
 use crate::owner::job::Rank;
 use crate::owner::job_table::JobTable;
@@ -77,6 +78,8 @@
     pub(crate) remote_factor: f64,
     /// The learned ratio of run time to estimate over all tasks.
     pub(crate) pace: Pace,
+    /// What waits and what is turned away while there is too little room.
+    pub(crate) overload: Overload,
     /// The state on which the last review of members and minions was based.
     pub(crate) review: Review,
     /// Whether tasks or free capacity may have been added since tasks were last placed.
@@ -148,6 +151,7 @@
             wall_offset_ms: 0,
             remote_factor: 1.0,
             pace: Pace::default(),
+            overload: Overload::default(),
             review: Review::default(),
             placement_due: false,
             ends_at: None,
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `operator`: what operators have published, such as the configuration.
 //! - `membership`: which instances and minions there are, and who holds which minion.
 //! - `owner`: jobs, their tasks and their answers.
+//! - `overload`: what waits and what is turned away while there is too little room.
 //! - `placement`: which minion runs a waiting task.
 //! - `holder`: the leases and runs on minions.
 //! - `shard`: stored jobs, their logs and their owners.
@@ -23,6 +24,7 @@
 mod membership;
 mod message;
 mod operator;
+pub mod overload;
 mod owner;
 mod placement;
 mod resources;
@@ -52,6 +54,7 @@
 pub use self::operator::evacuation::{
     EvacuationNotice, EvacuationRequest, EvacuationStatus, OperatorChange, OperatorPage,
 };
+pub use self::overload::{OverloadPolicy, OverloadStatus, ParsePolicyError};
 pub use self::owner::submission::{JobState, NewJob, Repeat, Step, Submission};
 pub use self::placement::advice::{
     AdviceAnswer, AdviceNumber, AdviceOrder, AdviceRules, StepRef,
--- a/crates/bamboocart-jobs/src/owner/job.rs
+++ b/crates/bamboocart-jobs/src/owner/job.rs
@@ -7,6 +7,7 @@
 use crate::holder::minion::MinionKey;
 use crate::id::{OccurrenceRef, RunRef, SharedStr, TaskRef};
 use crate::operator::catalog::Queue;
+use crate::overload::OverloadPolicy;
 use crate::owner::submission::{JobState, Step, Submission, critical_path_ms};
 use crate::owner::task::{Task, TaskState, tasks_of};
 use crate::placement::advice::StepAdvice;
@@ -33,6 +34,8 @@
     pub(crate) arrived: Moment,
     /// The latency objective, counted from the arrival.
     pub(crate) objective_ms: u64,
+    /// How the job competes with others for room.
+    pub(crate) policy: OverloadPolicy,
     /// What of the job survives the process of its owner.
     pub(crate) durability: Durability,
     /// Whether the start of a task was requested.
@@ -67,6 +70,8 @@
 pub(crate) struct Rank {
     /// The priority rank of the queue; 0 is the most urgent.
     priority: u8,
+    /// Whether no task has started, if jobs that have begun come first.
+    waits_to_begin: bool,
     /// The time up to which the job may wait for its first start.
     start_by: Moment,
     pub(crate) job: OccurrenceRef,
@@ -78,6 +83,7 @@
     pub(crate) fn best_effort(
         submission: Submission,
         typical_pace: f64,
+        policy: OverloadPolicy,
         now: Moment,
     ) -> Self {
         let Submission { request, queue, job, timeout_ms } = submission;
@@ -90,6 +96,7 @@
             steps: job.steps,
             requests: vec![request],
             arrived: now,
+            policy,
             durability: Durability::BestEffort { deadline: now + timeout_ms },
             start_ordered: false,
             advice: BTreeMap::new(),
@@ -115,6 +122,7 @@
             tasks,
             requests: Vec::new(),
             arrived,
+            policy: OverloadPolicy::default(),
             durability: Durability::Stored { epoch },
             start_ordered: false,
             advice: BTreeMap::new(),
@@ -234,10 +242,36 @@
         Some(if self.start_ordered { deadline } else { deadline.min(objective) })
     }
 
-    /// Returns the job's position in the order of waiting jobs: by priority, then by the
-    /// time up to which they may wait for their first start.
+    /// Returns the time by which a task that is expected to run for `expected_ms` has to end,
+    /// if it is placed now and the job has a deadline.
+    ///
+    /// A job that has begun keeps to its objective for as long as it can still be met:
+    /// waiting for a fast minion then ends it sooner than a slow one.
+    pub(crate) fn place_by(&self, expected_ms: f64, now: Moment) -> Option<Moment> {
+        let objective = self.arrived + self.objective_ms;
+        let keeps = self.policy == OverloadPolicy::ByCost
+            && objective.since(now) as f64 >= expected_ms;
+        self.finish_by().map(|limit| if keeps { limit.min(objective) } else { limit })
+    }
+
+    /// Returns the longest estimate of the tasks of all steps, in milliseconds.
+    pub(crate) fn longest_run_ms(&self) -> f64 {
+        critical_path_ms(&self.steps) as f64
+    }
+
+    /// Returns the job's position in the order of waiting jobs: by priority, then those that
+    /// have begun if the policy says so, then by the time up to which they may wait for their
+    /// first start.
+    ///
+    /// The capacity that a job has taken is lost for others if its last tasks come too late.
     pub(crate) fn rank(&self) -> Rank {
-        Rank { priority: self.queue.priority, start_by: self.start_by(), job: self.id }
+        let begun_first = self.policy == OverloadPolicy::ByCost;
+        Rank {
+            priority: self.queue.priority,
+            waits_to_begin: begun_first && !self.start_ordered,
+            start_by: self.start_by(),
+            job: self.id,
+        }
     }
 
     /// Returns whether any task can be placed.
--- a/crates/bamboocart-jobs/src/owner/mod.rs
+++ b/crates/bamboocart-jobs/src/owner/mod.rs
@@ -73,7 +73,8 @@
             warn!(target: "job", request_id:% = id, reason; "job refused");
             return self.answer(request, Answer::Unavailable);
         }
-        let job = Job::best_effort(submission, self.pace.ratio(), now);
+        let policy = self.overload.policy;
+        let job = Job::best_effort(submission, self.pace.ratio(), policy, now);
         let longest_ms = STOP_DURATION_FACTOR * job.objective_ms;
         if self.ends_at.is_some_and(|end| now + longest_ms > end) {
             warn!(target: "job", request_id:% = id, objective_ms = job.objective_ms,
@@ -84,9 +85,12 @@
             tasks = job.tasks.len(), objective_ms = job.objective_ms,
             config = self.catalog.version; "job accepted");
         self.job_of_request.insert(request, job.id);
+        self.overload.note_arrival(&job, now);
         self.enqueue_job(job.rank());
+        let id = job.id;
         self.jobs.insert(job);
         self.advance(now);
+        self.decide_on_waiting(now, id);
     }
 
     /// Handles the disconnect of the client of a request.
@@ -150,7 +154,7 @@
     }
 
     /// Ends a job: stops its runs and answers its requests.
-    fn end_job(
+    pub(crate) fn end_job(
         &mut self,
         now: Moment,
         id: OccurrenceRef,
@@ -381,6 +385,10 @@
                     self.end_job(now, id, answer, "deadline");
                 }
                 false => {
+                    if let Some(job) = self.jobs.get(&id) {
+                        let priority = job.queue.priority;
+                        self.overload.status_of(priority).refused_after_wait += 1;
+                    }
                     let retry_after_s = backlog.retry_after_s(&mut self.rng);
                     let answer = Answer::Refused { retry_after_s };
                     self.end_job(now, id, Some(answer), "no room in time");
--- a/crates/bamboocart-jobs/src/placement/mod.rs
+++ b/crates/bamboocart-jobs/src/placement/mod.rs
@@ -83,6 +83,8 @@
     /// The source of the random variation.
     pub(crate) rng: &'a mut SmallRng,
     pub(crate) now: Moment,
+    /// The usual ratio of run time to estimate.
+    pub(crate) typical_pace: f64,
 }
 
 impl<F: Fn(&Job, usize, MinionKey) -> Option<Suitability>> TaskPlacer<'_, F> {
@@ -174,7 +176,9 @@
         rack: Option<u64>,
         chosen: &[Choice],
     ) -> Option<Choice> {
-        let left_ms = self.job.finish_by().map(|limit| limit.since(self.now) as f64);
+        let expected_ms = step.estimate_ms as f64 * self.typical_pace;
+        let limit = self.job.place_by(expected_ms, self.now);
+        let left_ms = limit.map(|limit| limit.since(self.now) as f64);
         let mut best: Option<(Choice, f64)> = None;
         for position in 0..self.candidates.len() {
             let candidate = &self.candidates[position];
--- a/crates/bamboocart-jobs/src/placement/scheduling.rs
+++ b/crates/bamboocart-jobs/src/placement/scheduling.rs
@@ -9,7 +9,7 @@
 use crate::membership::assignment::hash;
 use crate::message::Message;
 use crate::owner::gone::RunGone;
-use crate::owner::job::Job;
+use crate::owner::job::{Job, Rank};
 use crate::owner::task::{Holder, Placement};
 use crate::placement::{Candidate, CandidateHolder, Choice, Suitability, TaskPlacer};
 use crate::time::Moment;
@@ -30,7 +30,10 @@
     /// Places waiting tasks in the order of their jobs, if tasks or capacity have been
     /// added since the last pass.
     pub(crate) fn place(&mut self, now: Moment) {
-        if self.waiting.is_empty() || !self.placement_due {
+        if self.waiting.is_empty() {
+            return self.overload.drain.note_pass(0, false, now);
+        }
+        if !self.placement_due {
             return;
         }
         let mut candidates = self.candidates(now);
@@ -39,20 +42,22 @@
         let ready =
             ready.filter(|id| !self.jobs.get(id).is_some_and(|it| it.is_paused(now)));
         let order: Vec<OccurrenceRef> = ready.take(MAX_JOBS_PER_PASS).collect();
-        let mut unplaced_in_row = 0;
+        let (mut placed_tasks, mut unplaced_in_row) = (0, 0);
         for &id in &order {
             if candidates.is_empty() || unplaced_in_row >= MAX_UNPLACED_IN_ROW {
                 break;
             }
             let placed = self.place_job(now, id, &mut candidates);
-            unplaced_in_row = if placed { 0 } else { unplaced_in_row + 1 };
+            placed_tasks += placed;
+            unplaced_in_row = if placed > 0 { 0 } else { unplaced_in_row + 1 };
         }
+        self.overload.drain.note_pass(placed_tasks, !self.waiting.is_empty(), now);
         self.search_capacity(now, &order);
         self.placement_due = false;
     }
 
-    /// Places as many waiting tasks of a job as the free capacity allows, and returns
-    /// whether any was placed.
+    /// Places as many waiting tasks of a job as the free capacity allows, and returns their
+    /// number.
     ///
     /// More urgent jobs come first, so that the remaining tasks of a wide job get the
     /// next free capacity.
@@ -61,14 +66,22 @@
         now: Moment,
         id: OccurrenceRef,
         candidates: &mut [Candidate],
-    ) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
+    ) -> usize {
+        let Some(job) = self.jobs.get(&id) else { return 0 };
+        if self.is_withheld(now, job, candidates) {
+            let priority = job.queue.priority;
+            self.overload.status_of(priority).withheld += 1;
+            return 0;
+        }
         let (minions, remote_factor) = (&self.minions, self.remote_factor);
         let suits = |job: &Job, task: usize, key: MinionKey| {
             suitability(minions, remote_factor, now, job, task, key)
         };
         let rng = &mut self.rng;
-        let mut choices = TaskPlacer { job, candidates, suits, rng, now }.choose();
+        let rank = job.rank();
+        let typical_pace = self.pace.ratio();
+        let mut choices =
+            TaskPlacer { job, candidates, suits, rng, now, typical_pace }.choose();
         drop_early_choices(&self.minions, job, &mut choices);
         let waiting = job.tasks.iter().filter(|task| task.is_waiting()).count();
         match choices.len() == waiting {
@@ -82,7 +95,32 @@
             let candidate = candidates[choice.candidate].clone();
             self.place_task(now, id, choice, &candidate);
         }
-        !choices.is_empty()
+        self.update_rank(id, rank);
+        choices.len()
+    }
+
+    /// Moves a waiting job to its new position after its first tasks were placed.
+    fn update_rank(&mut self, id: OccurrenceRef, before: Rank) {
+        let rank = self.jobs.get(&id).map(Job::rank);
+        if let Some(rank) = rank.filter(|rank| *rank != before)
+            && self.waiting.remove(&before)
+        {
+            self.waiting.insert(rank);
+        }
+    }
+
+    /// Returns whether the free capacity is kept for jobs that are more urgent than this one.
+    ///
+    /// Stored jobs have no deadline, and take part in no reservation.
+    fn is_withheld(&self, now: Moment, job: &Job, candidates: &[Candidate]) -> bool {
+        if !self.overload.is_by_cost() || job.is_stored() {
+            return false;
+        }
+        let queue = &job.queue;
+        let headroom = &self.overload.headroom;
+        let reserved = headroom.reserved_from(&queue.service, queue.priority, now);
+        let free = || candidates.iter().map(|candidate| candidate.free);
+        reserved.is_some_and(|reserved| !reserved.is_exceeded_by(free()))
     }
 
     /// Orders a run of a task on the chosen minion.
--- a/crates/bamboocart-jobs/tests/support/site.rs
+++ b/crates/bamboocart-jobs/tests/support/site.rs
@@ -25,7 +25,7 @@
     pub answers: Vec<(usize, RequestKey, Answer)>,
     /// The number of frames that each instance has sent.
     pub frames: Vec<usize>,
-    /// How long a run takes.
+    /// How long a run takes whose task description is not a number of milliseconds.
     pub run_ms: u64,
     /// The minion that the advice service allows for all steps, if any.
     pub advised: Option<MinionId>,
@@ -266,7 +266,8 @@
     /// Starts a run.
     fn start(&mut self, instance: usize, order: &StartOrder) {
         let minion = self.minions.get_mut(&order.target.id).expect("the minion exists");
-        minion.active.push((order.run, self.now + self.run_ms));
+        let run_ms = order.spec.parse().unwrap_or(self.run_ms);
+        minion.active.push((order.run, self.now + run_ms));
         self.starts.push((order.run, order.target.id.clone()));
         self.engines[instance].start_answered(
             self.now,
--- a/crates/bamboocart-telemetry/src/job_metrics.rs
+++ b/crates/bamboocart-telemetry/src/job_metrics.rs
@@ -83,6 +83,22 @@
 /// The label with the name of a failure domain.
 pub const DOMAIN_LABEL: &str = "failure_domain";
 
+/// The estimated wait of the last job that had to wait for room, by priority, in
+/// milliseconds.
+pub const OVERLOAD_WAIT_MS: &str = "bamboocart_overload_wait_ms";
+
+/// The number of jobs that were refused on arrival, by priority.
+pub const REFUSED_AT_ONCE: &str = "bamboocart_overload_refused_at_once";
+
+/// The number of jobs that were refused after they had waited, by priority.
+pub const REFUSED_AFTER_WAIT: &str = "bamboocart_overload_refused_after_wait";
+
+/// The number of times that room was withheld for more urgent jobs, by priority.
+pub const WITHHELD: &str = "bamboocart_overload_withheld";
+
+/// The label with the priority rank of a queue.
+pub const PRIORITY_LABEL: &str = "priority";
+
 /// The number of log lines dropped because the buffer was full.
 pub const LINES_DROPPED: &str = "bamboocart_log_lines_dropped";
 
@@ -107,6 +123,10 @@
     gauge(STALLED_LOGS, "Owned shards whose log takes no records."),
     gauge(EVACUATIONS, "Whether the evacuation of a failure domain is in force."),
     gauge(EVACUATED_RUNS, "Runs that are left in an evacuated failure domain."),
+    gauge(OVERLOAD_WAIT_MS, "Estimated wait of the last job that had to wait for room."),
+    gauge(REFUSED_AT_ONCE, "Jobs that were refused on arrival."),
+    gauge(REFUSED_AFTER_WAIT, "Jobs that were refused after they had waited."),
+    gauge(WITHHELD, "Times that room was withheld for more urgent jobs."),
     gauge(LINES_DROPPED, "Log lines that were dropped."),
 ];
 
