--- a/crates/bamboocart-dispatcher/tests/site/start.rs
+++ b/crates/bamboocart-dispatcher/tests/site/start.rs
@@ -63,3 +63,15 @@
     let instance = Instance::start_ready(&platform, "edge-1");
     assert_eq!(submit(instance.front, path, tasks, 10).unwrap().status, status);
 }
+
+/// Guards against an overload policy that is misspelt and silently replaced by the default.
+#[test]
+fn an_unknown_overload_policy_ends_the_start() {
+    let platform = StandIn::start(0).unwrap();
+    let (mut command, _) = command(&platform.settings("edge-1", [0; 4]));
+    let output = command.env("BAMBOOCART_OVERLOAD", "by-luck").output().unwrap();
+    assert!(!output.status.success());
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert!(message.contains("BAMBOOCART_OVERLOAD"), "{message}");
+    assert!(message.contains("use `by-start-time` or `by-cost`"), "{message}");
+}
--- a/crates/bamboocart-emulator/tests/rules.rs
+++ b/crates/bamboocart-emulator/tests/rules.rs
@@ -1,6 +1,6 @@
 //! Tests that the invariants hold in scenarios with faults, over seeds.
 
-use bamboocart_emulator::{Fault, Scenario, simulate};
+use bamboocart_emulator::{Fault, Report, Scenario, simulate};
 use yare::parameterized;
 
 /// The number of seeds of each scenario.
@@ -188,3 +188,22 @@
         assert!(report.violations.is_empty(), "seed {seed}: {report}");
     }
 }
+
+/// Guards against an overload policy that serves the most urgent jobs worse than the order by
+/// start times, or breaks an invariant, while a grown site gets more work than fits.
+#[test]
+fn urgent_jobs_gain_while_room_is_short() {
+    let by_start_time = Scenario::parse(include_str!("../days/pressed.toml")).unwrap();
+    let mut by_cost = by_start_time.clone();
+    by_cost.overload_policy = Some("by-cost".into());
+    for seed in 1..=2 {
+        let before = simulate(&by_start_time, seed);
+        let after = simulate(&by_cost, seed);
+        assert!(after.violations.is_empty(), "seed {seed}: {after}");
+        let urgent =
+            |report: &Report| report.kinds[0].earned / report.kinds[0].max_earned;
+        let (urgent_before, urgent_after) = (urgent(&before), urgent(&after));
+        assert!(urgent_after >= urgent_before, "seed {seed}: {before}, then {after}");
+        assert!(after.credit() >= before.credit(), "seed {seed}: {before}, then {after}");
+    }
+}
--- a/crates/bamboocart-jobs/src/operator/evacuation.rs
+++ b/crates/bamboocart-jobs/src/operator/evacuation.rs
@@ -140,11 +140,11 @@
         if self.by_domain.len() < MAX_DOMAINS {
             return true;
         }
-        let taken_back = |(_, known): &(&Box<str>, &Evacuation)| {
-            known.request == EvacuationRequest::TakeBack
-        };
-        let oldest = self.by_domain.iter().filter(taken_back);
-        let oldest = oldest.min_by_key(|(_, known)| known.offset);
+        let taken_back = self
+            .by_domain
+            .iter()
+            .filter(|(_, known)| known.request == EvacuationRequest::TakeBack);
+        let oldest = taken_back.min_by_key(|(_, known)| known.offset);
         let oldest = oldest.map(|(domain, _)| domain.clone());
         oldest.is_some_and(|domain| self.by_domain.remove(&domain).is_some())
     }
@@ -166,22 +166,25 @@
                 && known.offset < last_offset
                 && !is_listed(domain)
         });
-        let notice = |domain: &Box<str>| EvacuationNotice {
-            failure_domain: domain.clone(),
-            offset: last_offset,
-            request: EvacuationRequest::TakeBack,
-        };
-        in_force.map(|(domain, _)| notice(domain)).collect()
+        in_force
+            .map(|(domain, _)| EvacuationNotice {
+                failure_domain: domain.clone(),
+                offset: last_offset,
+                request: EvacuationRequest::TakeBack,
+            })
+            .collect()
     }
 
     /// Returns all notices.
     fn notices(&self) -> Vec<EvacuationNotice> {
-        let notice = |(domain, known): (&Box<str>, &Evacuation)| EvacuationNotice {
-            failure_domain: domain.clone(),
-            offset: known.offset,
-            request: known.request,
-        };
-        self.by_domain.iter().map(notice).collect()
+        self.by_domain
+            .iter()
+            .map(|(domain, known)| EvacuationNotice {
+                failure_domain: domain.clone(),
+                offset: known.offset,
+                request: known.request,
+            })
+            .collect()
     }
 }
 
@@ -288,12 +291,15 @@
 
     /// Returns the state of each failure domain that operators have evacuated or taken back.
     pub fn evacuation_status(&self) -> Vec<EvacuationStatus> {
-        let status = |(domain, known): (&Box<str>, &Evacuation)| EvacuationStatus {
-            failure_domain: domain.clone(),
-            in_force: known.request == EvacuationRequest::Evacuate,
-            runs: self.runs_in(domain),
-        };
-        self.evacuations.by_domain.iter().map(status).collect()
+        self.evacuations
+            .by_domain
+            .iter()
+            .map(|(domain, known)| EvacuationStatus {
+                failure_domain: domain.clone(),
+                in_force: known.request == EvacuationRequest::Evacuate,
+                runs: self.runs_in(domain),
+            })
+            .collect()
     }
 
     /// Returns whether every minion of a service is in an evacuated failure domain. A service
