Show evacuations in the history of a request

explain printed only lines that name the request, so that an evacuation that decided where its tasks were placed was missing. It now prints the lines about evacuations from the time of the request, and the last one before of each instance and domain.

--- a/crates/bamboocart-cli/src/commands/explain.rs
+++ b/crates/bamboocart-cli/src/commands/explain.rs
@@ -1,5 +1,6 @@
 //! The command `explain`.
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
@@ -15,6 +16,12 @@
 /// The maximum number of lines shown; a job of 240 tasks that are all retried has fewer.
 const MAX_LINES: usize = 10_000;
 
+/// The maximum number of lines about evacuations that are considered.
+const MAX_OPERATOR_LINES: usize = 1_000;
+
+/// The `target` of lines about what operators have requested.
+const OPERATOR_TARGET: &str = "operator";
+
 /// The fields that are shown in a column of their own, or not at all.
 const NON_DETAIL_FIELDS: [&str; 6] =
     ["time", "message", "level", "target", "request_id", "instance"];
@@ -50,7 +57,7 @@
         let mut errors = SettingErrors::default();
         self.common.check(&mut errors);
         errors.finish()?;
-        let mut lines = Vec::new();
+        let mut lines = Lines::default();
         if self.files.is_empty() {
             let input = io::stdin().lock();
             self.collect(input, "-", &mut lines)
@@ -62,22 +69,31 @@
             self.collect(BufReader::new(file), &name.unwrap_or_default(), &mut lines)
                 .context(ReadLogSnafu { path })?;
         }
-        lines.sort_by(|a, b| a.time.cmp(&b.time));
-        Ok(self.report(&lines))
+        Ok(self.report(&lines.in_order()))
     }
 
-    /// Collects the lines about the request; other lines and invalid ones are skipped.
+    /// Collects the lines about the request and about evacuations; other lines and invalid
+    /// ones are skipped.
     fn collect(
         &self,
         input: impl BufRead,
         name: &str,
-        lines: &mut Vec<LogLine>,
+        lines: &mut Lines,
     ) -> io::Result<()> {
         for line in input.split(b'\n') {
             let line = line?;
             let text = String::from_utf8_lossy(&line);
-            if lines.len() < MAX_LINES && text.contains(&*self.id) {
-                lines.extend(LogLine::parse(&text, name));
+            if lines.request.len() < MAX_LINES && text.contains(&*self.id) {
+                lines.request.extend(LogLine::parse(&text, name));
+            } else if lines.operator.len() < MAX_OPERATOR_LINES
+                && text.contains(OPERATOR_TARGET)
+            {
+                let line = LogLine::parse(&text, name);
+                let about = |line: &LogLine| {
+                    line.text("target") == OPERATOR_TARGET
+                        && line.fields.contains_key("failure_domain")
+                };
+                lines.operator.extend(line.filter(about));
             }
         }
         Ok(())
@@ -110,6 +126,44 @@
     }
 }
 
+/// The lines that tell what became of a request.
+#[derive(Debug, Default)]
+struct Lines {
+    /// Those that name the request.
+    request: Vec<LogLine>,
+    /// Those about evacuations of failure domains.
+    operator: Vec<LogLine>,
+}
+
+impl Lines {
+    /// Returns the lines about the request in their order, among them those about evacuations
+    /// that took place meanwhile, and the last one of each instance and failure domain from
+    /// before, which tells what was in force.
+    fn in_order(mut self) -> Vec<LogLine> {
+        self.request.sort_by(|a, b| a.time.cmp(&b.time));
+        let span = self.request.first().zip(self.request.last());
+        let Some((first, last)) = span.map(|(a, b)| (a.time.clone(), b.time.clone()))
+        else {
+            return self.request;
+        };
+        self.operator.sort_by(|a, b| a.time.cmp(&b.time));
+        let mut before: BTreeMap<(String, String), LogLine> = BTreeMap::new();
+        for line in self.operator {
+            match () {
+                () if line.time > last => {}
+                () if line.time >= first => self.request.push(line),
+                () => {
+                    let key = (line.instance.clone(), line.text("failure_domain"));
+                    before.insert(key, line);
+                }
+            }
+        }
+        self.request.extend(before.into_values());
+        self.request.sort_by(|a, b| a.time.cmp(&b.time));
+        self.request
+    }
+}
+
 impl LogLine {
     /// Parses a line, which may have a prefix before its JSON object.
     fn parse(text: &str, name: &str) -> Option<Self> {
--- a/crates/bamboocart-cli/tests/cli_explain.rs
+++ b/crates/bamboocart-cli/tests/cli_explain.rs
@@ -54,6 +54,32 @@
     assert_eq!(lines.len(), 5, "{text}");
 }
 
+/// Lines about the evacuation of a failure domain, from before, during and after the job.
+const OPERATOR: &str = r#"{"target":"operator","message":"evacuation in force","failure_domain":"marka","offset":3,"time":"2026-12-04T09:00:00.000000Z"}
+{"target":"operator","message":"failure domain taken back","failure_domain":"marka","offset":4,"time":"2026-12-04T09:30:00.000000Z"}
+{"target":"operator","message":"evacuation in force","failure_domain":"qastal","offset":5,"time":"2026-12-04T09:40:00.000000Z"}
+{"target":"operator","message":"evacuation in force","failure_domain":"marka","offset":6,"time":"2026-12-04T10:00:01.060000Z"}
+{"target":"operator","message":"failure domain taken back","failure_domain":"marka","offset":7,"time":"2026-12-04T11:00:00.000000Z"}
+"#;
+
+/// Guards against an evacuation that explains where tasks were placed and isn't shown.
+#[test]
+fn evacuations_during_the_job_are_shown() {
+    let files = [log("marka-3", OPERATOR), log("sahab-2", OWNER)];
+    let (code, text) = run_text(&["explain", ID, &files[0], &files[1]], &[]);
+    assert_eq!(code, 0, "{text}");
+    let shown: Vec<&str> =
+        text.lines().filter(|line| line.contains("failure_domain")).collect();
+    assert_eq!(shown.len(), 3, "{text}");
+    for (line, parts) in shown.iter().zip([
+        ["taken back", "marka", "offset=4"],
+        ["evacuation in force", "qastal", "offset=5"],
+        ["evacuation in force", "marka", "offset=6"],
+    ]) {
+        assert!(parts.iter().all(|part| line.contains(part)), "{parts:?} in `{line}`");
+    }
+}
+
 /// Guards against attributing all lines of one stream to one instance although each has
 /// the name of its instance as a prefix.
 #[test]
