Choose no neighbours in evacuated failure domains

Cause: an instance has six of its eight neighbours in its own failure domain.

Test: neighbours_have_usable_minions; own, another and two failed before.

--- a/crates/bamboocart-jobs/src/membership/mod.rs
+++ b/crates/bamboocart-jobs/src/membership/mod.rs
@@ -317,8 +317,9 @@
     }
 
     /// Chooses the peers whose free capacity this instance receives.
-    fn choose_neighbours(&mut self) {
-        let chosen = neighbours(&self.member, &self.review.members);
+    pub(crate) fn choose_neighbours(&mut self) {
+        let is_evacuated = |domain: &str| self.evacuations.is_in_force(domain);
+        let chosen = neighbours(&self.member, &self.review.members, is_evacuated);
         for peer in self.peers.arena.values_mut() {
             peer.set_neighbour(chosen.contains(&&peer.member));
         }
--- a/crates/bamboocart-jobs/src/membership/neighbours.rs
+++ b/crates/bamboocart-jobs/src/membership/neighbours.rs
@@ -14,8 +14,15 @@
 ///
 /// They are the next members in a ring, so that every instance is the neighbour of about
 /// as many others. Each other failure domain contributes at least one, so that work can
-/// leave a domain whose clients send more than its share.
-pub(crate) fn neighbours<'a>(own: &Member, members: &'a [Member]) -> Vec<&'a Member> {
+/// leave a domain whose clients send more than its share. Members of evacuated domains hold
+/// minions that get no work, so they are left out unless all domains are evacuated.
+pub(crate) fn neighbours<'a>(
+    own: &Member,
+    members: &'a [Member],
+    is_evacuated: impl Fn(&str) -> bool,
+) -> Vec<&'a Member> {
+    let all_evacuated = members.iter().all(|it| is_evacuated(&it.failure_domain));
+    let is_left_out = |domain: &str| !all_evacuated && is_evacuated(domain);
     let mut domains: Vec<&str> =
         members.iter().map(|member| &*member.failure_domain).collect();
     domains.sort_unstable();
@@ -26,9 +33,13 @@
     let local = of_domain(&own.failure_domain);
     let position = local.iter().position(|&member| member == own).unwrap_or(0);
     let others: Vec<&&Member> = local.iter().filter(|&&member| member != own).collect();
+    let local_count = match is_left_out(&own.failure_domain) {
+        true => 0,
+        false => LOCAL_NEIGHBOURS,
+    };
     let mut chosen: Vec<&Member> =
-        ring(&others, position, LOCAL_NEIGHBOURS).map(|&&member| member).collect();
-    domains.retain(|domain| **domain != *own.failure_domain);
+        ring(&others, position, local_count).map(|&&member| member).collect();
+    domains.retain(|domain| **domain != *own.failure_domain && !is_left_out(domain));
     let left = NEIGHBOURS.saturating_sub(chosen.len());
     let share = left.div_ceil(domains.len().max(1)).max(1);
     for domain in domains {
--- a/crates/bamboocart-jobs/src/operator/evacuation.rs
+++ b/crates/bamboocart-jobs/src/operator/evacuation.rs
@@ -252,6 +252,7 @@
                 let domain = &minion.entry.failure_domain;
                 minion.evacuated = self.evacuations.is_in_force(domain);
             }
+            self.choose_neighbours();
             self.capacity_changed();
         }
         changed
--- a/crates/bamboocart-jobs/tests/evacuation.rs
+++ b/crates/bamboocart-jobs/tests/evacuation.rs
@@ -333,6 +333,55 @@
     assert_eq!(messages.iter().filter(told).count(), 1, "the peer is not told");
 }
 
+/// Failure domains of 12 instances each that are evacuated, and the number of neighbours that
+/// an instance of the first domain then has in each.
+struct Neighbours {
+    evacuated: &'static [&'static str],
+    expected: [usize; 3],
+}
+
+/// Guards against instances of an evacuated failure domain that know of hardly any free
+/// capacity, since most of their neighbours hold minions of the same domain.
+#[parameterized(
+    none = { Neighbours { evacuated: &[], expected: [6, 1, 1] } },
+    own = { Neighbours { evacuated: &["marka"], expected: [0, 4, 4] } },
+    another = { Neighbours { evacuated: &["sahab"], expected: [6, 0, 2] } },
+    two = { Neighbours { evacuated: &["marka", "qastal"], expected: [0, 8, 0] } },
+    all = { Neighbours {
+        evacuated: &["marka", "sahab", "qastal"], expected: [6, 1, 1],
+    } },
+)]
+fn neighbours_have_usable_minions(case: Neighbours) {
+    const INSTANCES: usize = 12;
+    let mut now = support::site_start();
+    let instance =
+        |number: usize| member(&format!("entry-{number:02}"), DOMAINS[number % 3]);
+    let members: Vec<Member> = (0..3 * INSTANCES).map(instance).collect();
+    let mut engine = Engine::new(members[0].clone(), 1);
+    engine.set_members(now, 1, &members);
+    for (peer, _) in engine.peers() {
+        engine.link_opened(peer);
+    }
+    for (offset, domain) in case.evacuated.iter().enumerate() {
+        let record = (offset as u64, *domain, EvacuationRequest::Evacuate);
+        engine.apply_operator_page(now, page(record));
+    }
+    let mut wanted = std::collections::BTreeMap::new();
+    for _ in 0..100 {
+        now = now + 10;
+        engine.tick(now);
+        for (peer, frame) in engine.take_frames(now) {
+            wanted.insert(peer, frame.wants_capacity);
+        }
+    }
+    wanted.retain(|_, &mut wants_capacity| wants_capacity);
+    let count = |domain: &str| {
+        let members = wanted.keys().filter_map(|&peer| engine.member_of(peer));
+        members.filter(|it| *it.failure_domain == *domain).count()
+    };
+    assert_eq!(DOMAINS.map(count), case.expected);
+}
+
 /// Guards against runs that an evacuation ends: one that lasts goes on, and its lease is
 /// renewed.
 #[test]
