Learn apart how much slower cold minions are

An entry tells how much longer a minion is slow after its start; it was ignored, so that the first runs counted for the minion's own pace. The factor is learned over all cold minions, the expected run time has it, and cold runs teach nothing else.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -78,6 +78,8 @@
     pub(crate) remote_factor: f64,
     /// The learned ratio of run time to estimate over all tasks.
     pub(crate) pace: Pace,
+    /// The learned factor on the run times of minions that are cold.
+    pub(crate) cold_pace: Pace,
     /// What waits and what is turned away while there is too little room.
     pub(crate) overload: Overload,
     /// The state on which the last review of members and minions was based.
@@ -151,6 +153,7 @@
             wall_offset_ms: 0,
             remote_factor: 1.0,
             pace: Pace::default(),
+            cold_pace: Pace::default(),
             overload: Overload::default(),
             review: Review::default(),
             placement_due: false,
--- a/crates/bamboocart-jobs/src/holder/minion.rs
+++ b/crates/bamboocart-jobs/src/holder/minion.rs
@@ -102,12 +102,23 @@
     pub(crate) assignee: Assignee,
     /// The learned ratio of run time to estimate; a higher one means a slower minion.
     pub(crate) pace: Pace,
+    /// The rest of its cold start, if its entry tells of one.
+    pub(crate) cold: Option<ColdStart>,
     /// The state of the hold, if this instance is the holder.
     pub(crate) held: Option<HeldMinion>,
     /// The hold that was last lost to another holder, if any.
     pub(crate) lost: Option<LostHold>,
 }
 
+/// The time for which a minion is slow after it has started.
+#[derive(Debug, Copy, Clone)]
+pub(crate) struct ColdStart {
+    /// What the entry of the minion says is left.
+    pub(crate) left_ms: u64,
+    /// When it is over.
+    pub(crate) until: Moment,
+}
+
 /// The member to which a minion is assigned.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub(crate) enum Assignee {
@@ -226,6 +237,8 @@
     pub(crate) estimate_ms: u64,
     /// When its start was requested, or when it was found on the minion.
     pub(crate) since: Moment,
+    /// Whether the minion was cold then, so that its run time says nothing about the minion.
+    pub(crate) began_cold: bool,
     /// When the present owner took over its shard. The owner counts as alive at this
     /// time, since its first frames may echo none.
     pub(crate) reassigned: Moment,
@@ -275,6 +288,7 @@
             need: Resources::default(),
             estimate_ms: 0,
             since: now,
+            began_cold: false,
             reassigned: Moment::default(),
             phase: RunPhase::Active,
             stop_sent: None,
@@ -407,6 +421,7 @@
             evacuated: false,
             assignee: Assignee::Nobody,
             pace: Pace::default(),
+            cold: None,
             held: None,
             lost: None,
         }
@@ -420,6 +435,18 @@
         known.is_some_and(|known| known >= self.entry.incarnation)
     }
 
+    /// Returns whether it is slow because it has started lately.
+    pub(crate) fn is_cold(&self, now: Moment) -> bool {
+        self.cold.is_some_and(|cold| now < cold.until)
+    }
+
+    /// Returns the expected ratio of run time to estimate of a run that starts now;
+    /// `cold_pace` is the factor on the run times of cold minions.
+    pub(crate) fn expected_pace(&self, cold_pace: Pace, now: Moment) -> f64 {
+        let cold_factor = if self.is_cold(now) { cold_pace.ratio() } else { 1.0 };
+        self.pace.ratio() * cold_factor
+    }
+
     /// Returns whether its newest entry is valid and says that it takes new work, and its
     /// failure domain is not evacuated.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/bamboocart-jobs/src/holder/mod.rs
+++ b/crates/bamboocart-jobs/src/holder/mod.rs
@@ -216,6 +216,10 @@
         }
         let elapsed_ms = now.since(run.since);
         match end.report.end {
+            RunEnd::Done if run.estimate_ms > 0 && run.began_cold => {
+                let warm_ms = run.estimate_ms as f64 * minion.pace.ratio();
+                self.cold_pace.observe(elapsed_ms, warm_ms as u64);
+            }
             RunEnd::Done if run.estimate_ms > 0 => {
                 let expected_ms = run.estimate_ms as f64 * minion.pace.ratio();
                 let progress = Progress { elapsed_ms, expected_ms, done_percent: 100 };
@@ -268,12 +272,14 @@
     fn check_progress(&mut self, now: Moment, key: MinionKey, active: &[ActiveRun]) {
         let minion = &mut self.minions.arena[key];
         let pace = minion.pace.ratio();
+        let cold_pace = pace * self.cold_pace.ratio();
         let Some(held) = minion.held.as_mut() else { return };
         for found in active {
             let Some(run) = held.runs.get_mut(&found.run) else { continue };
             if run.estimate_ms == 0 || run.phase != RunPhase::Active {
                 continue;
             }
+            let pace = if run.began_cold { cold_pace } else { pace };
             let progress = Progress {
                 elapsed_ms: now.since(run.since),
                 expected_ms: run.estimate_ms as f64 * pace,
@@ -507,7 +513,8 @@
             Some(CapacityReport {
                 minion: minion.entry.id.clone(),
                 free,
-                pace_permille: (minion.pace.ratio() * 1000.0) as u32,
+                pace_permille: (minion.expected_pace(self.cold_pace, now) * 1000.0)
+                    as u32,
             })
         };
         self.minions.held().filter_map(report).collect()
--- a/crates/bamboocart-jobs/src/holder/orders.rs
+++ b/crates/bamboocart-jobs/src/holder/orders.rs
@@ -7,7 +7,7 @@
 
 use crate::effect::{Effect, StartOrder, Target};
 use crate::engine::Engine;
-use crate::holder::minion::{MinionKey, Run, RunOwner, RunPhase};
+use crate::holder::minion::{Minion, MinionKey, Run, RunOwner, RunPhase};
 use crate::id::{Checkpoint, MinionId, RunRef, ServiceName, SharedStr};
 use crate::membership::member::Member;
 use crate::membership::peer::{FrameTimes, PeerKey};
@@ -354,6 +354,7 @@
     ) -> bool {
         let minion = &mut self.minions.arena[key];
         let evacuated = minion.evacuated;
+        let began_cold = minion.is_cold(now);
         let Some(held) = minion.held.as_mut() else { return false };
         if evacuated || held.has_run_of(order.run.task) || held.is_list_full() {
             return false;
@@ -369,6 +370,7 @@
                 need: order.need,
                 estimate_ms: order.estimate_ms,
                 since: now,
+                began_cold,
                 reassigned: Moment::default(),
                 phase: RunPhase::Starting,
                 stop_sent: None,
@@ -535,7 +537,10 @@
             .held()
             .filter(|(_, minion, _)| minion.entry.service == *service)
             .filter(|(_, minion, _)| minion.free(now).is_some_and(|free| need.fits(free)))
-            .min_by(|(_, a, _), (_, b, _)| a.pace.ratio().total_cmp(&b.pace.ratio()))
+            .min_by(|(_, a, _), (_, b, _)| {
+                let pace = |minion: &Minion| minion.expected_pace(self.cold_pace, now);
+                pace(a).total_cmp(&pace(b))
+            })
             .map(|(key, ..)| key)
     }
 
--- a/crates/bamboocart-jobs/src/membership/minion_list.rs
+++ b/crates/bamboocart-jobs/src/membership/minion_list.rs
@@ -3,7 +3,7 @@
 use log::{info, warn};
 
 use crate::engine::Engine;
-use crate::holder::minion::{Minion, MinionEntry};
+use crate::holder::minion::{ColdStart, Minion, MinionEntry};
 use crate::id::MinionId;
 use crate::time::Moment;
 
@@ -12,6 +12,9 @@
 pub enum MinionChange {
     /// A minion was added, or its entry has changed.
     Listed(Box<MinionEntry>),
+    /// The same for a minion that has started lately and is slow for so many milliseconds
+    /// more, counted from when it wrote its entry.
+    ListedCold(Box<MinionEntry>, u64),
     /// The newest entry of a minion is invalid.
     Invalid(MinionId),
     /// The entry of a minion was deleted.
@@ -23,7 +26,15 @@
     pub fn change_minions(&mut self, now: Moment, changes: Vec<MinionChange>) {
         for change in changes {
             match change {
-                MinionChange::Listed(entry) => self.list_minion(now, *entry),
+                MinionChange::Listed(entry) => {
+                    self.set_cold(now, &entry.id, None);
+                    self.list_minion(now, *entry);
+                }
+                MinionChange::ListedCold(entry, left_ms) => {
+                    let id = entry.id.clone();
+                    self.list_minion(now, *entry);
+                    self.set_cold(now, &id, Some(left_ms));
+                }
                 MinionChange::Invalid(id) => self.suspend_minion(now, &id),
                 MinionChange::Removed(id) => self.unlist_minion(now, &id),
             }
@@ -82,6 +93,16 @@
         minion.invalid_since = None;
     }
 
+    /// Records for how long a minion is cold, if it is. An entry that is read again counts
+    /// from when it was first read.
+    fn set_cold(&mut self, now: Moment, id: &MinionId, left_ms: Option<u64>) {
+        let Some(&key) = self.minions.by_id.get(id) else { return };
+        let minion = &mut self.minions.arena[key];
+        let cold = left_ms.map(|left_ms| ColdStart { left_ms, until: now + left_ms });
+        let same = |known: ColdStart| Some(known.left_ms) == left_ms;
+        minion.cold = minion.cold.filter(|&known| same(known)).or(cold);
+    }
+
     /// Starts no more runs on a minion until its next valid entry.
     ///
     /// Another writer may have replaced its entry, which says nothing about the process:
--- a/crates/bamboocart-jobs/src/placement/capacity_search.rs
+++ b/crates/bamboocart-jobs/src/placement/capacity_search.rs
@@ -291,8 +291,9 @@
         }
         let suits = suitability(&self.minions, self.remote_factor, now, job, task, key)?;
         let step = job.step_of(task);
-        let run_ms =
-            step.estimate_ms as f64 * minion.pace.ratio() * suits.distance_factor;
+        let run_ms = step.estimate_ms as f64
+            * minion.expected_pace(self.cold_pace, now)
+            * suits.distance_factor;
         if job.finish_by().is_some_and(|limit| run_ms > limit.since(now) as f64) {
             return None;
         }
--- a/crates/bamboocart-jobs/src/placement/scheduling.rs
+++ b/crates/bamboocart-jobs/src/placement/scheduling.rs
@@ -196,7 +196,7 @@
             if let Some(free) = minion.free(now)
                 && free.cpu_millicores > 0
             {
-                let pace = minion.pace.ratio();
+                let pace = minion.expected_pace(self.cold_pace, now);
                 let holder = CandidateHolder::Local;
                 candidates.push(Candidate {
                     holder,
