Check a configuration of the platform before it is sent

bamboocart check-site lists all mistakes of an op/config file in one run, with position and remedy: queues that no request selects, missing services, limits that contradict each other.

--- a/crates/bamboocart-cli/src/commands/mod.rs
+++ b/crates/bamboocart-cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod cancel;
 mod check;
+mod check_site;
 mod completion;
 mod diff;
 mod drain;
@@ -18,6 +19,7 @@
 use self::account::{Account, account};
 use self::cancel::{Cancel, cancel};
 use self::check::{Check, check};
+use self::check_site::{CheckSite, check_site};
 use self::completion::{Completion, completion};
 use self::diff::{Diff, diff};
 use self::drain::{Drain, drain};
@@ -36,6 +38,8 @@
 pub enum Command {
     /// Checks configuration files.
     Check(#[bpaf(external(check))] Check),
+    /// Checks a configuration for the users' platform.
+    CheckSite(#[bpaf(external(check_site))] CheckSite),
     /// Compares configurations.
     Diff(#[bpaf(external(diff))] Diff),
     /// Publishes a configuration.
@@ -65,6 +69,7 @@
     pub fn run(&self) -> Result<Report> {
         match self {
             Self::Check(command) => command.run(),
+            Self::CheckSite(command) => command.run(),
             Self::Diff(command) => command.run(),
             Self::Publish(command) => command.run(),
             Self::Show(command) => command.run(),
@@ -83,6 +88,7 @@
     pub fn common(&self) -> &Common {
         match self {
             Self::Check(command) => &command.common,
+            Self::CheckSite(command) => &command.common,
             Self::Diff(command) => &command.common,
             Self::Publish(command) => &command.common,
             Self::Show(command) => &command.common,
--- a/crates/bamboocart-cli/src/error.rs
+++ b/crates/bamboocart-cli/src/error.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use attohttpc::ErrorKind;
+use bamboocart_adapter::ConfigError;
 use bamboocart_core::config::{EncodeError, Finding};
 use serde_json::json;
 use snafu::Snafu;
@@ -101,6 +102,22 @@
         /// The error of the operating system.
         source: io::Error,
     },
+    /// A configuration for the users' platform cannot be read.
+    #[snafu(display("cannot read {}: {source}; check the path", path.display()))]
+    ReadConfig {
+        /// The path of the configuration.
+        path: PathBuf,
+        /// The error of the operating system.
+        source: io::Error,
+    },
+    /// A configuration for the users' platform cannot be decoded.
+    #[snafu(display("{}: {source}", path.display()))]
+    SiteConfig {
+        /// The path of the configuration.
+        path: PathBuf,
+        /// The position and the fault in its text.
+        source: ConfigError,
+    },
     /// The argument parser generated no completion script.
     #[snafu(display(
         "no completion script was generated; run with --json to get the flag"
@@ -150,7 +167,10 @@
                 let json = json!({ "error": text, "publication": publication });
                 Report::new(Exit::NoAnswer, json, text)
             }
-            Self::ReadLog { .. } => {
+            Self::SiteConfig { .. } => {
+                Report::new(Exit::InvalidConfig, json!({ "error": text }), text)
+            }
+            Self::ReadLog { .. } | Self::ReadConfig { .. } => {
                 Report::new(Exit::Usage, json!({ "error": text }), text)
             }
             _ => Report::new(Exit::NoAnswer, json!({ "error": text }), text),
--- a/crates/bamboocart-jobs/src/lib.rs
+++ b/crates/bamboocart-jobs/src/lib.rs
@@ -51,6 +51,7 @@
 pub use self::membership::peer::PeerKey;
 pub use self::message::{CapacityReport, EndReport, Frame, Message, RunEnd, ShardRun};
 pub use self::operator::catalog::{Catalog, Queue, Service, WireLimits};
+pub use self::operator::check;
 pub use self::operator::evacuation::{
     EvacuationNotice, EvacuationRequest, EvacuationStatus, OperatorChange, OperatorPage,
 };
