--- a/crates/bamboocart-jobs/src/operator/check.rs
+++ b/crates/bamboocart-jobs/src/operator/check.rs
@@ -7,9 +7,7 @@
 use std::fmt::{self, Display, Formatter};
 
 use crate::operator::catalog::{Catalog, Queue};
-
-/// The time by which tickets are used before they expire, in milliseconds.
-const TICKET_MARGIN_MS: u64 = 100;
+use crate::placement::advice::TICKET_MARGIN_MS;
 
 /// How bad a finding is.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd)]
--- a/crates/bamboocart-jobs/src/operator/evacuation.rs
+++ b/crates/bamboocart-jobs/src/operator/evacuation.rs
@@ -124,7 +124,8 @@
         }
         let before = known.map_or(EvacuationRequest::TakeBack, |known| known.request);
         if known.is_none() && !self.make_room() {
-            error!(target: "operator", failure_domain:% = failure_domain, MAX_DOMAINS;
+            error!(target: "operator", failure_domain:% = failure_domain,
+                limit = MAX_DOMAINS;
                 "evacuation rejected: too many are in force; take some back");
             return false;
         }
--- a/crates/bamboocart-jobs/src/placement/advice.rs
+++ b/crates/bamboocart-jobs/src/placement/advice.rs
@@ -28,7 +28,7 @@
 const RETRY_MS: u64 = 100;
 
 /// How long before its expiry a ticket is no longer used.
-const TICKET_MARGIN_MS: u64 = 100;
+pub(crate) const TICKET_MARGIN_MS: u64 = 100;
 
 /// The timing of the advice service for one queue.
 #[derive(Debug, Copy, Clone, PartialEq, Serialize, Deserialize)]
