Keep no estimates under policies that read none, and write the retry delay once

The drain meter took an exponential at every event, also with the policy off, which is the default; it is now fed under by-cost only.

--- a/crates/bamboocart-jobs/src/overload/mod.rs
+++ b/crates/bamboocart-jobs/src/overload/mod.rs
@@ -21,7 +21,6 @@
 use crate::overload::admission::{Admission, Prospect, Verdict};
 use crate::overload::drain::DrainMeter;
 use crate::overload::headroom::Headroom;
-use crate::owner::backlog::Backlog;
 use crate::owner::job::Job;
 use crate::time::Moment;
 
@@ -104,6 +103,14 @@
         self.drain.note_arrival(queue.priority, tasks, now);
     }
 
+    /// Records a scheduling pass, as [`DrainMeter::note_pass`] does. Nothing reads the meter
+    /// under other policies, and passes follow every event.
+    pub(crate) fn note_pass(&mut self, placed: usize, is_waiting: bool, now: Moment) {
+        if self.is_by_cost() {
+            self.drain.note_pass(placed, is_waiting, now);
+        }
+    }
+
     /// Returns the status of a priority, to be changed.
     pub(crate) fn status_of(&mut self, priority: u8) -> &mut OverloadStatus {
         let new = OverloadStatus { priority, ..OverloadStatus::default() };
@@ -128,6 +135,9 @@
     ///
     /// Nothing was ordered for a job that is refused, so it has certainly not run.
     pub(crate) fn decide_on_waiting(&mut self, now: Moment, id: OccurrenceRef) {
+        if !self.overload.is_by_cost() {
+            return;
+        }
         let Some(job) = self.jobs.get(&id).filter(|job| job.is_waiting()) else { return };
         self.overload.headroom.note_shortage(&job.queue.service, job.queue.priority, now);
         let undecided = |job: &&Job| !job.start_ordered && !job.is_stored();
@@ -145,8 +155,7 @@
             finish_ms = prospect.finish_ms as u64,
             finish_limit_ms = prospect.finish_limit_ms as u64,
             reason = "no prospect of room in time"; "job refused");
-        let backlog = Backlog::of(self.jobs.values(), self.pace.ratio());
-        let retry_after_s = backlog.retry_after_s(&mut self.rng);
+        let retry_after_s = self.retry_after_s();
         self.end_job(now, id, Some(Answer::Refused { retry_after_s }), "no prospect");
     }
 
@@ -154,7 +163,7 @@
     /// none if that is not known.
     fn prospect(&self, now: Moment, job: &Job) -> Option<Prospect> {
         // The clients of the jobs ahead may be gone.
-        if !self.overload.is_by_cost() || self.event_loop.is_late(now) {
+        if self.event_loop.is_late(now) {
             return None;
         }
         let rank = job.rank();
--- a/crates/bamboocart-jobs/src/owner/mod.rs
+++ b/crates/bamboocart-jobs/src/owner/mod.rs
@@ -64,8 +64,7 @@
         if self.is_service_evacuated(&submission.queue.service) {
             let reason = "all failure domains of the service are evacuated";
             info!(target: "job", request_id:% = id, reason; "job refused");
-            let backlog = Backlog::of(self.jobs.values(), self.pace.ratio());
-            let retry_after_s = backlog.retry_after_s(&mut self.rng);
+            let retry_after_s = self.retry_after_s();
             return self.answer(request, Answer::Refused { retry_after_s });
         }
         if self.jobs.len() >= MAX_JOBS {
@@ -367,6 +366,12 @@
         }
     }
 
+    /// Returns after how many seconds the client of a refused job may retry.
+    pub(crate) fn retry_after_s(&mut self) -> u64 {
+        let backlog = Backlog::of(self.jobs.values(), self.pace.ratio());
+        backlog.retry_after_s(&mut self.rng)
+    }
+
     /// Refuses jobs that have not started in time, and gives up those past their
     /// deadline.
     pub(crate) fn expire(&mut self, now: Moment) {
--- a/crates/bamboocart-jobs/src/placement/scheduling.rs
+++ b/crates/bamboocart-jobs/src/placement/scheduling.rs
@@ -31,7 +31,7 @@
     /// added since the last pass.
     pub(crate) fn place(&mut self, now: Moment) {
         if self.waiting.is_empty() {
-            return self.overload.drain.note_pass(0, false, now);
+            return self.overload.note_pass(0, false, now);
         }
         if !self.placement_due {
             return;
@@ -51,7 +51,7 @@
             placed_tasks += placed;
             unplaced_in_row = if placed > 0 { 0 } else { unplaced_in_row + 1 };
         }
-        self.overload.drain.note_pass(placed_tasks, !self.waiting.is_empty(), now);
+        self.overload.note_pass(placed_tasks, !self.waiting.is_empty(), now);
         self.search_capacity(now, &order);
         self.placement_due = false;
     }
