--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -23,6 +23,10 @@
 /// The number of jobs that are at work when a machine is added.
 const WIDE_JOBS: usize = 240;
 
+/// How long the store turns an instance away, and when in that time a machine is added.
+const REFUSED_MS: u64 = 9_000;
+const ADDED_AFTER_MS: u64 = 1_400;
+
 /// How long records are kept in cases that do not depend on it.
 const LONG_KEEP_S: u64 = 300;
 
@@ -449,3 +453,44 @@
     let logs = ["has lost the minion", "considered lost", "is lost", "minion released"];
     conclude(system, faults, &logs)
 }
+
+/// The store turns one instance away, and a machine is added that does not know it. No task may
+/// have two runs at the same time.
+pub fn unseen(trouble: bool) -> Verdict {
+    let places: Vec<(&str, &str)> =
+        ZONES.iter().flat_map(|zone| [(*zone, "a"); 6]).collect();
+    let mut system = System::start(&ZONES, &places, LONG_KEEP_S);
+    if !system.await_ready() {
+        return Verdict::CouldNotRun("the instances are not ready".into());
+    }
+    sleep_ms(3_000);
+    let step = Step { cpu: 400, work_ms: Some(20_000) };
+    let new = |_| Job::new(system.new_id(), 4, step.clone(), 20_000, "", "");
+    let jobs: Vec<Job> = (0..120).map(new).collect();
+    let jobs = submit_all(&mut system, jobs);
+    sleep_ms(3_000);
+    if trouble {
+        system.refuse(0, true);
+        sleep_ms(ADDED_AFTER_MS);
+        system.add_instance(3, "sahab");
+        system.spawn(3);
+        system.note("a machine is added");
+        sleep_ms(REFUSED_MS - ADDED_AFTER_MS);
+        system.refuse(0, false);
+    }
+    sleep_ms(34_000);
+    sleep_ms((1_000.0 * FINISH_S) as u64);
+    let mut faults = doubled(&system);
+    faults.extend(jobs.iter().filter_map(|job| lost(&mut system, job)));
+    conclude(
+        system,
+        faults,
+        &[
+            "shard owned",
+            "shard open",
+            "given up",
+            "minion held",
+            "another instance holds",
+        ],
+    )
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -10,6 +10,7 @@
 mod minion;
 mod store;
 mod system;
+mod wire;
 
 use std::panic::catch_unwind;
 use std::process::exit;
@@ -47,6 +48,7 @@
 fn play(case: &str, trouble: bool) -> Verdict {
     match case {
         "moved" => cases::moved(trouble),
+        "unseen" => cases::unseen(trouble),
         "twice" => cases::twice(trouble),
         "expiry" => cases::expiry(trouble),
         "flap" => cases::flap(trouble),
--- a/review/standin-3/src/minion.rs
+++ b/review/standin-3/src/minion.rs
@@ -10,6 +10,7 @@
 use crate::http::{Handler, Request, Response, Server};
 use crate::json::Json;
 use crate::store::SharedStore;
+use crate::wire::{self, ACTIVE, ENDED};
 
 /// The longest lease that a minion grants, in milliseconds.
 const MAX_HOLD_MS: u64 = 1_000;
@@ -172,7 +173,7 @@
         let mut body = String::new();
         let _ = write!(
             body,
-            "{{\"clock_ms\":{},\"born\":{},\"active_runs\":[{}],\"ended_runs\":[{}]}}",
+            "{{\"clock_ms\":{},\"born\":{},\"{ACTIVE}\":[{}],\"{ENDED}\":[{}]}}",
             self.clock_ms(now_ms),
             self.born_unix_ms,
             active.join(","),
@@ -320,9 +321,9 @@
         }
         let now_ms = self.now_ms();
         let task = body.text("task_id").to_owned();
-        let run = body.number("run_id").unwrap_or(0);
+        let run = body.number(wire::RUN).unwrap_or(0);
         let deadline_ms = body.number("deadline_ms");
-        let step = self.step_of(&task, body.text("job_spec"));
+        let step = self.step_of(&task, body.text(wire::SPEC));
         let process = self.minions[number].process.as_mut()?;
         let key = (task.clone(), run);
         if process.active.contains_key(&key) {
@@ -374,7 +375,7 @@
             return Some(response);
         }
         let now_ms = self.now_ms();
-        let key = (body.text("task_id").to_owned(), body.number("run_id").unwrap_or(0));
+        let key = (body.text("task_id").to_owned(), body.number(wire::RUN).unwrap_or(0));
         let process = self.minions[number].process.as_mut()?;
         let highest = process.highest.entry(key.0.clone()).or_default();
         *highest = key.1.max(*highest);
@@ -433,8 +434,8 @@
             return Some(Response::new(421, "{}"));
         }
         match request.path.as_str() {
-            "/-/run-start" => fleet.lock().unwrap().start(number, &body),
-            "/-/run-stop" => fleet.lock().unwrap().stop(number, &body),
+            wire::START => fleet.lock().unwrap().start(number, &body),
+            wire::STOP => fleet.lock().unwrap().stop(number, &body),
             "/-/hold" => hold(&fleet, number, &body),
             "/health" => Some(Response::new(200, "{}")),
             _ => unknown(&request),
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform's store: logs, keyed topics and one group.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -8,6 +8,7 @@
 
 use crate::http::{Handler, Request, Response};
 use crate::json::Json;
+use crate::wire;
 
 /// The limits of one record and of one call, in bytes.
 const RECORD_BYTES: usize = 262_144;
@@ -49,6 +50,8 @@
     /// The caller that has last appended under a condition.
     last_writer: Option<usize>,
     started: Instant,
+    /// The callers that the store turns away with 503.
+    pub refused: BTreeSet<usize>,
     /// What was appended to logs, for the record.
     pub notes: Vec<String>,
 }
@@ -67,6 +70,7 @@
             generation: 1,
             last_writer: None,
             started: Instant::now(),
+            refused: BTreeSet::new(),
             notes: Vec::new(),
         }))
     }
@@ -225,6 +229,9 @@
     Arc::new(move |request| {
         // The time of an answer of the platform's store.
         thread::sleep(Duration::from_millis(4));
+        if store.lock().unwrap().refused.contains(&caller) {
+            return Some(Response::new(503, "{}"));
+        }
         Some(answer(&store, caller, &request))
     })
 }
@@ -234,13 +241,13 @@
     let topic = request.query.get("topic").cloned().unwrap_or_default();
     store.lock().unwrap().expire_members();
     match request.path.as_str() {
-        "/-/log-append" => store.lock().unwrap().append(caller, request),
-        "/-/log-read" => read(store, request, &topic),
-        "/-/log-newest" => {
+        wire::APPEND => store.lock().unwrap().append(caller, request),
+        wire::READ => read(store, request, &topic),
+        wire::NEWEST => {
             let after = request.query.get("after").cloned().unwrap_or_default();
             store.lock().unwrap().newest(&topic, &after)
         }
-        "/-/log-join" => store.lock().unwrap().join(&body),
+        wire::JOIN => store.lock().unwrap().join(&body),
         "/-/log-leave" => store.lock().unwrap().leave(&body),
         "/-/log-owners" => store.lock().unwrap().owners(),
         _ => Response::new(404, "{}"),
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -13,6 +13,7 @@
 use crate::http::{self, Server};
 use crate::minion::{Minions, Step};
 use crate::store::{self, SharedStore, Store};
+use crate::wire::SPEC;
 
 /// The host of all queues.
 const HOST: &str = "nony24.example";
@@ -80,7 +81,7 @@
         job: &str,
     ) -> Self {
         let body = format!(
-            "{{\"job_spec\":\"spec of {id}\",\"steps\":[{{\"count\":{count},\"cpu\":{},\
+            "{{\"{SPEC}\":\"spec of {id}\",\"steps\":[{{\"count\":{count},\"cpu\":{},\
              \"mem_mb\":64,\"est_runtime_ms\":{est_ms}{more}}}]{job}}}",
             step.cpu
         );
@@ -240,6 +241,19 @@
         self.store.lock().unwrap().last_writer()
     }
 
+    /// Lets the store turn an instance away with 503, or serve it again.
+    pub fn refuse(&mut self, number: usize, refused: bool) {
+        let mut store = self.store.lock().unwrap();
+        match refused {
+            true => store.refused.insert(number),
+            false => store.refused.remove(&number),
+        };
+        drop(store);
+        let name = self.instances[number].name.clone();
+        let what = if refused { "turns away" } else { "serves" };
+        self.note(&format!("the store {what} {name}"));
+    }
+
     /// Returns whether an instance answers its readiness probe.
     pub fn is_ready(&self, number: usize) -> bool {
         let Instance { ip, ports, .. } = &self.instances[number];
--- /dev/null
+++ b/review/standin-3/src/wire.rs
@@ -0,0 +1,3 @@
+//! The names of the platform, which stand in a file of their own.
+
+include!("wire.txt");
