--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -23,6 +23,11 @@
 /// The number of jobs that are at work when a machine is added.
 const WIDE_JOBS: usize = 240;
 
+/// The time after which the tasks of a cancelled job have to be gone (`cancel_ms` and
+/// `stop_grace_ms`).
+const CANCEL_MS: u64 = 3_000;
+const STOP_GRACE_MS: u64 = 50;
+
 /// How long the store turns an instance away, and when in that time a machine is added.
 const REFUSED_MS: u64 = 9_000;
 const ADDED_AFTER_MS: u64 = 1_400;
@@ -494,3 +499,54 @@
         ],
     )
 }
+
+/// The only instances of two failure domains are killed and come back, one after the other. Jobs
+/// that last are cancelled afterwards, and have to stop.
+pub fn undead(trouble: bool) -> Verdict {
+    let zones = ["marka", "marka", "marka", "marka", "marka", "sahab", "qastal"];
+    let places: Vec<(&str, &str)> =
+        ZONES.iter().flat_map(|zone| [(*zone, "a"); 16]).collect();
+    let mut system = System::start(&zones, &places, LONG_KEEP_S);
+    if !system.await_ready() {
+        return Verdict::CouldNotRun("the instances are not ready".into());
+    }
+    sleep_ms(3_000);
+    let step = Step { cpu: 1_000, work_ms: None };
+    let lasting = ",\"long_running\":true";
+    let new = |_| Job::new(system.new_id(), 4, step.clone(), 1_000, "", lasting);
+    let jobs: Vec<Job> = (0..80).map(new).collect();
+    let jobs = submit_all(&mut system, jobs);
+    sleep_ms(4_000);
+    if trouble {
+        system.kill_and_restart(5, 3_000);
+        system.kill_and_restart(6, 3_000);
+    }
+    sleep_ms(8_000);
+    let cancelled: Vec<(String, u64)> = jobs
+        .iter()
+        .filter_map(|job| {
+            let accepted = system.cancel(&job.id);
+            let at_ms = system.minions.fleet.lock().unwrap().now_ms();
+            accepted.then(|| (job.id.clone(), at_ms))
+        })
+        .collect();
+    sleep_ms(15_000);
+    let mut faults = Vec::new();
+    for (id, at_ms) in &cancelled {
+        let fleet = Arc::clone(&system.minions.fleet);
+        let mut fleet = fleet.lock().unwrap();
+        let now_ms = fleet.now_ms();
+        let limit_ms = at_ms + CANCEL_MS + STOP_GRACE_MS;
+        for run in fleet.runs_of(id) {
+            let ended_ms = run.ended_ms.unwrap_or(now_ms);
+            if ended_ms > limit_ms || run.began_ms > at_ms + CANCEL_MS {
+                faults.push(format!(
+                    "task {} runs on minion {} at {ended_ms} ms; its job was cancelled at \
+                     {at_ms} ms",
+                    run.task, run.minion
+                ));
+            }
+        }
+    }
+    conclude(system, faults, &["has lost the minion", "is lost", "stored job cancelled"])
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -49,6 +49,7 @@
     match case {
         "moved" => cases::moved(trouble),
         "unseen" => cases::unseen(trouble),
+        "undead" => cases::undead(trouble),
         "twice" => cases::twice(trouble),
         "expiry" => cases::expiry(trouble),
         "flap" => cases::flap(trouble),
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -372,6 +372,14 @@
         state
     }
 
+    /// Cancels a job, and returns whether that was acknowledged with 200.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let answer = self.call("DELETE", &format!("{PREFIX}{id}"), "", 4);
+        let status = answer.map(|(status, _)| status);
+        self.note(&format!("DELETE {id} -> {status:?}"));
+        status == Some(200)
+    }
+
     /// Writes all runs to the record.
     pub fn note_runs(&mut self) {
         let fleet = Arc::clone(&self.minions.fleet);
