Log when a report replaces the holder of a run

The line has the minion, the noted and the reported holder, and whether this instance holds the minion itself.

--- a/crates/bamboocart-jobs/src/shard/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard/shard_runs.rs
@@ -2,7 +2,7 @@
 
 use std::mem;
 
-use log::warn;
+use log::{info, warn};
 
 use crate::engine::Engine;
 use crate::holder::minion::{MinionKey, RunOwner};
@@ -143,6 +143,7 @@
     ) {
         let ShardRun { run, minion, checkpoint } = found;
         let key = self.minions.by_id.get(&minion).copied();
+        let held_here = key.is_some_and(|key| self.minions.arena[key].held.is_some());
         let job = self.jobs.get_mut(&run.task.occurrence_ref());
         let task = job.and_then(|job| Some((job.position(run.task)?, job)));
         let wanted = match task {
@@ -155,6 +156,13 @@
                         // A holder that has announced the run is a later one than any that
                         // reports it.
                         if placement.fencing_token == 0 {
+                            if placement.holder != holder {
+                                info!(target: "job", request_id:% = run.task.job,
+                                    run:% = run.task, number = run.run, minion:% = minion,
+                                    held_here, earlier:? = placement.holder,
+                                    reported:? = holder;
+                                    "a report replaces the holder of a run");
+                            }
                             placement.holder = holder;
                         }
                         if placement.holder == holder {
