Let no late report replace the present holder of a run

Cause: a new owner of a shard learns from reports who holds the minions of its runs. The reports had no fencing token, and a placement without one took the holder of whichever report came last. Of a minion that had just changed hands two instances report the run, and the earlier one then releases it. After 2.5 s the task counted as lost, although its run was active at the present holder, often the owner itself. The task started again, or a cancel found no run to stop.

Change: a report is followed by the announcement that holders make of the runs that they find, which has the token; and an owner notes its own token with the runs on its own minions. Both go through the comparison that announcements had.

--- a/crates/bamboocart-jobs/src/shard/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard/shard_runs.rs
@@ -1,12 +1,13 @@
 //! Handover of the active runs of a shard from one owner to the next.
 
+use std::collections::BTreeMap;
 use std::mem;
 
 use log::{info, warn};
 
 use crate::engine::Engine;
 use crate::holder::minion::{MinionKey, RunOwner};
-use crate::id::RunRef;
+use crate::id::{MinionId, RunRef};
 use crate::membership::peer::PeerKey;
 use crate::message::{Message, ShardRun};
 use crate::owner::task::{Holder, Placement, TaskState};
@@ -55,15 +56,34 @@
     /// the runs that are active.
     ///
     /// The ends come first. With the list of active runs, the owner knows all that this
-    /// instance does, and may start the other tasks again.
+    /// instance does, and may start the other tasks again. The announcements tell it the
+    /// fencing tokens, since an earlier holder of a minion may report the same runs.
     fn shard_report(&self, peer: PeerKey, shard: ShardId) -> Vec<Message> {
         let epoch = self.shards.known_epoch(shard);
         let runs = self.runs_of_shard(peer, shard, epoch);
+        let announcements = self.announcements(&runs);
         let mut report = self.unconfirmed_ends_of(shard);
         report.push(Message::ShardRuns { shard, epoch, runs });
+        report.extend(announcements);
         report
     }
 
+    /// Returns the announcements of active runs under the fencing tokens of their minions,
+    /// one for each minion.
+    fn announcements(&self, runs: &[ShardRun]) -> Vec<Message> {
+        let mut by_minion: BTreeMap<&MinionId, Vec<RunRef>> = BTreeMap::new();
+        for ShardRun { run, minion, .. } in runs {
+            by_minion.entry(minion).or_default().push(*run);
+        }
+        let announcement = |(minion, active): (&MinionId, Vec<RunRef>)| {
+            let key = self.minions.by_id.get(minion)?;
+            let fencing_token = self.minions.arena[*key].held.as_ref()?.fencing_token;
+            let (minion, ended) = (minion.clone(), Vec::new());
+            Some(Message::Adopted { minion, fencing_token, active, ended })
+        };
+        by_minion.into_iter().filter_map(announcement).collect()
+    }
+
     /// Returns the runs of a shard on held minions that belong to its owner.
     fn runs_of_shard(&self, peer: PeerKey, shard: ShardId, epoch: u64) -> Vec<ShardRun> {
         let held = self.minions.held();
@@ -89,7 +109,7 @@
         shard: ShardId,
         epoch: u64,
         owner: RunOwner,
-    ) -> Vec<(Holder, ShardRun)> {
+    ) -> Vec<(MinionKey, ShardRun)> {
         let mut found = Vec::new();
         for key in self.minions.held_keys().to_vec() {
             let minion = &mut self.minions.arena[key];
@@ -107,7 +127,7 @@
                     minion: minion.entry.id.clone(),
                     checkpoint: run.checkpoint.clone(),
                 };
-                found.push((Holder::Local(key), run));
+                found.push((key, run));
             }
         }
         found
@@ -134,6 +154,19 @@
         }
     }
 
+    /// Adopts a run of an earlier owner on a minion that this instance holds.
+    ///
+    /// The fencing token is noted with it, so that the report of an earlier holder, which
+    /// may still arrive, doesn't replace this instance.
+    pub(crate) fn adopt_own_run(&mut self, now: Moment, key: MinionKey, found: ShardRun) {
+        let (run, minion) = (found.run, found.minion.clone());
+        self.adopt_shard_run(now, Holder::Local(key), found);
+        let held = self.minions.arena[key].held.as_ref();
+        if let Some(fencing_token) = held.map(|held| held.fencing_token) {
+            self.claim(run, None, &minion, fencing_token);
+        }
+    }
+
     /// Adopts a run that an earlier owner has ordered, or stops it if it is of no use.
     pub(crate) fn adopt_shard_run(
         &mut self,
--- a/crates/bamboocart-jobs/src/shard/takeover.rs
+++ b/crates/bamboocart-jobs/src/shard/takeover.rs
@@ -292,8 +292,8 @@
         }
         self.begin_due(now, id);
         self.broadcast(&Message::ShardTaken { shard: id, epoch });
-        for (holder, run) in self.reassign_shard_runs(now, id, epoch, RunOwner::Local) {
-            self.adopt_shard_run(now, holder, run);
+        for (key, run) in self.reassign_shard_runs(now, id, epoch, RunOwner::Local) {
+            self.adopt_own_run(now, key, run);
         }
         for (requester, job, op) in ops {
             self.perform_op(now, requester, job, op);
--- a/crates/bamboocart-jobs/tests/shard_reports.rs
+++ b/crates/bamboocart-jobs/tests/shard_reports.rs
@@ -6,11 +6,12 @@
 use bamboocart_jobs::timing::{LEASE_MS, RECONCILE_TIMEOUT_MS, RUN_GONE_MS};
 use bamboocart_jobs::{
     AppendAnswer, Checkpoint, Effect, EndReport, Engine, Frame, HoldOrder, HoldReply,
-    LogAppend, LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, Resources,
-    RunEnd, RunOrder, RunRef, ShardId, ShardRun, StartAnswer, Submission,
+    LogAppend, LogPage, LogRead, LogRecord, Message, Moment, NewJob, PeerKey, RequestKey,
+    Resources, RunEnd, RunOrder, RunRef, ShardId, ShardRun, StartAnswer, Submission,
 };
 use support::{
-    active, answer_hold, entry, frame, member, room, run, run_order, step, submission,
+    JOB, active, answer_hold, entry, frame, member, room, run, run_order, step,
+    submission,
 };
 use yare::parameterized;
 
@@ -48,8 +49,21 @@
     starts: Vec<RunRef>,
     /// The runs that peers were told to stop.
     stops: Vec<RunRef>,
-    /// The frames to the earlier holder of m-1.
-    frames: Vec<Frame>,
+    /// The frames to peers, with the numbers of their receivers.
+    frames: Vec<(usize, Frame)>,
+    /// The minion m-1, if it answers this instance.
+    own: Option<OwnMinion>,
+}
+
+/// The minion m-1 while the owner holds it.
+#[derive(Default)]
+struct OwnMinion {
+    /// The hold that is not answered.
+    hold: Option<HoldOrder>,
+    /// The active runs.
+    active: Vec<RunRef>,
+    /// The runs that it was told to stop.
+    stops: Vec<RunRef>,
 }
 
 impl Fixture {
@@ -87,7 +101,35 @@
         engine.update_minions(START, ["m-1", "m-2"].map(|id| entry(id, "sahab")).into());
         let (starts, stops) = (Vec::new(), Vec::new());
         let frames = Vec::new();
-        Self { engine, now: START, log, peers, taken, starts, stops, frames }
+        let own = None;
+        Self { engine, now: START, log, peers, taken, starts, stops, frames, own }
+    }
+
+    /// Creates an owner that holds m-1 and has started the run there for the earlier owner
+    /// of the shard, before it takes the shard over.
+    fn with_own_run() -> Self {
+        let first = Self::first_owner();
+        let mut fixture = Self::with_log(first.log, first.taken);
+        fixture.own = Some(OwnMinion::default());
+        let (holds, later): (Vec<Effect>, Vec<Effect>) = fixture
+            .engine
+            .take_effects()
+            .into_iter()
+            .partition(|effect| matches!(effect, Effect::Hold(_)));
+        holds.into_iter().for_each(|hold| fixture.carry_out(hold));
+        fixture.answer_own_hold();
+        let order = Box::new(RunOrder { epoch: 1, ..run_order(run(RUN)) });
+        let start = Message::Start { minion: "m-1".into(), order };
+        let earlier = fixture.peers[EARLIER];
+        fixture.engine.frame_arrived(START, earlier, frame(START, vec![start]));
+        for effect in fixture.engine.take_effects() {
+            fixture.carry_out(effect);
+        }
+        assert_eq!(fixture.own.as_ref().unwrap().active, [run(RUN)]);
+        later.into_iter().for_each(|effect| fixture.carry_out(effect));
+        fixture.pass(2 * FRAME_MS);
+        assert_ne!(fixture.taken, first.taken, "the shard is taken over");
+        fixture
     }
 
     /// Carries out the effects and collects the messages that are due.
@@ -97,18 +139,11 @@
             if effects.is_empty() {
                 break;
             }
-            for effect in effects {
-                match effect {
-                    Effect::ReadLog(read) => self.answer_read(&read),
-                    Effect::Append(append) => self.carry_out(&append),
-                    _ => {}
-                }
-            }
+            effects.into_iter().for_each(|effect| self.carry_out(effect));
         }
         for (peer, frame) in self.engine.take_frames(self.now) {
-            if peer == self.peers[EARLIER] {
-                self.frames.push(frame.clone());
-            }
+            let receiver = self.peers.iter().position(|&it| it == peer);
+            self.frames.extend(receiver.map(|receiver| (receiver, frame.clone())));
             for message in frame.messages {
                 match message {
                     Message::ShardTaken { shard, epoch } => {
@@ -122,6 +157,35 @@
         }
     }
 
+    /// Carries out an effect; only m-1 may answer calls.
+    fn carry_out(&mut self, effect: Effect) {
+        match (effect, &mut self.own) {
+            (Effect::ReadLog(read), _) => self.answer_read(&read),
+            (Effect::Append(append), _) => self.append(&append),
+            (Effect::Hold(order), Some(own)) if order.target.id == "m-1".into() => {
+                own.hold = Some(order);
+            }
+            (Effect::Start(order), Some(own)) if order.target.id == "m-1".into() => {
+                own.active.push(order.run);
+                let (key, token) = (order.target.minion, order.target.fencing_token);
+                let started = StartAnswer::Started;
+                self.engine.start_answered(self.now, key, token, order.run, started);
+            }
+            (Effect::Start(order), _) => self.starts.push(order.run),
+            (Effect::Stop(order), Some(own)) => own.stops.push(order.run),
+            _ => {}
+        }
+    }
+
+    /// Answers the hold of m-1, if one was sent.
+    fn answer_own_hold(&mut self) {
+        let Some(own) = &mut self.own else { return };
+        let Some(order) = own.hold.take() else { return };
+        let active = own.active.iter().map(|&run| active(run, 10)).collect();
+        let reply = HoldReply { active, ..HoldReply::default() };
+        answer_hold(&mut self.engine, self.now, &order, reply);
+    }
+
     /// Answers a read; only the shard of the job has records.
     fn answer_read(&mut self, read: &LogRead) {
         let used = self.taken.is_some_and(|(shard, _)| shard == read.shard);
@@ -134,7 +198,7 @@
     }
 
     /// Carries out an append.
-    fn carry_out(&mut self, append: &LogAppend) {
+    fn append(&mut self, append: &LogAppend) {
         self.log.extend(append.records.iter().cloned());
         let answer = AppendAnswer::Appended {
             end_offset: append.at_offset + append.records.len() as u64,
@@ -155,6 +219,7 @@
         while self.now < end {
             self.now = self.now + FRAME_MS;
             self.engine.joined(self.now);
+            self.answer_own_hold();
             let free =
                 Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 };
             self.deliver(EARLIER, Vec::new());
@@ -175,6 +240,24 @@
         self.deliver(peer, vec![Message::ShardRuns { shard, epoch, runs }]);
     }
 
+    /// Lets the holder of m-1 act, and passes the frames between it and this instance, at
+    /// which it has the number `peer`.
+    fn exchange_frames(&mut self, peer: usize, holder: &mut RunHolder) {
+        let now = self.now;
+        for (receiver, frame) in std::mem::take(&mut self.frames) {
+            if receiver == peer {
+                holder.engine.frame_arrived(now, holder.owner, frame);
+            }
+        }
+        holder.tick(now);
+        for (receiver, frame) in holder.engine.take_frames(now) {
+            if receiver == holder.owner {
+                self.engine.frame_arrived(now, self.peers[peer], frame);
+                self.collect();
+            }
+        }
+    }
+
     /// Delivers what a peer says about the run.
     fn hear(&mut self, statement: Statement) {
         match statement {
@@ -265,6 +348,10 @@
 /// The interval of the holds that a holder sends.
 const HOLD_INTERVAL_MS: u64 = 20;
 
+/// The generation under which the holder of m-1 holds it: it is later than that of the
+/// owner, so that its fencing token is the higher one.
+const HOLDER_GENERATION: u64 = 2;
+
 /// The holder of the minion m-1, with a run that an earlier owner has ordered.
 struct RunHolder {
     engine: Engine,
@@ -284,7 +371,7 @@
         let own = member("entry-2", "sahab");
         let mut engine = Engine::new(own.clone(), 2);
         engine.update_minions(now, vec![entry("m-1", "sahab")]);
-        engine.set_members(now, 1, &[own]);
+        engine.set_members(now, HOLDER_GENERATION, &[own]);
         let [owner, earlier] =
             ["entry-1", "entry-5"].map(|name| engine.peer(now, &member(name, "marka")));
         engine.link_opened(owner);
@@ -354,18 +441,107 @@
         let free = Resources { cpu_millicores: 2_000, memory_mb: 4_096, gpu_count: 0 };
         fixture.deliver(PRESENT, Vec::new());
         fixture.deliver(OTHER, vec![room("m-2", free)]);
-        for frame in std::mem::take(&mut fixture.frames) {
-            holder.engine.frame_arrived(now, holder.owner, frame);
-        }
-        holder.tick(now);
-        for (peer, frame) in holder.engine.take_frames(now) {
-            if peer == holder.owner {
-                fixture.engine.frame_arrived(now, fixture.peers[EARLIER], frame);
-                fixture.collect();
-            }
-        }
+        fixture.exchange_frames(EARLIER, &mut holder);
     }
     let stopped = holder.stops.contains(&run(RUN));
     assert!(stopped || fixture.starts.is_empty(), "beside a run: {:?}", fixture.starts);
     assert!(dropped || !stopped, "the next owner knows the run");
 }
+
+/// The instance that holds m-1 at present.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum PresentHolder {
+    /// A peer, which has reported the run.
+    Peer,
+    /// The owner of the job.
+    Owner,
+}
+
+/// An owner that has taken over a shard, and then hears of the run from an earlier holder of
+/// m-1, which learns only later that it has lost the minion.
+struct LateReport {
+    fixture: Fixture,
+    /// The present holder, if it is a peer.
+    holder: Option<RunHolder>,
+}
+
+impl LateReport {
+    /// Lets the earlier holder report the run and then release it.
+    fn new(present: PresentHolder) -> Self {
+        let (fixture, holder) = match present {
+            PresentHolder::Owner => (Fixture::with_own_run(), None),
+            PresentHolder::Peer => {
+                let fixture = Fixture::new();
+                let holder = RunHolder::new(fixture.now);
+                (fixture, Some(holder))
+            }
+        };
+        let mut late = Self { fixture, holder };
+        if let Some(holder) = &mut late.holder {
+            let (shard, epoch) = late.fixture.taken.unwrap();
+            let taken =
+                frame(late.fixture.now, vec![Message::ShardTaken { shard, epoch }]);
+            holder.engine.frame_arrived(late.fixture.now, holder.owner, taken);
+        }
+        late.pass(FRAME_MS);
+        late.fixture.hear(Statement::Reported(EARLIER));
+        late.fixture.hear(Statement::Released(EARLIER));
+        late.fixture.report(PRESENT, &[]);
+        late.fixture.report(OTHER, &[]);
+        late.pass(GONE_MS);
+        late
+    }
+
+    /// Lets time pass.
+    fn pass(&mut self, duration_ms: u64) {
+        let end = self.fixture.now + duration_ms;
+        while self.fixture.now < end {
+            self.fixture.pass(FRAME_MS);
+            if let Some(holder) = &mut self.holder {
+                self.fixture.exchange_frames(PRESENT, holder);
+            }
+        }
+    }
+
+    /// Returns the runs that m-1 was told to stop.
+    fn stops(&self) -> &[RunRef] {
+        match (&self.holder, &self.fixture.own) {
+            (Some(holder), _) => &holder.stops,
+            (None, own) => &own.as_ref().unwrap().stops,
+        }
+    }
+}
+
+/// Guards against a second run of a task, because an earlier holder of its minion reports
+/// the run to the new owner of the shard after the present holder, and then releases it. The
+/// owner itself may be the present holder, and the minion may change hands again.
+#[parameterized(
+    held_by_a_peer = { PresentHolder::Peer },
+    held_by_the_owner = { PresentHolder::Owner },
+)]
+fn a_late_report_does_not_replace_the_present_holder(present: PresentHolder) {
+    let mut late = LateReport::new(present);
+    if present == PresentHolder::Owner {
+        let members = [member("entry-1", "marka"), member("entry-9", "sahab")];
+        late.fixture.engine.set_members(late.fixture.now, 2, &members);
+        late.fixture.own = None;
+        late.pass(FRAME_MS);
+        late.fixture.hear(Statement::Adopted(PRESENT));
+        late.pass(GONE_MS);
+    }
+    assert_eq!(late.fixture.starts, [], "the run is active");
+}
+
+/// Guards against a task of a cancelled job that is never stopped, because the owner takes
+/// an earlier holder for the present one.
+#[parameterized(
+    held_by_a_peer = { PresentHolder::Peer },
+    held_by_the_owner = { PresentHolder::Owner },
+)]
+fn a_cancel_after_a_late_report_stops_the_run(present: PresentHolder) {
+    let mut late = LateReport::new(present);
+    let job = JOB.parse().unwrap();
+    late.fixture.engine.cancel_request(late.fixture.now, RequestKey(2), job, 1_500);
+    late.pass(2 * FRAME_MS);
+    assert_eq!(late.stops(), [run(RUN)]);
+}
