Introduce new members to those that the store does not answer

Cause: an instance without the store keeps its shards for up to 3 s while all members that it knows receive its frames. One that joins meanwhile is none of them, and does not know it either, since the group has dropped it: no announcement of the claim reaches the earlier owner, and no report of its runs the new one.

Change: a peer whose last join is 1 s old is told of the members that have become known since that join, by those that know both. It counts them as members of the group and opens links to them, on which claims are announced and runs reported. If no link can be opened, it has no authority, since a member does not receive its frames, and gives its shards up in 0.7 s; the new owner places nothing for 1.2 s. Nothing is sent in calm, or if no member is new. The message is new, and an instance of an earlier version cannot decode it.

--- a/crates/bamboocart-dispatcher/src/site/links.rs
+++ b/crates/bamboocart-dispatcher/src/site/links.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bamboocart_jobs::{Frame, Member, PeerKey};
+use bamboocart_jobs::{Frame, Member, Message, PeerKey};
 use bamboocart_telemetry::traffic::{Direction, Purpose, count_bytes};
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use bytes::{Buf, Bytes, BytesMut};
@@ -256,7 +256,12 @@
         count_bytes(Purpose::Frame, Direction::Received, data.len());
         buffer.extend_from_slice(&data);
         while let Some(frame) = decode(&mut buffer)? {
+            let names_members =
+                frame.messages.iter().any(|it| matches!(it, Message::Members(_)));
             driver.update_engine(|engine, now| engine.frame_arrived(now, peer, frame));
+            if names_members {
+                driver.open_links();
+            }
         }
     }
     Ok(())
--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -283,6 +283,7 @@
         entry.note_frame(&frame, now);
         if first {
             info!(target: "peer", peer:% = entry.member; "first frame from a peer");
+            self.review.note_peer();
         }
         let times = FrameTimes {
             sent_ms: frame.sent_ms,
@@ -396,6 +397,7 @@
             Message::Cancel(job) => self.cancel_for_peer(now, job),
             Message::Leaving => self.peer_leaving(peer),
             Message::Evacuations(notices) => self.evacuations_reported(notices),
+            Message::Members(members) => self.members_introduced(now, peer, &members),
         }
     }
 
--- a/crates/bamboocart-jobs/src/membership/member.rs
+++ b/crates/bamboocart-jobs/src/membership/member.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use serde_with::{DeserializeFromStr, SerializeDisplay};
 use snafu::{OptionExt, Snafu};
 
 use crate::id::MemberId;
@@ -15,7 +16,17 @@
 ///
 /// The store's group knows members by this text only, so it has to contain everything
 /// that peers need.
-#[derive(Debug, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
+#[derive(
+    Debug,
+    Clone,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Hash,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
 pub struct Member {
     /// The name of the instance, which all its incarnations share.
     pub name: Box<str>,
--- a/crates/bamboocart-jobs/src/membership/mod.rs
+++ b/crates/bamboocart-jobs/src/membership/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod assignment;
 pub(crate) mod authority;
+pub(crate) mod introduction;
 pub(crate) mod member;
 pub(crate) mod minion_list;
 pub(crate) mod neighbours;
@@ -78,6 +79,13 @@
     pending: bool,
 }
 
+impl Review {
+    /// Records that a peer is present for the first time.
+    pub(crate) fn note_peer(&mut self) {
+        self.due = true;
+    }
+}
+
 impl Engine {
     /// Sets the members of the group as of a generation.
     ///
@@ -142,6 +150,7 @@
         self.review.due = false;
         self.review.at = now;
         self.forget_peers(now);
+        self.introduce_members(now);
         self.peers.expire_queries(now);
         self.requeue_lost(now);
         self.note_engaged();
--- a/crates/bamboocart-jobs/src/membership/peer.rs
+++ b/crates/bamboocart-jobs/src/membership/peer.rs
@@ -1,9 +1,9 @@
 //! Peers: their liveness, the free capacity they reported, and the messages queued for
 //! them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use log::{error, warn};
+use log::{error, info, warn};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::id::{MemberId, MinionId, RunRef};
@@ -36,7 +36,8 @@
 pub(crate) struct Peer {
     /// The entry of the peer in the group.
     pub(crate) member: Member,
-    /// Whether the group currently lists it.
+    /// Whether the group currently lists it, according to the store or, while the store does
+    /// not answer, to a peer.
     pub(crate) listed: bool,
     /// Whether the group has ever listed it or an earlier incarnation.
     pub(crate) joined: bool,
@@ -65,6 +66,8 @@
     link_open: bool,
     /// The revision of the notices of evacuations that it was told on this link; 0 if none.
     told_evacuations: u64,
+    /// The members that it was told of on this link, since the store does not answer it.
+    introduced: BTreeSet<MemberId>,
     /// When the last frame from it arrived.
     pub(crate) last_frame_at: Option<Moment>,
     /// Send time of its last frame, on its clock.
@@ -164,6 +167,7 @@
             shares_runs: false,
             link_open: false,
             told_evacuations: 0,
+            introduced: BTreeSet::new(),
             last_frame_at: None,
             last_frame_sent_ms: 0,
             orders_after_ms: 0,
@@ -274,6 +278,20 @@
         }
     }
 
+    /// Queues the names of members, except for those that it was told of on its link.
+    pub(crate) fn introduce(&mut self, members: impl Iterator<Item = Member>) {
+        if !self.link_open {
+            return;
+        }
+        let known = &mut self.introduced;
+        let news: Vec<Member> = members.filter(|it| known.insert(it.id())).collect();
+        if !news.is_empty() {
+            info!(target: "peer", peer:% = self.member, members = news.len();
+                "naming new members to a peer that the store does not answer");
+            self.push_required(Message::Members(news));
+        }
+    }
+
     /// Returns the send time that the next frame to it states, if it is sent now.
     ///
     /// No two frames state the same time, so an echo tells exactly which of them the peer
@@ -389,6 +407,7 @@
     pub(crate) fn open_link(&mut self) {
         self.link_open = true;
         self.told_evacuations = 0;
+        self.introduced.clear();
         self.orders_after_ms = self.last_frame_sent_ms;
         self.report_due = true;
         self.reported_capacity = None;
@@ -592,6 +611,14 @@
         self.by_id.get(&member.id()).copied()
     }
 
+    /// Returns whether a later incarnation of the same instance is known.
+    pub(crate) fn is_replaced(&self, member: &Member) -> bool {
+        self.arena.values().any(|peer| {
+            let later = peer.member.incarnation > member.incarnation;
+            peer.member.name == member.name && later
+        })
+    }
+
     pub(crate) fn remove(&mut self, key: PeerKey) {
         if let Some(peer) = self.arena.remove(key) {
             self.by_id.remove(&peer.member.id());
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -9,6 +9,7 @@
 use crate::holder::minion::MinionEntry;
 use crate::holder::orders::{RejectionCause, RunOrder};
 use crate::id::{Checkpoint, JobId, MinionId, RunRef, SharedStr};
+use crate::membership::member::Member;
 use crate::operator::catalog::Catalog;
 use crate::operator::evacuation::EvacuationNotice;
 use crate::resources::Resources;
@@ -172,6 +173,11 @@
     /// Sent only once there was such a request, since instances of earlier versions cannot
     /// decode it.
     Evacuations(Vec<EvacuationNotice>),
+    /// Names members that may have joined the group since the receiver's last join.
+    ///
+    /// Sent only to peers that the store does not answer, since instances of earlier versions
+    /// cannot decode it.
+    Members(Vec<Member>),
 }
 
 impl Frame {
@@ -233,6 +239,7 @@
             Self::Cancel(_) => "message-cancel",
             Self::StateTransfer { .. } => "message-state",
             Self::Evacuations(_) => "message-evacuations",
+            Self::Members(_) => "message-members",
             Self::Leaving | Self::Released(_) => "message-released",
             Self::Adopted { .. } | Self::Claimed { .. } => "message-adoption",
         }
--- a/crates/bamboocart-jobs/tests/support/site.rs
+++ b/crates/bamboocart-jobs/tests/support/site.rs
@@ -1,13 +1,13 @@
 //! A whole site in memory: engines that exchange frames, and minions that run what they are
 //! told to. Each test uses some of it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bamboocart_jobs::{
     ActiveRun, AdviceAnswer, AdviceOrder, Answer, AppendAnswer, Checkpoint, Effect,
-    EndReport, EndedRun, Engine, Frame, HoldOrder, HoldReply, LogAppend, LogPage,
-    LogRead, LogRecord, Member, MinionEntry, MinionId, Moment, PeerKey, RequestKey,
-    RunEnd, RunRef, ShardId, StartAnswer, StartOrder, Submission,
+    EndReport, EndedRun, Engine, Frame, HoldAnswer, HoldOrder, HoldReply, LogAppend,
+    LogPage, LogRead, LogRecord, Member, MinionEntry, MinionId, Moment, PeerKey,
+    RequestKey, RunEnd, RunRef, ShardId, StartAnswer, StartOrder, Submission,
 };
 
 use super::answer_hold;
@@ -33,6 +33,15 @@
     /// The platform's list of minions.
     entries: Vec<MinionEntry>,
     minions: BTreeMap<MinionId, Minion>,
+    /// The members that the store's group names, and its generation.
+    group: Vec<Member>,
+    generation: u64,
+    /// The instances that the store turns away.
+    refused: BTreeSet<usize>,
+    /// The links that are open, each from one instance to another.
+    links: BTreeSet<(usize, usize)>,
+    /// The pairs of instances that can't reach each other.
+    cuts: BTreeSet<(usize, usize)>,
     /// The frames under way, with the numbers of their sender and their receiver.
     in_flight: Vec<(usize, usize, Frame)>,
     /// The logs of the store.
@@ -48,9 +57,18 @@
     ended: Vec<EndedRun>,
     /// The number of the last end.
     last_end: u64,
+    /// The highest fencing token that it has seen.
+    fencing_token: u64,
 }
 
 impl Minion {
+    /// Notes the fencing token of a call, and returns whether the call is refused because an
+    /// earlier one had a higher token.
+    fn is_fenced(&mut self, fencing_token: u64) -> bool {
+        self.fencing_token = self.fencing_token.max(fencing_token);
+        self.fencing_token > fencing_token
+    }
+
     /// Returns the answer to a hold, after the runs that are over have ended.
     fn reply(&mut self, now: Moment, last_seen: u64) -> HoldReply {
         let (over, active) = self.active.iter().partition(|(_, end)| *end <= now);
@@ -99,6 +117,11 @@
             answers: Vec::new(),
             run_ms: 200,
             advised: None,
+            group: members.clone(),
+            generation: 1,
+            refused: BTreeSet::new(),
+            links: BTreeSet::new(),
+            cuts: BTreeSet::new(),
             members,
             entries,
             minions: ids.collect(),
@@ -123,6 +146,7 @@
     pub fn open_link(&mut self, from: usize, to: usize) {
         let peer = self.peer(from, to);
         self.engines[from].link_opened(peer);
+        self.links.insert((from, to));
     }
 
     /// Closes the link from one instance to another; frames on the way are lost.
@@ -130,6 +154,63 @@
         let peer = self.peer(from, to);
         self.in_flight.retain(|(sender, receiver, _)| (*sender, *receiver) != (from, to));
         self.engines[from].link_lost(self.now, peer);
+        self.links.remove(&(from, to));
+    }
+
+    /// Lets two instances never reach each other.
+    pub fn cut(&mut self, one: usize, other: usize) {
+        self.cuts.extend([(one, other), (other, one)]);
+    }
+
+    /// Lets the store turn an instance away. The group drops it after a while.
+    pub fn refuse(&mut self, instance: usize) {
+        self.refused.insert(instance);
+    }
+
+    /// Starts a further instance, which joins the group; the instances that the store turns
+    /// away are no longer named by it.
+    pub fn add(&mut self, member: Member) {
+        let instance = self.engines.len();
+        let mut engine = Engine::new(member.clone(), self.now.0);
+        engine.update_minions(self.now, self.entries.clone());
+        self.engines.push(engine);
+        self.frames.push(0);
+        self.members.push(member);
+        self.generation += 1;
+        let served = (0..=instance).filter(|it| !self.refused.contains(it));
+        self.group = served.map(|it| self.members[it].clone()).collect();
+        for number in (0..=instance).filter(|it| !self.refused.contains(it)) {
+            let engine = &mut self.engines[number];
+            engine.set_members(self.now, self.generation, &self.group);
+        }
+    }
+
+    /// Opens the links to the peers that instances know, as far as they can be reached. The
+    /// accepting end learns of the opening one.
+    fn open_known_links(&mut self) {
+        for from in 0..self.engines.len() {
+            for (peer, _) in self.engines[from].peers() {
+                let member = self.engines[from].member_of(peer);
+                let to =
+                    member.and_then(|it| self.members.iter().position(|to| to == it));
+                let Some(to) = to else { continue };
+                let link = (from, to);
+                if !self.links.contains(&link) && !self.cuts.contains(&link) {
+                    self.peer(to, from);
+                    self.open_link(from, to);
+                }
+            }
+        }
+    }
+
+    /// Returns the tasks of which two runs are active.
+    pub fn doubled(&self) -> Vec<RunRef> {
+        let active = self.minions.values().flat_map(|minion| &minion.active);
+        let mut runs: Vec<RunRef> =
+            active.filter(|(_, end)| *end > self.now).map(|&(run, _)| run).collect();
+        runs.sort_unstable();
+        let doubled = runs.windows(2).filter(|pair| pair[0].task == pair[1].task);
+        doubled.map(|pair| pair[1]).collect()
     }
 
     /// Ends the process of an instance and starts it again; its links are opened anew.
@@ -137,7 +218,7 @@
         self.in_flight.retain(|(from, to, _)| *from != instance && *to != instance);
         let mut engine = Engine::new(self.members[instance].clone(), self.now.0);
         engine.update_minions(self.now, self.entries.clone());
-        engine.set_members(self.now, 1, &self.members);
+        engine.set_members(self.now, self.generation, &self.group);
         engine.joined(self.now);
         self.engines[instance] = engine;
         for other in (0..self.engines.len()).filter(|&other| other != instance) {
@@ -158,9 +239,12 @@
         let end = self.now + duration_ms;
         while self.now < end {
             self.now = self.now + STEP_MS;
+            self.open_known_links();
             self.deliver_frames();
             for number in 0..self.engines.len() {
-                self.engines[number].joined(self.now);
+                if !self.refused.contains(&number) {
+                    self.engines[number].joined(self.now);
+                }
                 if self.engines[number].next_due(self.now) <= self.now {
                     self.engines[number].tick(self.now);
                 }
@@ -206,16 +290,23 @@
                     self.answers.push((instance, request, answer));
                 }
                 Effect::Stop(order) => {
+                    let token = order.target.fencing_token;
                     let minion = self.minions.get_mut(&order.target.id);
-                    if let Some(minion) = minion {
-                        minion.active.retain(|(run, _)| *run != order.run);
-                    }
+                    let fenced = minion.is_some_and(|minion| {
+                        let fenced = minion.is_fenced(token);
+                        if !fenced {
+                            minion.active.retain(|(run, _)| *run != order.run);
+                        }
+                        fenced
+                    });
+                    let answer =
+                        if fenced { StartAnswer::Fenced } else { StartAnswer::Started };
                     self.engines[instance].stop_answered(
                         now,
                         order.target.minion,
-                        order.target.fencing_token,
+                        token,
                         order.run,
-                        StartAnswer::Started,
+                        answer,
                     );
                 }
                 Effect::ReadLog(read) => self.read_log(instance, &read),
@@ -237,18 +328,27 @@
 
     /// Answers a read of a log.
     fn read_log(&mut self, instance: usize, read: &LogRead) {
+        let page = match self.refused.contains(&instance) {
+            true => LogPage::Lost,
+            false => self.page(read),
+        };
+        self.engines[instance].log_read(self.now, read.shard, read.number, page);
+    }
+
+    /// Returns the records of a log from an offset on.
+    fn page(&mut self, read: &LogRead) -> LogPage {
         let log = self.logs.entry(read.shard).or_default();
         let from = (read.from_offset as usize).min(log.len());
         let end_offset = log.len() as u64;
         let records = log[from..].to_vec();
-        let page = LogPage::Records { records, next_offset: end_offset, end_offset };
-        self.engines[instance].log_read(self.now, read.shard, read.number, page);
+        LogPage::Records { records, next_offset: end_offset, end_offset }
     }
 
     /// Appends to a log, if it ends where the instance takes it to end.
     fn append(&mut self, instance: usize, append: LogAppend) {
         let log = self.logs.entry(append.shard).or_default();
         let answer = match log.len() as u64 == append.at_offset {
+            _ if self.refused.contains(&instance) => AppendAnswer::Refused,
             true => {
                 log.extend(append.records);
                 AppendAnswer::Appended { end_offset: log.len() as u64 }
@@ -267,20 +367,31 @@
     fn start(&mut self, instance: usize, order: &StartOrder) {
         let minion = self.minions.get_mut(&order.target.id).expect("the minion exists");
         let run_ms = order.spec.parse().unwrap_or(self.run_ms);
-        minion.active.push((order.run, self.now + run_ms));
-        self.starts.push((order.run, order.target.id.clone()));
+        let answer = match minion.is_fenced(order.target.fencing_token) {
+            true => StartAnswer::Fenced,
+            false => StartAnswer::Started,
+        };
+        if answer == StartAnswer::Started {
+            minion.active.push((order.run, self.now + run_ms));
+            self.starts.push((order.run, order.target.id.clone()));
+        }
         self.engines[instance].start_answered(
             self.now,
             order.target.minion,
             order.target.fencing_token,
             order.run,
-            StartAnswer::Started,
+            answer,
         );
     }
 
     /// Answers a hold.
     fn hold(&mut self, instance: usize, order: &HoldOrder) {
         let minion = self.minions.get_mut(&order.target.id).expect("the minion exists");
+        if minion.is_fenced(order.target.fencing_token) {
+            let (key, number) = (order.target.minion, order.number);
+            let fenced = HoldAnswer::Fenced;
+            return self.engines[instance].hold_answered(self.now, key, number, fenced);
+        }
         let reply = minion.reply(self.now, order.last_seen);
         answer_hold(&mut self.engines[instance], self.now, order, reply);
     }
