Announce found runs again to owners that were not known then

Cause: a new holder announces the runs that it finds once, to the peers that it knows then, and an owner answers only if it has the job then. An owner whose link opens later, or that takes the shard over later, never hears of them, and the holder stops them after 300 ms.

Change: runs that nobody has claimed are announced on each new link and to each new owner of their shard; an owner that takes a shard over claims those that it holds itself. What is announced, and the comparison of tokens, is the same.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -221,6 +221,7 @@
         let runs = self.held_runs_of(peer);
         let wanted = self.runs_placed_at(peer);
         let reports = self.shard_reports_to(peer);
+        let unclaimed = self.announcements(self.unclaimed_runs().into_iter());
         let incomplete = self.partial_gang_runs_at(peer);
         let cancelled = self.outcomes.cancelled_elsewhere();
         self.evacuations.note_link();
@@ -234,8 +235,8 @@
             for run in incomplete {
                 peer.push_required(Message::Stop(run));
             }
-            for report in reports {
-                peer.push_required(report);
+            for message in reports.into_iter().chain(unclaimed) {
+                peer.push_required(message);
             }
             for job in cancelled {
                 peer.push_required(Message::Cancel(job));
--- a/crates/bamboocart-jobs/src/holder/adoption.rs
+++ b/crates/bamboocart-jobs/src/holder/adoption.rs
@@ -1,5 +1,7 @@
 //! Adoption of runs by a new holder of a minion, and cleanup of runs without an owner.
 
+use std::collections::BTreeMap;
+
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +15,7 @@
 use crate::owner::gone::gone_after_ms;
 use crate::owner::task::{Holder, Placement};
 use crate::resources::Resources;
-use crate::shard::Stage;
+use crate::shard::{ShardId, Stage};
 use crate::time::Moment;
 use crate::timing::OWNER_SILENCE_MS;
 
@@ -92,9 +94,7 @@
             ended: ended.clone(),
         });
         for run in active {
-            if let Some(claim) = self.claim(run, None, &minion, fencing_token) {
-                self.run_claimed(key, run, RunOwner::Local, claim);
-            }
+            self.claim_own(key, run);
         }
         for report in ended {
             if self.claim(report.run, None, &minion, fencing_token).is_some() {
@@ -104,6 +104,57 @@
         self.report_unconfirmed(now, true);
     }
 
+    /// Claims a run that was found on a held minion for this instance, if it is the current
+    /// run of its task.
+    fn claim_own(&mut self, key: MinionKey, run: RunRef) {
+        let minion = &self.minions.arena[key];
+        let Some(held) = minion.held.as_ref() else { return };
+        let (id, fencing_token) = (minion.entry.id.clone(), held.fencing_token);
+        if let Some(claim) = self.claim(run, None, &id, fencing_token) {
+            self.run_claimed(key, run, RunOwner::Local, claim);
+        }
+    }
+
+    /// Claims the runs of a shard that were found before this instance owned it.
+    pub(crate) fn claim_found_runs(&mut self, shard: ShardId) {
+        for (minion, run) in self.unclaimed_runs() {
+            if self.shards.shard_of(run.task.job) == shard
+                && let Some(&key) = self.minions.by_id.get(&minion)
+            {
+                self.claim_own(key, run);
+            }
+        }
+    }
+
+    /// Returns the runs on held minions that no owner has claimed, with their minions.
+    pub(crate) fn unclaimed_runs(&self) -> Vec<(MinionId, RunRef)> {
+        let held = self.minions.held();
+        let runs = held.flat_map(|(_, minion, held)| {
+            let unclaimed =
+                held.runs.iter().filter(|(_, run)| run.owner == RunOwner::Unclaimed);
+            unclaimed.map(|(&run, _)| (minion.entry.id.clone(), run))
+        });
+        runs.collect()
+    }
+
+    /// Returns the announcements of active runs under the fencing tokens of their minions,
+    /// one for each minion.
+    pub(crate) fn announcements(
+        &self,
+        runs: impl Iterator<Item = (MinionId, RunRef)>,
+    ) -> Vec<Message> {
+        let mut by_minion: BTreeMap<MinionId, Vec<RunRef>> = BTreeMap::new();
+        for (minion, run) in runs {
+            by_minion.entry(minion).or_default().push(run);
+        }
+        let announcement = |(minion, active): (MinionId, Vec<RunRef>)| {
+            let key = self.minions.by_id.get(&minion)?;
+            let fencing_token = self.minions.arena[*key].held.as_ref()?.fencing_token;
+            Some(Message::Adopted { minion, fencing_token, active, ended: Vec::new() })
+        };
+        by_minion.into_iter().filter_map(announcement).collect()
+    }
+
     /// Announces the runs that go on after a restart of their minion to their owners, under
     /// the higher fencing token: another instance may have held the minion in between.
     pub(crate) fn announce_kept_runs(&mut self, key: MinionKey, active: &[ActiveRun]) {
--- a/crates/bamboocart-jobs/src/shard/shard_runs.rs
+++ b/crates/bamboocart-jobs/src/shard/shard_runs.rs
@@ -1,13 +1,12 @@
 //! Handover of the active runs of a shard from one owner to the next.
 
-use std::collections::BTreeMap;
 use std::mem;
 
 use log::{info, warn};
 
 use crate::engine::Engine;
 use crate::holder::minion::{MinionKey, RunOwner};
-use crate::id::{MinionId, RunRef};
+use crate::id::RunRef;
 use crate::membership::peer::PeerKey;
 use crate::message::{Message, ShardRun};
 use crate::owner::task::{Holder, Placement, TaskState};
@@ -61,29 +60,17 @@
     fn shard_report(&self, peer: PeerKey, shard: ShardId) -> Vec<Message> {
         let epoch = self.shards.known_epoch(shard);
         let runs = self.runs_of_shard(peer, shard, epoch);
-        let announcements = self.announcements(&runs);
+        let reported = runs.iter().map(|it| (it.minion.clone(), it.run));
+        let unclaimed = self.unclaimed_runs().into_iter();
+        let unclaimed =
+            unclaimed.filter(|(_, run)| self.shards.shard_of(run.task.job) == shard);
+        let announcements = self.announcements(reported.chain(unclaimed));
         let mut report = self.unconfirmed_ends_of(shard);
         report.push(Message::ShardRuns { shard, epoch, runs });
         report.extend(announcements);
         report
     }
 
-    /// Returns the announcements of active runs under the fencing tokens of their minions,
-    /// one for each minion.
-    fn announcements(&self, runs: &[ShardRun]) -> Vec<Message> {
-        let mut by_minion: BTreeMap<&MinionId, Vec<RunRef>> = BTreeMap::new();
-        for ShardRun { run, minion, .. } in runs {
-            by_minion.entry(minion).or_default().push(*run);
-        }
-        let announcement = |(minion, active): (&MinionId, Vec<RunRef>)| {
-            let key = self.minions.by_id.get(minion)?;
-            let fencing_token = self.minions.arena[*key].held.as_ref()?.fencing_token;
-            let (minion, ended) = (minion.clone(), Vec::new());
-            Some(Message::Adopted { minion, fencing_token, active, ended })
-        };
-        by_minion.into_iter().filter_map(announcement).collect()
-    }
-
     /// Returns the runs of a shard on held minions that belong to its owner.
     fn runs_of_shard(&self, peer: PeerKey, shard: ShardId, epoch: u64) -> Vec<ShardRun> {
         let held = self.minions.held();
--- a/crates/bamboocart-jobs/src/shard/takeover.rs
+++ b/crates/bamboocart-jobs/src/shard/takeover.rs
@@ -295,6 +295,7 @@
         for (key, run) in self.reassign_shard_runs(now, id, epoch, RunOwner::Local) {
             self.adopt_own_run(now, key, run);
         }
+        self.claim_found_runs(id);
         for (requester, job, op) in ops {
             self.perform_op(now, requester, job, op);
         }
--- a/crates/bamboocart-jobs/tests/introductions.rs
+++ b/crates/bamboocart-jobs/tests/introductions.rs
@@ -21,6 +21,9 @@
 /// member. The group drops a member after 1,300 ms.
 const JOIN_DELAY_MS: u64 = 1_400;
 
+/// The time for which the owner keeps its other shards after that, and some more.
+const STORE_LOST_MS: u64 = 4_000;
+
 /// The instance that the store turns away.
 const REFUSED: usize = 0;
 
@@ -57,6 +60,18 @@
     }
 }
 
+/// Guards against runs that are given up, because their new holder finds and announces them
+/// before it has a link to their owner.
+#[test]
+fn runs_that_are_found_before_the_link_to_their_owner_go_on() {
+    let mut site = site_with_active_runs();
+    site.refuse(REFUSED);
+    site.pass(JOIN_DELAY_MS);
+    site.add(member("entry-4", "sahab"));
+    site.pass(STORE_LOST_MS);
+    assert_eq!(site.starts.len(), 2 * JOBS as usize);
+}
+
 /// Returns a site of three instances with an active run of each task of the stored jobs.
 fn site_with_active_runs() -> Site {
     let members = [("entry-1", "marka"), ("entry-2", "sahab"), ("entry-3", "qastal")]
