Look for new members only while the store leaves a peer without an answer

Each review copied the names of all peers, and each first frame of a peer caused a whole review, which goes through all minions. Now nothing is copied in calm, and a first frame causes only the introductions.

--- a/crates/bamboocart-jobs/src/engine.rs
+++ b/crates/bamboocart-jobs/src/engine.rs
@@ -284,14 +284,17 @@
         entry.note_frame(&frame, now);
         if first {
             info!(target: "peer", peer:% = entry.member; "first frame from a peer");
-            self.review.note_peer();
         }
         let times = FrameTimes {
             sent_ms: frame.sent_ms,
             echo: Moment(frame.echo_ms),
             overtaken: frame.sent_ms < entry.last_frame_sent_ms,
         };
-        if frame.needs_state && entry.is_state_due(now) {
+        let needs_state = frame.needs_state && entry.is_state_due(now);
+        if first {
+            self.introduce_members(now);
+        }
+        if needs_state {
             self.send_state(now, peer);
         }
         // A start extends the lease of its minion, which must have no run of a silent owner.
--- a/crates/bamboocart-jobs/src/membership/introduction.rs
+++ b/crates/bamboocart-jobs/src/membership/introduction.rs
@@ -23,22 +23,26 @@
     /// Tells the peers that the store does not answer of the members that may have joined
     /// since their last join.
     pub(crate) fn introduce_members(&mut self, now: Moment) {
-        let has_joined = |peer: &Peer| peer.listed || peer.joined_at.is_some();
         let peers = self.peers.arena.iter();
-        let members = peers.filter(|(_, peer)| {
-            let stays = !peer.replaced && !peer.leaving;
-            stays && has_joined(peer) && peer.is_present(now)
-        });
-        let members: Vec<(PeerKey, Moment, Member)> = members
+        let unanswered: Vec<(PeerKey, Moment)> = peers
+            .filter_map(|(key, peer)| Some((key, peer.joined_at?)))
+            .filter(|&(_, joined_at)| is_unanswered(now, joined_at))
+            .collect();
+        let Some(earliest) = unanswered.iter().map(|&(_, joined_at)| joined_at).min()
+        else {
+            return;
+        };
+        let peers = self.peers.arena.iter();
+        let new: Vec<(PeerKey, Moment, Member)> = peers
+            .filter(|(_, peer)| peer.known_since + JOIN_SLACK_MS > earliest)
+            .filter(|(_, peer)| is_member(peer, now))
             .map(|(key, peer)| (key, peer.known_since, peer.member.clone()))
             .collect();
-        for (key, peer) in &mut self.peers.arena {
-            let joined_at = peer.joined_at.filter(|&at| is_unanswered(now, at));
-            let Some(joined_at) = joined_at else { continue };
-            let new = members.iter().filter(|&&(member, known_since, _)| {
+        for (key, joined_at) in unanswered {
+            let members = new.iter().filter(|&&(member, known_since, _)| {
                 member != key && known_since + JOIN_SLACK_MS > joined_at
             });
-            peer.introduce(new.map(|(.., member)| member.clone()));
+            self.peers.arena[key].introduce(members.map(|(.., member)| member.clone()));
         }
     }
 
@@ -72,6 +76,12 @@
     }
 }
 
+/// Returns whether a peer is a member of the group, and stays one.
+fn is_member(peer: &Peer, now: Moment) -> bool {
+    let has_joined = peer.listed || peer.joined_at.is_some();
+    has_joined && peer.is_present(now) && !peer.replaced && !peer.leaving
+}
+
 /// Returns whether a member that sent its last answered join at `joined_at` may be acting
 /// without the store.
 fn is_unanswered(now: Moment, joined_at: Moment) -> bool {
