--- a/crates/bamboocart-jobs/src/membership/mod.rs
+++ b/crates/bamboocart-jobs/src/membership/mod.rs
@@ -80,8 +80,8 @@
 }
 
 impl Review {
-    /// Records that a peer is present for the first time.
-    pub(crate) fn note_peer(&mut self) {
+    /// Records that the group has a member that the last review did not know.
+    pub(crate) fn note_new_member(&mut self) {
         self.due = true;
     }
 }
--- a/crates/bamboocart-jobs/src/message.rs
+++ b/crates/bamboocart-jobs/src/message.rs
@@ -137,7 +137,10 @@
     Leaving,
     /// Tells an owner that the sender does not hold the minion of a run any more.
     Released(RunRef),
-    /// Announces the runs that a new holder found on a minion to their owners.
+    /// Announces runs on a minion and the fencing token of its holder to their owners.
+    ///
+    /// Sent by a new holder that has found the runs. It also follows [`Message::ShardRuns`],
+    /// which has no tokens.
     Adopted {
         /// The minion that the sender now holds.
         minion: MinionId,
