--- a/crates/bamboocart-jobs/tests/introductions.rs
+++ b/crates/bamboocart-jobs/tests/introductions.rs
@@ -47,7 +47,7 @@
     not_linked = { Case { reachable: false, refused_ms: 7_600 } },
 )]
 fn a_new_member_starts_no_task_beside_an_owner_without_the_store(case: Case) {
-    let mut site = site_with_active_runs();
+    let mut site = busy_site();
     site.refuse(REFUSED);
     site.pass(JOIN_DELAY_MS);
     if !case.reachable {
@@ -64,7 +64,7 @@
 /// before it has a link to their owner.
 #[test]
 fn runs_that_are_found_before_the_link_to_their_owner_go_on() {
-    let mut site = site_with_active_runs();
+    let mut site = busy_site();
     site.refuse(REFUSED);
     site.pass(JOIN_DELAY_MS);
     site.add(member("entry-4", "sahab"));
@@ -73,7 +73,7 @@
 }
 
 /// Returns a site of three instances with an active run of each task of the stored jobs.
-fn site_with_active_runs() -> Site {
+fn busy_site() -> Site {
     let members = [("entry-1", "marka"), ("entry-2", "sahab"), ("entry-3", "qastal")]
         .map(|(name, domain)| member(name, domain));
     let minions = ["marka", "sahab", "qastal"].into_iter().flat_map(|domain| {
