--- a/crates/bamboocart-jobs/tests/support/site.rs
+++ b/crates/bamboocart-jobs/tests/support/site.rs
@@ -38,7 +38,8 @@
     generation: u64,
     /// The instances that the store turns away.
     refused: BTreeSet<usize>,
-    /// The links that are open, each from one instance to another.
+    /// The links that were opened, each from one instance to another. One that a test closes
+    /// stays closed until the test opens it.
     links: BTreeSet<(usize, usize)>,
     /// The pairs of instances that can't reach each other.
     cuts: BTreeSet<(usize, usize)>,
@@ -154,7 +155,6 @@
         let peer = self.peer(from, to);
         self.in_flight.retain(|(sender, receiver, _)| (*sender, *receiver) != (from, to));
         self.engines[from].link_lost(self.now, peer);
-        self.links.remove(&(from, to));
     }
 
     /// Lets two instances never reach each other.
@@ -185,9 +185,9 @@
         }
     }
 
-    /// Opens the links to the peers that instances know, as far as they can be reached. The
-    /// accepting end learns of the opening one.
-    fn open_known_links(&mut self) {
+    /// Opens the links to peers that instances have learned of, as far as they can be reached.
+    /// The accepting end learns of the opening one.
+    fn open_new_links(&mut self) {
         for from in 0..self.engines.len() {
             for (peer, _) in self.engines[from].peers() {
                 let member = self.engines[from].member_of(peer);
@@ -239,7 +239,7 @@
         let end = self.now + duration_ms;
         while self.now < end {
             self.now = self.now + STEP_MS;
-            self.open_known_links();
+            self.open_new_links();
             self.deliver_frames();
             for number in 0..self.engines.len() {
                 if !self.refused.contains(&number) {
