Set the flag of a due review without a method for it

The module for introductions is a child of the one that owns the field, so the method only restated the assignment.

--- a/crates/bamboocart-jobs/src/membership/introduction.rs
+++ b/crates/bamboocart-jobs/src/membership/introduction.rs
@@ -70,7 +70,7 @@
                     "a peer names a member that joined while the store did not answer");
                 entry.listed = true;
                 entry.joined = true;
-                self.review.note_new_member();
+                self.review.due = true;
             }
         }
     }
--- a/crates/bamboocart-jobs/src/membership/mod.rs
+++ b/crates/bamboocart-jobs/src/membership/mod.rs
@@ -79,13 +79,6 @@
     pending: bool,
 }
 
-impl Review {
-    /// Records that the group has a member that the last review did not know.
-    pub(crate) fn note_new_member(&mut self) {
-        self.due = true;
-    }
-}
-
 impl Engine {
     /// Sets the members of the group as of a generation.
     ///
